--- a/include/mothpaddle/router.hpp
+++ b/include/tinspan/router.hpp
@@ -1,4 +1,4 @@
-// The interface of mothpaddle: what a gateway tells a Router and what it gets back.
+// The interface of tinspan: what a gateway tells a Router and what it gets back.
 // It holds types only. Every decision is made in src/brain.cpp.
 //
 // Contract. One Router serves one thread; it keeps no globals and reads no clock. The caller supplies
@@ -17,7 +17,7 @@
 #include <variant>
 #include <vector>
 
-namespace mothpaddle {
+namespace tinspan {
 
 using Micros = std::chrono::microseconds;
 
@@ -221,4 +221,4 @@
   std::unique_ptr<Brain> brain_;
 };
 
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,4 +1,4 @@
-// Everything that mothpaddle decides. The interface is include/mothpaddle/router.hpp; read it first.
+// Everything that tinspan decides. The interface is include/tinspan/router.hpp; read it first.
 // Sections: counters and Pfreq, shared hash order, health, cold-start budgets, purge ledger, source
 // choice, time-outs and further attempts, refusals; then the events that drive them.
 #include <algorithm>
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <utility>
 
-#include "mothpaddle/router.hpp"
 #include "settings.hpp"
 #include "state.hpp"
+#include "tinspan/router.hpp"
 
-namespace mothpaddle {
+namespace tinspan {
 namespace {
 
 // ---- Constants, each with its reason. Times that are not here come from the settings. ----
@@ -872,18 +872,18 @@
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
 
-#define MOTHPADDLE_HANDLE(Event)                                      \
+#define TINSPAN_HANDLE(Event)                                         \
   void Router::Handle(Micros now, const Event& event, Actions& out) { \
     brain_->Begin(now, out);                                          \
     brain_->Take(event);                                              \
   }
-MOTHPADDLE_HANDLE(MembersEvent)
-MOTHPADDLE_HANDLE(RequestEvent)
-MOTHPADDLE_HANDLE(StartedEvent)
-MOTHPADDLE_HANDLE(OutcomeEvent)
-MOTHPADDLE_HANDLE(HangupEvent)
-MOTHPADDLE_HANDLE(TimerEvent)
-MOTHPADDLE_HANDLE(PurgeEvent)
-#undef MOTHPADDLE_HANDLE
+TINSPAN_HANDLE(MembersEvent)
+TINSPAN_HANDLE(RequestEvent)
+TINSPAN_HANDLE(StartedEvent)
+TINSPAN_HANDLE(OutcomeEvent)
+TINSPAN_HANDLE(HangupEvent)
+TINSPAN_HANDLE(TimerEvent)
+TINSPAN_HANDLE(PurgeEvent)
+#undef TINSPAN_HANDLE
 
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "mothpaddle/router.hpp"
+#include "tinspan/router.hpp"
 
-namespace mothpaddle::drill {
+namespace tinspan::drill {
 namespace {
 
 using Fields = std::vector<std::string_view>;
@@ -624,11 +624,11 @@
   try {
     player.Run();
   } catch (const Malformed& wrong) {
-    err << "mothpaddle_drill: line " << player.LineNumber() << ": " << wrong.field << ": expected "
+    err << "tinspan_drill: line " << player.LineNumber() << ": " << wrong.field << ": expected "
         << wrong.expected << std::endl;
     return 2;
   }
   return 0;
 }
 
-}  // namespace mothpaddle::drill
+}  // namespace tinspan::drill
--- a/src/drill/drill.hpp
+++ b/src/drill/drill.hpp
@@ -3,10 +3,10 @@
 
 #include <iosfwd>
 
-namespace mothpaddle::drill {
+namespace tinspan::drill {
 
 // Plays batches from `in` until it ends and writes one flushed reply for each to `out`.
 // Returns 0 at the end of input, or 2 after a plain message on `err` if a line is malformed.
 int Play(std::istream& in, std::ostream& out, std::ostream& err);
 
-}  // namespace mothpaddle::drill
+}  // namespace tinspan::drill
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -5,5 +5,5 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  return mothpaddle::drill::Play(std::cin, std::cout, std::cerr);
+  return tinspan::drill::Play(std::cin, std::cout, std::cerr);
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,7 +2,7 @@
 
 #include <stdexcept>
 
-namespace mothpaddle {
+namespace tinspan {
 
 void CheckSettings(const Settings& settings) {
   const auto need = [](bool good, const char* what) {
@@ -22,4 +22,4 @@
   }
 }
 
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -1,11 +1,11 @@
 // Whether settings make sense at all; nothing is decided here.
 #pragma once
 
-#include "mothpaddle/router.hpp"
+#include "tinspan/router.hpp"
 
-namespace mothpaddle {
+namespace tinspan {
 
 // Throws std::invalid_argument naming what makes no sense.
 void CheckSettings(const Settings& settings);
 
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -6,9 +6,9 @@
 #include <memory>
 #include <vector>
 
-#include "mothpaddle/router.hpp"
+#include "tinspan/router.hpp"
 
-namespace mothpaddle {
+namespace tinspan {
 
 class EvolutiveCounter;
 
@@ -84,4 +84,4 @@
   Micros at;
 };
 
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -3,7 +3,7 @@
 
 #include "fixture.hpp"
 
-namespace mothpaddle {
+namespace tinspan {
 namespace {
 
 bool IsParent(ServerId id) { return id == ServerId{11} || id == ServerId{12}; }
@@ -800,4 +800,4 @@
 }
 
 }  // namespace
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -1,8 +1,8 @@
 // A gateway's first use of the library: a list, a request, an outcome. README quotes this code.
 #include <cstdio>
-#include <mothpaddle/router.hpp>
+#include <tinspan/router.hpp>
 
-namespace mp = mothpaddle;
+namespace mp = tinspan;
 using namespace std::chrono_literals;
 
 int main() {
--- a/tests/drill_test.cpp
+++ b/tests/drill_test.cpp
@@ -5,7 +5,7 @@
 
 #include <sstream>
 
-namespace mothpaddle::drill {
+namespace tinspan::drill {
 namespace {
 
 struct Played {
@@ -99,4 +99,4 @@
 }
 
 }  // namespace
-}  // namespace mothpaddle::drill
+}  // namespace tinspan::drill
--- a/tests/fixture.hpp
+++ b/tests/fixture.hpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "mothpaddle/router.hpp"
+#include "tinspan/router.hpp"
 
-namespace mothpaddle {
+namespace tinspan {
 
 using namespace std::chrono_literals;
 
@@ -134,4 +134,4 @@
   std::uint64_t next_id = 1;
 };
 
-}  // namespace mothpaddle
+}  // namespace tinspan
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -5,7 +5,7 @@
 
 #include "fixture.hpp"
 
-namespace mothpaddle {
+namespace tinspan {
 namespace {
 
 struct Held {
@@ -171,4 +171,4 @@
 }
 
 }  // namespace
-}  // namespace mothpaddle
+}  // namespace tinspan
