--- /dev/null
+++ b/src/cli/serve.cpp
@@ -0,0 +1,31 @@
+#include "cli/serve.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "front/platform/platform_front.hpp"
+#include "front/runner.hpp"
+
+namespace tinspan::cli {
+namespace {
+
+core::GatewayOptions Options(const config::Common& config) { return {.slack = config.slack}; }
+
+// SIGKILL comes no earlier than the longest deadline (3 s at least) plus 0.7 s after SIGTERM.
+front::StopTimes Stop(const config::Common& config) {
+  front::StopTimes times;
+  times.most = std::max(config.longest, Micros{3'000'000}) + Micros{600'000};
+  return times;
+}
+
+}  // namespace
+
+void ServePlatform(const config::Platform& config) {
+  net::EventLoop loop;
+  std::vector<core::Event> events;
+  core::Gateway gateway(config.site.settings, config.seed, net::Now(), Options(config));
+  platform::PlatformFront front(loop, config, gateway, events);
+  spdlog::info("{} serving at {}", config.name, config.listen.Text());
+  front::Run(loop, gateway, front, events, Stop(config));
+}
+
+}  // namespace tinspan::cli
--- /dev/null
+++ b/src/core/gateway.cpp
@@ -0,0 +1,302 @@
+#include "core/gateway.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tinspan::core {
+namespace {
+
+template <class Strong>
+std::uint64_t Number(Strong id) {
+  return static_cast<std::uint64_t>(id);
+}
+Actions& StartActions() {
+  static thread_local Actions actions;  // scratch for the Router's constructor; emptied by Gateway's
+  actions.clear();
+  return actions;
+}
+
+}  // namespace
+
+Gateway::Gateway(const Settings& settings, std::uint64_t seed, Micros now, GatewayOptions options)
+    : settings_(settings), options_(options), now_(now), router_(settings, seed, now, StartActions()) {}
+
+void Gateway::Handle(Micros now, std::span<const Event> events, Commands& out) {
+  now_ = std::max(now_, now);
+  out_ = &out;
+  for (const Event& event : events) std::visit([this](const auto& one) { On(one); }, event);
+  RunDue();
+  out_ = nullptr;
+}
+
+std::optional<Micros> Gateway::NextDue() const {
+  return due_.empty() ? std::nullopt : std::optional(due_.top().at);
+}
+
+// ---- Events. ----
+
+void Gateway::On(const RequestCame& event) {
+  const auto [place, added] = requests_.try_emplace(Number(event.id));
+  if (!added) return;
+  Request& request = place->second;
+  request.came = event;
+  const Micros left = std::max(event.allow - options_.slack, Micros{0});
+  request.deadline = now_ + left;
+  ++open_;
+  At(request.deadline, Due::What::kDeadline, Number(event.id));
+  Ask(RequestEvent{.id = event.id,
+                   .time_left = left,
+                   .class_id = event.class_id,
+                   .group = event.group,
+                   .object = event.object,
+                   .part = event.part,
+                   .size_kb = event.size_kb,
+                   .repeat = event.repeat});
+  Forget(event.id);
+}
+
+void Gateway::On(const ClientLeft& event) {
+  Request* const request = Find(event.id);
+  if (request == nullptr || request->answered) return;
+  request->answered = true;
+  --open_;
+  Ask(HangupEvent{event.id});  // calls off what is out
+  // What the Router leaves running has nobody to go to.
+  for (std::uint32_t i = 0; Find(event.id) != nullptr && i < request->tries.size(); ++i) {
+    if (request->tries[i].out) Do(CancelAttempt{event.id, i});
+  }
+  Forget(event.id);
+}
+
+void Gateway::On(const AttemptBegan& event) {
+  Request* const request = Find(event.id);
+  if (request == nullptr || event.attempt >= request->tries.size()) return;
+  Try& one = request->tries[event.attempt];
+  if (!one.out || request->answered || request->begun) return;
+  if (event.issued && Purged(*request, one.sent, *event.issued)) {
+    out_->push_back(Stop{event.id, event.attempt});
+    return End(event.id, *request, event.attempt, {.outcome = Outcome::kError});
+  }
+  request->begun = event.attempt;
+  out_->push_back(Relay{event.id, event.attempt});
+  Ask(StartedEvent{event.id, event.attempt});
+}
+
+void Gateway::On(const AttemptEnded& event) {
+  Request* const request = Find(event.id);
+  if (request == nullptr || event.attempt >= request->tries.size()) return;
+  if (!request->tries[event.attempt].out) return;  // given up before
+  End(event.id, *request, event.attempt, event);
+}
+
+void Gateway::On(const MembersTold& event) {
+  const auto tell = [this](Standing& standing, Availability availability) {
+    // Draining, then gone: the time runs from the first word.
+    const bool first = standing.availability == Availability::kUp;
+    if (availability != Availability::kUp && first) standing.told = now_;
+    standing.availability = availability;
+  };
+  if (event.kind == MembersEvent::Kind::kFull || event.kind == MembersEvent::Kind::kStale) {
+    for (auto& [id, standing] : standings_) {
+      const auto same = [number = id](const Member& member) { return Number(member.id) == number; };
+      if (std::none_of(event.members.begin(), event.members.end(), same)) tell(standing, Availability::kGone);
+    }
+  }
+  for (const Member& member : event.members) tell(standings_[Number(member.id)], member.availability);
+  Ask(MembersEvent{event.kind, event.members});
+}
+
+void Gateway::On(const PurgeTold& event) {
+  auto& table = event.object ? purged_objects_ : purged_groups_;
+  const auto key = event.object ? Number(*event.object) : Number(event.group);
+  const auto [place, added] = table.try_emplace(key, Purge{event.at, now_});
+  if (!added && event.at > place->second.at) place->second = {event.at, now_};
+  Ask(PurgeEvent{.age = std::max(now_ - event.at, Micros{0}), .group = event.group, .object = event.object});
+}
+
+void Gateway::RunDue() {
+  while (!due_.empty() && due_.top().at <= now_) {
+    const Due due = due_.top();
+    due_.pop();
+    if (due.what == Due::What::kRouter) {
+      Ask(TimerEvent{due.token});
+      continue;
+    }
+    const RequestId id{due.token};
+    Request* const request = Find(id);
+    if (request == nullptr) continue;
+    if (due.what == Due::What::kAttempt) {
+      if (!request->tries[due.attempt].out || request->begun == due.attempt) continue;
+      out_->push_back(Stop{id, due.attempt});
+      End(id, *request, due.attempt, {.outcome = Outcome::kTimedOut});
+    } else if (!request->answered && !request->begun) {
+      // The Router answers at its own deadline, a tick earlier. Should it ever not, the client is still owed.
+      Finish(id, *request, Answer{.id = id, .verdict = Verdict::kOverdue});
+      Ask(HangupEvent{id});
+      Forget(id);
+    }
+  }
+  if (now_ < next_forget_) return;
+  next_forget_ = now_ + options_.sweep;
+  const auto old = [this](const auto& entry) { return now_ - entry.second.at > 4 * settings_.purge_done; };
+  std::erase_if(purged_objects_, old);
+  std::erase_if(purged_groups_, old);
+  std::erase_if(standings_, [this](const auto& entry) {
+    return entry.second.availability == Availability::kGone && now_ - entry.second.told > Micros{60'000'000};
+  });
+}
+
+// ---- What the Router wants done. ----
+
+template <class RouterEvent>
+void Gateway::Ask(const RouterEvent& event) {
+  Actions actions;
+  router_.Handle(now_, event, actions);
+  for (const Action& action : actions) std::visit([this](const auto& one) { Do(one); }, action);
+  // Outcomes of what was called off or could not be sent follow once the actions at hand are done, as on the
+  // simulator's wire.
+  while (!called_off_.empty()) {
+    const AttemptEnded ended = called_off_.front();
+    called_off_.erase(called_off_.begin());
+    Request* const request = Find(ended.id);
+    if (request != nullptr) End(ended.id, *request, ended.attempt, ended);
+  }
+}
+
+void Gateway::Do(const SendAttempt& order) {
+  Request* const request = Find(order.id);
+  if (request == nullptr) return;
+  const auto number = static_cast<std::uint32_t>(request->tries.size());
+  const bool another =
+      std::any_of(request->tries.begin(), request->tries.end(), [](auto& t) { return t.out; });
+  request->tries.push_back({order.server, order.source, now_, true});
+  Micros until =
+      order.give_up_at > Micros{0} ? std::min(order.give_up_at, request->deadline) : request->deadline;
+  const bool allowed = !request->answered && !another && number < settings_.max_attempts && until > now_ &&
+                       !PastDrain(now_, order.server) && !PastDrain(now_, order.source);
+  if (!allowed) {
+    called_off_.push_back({.id = order.id, .attempt = number, .outcome = Outcome::kNotSent});
+    return;
+  }
+  At(until, Due::What::kAttempt, Number(order.id), number);
+  Send send{order, number};
+  send.order.give_up_at = until;
+  out_->push_back(std::move(send));
+}
+
+void Gateway::Do(const CancelAttempt& order) {
+  Request* const request = Find(order.id);
+  if (request == nullptr || order.attempt >= request->tries.size()) return;
+  if (!request->tries[order.attempt].out) return;
+  if (request->begun == order.attempt && !request->answered) return;  // a begun answer is not called off
+  out_->push_back(Stop{order.id, order.attempt});
+  called_off_.push_back({.id = order.id, .attempt = order.attempt, .outcome = Outcome::kCancelled});
+}
+
+void Gateway::Do(const Refuse& order) {
+  Request* const request = Find(order.id);
+  if (request == nullptr) return;
+  Finish(order.id, *request,
+         Answer{.id = order.id, .verdict = Verdict::kRefused, .retry_after = order.retry_after});
+}
+
+void Gateway::Do(const Fail& order) {
+  Request* const request = Find(order.id);
+  if (request == nullptr) return;
+  const bool overdue = now_ + 2 * settings_.tick >= request->deadline;
+  Finish(order.id, *request,
+         Answer{.id = order.id, .verdict = overdue ? Verdict::kOverdue : Verdict::kFailed});
+}
+
+void Gateway::Do(const SetTimer& order) { At(order.at, Due::What::kRouter, order.token); }
+
+// ---- Requests. ----
+
+Gateway::Request* Gateway::Find(RequestId id) {
+  const auto found = requests_.find(Number(id));
+  return found == requests_.end() ? nullptr : &found->second;
+}
+
+// The only place where a final answer is given.
+void Gateway::Finish(RequestId, Request& request, Answer answer) {
+  if (request.answered) return;
+  request.answered = true;
+  --open_;
+  out_->push_back(answer);
+}
+
+void Gateway::End(RequestId id, Request& request, std::uint32_t attempt, AttemptEnded how) {
+  Try& one = request.tries[attempt];
+  if (!one.out) return;
+  one.out = false;
+  bool served = how.outcome == Outcome::kServed;
+  const bool begun = request.begun == attempt;
+  // Whatever a server says of a purge, no copy older than one that had to be heeded goes out.
+  if (served && !begun && how.issued && Purged(request, one.sent, *how.issued)) {
+    how.outcome = Outcome::kError;
+    served = false;
+  }
+  if (served) Finish(id, request, Answer{.id = id, .verdict = Verdict::kServed, .attempt = attempt});
+  if (begun && !served)
+    Finish(id, request, Answer{.id = id, .verdict = Verdict::kBroken, .attempt = attempt});
+  Ask(OutcomeEvent{.id = id,
+                   .attempt = attempt,
+                   .outcome = how.outcome,
+                   .elapsed = now_ - one.sent,
+                   .finished = request.answered,
+                   .note = how.note,
+                   .fill_wait = how.fill_wait,
+                   .load = how.load});
+  Forget(id);
+}
+
+// Drops a request that has its answer and nothing out.
+void Gateway::Forget(RequestId id) {
+  const auto found = requests_.find(Number(id));
+  if (found == requests_.end() || !found->second.answered) return;
+  const auto& tries = found->second.tries;
+  if (std::none_of(tries.begin(), tries.end(), [](const Try& one) { return one.out; }))
+    requests_.erase(found);
+}
+
+void Gateway::At(Micros at, Due::What what, std::uint64_t token, std::uint32_t attempt) {
+  due_.push({at, serial_++, what, token, attempt});
+}
+
+bool Gateway::MaySend(Micros now, RequestId id, std::uint32_t attempt) const {
+  const auto found = requests_.find(Number(id));
+  if (found == requests_.end() || found->second.answered || attempt >= found->second.tries.size())
+    return false;
+  const Request& request = found->second;
+  const Try& one = request.tries[attempt];
+  if (!one.out || now >= request.deadline) return false;
+  if (PastDrain(now, one.server) || PastDrain(now, one.source)) return false;
+  // A purge told since the decision: the age that was asked for does not heed it.
+  const auto told_since = [&](const auto& table, std::uint64_t key) {
+    const auto purge = table.find(key);
+    return purge != table.end() && purge->second.told > one.sent &&
+           now - purge->second.told >= settings_.purge_grace / 2;
+  };
+  return !told_since(purged_objects_, Number(request.came.object)) &&
+         !told_since(purged_groups_, Number(request.came.group));
+}
+
+bool Gateway::PastDrain(Micros now, ServerId server) const {
+  const auto found = standings_.find(Number(server));
+  if (found == standings_.end()) return true;  // never listed
+  // Half of the grace is ours: the rest is left for the write.
+  return found->second.availability != Availability::kUp &&
+         now - found->second.told >= settings_.drain_grace / 2;
+}
+
+bool Gateway::Purged(const Request& request, Micros sent, Micros issued) const {
+  const auto older = [&](const auto& table, std::uint64_t key) {
+    const auto purge = table.find(key);
+    return purge != table.end() && issued < purge->second.at &&
+           sent - purge->second.told >= settings_.purge_grace;
+  };
+  return older(purged_objects_, Number(request.came.object)) ||
+         older(purged_groups_, Number(request.came.group));
+}
+
+}  // namespace tinspan::core
--- /dev/null
+++ b/src/core/gateway.hpp
@@ -0,0 +1,191 @@
+// The core of the doorman: requests, their deadlines and attempts, members, purges, and the Router that
+// decides. It knows no wire and no descriptor: a front hands it what happened and carries out what comes
+// back.
+//
+// It keeps the promises that do not depend on any decision: exactly one final answer for each request, at its
+// deadline at the latest; one attempt out at a time; no answer from an attempt that was given up; nothing
+// sent to or filled from a server past its drain time; no copy older than a purge heeded by then.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "tinspan/router.hpp"
+
+namespace tinspan::core {
+
+// ---- Events. ----
+struct RequestCame {
+  RequestId id{};   // from Gateway::NextId
+  Micros allow{0};  // from now until the client gives up
+  ClassId class_id{};
+  GroupId group{};
+  ObjectId object{};
+  std::uint32_t part = 0;
+  double size_kb = 0;
+  bool repeat = false;
+};
+struct ClientLeft {  // nothing is owed any more
+  RequestId id{};
+};
+struct AttemptBegan {  // the answer's first bytes are here and may be passed on from now
+  RequestId id{};
+  std::uint32_t attempt = 0;
+  std::optional<Micros> issued{};  // when the origin gave the copy out
+};
+struct AttemptEnded {
+  RequestId id{};
+  std::uint32_t attempt = 0;
+  Outcome outcome = Outcome::kServed;
+  FillNote note = FillNote::kNone;
+  std::optional<Micros> fill_wait{};
+  LoadReport load{};
+  std::optional<Micros> issued{};
+};
+struct MembersTold {
+  MembersEvent::Kind kind = MembersEvent::Kind::kFull;
+  std::vector<Member> members;
+};
+struct PurgeTold {
+  Micros at{0};  // when the purge was made
+  GroupId group{};
+  std::optional<ObjectId> object{};  // none: the whole group
+};
+using Event = std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold>;
+
+// ---- Commands, to be carried out in order. ----
+struct Send {
+  SendAttempt order;
+  std::uint32_t attempt = 0;
+};
+struct Stop {  // the attempt is given up; whatever still comes of it is dropped
+  RequestId id{};
+  std::uint32_t attempt = 0;
+};
+struct Relay {  // the attempt's answer is the client's: pass on what there is and what comes
+  RequestId id{};
+  std::uint32_t attempt = 0;
+};
+enum class Verdict {
+  kServed,   // by the attempt named
+  kBroken,   // the answer had begun and cannot be finished: the client must see that
+  kRefused,  // trying again is harmless
+  kFailed,
+  kOverdue,  // failed because its time is up
+};
+struct Answer {  // final; each request that came gets one, unless its client left
+  RequestId id{};
+  Verdict verdict = Verdict::kFailed;
+  std::uint32_t attempt = 0;
+  Micros retry_after{0};  // 0: no advice
+};
+struct Log {
+  std::string text;
+};
+using Command = std::variant<Send, Stop, Relay, Answer, Log>;
+using Commands = std::vector<Command>;
+
+struct GatewayOptions {
+  // Taken off what a client allows: `allow` counts from when the client sent, and the answer has still to be
+  // written and to reach it.
+  Micros slack{20'000};
+  // A begun answer may take as long as it keeps moving; without any bytes for so long it is broken off by the
+  // front. Here only: how long an attempt without a deadline may be remembered.
+  Micros sweep{1'000'000};
+};
+
+class Gateway {
+ public:
+  Gateway(const Settings& settings, std::uint64_t seed, Micros now, GatewayOptions options);
+
+  RequestId NextId() { return RequestId{++last_id_}; }
+  // Handles all that has come in since the last call, then what is due by the clock.
+  void Handle(Micros now, std::span<const Event> events, Commands& out);
+  // Whether a send that had to wait (for a connection) may still go out. A front asks right before it writes.
+  bool MaySend(Micros now, RequestId id, std::uint32_t attempt) const;
+  // When Handle wants to be called again, if nothing happens before.
+  std::optional<Micros> NextDue() const;
+  std::size_t OpenRequests() const { return open_; }  // without their final answer yet
+
+ private:
+  struct Try {
+    ServerId server{};
+    ServerId source{};
+    Micros sent{0};
+    bool out = true;
+  };
+  struct Request {
+    RequestCame came;
+    Micros deadline{0};
+    bool answered = false;
+    std::optional<std::uint32_t> begun;
+    std::vector<Try> tries;
+  };
+  struct Due {
+    Micros at;
+    std::uint64_t serial;
+    enum class What { kRouter, kAttempt, kDeadline } what;
+    std::uint64_t token;  // kRouter: the module's, else the request
+    std::uint32_t attempt;
+    bool operator<(const Due& o) const { return at != o.at ? at > o.at : serial > o.serial; }
+  };
+  struct Standing {  // what we were told last of a server
+    Availability availability = Availability::kUp;
+    Micros told{0};
+  };
+  struct Purge {
+    Micros at{0};
+    Micros told{0};
+  };
+
+  void On(const RequestCame& event);
+  void On(const ClientLeft& event);
+  void On(const AttemptBegan& event);
+  void On(const AttemptEnded& event);
+  void On(const MembersTold& event);
+  void On(const PurgeTold& event);
+  void RunDue();
+
+  template <class RouterEvent>
+  void Ask(const RouterEvent& event);
+  void Do(const SendAttempt& order);
+  void Do(const CancelAttempt& order);
+  void Do(const Refuse& order);
+  void Do(const Fail& order);
+  void Do(const SetTimer& order);
+  void Do(const Subscribe&) {}  // the change log is always followed
+  void Do(const LogLine& order) { out_->push_back(Log{order.text}); }
+
+  Request* Find(RequestId id);
+  void Finish(RequestId id, Request& request, Answer answer);
+  void End(RequestId id, Request& request, std::uint32_t attempt, AttemptEnded how);
+  void Forget(RequestId id);
+  void At(Micros at, Due::What what, std::uint64_t token, std::uint32_t attempt = 0);
+  bool PastDrain(Micros now, ServerId server) const;
+  // Whether a copy given out at `issued` is older than a purge that an attempt sent at `sent` had to heed.
+  bool Purged(const Request& request, Micros sent, Micros issued) const;
+
+  Settings settings_;
+  GatewayOptions options_;
+  Micros now_{0};
+  Commands* out_ = nullptr;
+  std::uint64_t last_id_ = 0;
+  std::size_t open_ = 0;
+  std::unordered_map<std::uint64_t, Request> requests_;
+  std::unordered_map<std::uint64_t, Standing> standings_;
+  std::unordered_map<std::uint64_t, Purge> purged_objects_;
+  std::unordered_map<std::uint64_t, Purge> purged_groups_;
+  Micros next_forget_{0};
+  std::priority_queue<Due> due_;
+  std::uint64_t serial_ = 0;
+  std::vector<AttemptEnded> called_off_;  // outcomes that the Router is told after the actions at hand
+  Router router_;
+};
+
+}  // namespace tinspan::core
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -1,7 +1,6 @@
 #include "drill/drill.hpp"
 
 #include <charconv>
-#include <cmath>
 #include <istream>
 #include <map>
 #include <memory>
@@ -10,6 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "setup/setup.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan::drill {
@@ -17,52 +17,6 @@
 
 using Fields = std::vector<std::string_view>;
 
-// A line that the wire does not allow: which field, and what was expected there.
-struct Malformed {
-  std::string field;
-  std::string expected;
-};
-
-template <class Number>
-Number ParseNumber(std::string_view text, std::string_view field) {
-  Number value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || text.empty()) {
-    throw Malformed{std::string(field), std::is_integral_v<Number> ? "a whole number" : "a number"};
-  }
-  if constexpr (std::is_floating_point_v<Number>) {
-    if (!std::isfinite(value)) throw Malformed{std::string(field), "a finite number"};
-  }
-  return value;
-}
-
-Micros ParseMillis(std::string_view text, std::string_view field) {
-  const double millis = ParseNumber<double>(text, field);
-  if (std::abs(millis) > 4e12) throw Malformed{std::string(field), "a time in milliseconds below 4e12"};
-  return Micros{std::llround(millis * 1000.0)};
-}
-
-ObjectId ParseObject(std::string_view text, std::string_view field) {
-  std::uint64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
-  if (text.size() != 16 || error != std::errc{} || end != text.data() + text.size()) {
-    throw Malformed{std::string(field), "16 hex digits"};
-  }
-  return ObjectId{value};
-}
-
-bool IsAbsent(std::string_view text) { return text == "-" || text.empty(); }
-
-std::vector<std::string_view> Split(std::string_view text, char mark) {
-  std::vector<std::string_view> parts;
-  for (std::size_t start = 0;;) {
-    const std::size_t end = text.find(mark, start);
-    parts.push_back(text.substr(start, end - start));
-    if (end == std::string_view::npos) return parts;
-    start = end + 1;
-  }
-}
-
 // One line's fields, taken by place and name; absent values and missing trailing ones read as zero.
 class Line {
  public:
@@ -106,179 +60,11 @@
   Fields fields_;
 };
 
-template <class Value>
-Value Choose(std::string_view text, std::string_view field,
-             std::initializer_list<std::pair<std::string_view, Value>> words) {
-  std::string expected = "one of";
-  for (const auto& [word, value] : words) {
-    if (word == text) return value;
-    expected.append(" ").append(word);
-  }
-  throw Malformed{std::string(field), expected};
-}
-
-// The settings of a power_on line, by path.
-class Setup {
- public:
-  explicit Setup(const Fields& fields) {
-    for (std::size_t i = 2; i < fields.size(); ++i) {
-      const std::size_t mark = fields[i].find('=');
-      if (mark == std::string_view::npos) throw Malformed{"setup", "path=value"};
-      values_[fields[i].substr(0, mark)] = fields[i].substr(mark + 1);
-    }
-  }
-  std::string_view Text(const std::string& path) const {
-    const auto found = values_.find(path);
-    return found == values_.end() ? std::string_view{} : found->second;
-  }
-  std::string_view Need(const std::string& path) const {
-    const auto found = values_.find(path);
-    if (found == values_.end()) throw Malformed{path, "to be told"};
-    return found->second;
-  }
-  double Number(const std::string& path) const {
-    return IsAbsent(Text(path)) ? 0.0 : ParseNumber<double>(Text(path), path);
-  }
-  std::uint32_t Whole(const std::string& path) const {
-    return IsAbsent(Text(path)) ? 0 : ParseNumber<std::uint32_t>(Text(path), path);
-  }
-  Micros Millis(const std::string& path) const {
-    return IsAbsent(Text(path)) ? Micros{0} : ParseMillis(Text(path), path);
-  }
-  bool Bool(const std::string& path) const {
-    return !IsAbsent(Text(path)) && Choose<bool>(Text(path), path, {{"true", true}, {"false", false}});
-  }
-  std::vector<std::string_view> List(const std::string& path) const {
-    return IsAbsent(Text(path)) ? std::vector<std::string_view>{} : Split(Text(path), ',');
-  }
-  template <class Value>
-  Value Word(const std::string& path, Value absent,
-             std::initializer_list<std::pair<std::string_view, Value>> words) const {
-    return IsAbsent(Text(path)) ? absent : Choose<Value>(Text(path), path, words);
-  }
-
- private:
-  std::map<std::string_view, std::string_view, std::less<>> values_;
-};
-
-using Names = std::vector<std::string>;
-
-std::uint32_t PlaceOf(const Names& names, std::string_view name, std::string_view field) {
-  for (std::size_t i = 0; i < names.size(); ++i) {
-    if (names[i] == name) return static_cast<std::uint32_t>(i);
-  }
-  throw Malformed{std::string(field), "a name that the settings give, not '" + std::string(name) + "'"};
-}
-
 struct Instance {
   std::unique_ptr<Router> router;  // null until power_on and after halt
-  Names classes;
-  Names zones;
-  Names kinds;
+  Site site;
 };
 
-Settings ReadSettings(const Setup& setup, Instance& instance) {
-  Settings settings;
-  for (const std::string_view zone : setup.List("areas")) instance.zones.emplace_back(zone);
-  for (const std::string_view kind : setup.List("kinds")) instance.kinds.emplace_back(kind);
-  settings.zone_count = static_cast<std::uint32_t>(instance.zones.size());
-  settings.kind_count = static_cast<std::uint32_t>(instance.kinds.size());
-  settings.zone = ZoneId{PlaceOf(instance.zones, setup.Need("zone"), "zone")};
-  const auto by_class = [&](const std::string& path, std::size_t i) {
-    const auto list = setup.List(path);
-    return i < list.size() ? list[i] : std::string_view{"-"};
-  };
-  const auto millis_of = [&](const std::string& path, std::size_t i) {
-    const std::string_view text = by_class(path, i);
-    return IsAbsent(text) ? Micros{0} : ParseMillis(text, path);
-  };
-  const auto bool_of = [&](const std::string& path, std::size_t i) {
-    const std::string_view text = by_class(path, i);
-    return !IsAbsent(text) && Choose<bool>(text, path, {{"true", true}, {"false", false}});
-  };
-  const std::uint32_t class_count = ParseNumber<std::uint32_t>(setup.Need("lanes.count"), "lanes.count");
-  for (std::uint32_t i = 0; i < class_count; ++i) {
-    const std::string lane = "lanes." + std::to_string(i) + ".";
-    instance.classes.emplace_back(setup.Need(lane + "name"));
-    ClassSettings one;
-    one.effect = Choose<Effect>(
-        setup.Need(lane + "effect"), lane + "effect",
-        {{"repeatable", Effect::kRepeatable}, {"by_key", Effect::kByKey}, {"once", Effect::kOnce}});
-    one.key_group =
-        setup.Word<KeyGroup>(lane + "keyScope", KeyGroup::kCell,
-                             {{"all", KeyGroup::kAll}, {"zone", KeyGroup::kZone}, {"cell", KeyGroup::kCell}});
-    one.key_window = setup.Millis(lane + "windowMs");
-    one.aim = setup.Millis(lane + "promiseMs");
-    one.aim_stretch = setup.Number(lane + "aimStretch");
-    one.deadline = setup.Millis(lane + "giveUpMs");
-    one.worth = setup.Number(lane + "credit");
-    one.late_worth = setup.Number(lane + "lateShare");
-    one.streaming = setup.Bool(lane + "streaming");
-    one.fresh = millis_of("familyInfo.maxAgeMs", i);
-    one.grace = millis_of("familyInfo.classGraceMs", i);
-    one.parts = bool_of("familyInfo.multiPart", i);
-    one.write = bool_of("familyInfo.classWrite", i);
-    const std::string_view stale_worth = by_class("familyInfo.oldCopyWorth", i);
-    one.stale_worth =
-        IsAbsent(stale_worth) ? 0.0 : ParseNumber<double>(stale_worth, "familyInfo.oldCopyWorth");
-    settings.classes.push_back(one);
-  }
-  for (const std::string_view hub : setup.List("familyInfo.attachedTo")) {
-    settings.zone_hub.push_back(ParseNumber<std::uint32_t>(hub, "familyInfo.attachedTo"));
-  }
-  for (const std::string_view count : setup.List("familyInfo.instancesByZone")) {
-    settings.zone_routers.push_back(ParseNumber<std::uint32_t>(count, "familyInfo.instancesByZone"));
-  }
-  for (const std::string_view link : setup.List("familyInfo.inletKbPerS")) {
-    settings.zone_link_kb_per_s.push_back(ParseNumber<double>(link, "familyInfo.inletKbPerS"));
-  }
-  const auto kind_of = [&](const std::string& path) -> std::optional<KindId> {
-    if (IsAbsent(setup.Text(path)) || setup.Text(path) == "-1") return std::nullopt;
-    return KindId{ParseNumber<std::uint32_t>(setup.Text(path), path)};
-  };
-  settings.parent_kind = kind_of("familyInfo.midKind");
-  settings.origin_kind = kind_of("familyInfo.sourceKind");
-  settings.routers = setup.Whole("instances");
-  settings.router = setup.Whole("me");
-  settings.siblings = setup.Word<SiblingScope>(
-      "familyInfo.siblings", SiblingScope::kOff,
-      {{"off", SiblingScope::kOff}, {"location", SiblingScope::kLocation}, {"any", SiblingScope::kAny}});
-  settings.detail = setup.Word<Detail>("familyInfo.detail", Detail::kOff,
-                                       {{"all", Detail::kAll}, {"hit", Detail::kHit}, {"off", Detail::kOff}});
-  settings.discovery =
-      setup.Word<Discovery>("registryMode", Discovery::kPushed,
-                            {{"automatic", Discovery::kPushed}, {"subscribe", Discovery::kAsked}});
-  settings.weights = setup.Word<WeightMeaning>("weights", WeightMeaning::kOff,
-                                               {{"off", WeightMeaning::kOff},
-                                                {"nominal", WeightMeaning::kSize},
-                                                {"rough", WeightMeaning::kRough},
-                                                {"live", WeightMeaning::kLive}});
-  settings.direct = setup.Bool("familyInfo.passThroughOk");
-  settings.can_join = setup.Bool("familyInfo.canJoin");
-  settings.may_duplicate = setup.Bool("limits.mayDuplicate");
-  settings.can_cancel = setup.Bool("limits.cancel");
-  settings.retry_after = setup.Bool("limits.retryAfter");
-  settings.pace_kb_per_s = setup.Number("familyInfo.paceKbPerS");
-  settings.max_attempts = setup.Whole("limits.maxAttempts");
-  settings.max_retry_after = setup.Millis("limits.maxRetryAfterMs");
-  settings.answer_grace = setup.Millis("rules.graceToAnswerMs");
-  settings.tick = setup.Millis("tickMs");
-  settings.connect_timeout = setup.Millis("limits.connectTimeoutMs");
-  settings.drain_grace = setup.Millis("rules.drainGraceMs");
-  settings.cold_share = setup.Number("rules.coldShare");
-  settings.warm_after = setup.Millis("rules.warmAfterMs");
-  settings.fall_multiple = setup.Number("rules.fallMultiple");
-  settings.tip_after = setup.Millis("rules.tipAfterMs");
-  settings.parent_cold_share = setup.Number("familyInfo.parentColdFrom");
-  settings.parent_warm_after = setup.Millis("familyInfo.upperColdMs");
-  settings.parent_fall_multiple = setup.Number("familyInfo.upperFallMultiple");
-  settings.origin_fall_multiple = setup.Number("familyInfo.rootFallMultiple");
-  settings.origin_over_for = setup.Millis("familyInfo.originOverForMs");
-  settings.purge_grace = setup.Millis("familyInfo.purgeSlackMs");
-  settings.purge_done = setup.Millis("familyInfo.goneEverywhereMs");
-  return settings;
-}
-
 Outcome ReadOutcome(std::string_view text) {
   return Choose<Outcome>(text, "disposition",
                          {{"pass", Outcome::kServed},
@@ -292,20 +78,6 @@
                           {"none_here", Outcome::kMiss}});
 }
 
-LoadReport ReadLoad(std::string_view text) {
-  LoadReport load;
-  if (IsAbsent(text)) return load;
-  for (const std::string_view pair : Split(text, ',')) {
-    const std::size_t mark = pair.find(':');
-    if (mark == std::string_view::npos) throw Malformed{"stats", "name:value pairs"};
-    const double value = ParseNumber<double>(pair.substr(mark + 1), "stats");
-    if (pair.substr(0, mark) == "inflight") load.in_flight = value;
-    if (pair.substr(0, mark) == "x0") load.hit_share = value;
-    if (pair.substr(0, mark) == "x1") load.link_use = value;
-  }
-  return load;
-}
-
 class Player {
  public:
   Player(std::istream& in, std::ostream& out) : in_(in), out_(out) {}
@@ -409,11 +181,9 @@
     }
   }
 
-  // The number of a cache: a hash of its address, so that it is the same in every process.
   ServerId Intern(std::string_view address) {
     if (address.empty() || address == "-") throw Malformed{"cache", "address:port"};
-    std::uint64_t hash = 14695981039346656037ull;
-    for (const char c : address) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+    const auto hash = static_cast<std::uint64_t>(HashName(address));
     const auto [place, added] = addresses_.try_emplace(hash, address);
     if (!added && place->second != address) throw Malformed{"cache", "an address with a hash of its own"};
     return ServerId{hash};
@@ -422,8 +192,15 @@
   void PowerOn() {
     const auto seed = line_.Get<std::uint64_t>(1, "initSeed");
     *at_ = Instance{};
-    const Settings settings = ReadSettings(Setup(line_.All()), *at_);
-    Perform([&] { at_->router = std::make_unique<Router>(settings, seed, now_, actions_); });
+    Setup setup;
+    for (std::size_t i = 2; i < line_.All().size(); ++i) {
+      const std::string_view pair = line_.All()[i];
+      const std::size_t mark = pair.find('=');
+      if (mark == std::string_view::npos) throw Malformed{"setup", "path=value"};
+      setup.Add(pair.substr(0, mark), pair.substr(mark + 1));
+    }
+    at_->site = ReadSite(setup);
+    Perform([&] { at_->router = std::make_unique<Router>(at_->site.settings, seed, now_, actions_); });
   }
 
   void RosterChange() {
@@ -445,11 +222,12 @@
 
   // The members of a list, kinds and zones placed once for all instances with the same names.
   const std::vector<Member>& Placed(List& list) {
-    if (list.members.size() == list.rows.size() && list.zones == at_->zones && list.kinds == at_->kinds) {
+    if (list.members.size() == list.rows.size() && list.zones == at_->site.zones &&
+        list.kinds == at_->site.kinds) {
       return list.members;
     }
-    list.zones = at_->zones;
-    list.kinds = at_->kinds;
+    list.zones = at_->site.zones;
+    list.kinds = at_->site.kinds;
     list.members.clear();
     for (const Row& row : list.rows) {
       Member member = row.member;
@@ -465,7 +243,7 @@
     event.id = ReadId();
     event.time_left = line_.Millis(2, "ttlMs");
     event.repeat = (line_.GetOrZero<std::uint32_t>(3, "marks") & 2u) != 0;
-    event.class_id = ClassId{PlaceOf(at_->classes, line_.Text(4, "tierClass"), "tierClass")};
+    event.class_id = ClassId{PlaceOf(at_->site.classes, line_.Text(4, "tierClass"), "tierClass")};
     event.group = GroupId{line_.GetOrZero<std::uint64_t>(5, "labelNo")};
     event.size_kb = line_.GetOrZero<double>(6, "volumeKb");
     event.part = line_.GetOrZero<std::uint32_t>(7, "rangeNo");
@@ -489,7 +267,7 @@
     }
     event.note = static_cast<FillNote>(note);  // the interface lists the notes in the wire's order
     if (line_.Has(8)) event.fill_wait = line_.Millis(8, "waitedMs");
-    if (line_.Has(9)) event.load = ReadLoad(line_.Text(9, "stats"));
+    if (line_.Has(9)) event.load = ReadLoad(line_.Text(9, "stats"), ',');
     line_.AtMost(10);
     return event;
   }
--- /dev/null
+++ b/src/front/platform/cache_side.hpp
@@ -0,0 +1,85 @@
+// The servers' side of the platform: the line protocol of shop caches, parents and the origin.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/gateway.hpp"
+#include "front/platform/client_side.hpp"
+#include "net/pool.hpp"
+
+namespace tinspan::platform {
+
+// Where a server is and what it is called on the wire.
+struct Address {
+  std::string name;
+  net::Endpoint endpoint;
+};
+
+struct CacheLink {
+  struct Exchange {
+    RequestId id{};
+    std::uint32_t attempt = 0;
+    std::uint64_t written = 0;  // the connection's count of queued bytes when the request was in; 0: not yet
+  };
+  std::unordered_map<std::string, Exchange> open;  // by the request's id on the wire
+  // Given up here; an answer that crossed the STOP is dropped. The same id does not go out on this connection
+  // again: an old answer could be taken for the new attempt's.
+  std::unordered_set<std::string> stopped;
+  std::vector<std::string> waiting;  // for the connection to come up, in order
+  std::size_t consume = 0;           // handled, still in the buffer
+};
+
+class CacheSide final : public net::Pool<CacheLink>::User {
+ public:
+  using Pool = net::Pool<CacheLink>;
+  using Link = Pool::Link;
+  struct Served {
+    bool same = false;
+    std::string_view body;  // valid until the round ends
+  };
+
+  CacheSide(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
+            const ClientSide& clients, std::vector<core::Event>& events);
+
+  void Know(ServerId id, Address address);
+  void Forsake(ServerId id);  // gone: nothing new on its connections
+
+  void Carry(Micros now, const core::Send& command);
+  void Carry(Micros now, const core::Stop& command);
+  // The answer of the attempt that was reported served in this round, or nothing.
+  const Served* Answer(RequestId id) const;
+
+  void HoldReading(bool hold);
+  void EndRound(Micros now);
+
+  void OnLinkOpen(Link& link) override;
+  void OnLinkBytes(Link& link) override;
+  void OnLinkLost(Link& link) override;
+
+ private:
+  struct Out {
+    Link* link = nullptr;
+    core::Send send;
+  };
+
+  void Put(Micros now, Link& link, const std::string& ref, const core::Send& send);
+  void End(RequestId id, Link& link, core::AttemptEnded ended);
+  // Bytes that the message at the front of `unread` takes, 0: not whole yet, npos: no message at all.
+  std::size_t Take(Link& link, std::string_view unread);
+
+  const config::Platform& config_;
+  core::Gateway& gateway_;
+  const ClientSide& clients_;
+  std::vector<core::Event>& events_;
+  std::unordered_map<ServerId, Address> addresses_;
+  std::unordered_map<RequestId, Out> out_;  // one attempt out at a time
+  std::unordered_map<RequestId, Served> served_;
+  bool held_ = false;
+  Pool pool_;
+};
+
+}  // namespace tinspan::platform
--- /dev/null
+++ b/src/front/platform/change_log.cpp
@@ -0,0 +1,162 @@
+#include "front/platform/change_log.hpp"
+
+#include <simdjson.h>
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "front/platform/fields.hpp"
+
+namespace tinspan::platform {
+namespace {
+
+using simdjson::dom::element;
+
+constexpr net::Connection::Limits kLimits{.read = 8 << 20, .write = 4096};
+// A number comes each second. Two missed and a half: the connection is dead, though nothing says so; what the
+// log has to tell counts as told all the same.
+constexpr Micros kSilence{2'500'000};
+constexpr Micros kConnect{400'000};
+constexpr Micros kAgain{100'000};
+
+template <class Value>
+Value Get(const element& in, std::string_view key) {
+  Value value{};
+  if (in[key].get(value) != simdjson::SUCCESS) throw Malformed{std::string(key), "a value of its type"};
+  return value;
+}
+template <class Value>
+Value GetOr(const element& in, std::string_view key, Value absent) {
+  Value value{};
+  return in[key].get(value) == simdjson::SUCCESS ? value : absent;
+}
+
+}  // namespace
+
+ChangeLog::ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
+                     std::vector<core::Event>& events)
+    : loop_(loop),
+      config_(config),
+      caches_(caches),
+      events_(events),
+      parser_(std::make_unique<simdjson::dom::parser>()) {
+  for (const std::string& one : config.known) {
+    try {
+      Apply(one);
+    } catch (const Malformed& wrong) {
+      throw config::Error("known.results: " + wrong.field + ": expected " + wrong.expected);
+    }
+  }
+  seq_ = std::max(seq_, config.known_seq);
+  Connect();
+}
+
+ChangeLog::~ChangeLog() { loop_.Timers().Cancel(timer_); }
+
+void ChangeLog::Connect() {
+  connection_ = std::make_unique<net::Connection>(loop_, config_.changelog, *this, kLimits);
+  Watch();
+}
+
+// One timer at a time: the connect's limit, the silence, or the wait before the next try.
+void ChangeLog::Watch() {
+  loop_.Timers().Cancel(timer_);
+  const Micros wait = connection_->IsOpen() ? kSilence : kConnect;
+  timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) {
+    spdlog::warn("change log: silent, connecting anew after event {}", seq_);
+    Reconnect();
+  });
+}
+
+void ChangeLog::Reconnect() {
+  loop_.Timers().Cancel(timer_);
+  if (connection_) connection_->Close();
+  old_ = std::move(connection_);
+  timer_ = loop_.Timers().Set(net::Now() + kAgain, [this](Micros) { Connect(); });
+}
+
+void ChangeLog::OnOpen(net::Connection& connection) {
+  connection.Write("since " + std::to_string(seq_) + "\n");
+  Watch();
+}
+
+void ChangeLog::OnClosed(net::Connection&) { Reconnect(); }
+
+void ChangeLog::OnBytes(net::Connection& connection) {
+  const std::string_view unread = connection.Unread();
+  std::size_t at = 0;
+  for (std::size_t end; (end = unread.find('\n', at)) != std::string_view::npos; at = end + 1) {
+    std::string_view line = unread.substr(at, end - at);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    try {
+      Line(line);
+    } catch (const Malformed& wrong) {
+      spdlog::error("change log: {}: expected {}; connecting anew", wrong.field, wrong.expected);
+      return Reconnect();
+    }
+  }
+  connection.Consume(at);  // nothing of it outlives this call
+  Watch();
+}
+
+void ChangeLog::Line(std::string_view line) {
+  if (line.empty()) return;
+  if (line.front() == '{') return Apply(line);
+  const auto last = ReadNumber<std::uint64_t>(line);
+  if (!last) throw Malformed{"line", "an event or the last number"};
+  // Events before that number would have come by now: something was lost.
+  if (*last > seq_) throw Malformed{"last number", std::to_string(seq_)};
+}
+
+void ChangeLog::Apply(std::string_view json) {
+  element event;
+  if (parser_->parse(json.data(), json.size()).get(event) != simdjson::SUCCESS) {
+    throw Malformed{"event", "JSON"};
+  }
+  const auto seq = Get<std::uint64_t>(event, "seq");
+  if (seq <= seq_) return;  // known already
+  element part;
+  if (event["fleet"].get(part) == simdjson::SUCCESS) {
+    core::MembersTold told;
+    told.kind = GetOr(part, "full", false) ? MembersEvent::Kind::kFull : MembersEvent::Kind::kPatch;
+    for (const element one : Get<simdjson::dom::array>(part, "servers")) {
+      // By the id: a new server may take the address of one that has gone.
+      const auto name = Get<std::string_view>(one, "id");
+      Member member;
+      member.id = HashName(name);
+      member.weight = GetOr(one, "weight", 0.0);
+      member.cell = static_cast<std::uint32_t>(GetOr<std::uint64_t>(one, "cell", 0));
+      member.kind = KindId{PlaceOf(config_.site.kinds, Get<std::string_view>(one, "kind"), "kind")};
+      member.zone = ZoneId{PlaceOf(config_.site.zones, Get<std::string_view>(one, "zone"), "zone")};
+      member.started = Micros{GetOr<std::int64_t>(one, "started_ms", 0) * 1000};
+      member.availability = Choose<Availability>(Get<std::string_view>(one, "state"), "state",
+                                                 {{"up", Availability::kUp},
+                                                  {"draining", Availability::kDraining},
+                                                  {"removed", Availability::kGone}});
+      const auto endpoint = net::Endpoint::Parse(GetOr<std::string_view>(one, "addr", ""));
+      if (endpoint) {
+        caches_.Know(member.id, {std::string(name), *endpoint});
+      } else if (member.availability == Availability::kUp) {
+        throw Malformed{"addr", "an address and port"};
+      }
+      if (member.availability == Availability::kGone) caches_.Forsake(member.id);
+      told.members.push_back(member);
+    }
+    events_.push_back(std::move(told));
+  } else if (event["invalidate"].get(part) == simdjson::SUCCESS) {
+    core::PurgeTold told;
+    told.at = Micros{Get<std::int64_t>(part, "time") * 1000};
+    std::string_view object;
+    if (part["object"].get(object) == simdjson::SUCCESS) {
+      told.object = ParseObject(object, "object");
+    } else {
+      told.group = GroupId{Get<std::uint64_t>(part, "bucket")};
+    }
+    events_.push_back(told);
+  }
+  seq_ = seq;
+}
+
+void ChangeLog::EndRound() { old_.reset(); }
+
+}  // namespace tinspan::platform
--- /dev/null
+++ b/src/front/platform/change_log.hpp
@@ -0,0 +1,50 @@
+// The change log: events of the cache list and purges, followed over one connection that is made anew
+// whenever it ends or falls silent.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "config/config.hpp"
+#include "core/gateway.hpp"
+#include "front/platform/cache_side.hpp"
+#include "net/connection.hpp"
+
+namespace simdjson::dom {
+class parser;
+}
+
+namespace tinspan::platform {
+
+class ChangeLog final : public net::Connection::Owner {
+ public:
+  // Applies what the configuration knows at once, into `events`, and begins to follow.
+  ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
+            std::vector<core::Event>& events);
+  ~ChangeLog();
+  void EndRound();
+
+  void OnOpen(net::Connection& connection) override;
+  void OnBytes(net::Connection& connection) override;
+  void OnClosed(net::Connection& connection) override;
+
+ private:
+  void Connect();
+  void Reconnect();
+  void Watch();
+  void Line(std::string_view line);
+  void Apply(std::string_view json);  // throws Malformed
+
+  net::EventLoop& loop_;
+  const config::Platform& config_;
+  CacheSide& caches_;
+  std::vector<core::Event>& events_;
+  std::unique_ptr<simdjson::dom::parser> parser_;
+  std::uint64_t seq_ = 0;
+  std::unique_ptr<net::Connection> connection_;
+  std::unique_ptr<net::Connection> old_;  // closed in this round
+  net::TimerQueue::Id timer_{};
+};
+
+}  // namespace tinspan::platform
--- /dev/null
+++ b/src/front/platform/platform_front.cpp
@@ -0,0 +1,31 @@
+#include "front/platform/platform_front.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace tinspan::platform {
+
+void PlatformFront::Carry(Micros now, const core::Command& command) {
+  if (const auto* send = std::get_if<core::Send>(&command)) return caches_.Carry(now, *send);
+  if (const auto* stop = std::get_if<core::Stop>(&command)) return caches_.Carry(now, *stop);
+  if (const auto* log = std::get_if<core::Log>(&command)) return spdlog::info("router: {}", log->text);
+  const auto* const answer = std::get_if<core::Answer>(&command);
+  if (answer == nullptr) return;  // Relay: answers come whole here
+  if (answer->verdict == core::Verdict::kServed) {
+    const CacheSide::Served* const served = caches_.Answer(answer->id);
+    if (served != nullptr) return clients_.Serve(answer->id, served->same, served->body);
+    spdlog::error("an answer without its bytes");
+    return clients_.Fail(answer->id);
+  }
+  if (answer->verdict == core::Verdict::kRefused) return clients_.Refuse(answer->id, answer->retry_after);
+  clients_.Fail(answer->id);
+}
+
+void PlatformFront::EndRound(Micros now) {
+  // Clients that are slow to take their answers hold up the servers' answers, not the memory.
+  caches_.HoldReading(clients_.Backlog() > most_backlog_);
+  clients_.EndRound(now);
+  caches_.EndRound(now);
+  changes_.EndRound();
+}
+
+}  // namespace tinspan::platform
--- /dev/null
+++ b/src/front/platform/platform_front.hpp
@@ -0,0 +1,32 @@
+// The platform's front: clients, servers and the change log round the core. It decides nothing.
+#pragma once
+
+#include "front/platform/cache_side.hpp"
+#include "front/platform/change_log.hpp"
+#include "front/platform/client_side.hpp"
+#include "front/runner.hpp"
+
+namespace tinspan::platform {
+
+class PlatformFront final : public front::Front {
+ public:
+  PlatformFront(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
+                std::vector<core::Event>& events)
+      : most_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
+        clients_(loop, config, gateway, events),
+        caches_(loop, config, gateway, clients_, events),
+        changes_(loop, config, caches_, events) {}
+
+  void Carry(Micros now, const core::Command& command) override;
+  void EndRound(Micros now) override;
+  void Drain(Micros accept_until) override { clients_.Drain(accept_until); }
+  bool Drained() const override { return clients_.Drained(); }
+
+ private:
+  const std::size_t most_backlog_;
+  ClientSide clients_;
+  CacheSide caches_;
+  ChangeLog changes_;
+};
+
+}  // namespace tinspan::platform
--- /dev/null
+++ b/src/front/runner.cpp
@@ -0,0 +1,86 @@
+#include "front/runner.hpp"
+
+#include <spdlog/spdlog.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <optional>
+#include <system_error>
+#include <utility>
+
+namespace tinspan::front {
+namespace {
+
+using net::Micros;
+
+class Signals final : public net::EventLoop::Sink {
+ public:
+  explicit Signals(net::EventLoop& loop) : loop_(loop) {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    ::sigprocmask(SIG_BLOCK, &set, nullptr);
+    fd_ = net::Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
+    handle_ = loop_.Add(fd_.Get(), EPOLLIN, *this);
+  }
+  ~Signals() { loop_.Remove(handle_, fd_.Get()); }
+  void OnReady(std::uint32_t) override {
+    signalfd_siginfo info;
+    while (::read(fd_.Get(), &info, sizeof info) == sizeof info) stop = true;
+  }
+  bool stop = false;
+
+ private:
+  net::EventLoop& loop_;
+  net::Fd fd_;
+  net::EventLoop::Handle handle_ = 0;
+};
+
+}  // namespace
+
+void Run(net::EventLoop& loop, core::Gateway& gateway, Front& front, std::vector<core::Event>& events,
+         StopTimes times) {
+  Signals signals(loop);
+  std::optional<Micros> stopping;
+  core::Commands commands;
+  std::vector<core::Event> batch;
+  bool first = true;  // what was known at the start is handled before any client is heard
+  while (true) {
+    Micros wait{stopping ? 20'000 : 1'000'000};
+    const Micros before = net::Now();
+    for (const auto& next : {gateway.NextDue(), loop.Timers().Next()}) {
+      if (next) wait = std::min(wait, std::max(*next - before, Micros{0}));
+    }
+    if (!std::exchange(first, false)) loop.Poll(events.empty() ? wait : Micros{0});
+    const Micros now = net::Now();
+    loop.Timers().Run(now);
+    batch.clear();
+    batch.swap(events);
+    commands.clear();
+    gateway.Handle(now, batch, commands);
+    for (const core::Command& command : commands) front.Carry(now, command);
+    front.EndRound(now);
+
+    if (signals.stop && !stopping) {
+      stopping = now;
+      spdlog::info("stopping: {} requests open", gateway.OpenRequests());
+      front.Drain(now + times.accept);
+    }
+    if (stopping && now - *stopping >= times.accept && gateway.OpenRequests() == 0 && events.empty() &&
+        front.Drained()) {
+      spdlog::info("stopped, all that was taken is answered");
+      return;
+    }
+    if (stopping && now - *stopping >= times.most) {
+      spdlog::warn("stopped with {} requests open", gateway.OpenRequests());
+      return;
+    }
+  }
+}
+
+}  // namespace tinspan::front
--- /dev/null
+++ b/src/front/runner.hpp
@@ -0,0 +1,34 @@
+// The program's loop, the same for either front: gather what is ready, hand it to the core in one go, carry
+// out what came back.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "core/gateway.hpp"
+#include "net/event_loop.hpp"
+
+namespace tinspan::front {
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void Carry(net::Micros now, const core::Command& command) = 0;
+  // Once a round, after all commands: slices handed out in it end here.
+  virtual void EndRound(net::Micros now) = 0;
+  // The stop has begun: go on accepting until `accept_until`, then close what is idle.
+  virtual void Drain(net::Micros accept_until) = 0;
+  virtual bool Drained() const = 0;  // nothing taken is left unanswered or unwritten
+};
+
+struct StopTimes {
+  net::Micros accept{700'000};  // how long clients may still come after SIGTERM
+  net::Micros most{6'600'000};  // after which the program ends whatever is left
+};
+
+// Runs until SIGTERM or SIGINT and what was taken is finished. `events` is where the front's parts put what
+// they gather.
+void Run(net::EventLoop& loop, core::Gateway& gateway, Front& front, std::vector<core::Event>& events,
+         StopTimes times);
+
+}  // namespace tinspan::front
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,3 @@
+#include "cli/cli.hpp"
+
+int main(int argc, char** argv) { return tinspan::cli::Main(argc, argv); }
--- /dev/null
+++ b/src/net/connection.hpp
@@ -0,0 +1,96 @@
+// One non-blocking TCP connection with a bounded read buffer and a bounded write queue. It knows no protocol.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/event_loop.hpp"
+
+namespace tinspan::net {
+
+class Connection final : public EventLoop::Sink {
+ public:
+  class Owner {
+   public:
+    virtual void OnOpen(Connection&) {}      // an outgoing connection is up
+    virtual void OnBytes(Connection&) = 0;   // Unread() has grown
+    virtual void OnDrained(Connection&) {}   // the write queue is empty again
+    virtual void OnClosed(Connection&) = 0;  // the peer ended it, or it failed; told once, not after Close()
+   protected:
+    ~Owner() = default;
+  };
+  struct Limits {
+    std::size_t read = 1 << 20;   // bytes held unread; more are left in the socket until some are consumed
+    std::size_t write = 8 << 20;  // bytes queued; a Write beyond that fails the connection
+  };
+
+  // Takes an accepted socket, or begins to connect. A connect that fails at once is told by OnClosed in the
+  // next round, like any other.
+  Connection(EventLoop& loop, Fd accepted, Owner& owner, Limits limits);
+  Connection(EventLoop& loop, const Endpoint& to, Owner& owner, Limits limits);
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  ~Connection() { Close(); }
+
+  bool IsOpen() const { return state_ == State::kOpen; }
+  bool IsClosed() const { return state_ == State::kClosed; }
+  // What came in and was not consumed. The slice stays valid until the next Consume() or event round.
+  std::string_view Unread() const { return std::string_view(buffer_).substr(start_, filled_ - start_); }
+  void Consume(std::size_t bytes);
+  // The message at hand needs so many bytes in all: the read limit is raised to hold it.
+  void Expect(std::size_t bytes) { expected_ = bytes; }
+  // While held back nothing is read: the sender feels it. What is already unread stays.
+  void HoldReading(bool hold);
+
+  // Sends at once what the socket takes and queues a copy of the rest. False: too much was queued already;
+  // the connection is closed. While connecting all is queued.
+  bool Write(std::string_view bytes) { return Write(bytes, {}, {}); }
+  bool Write(std::string_view head, std::string_view body, std::string_view tail);
+  std::uint64_t Queued() const { return queued_; }  // bytes ever handed to Write
+  std::uint64_t Sent() const { return sent_; }      // of these, taken by the socket
+  std::size_t Backlog() const { return static_cast<std::size_t>(queued_ - sent_); }
+
+  void Close();             // at once, no word to the owner
+  void CloseWhenDrained();  // once the queue is empty; reads nothing more
+  Micros LastHeard() const { return heard_; }
+  Micros Since() const { return since_; }
+
+  std::uint64_t id = 0;  // the owner's
+
+  void OnReady(std::uint32_t events) override;
+
+ private:
+  enum class State { kConnecting, kOpen, kClosed };
+  void Register();
+  void Read();
+  bool Flush();
+  void Fail();
+
+  EventLoop& loop_;
+  Owner& owner_;
+  Limits limits_;
+  Fd fd_;
+  State state_;
+  EventLoop::Handle handle_ = 0;
+  std::string buffer_;  // [start_, filled_) is unread
+  std::size_t start_ = 0;
+  std::size_t filled_ = 0;
+  std::size_t expected_ = 0;
+  bool held_ = false;
+  bool more_ = false;  // the socket may hold more than was read
+  bool closing_ = false;
+  bool ended_ = false;  // the peer has ended its side
+  std::string queue_;   // [queue_start_, end) waits for the socket
+  std::size_t queue_start_ = 0;
+  std::uint64_t queued_ = 0;
+  std::uint64_t sent_ = 0;
+  Micros heard_{0};
+  Micros since_{0};
+  std::shared_ptr<int> alive_ =
+      std::make_shared<int>(0);  // outlives nothing: timers look whether it is there
+};
+
+}  // namespace tinspan::net
--- /dev/null
+++ b/src/net/listener.hpp
@@ -0,0 +1,30 @@
+// A listening socket that goes on when descriptors run out.
+#pragma once
+
+#include <functional>
+
+#include "net/event_loop.hpp"
+
+namespace tinspan::net {
+
+class Listener final : public EventLoop::Sink {
+ public:
+  using Taker = std::function<void(Fd)>;
+  // Throws std::system_error where the address cannot be had.
+  Listener(EventLoop& loop, const Endpoint& at, Taker taker);
+  ~Listener() { Close(); }
+  void Close();
+  bool IsOpen() const { return static_cast<bool>(fd_); }
+  std::uint16_t Port() const;
+
+  void OnReady(std::uint32_t events) override;
+
+ private:
+  EventLoop& loop_;
+  Taker taker_;
+  Fd fd_;
+  Fd reserve_;  // given up to accept and close a connection when descriptors have run out
+  EventLoop::Handle handle_ = 0;
+};
+
+}  // namespace tinspan::net
