Add the gateway's front: signed links and tokens, signing servers, Consul, purges

A whole path from request to answer on the same core and module, off on the platform and set up by deploy/gateway.json: HTTP/1.1 with a strict parser of its own, one JWS compact verifier (HS256, ES256, algorithm pinned by key) under two carriers (URISigningPackage of RFC 9246, bearer tokens of RFC 6750), judged once at the request's last byte on the same canonical URI that is routed; upstream requests signed anew with times moved by the leeway; answers passed on while they come, with backpressure, and seen as broken when they break; Consul by blocking queries; an operator's purge endpoint; keys rotated by SIGHUP.

Seen while testing: with one cache and sizes not told, the module gives a request up once less time is left than its mean sending time, which starts at the class's aim; 504 is therefore given for requests whose time is up, 503 or 502 before. A final close now lingers: a plain close with bytes unread would reset the connection before the client had read a 413.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "cli/serve.hpp"
+#include "front/http/http_front.hpp"
 
 namespace tinspan::cli {
 namespace {
@@ -23,7 +24,11 @@
 int Main(int argc, char** argv) {
   po::options_description options("options");
   options.add_options()("help,h", "print this")("command", po::value<std::string>(), "the sub-command")(
-      "log-level", po::value<std::string>()->default_value("info"), "trace, debug, info, warn, error or off");
+      "operator-file,f", po::value<std::string>(),
+      "serve as a gateway between sites, as this file says; without it, on the platform, as PROXY_NAME, "
+      "PROXY_LISTEN "
+      "and PROXY_CONFIG say")("log-level", po::value<std::string>()->default_value("info"),
+                              "trace, debug, info, warn, error or off");
   po::positional_options_description positional;
   positional.add("command", 1);
   po::variables_map values;
@@ -50,12 +55,17 @@
   spdlog::set_level(spdlog::level::from_str(values["log-level"].as<std::string>()));
   spdlog::flush_on(spdlog::level::info);
   try {
-    const config::Platform config = config::ReadPlatform();
-    if (command == "check-config") {
-      std::cout << "the configuration of " << config.name << " is in order\n";
-      return 0;
+    const bool check = command == "check-config";
+    if (values.count("operator-file")) {
+      const config::Http config = config::ReadHttp(values["operator-file"].as<std::string>());
+      http::ReadKeys(config, config.keys);
+      http::ReadSigningKey(config);
+      if (!check) ServeHttp(config);
+    } else {
+      const config::Platform config = config::ReadPlatform();
+      if (!check) ServePlatform(config);
     }
-    ServePlatform(config);
+    if (check) std::cout << "the configuration is in order\n";
   } catch (const std::exception& error) {
     spdlog::error("{}", error.what());
     return 1;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "front/http/http_front.hpp"
 #include "front/platform/platform_front.hpp"
 #include "front/runner.hpp"
 
@@ -17,16 +18,20 @@
   return times;
 }
 
-}  // namespace
-
-void ServePlatform(const config::Platform& config) {
+template <class Front, class Config>
+void Serve(const Config& config) {
   net::EventLoop loop;
   std::vector<core::Event> events;
   core::Gateway gateway(config.site.settings, config.seed, net::Now(), Options(config));
-  platform::PlatformFront front(loop, config, gateway, events);
+  Front front(loop, config, gateway, events);
   // The port as it is, since 0 asks for any free one.
   spdlog::info("{} serving at {}", config.name, net::Endpoint{config.listen.address, front.Port()}.Text());
   front::Run(loop, gateway, front, events, Stop(config));
 }
 
+}  // namespace
+
+void ServePlatform(const config::Platform& config) { Serve<platform::PlatformFront>(config); }
+void ServeHttp(const config::Http& config) { Serve<http::HttpFront>(config); }
+
 }  // namespace tinspan::cli
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -6,5 +6,6 @@
 namespace tinspan::cli {
 
 void ServePlatform(const config::Platform& config);
+void ServeHttp(const config::Http& config);
 
 }  // namespace tinspan::cli
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,11 +3,12 @@
 #include <simdjson.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <deque>
 #include <fstream>
 #include <iterator>
-#include <sstream>
+#include <random>
 
 namespace tinspan::config {
 namespace {
@@ -139,13 +140,149 @@
   return value;
 }
 
+std::string Trimmed(std::string text) {
+  while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' ')) text.pop_back();
+  return text;
+}
+std::string TextOr(const object& in, std::string_view key, const std::string& path,
+                   const std::string& absent) {
+  element value;
+  return in[key].get(value) == simdjson::SUCCESS ? Text(value, path) : absent;
+}
+Micros MillisOr(const object& in, std::string_view key, const std::string& path, Micros absent) {
+  element value;
+  if (in[key].get(value) != simdjson::SUCCESS) return absent;
+  const std::uint64_t millis = Whole(value, path);
+  if (millis > 86'400'000) Wrong(path, "milliseconds, a day at most");
+  return Micros{static_cast<std::int64_t>(millis) * 1000};
+}
+simdjson::dom::array List(const element& value, const std::string& path) {
+  simdjson::dom::array out;
+  if (value.get(out) != simdjson::SUCCESS) Wrong(path, "a list");
+  return out;
+}
+void ReadLimits(const object& root, Limits& out) {
+  element value;
+  if (root["limits"].get(value) != simdjson::SUCCESS) return;
+  const object limits = Object(value, "limits");
+  out.memory_mb = WholeOr(limits, "memory_mb", "limits.memory_mb", out.memory_mb);
+  out.sockets = WholeOr(limits, "sockets", "limits.sockets", out.sockets);
+  if (out.sockets < 64) Wrong("limits.sockets", "64 at least");
+}
+
+void ReadRoutes(const object& root, Http& out) {
+  out.routes.resize(out.site.classes.size());
+  std::size_t place = 0;
+  for (const element one : List(Need(root, "routes", "routes"), "routes")) {
+    const std::string path = "routes." + std::to_string(place++);
+    const object route = Object(one, path);
+    const std::string name = Text(Need(route, "class", path + ".class"), path + ".class");
+    const auto found = std::find(out.site.classes.begin(), out.site.classes.end(), name);
+    if (found == out.site.classes.end())
+      Wrong(path + ".class", "a class of the settings, not '" + name + "'");
+    Route& target = out.routes[static_cast<std::size_t>(found - out.site.classes.begin())];
+    target.prefix = Text(Need(route, "path", path + ".path"), path + ".path");
+    if (!target.prefix.starts_with('/') || target.prefix.starts_with("/-/")) {
+      Wrong(path + ".path", "a path from '/', not under '/-/'");
+    }
+    try {
+      target.access = Choose<Carrier>(TextOr(route, "access", path + ".access", "either"), path + ".access",
+                                      {{"open", Carrier::kOpen},
+                                       {"link", Carrier::kLink},
+                                       {"token", Carrier::kToken},
+                                       {"either", Carrier::kEither}});
+    } catch (const Malformed& wrong) {
+      Wrong(wrong.field, wrong.expected);
+    }
+  }
+}
+
+void ReadConsul(const object& root, const std::string& folder, Http& out) {
+  const object consul = Object(Need(root, "consul", "consul"), "consul");
+  out.consul = Address(Text(Need(consul, "address", "consul.address"), "consul.address"), "consul.address");
+  const std::string token = TextOr(consul, "token_file", "consul.token_file", "");
+  if (!token.empty()) out.consul_token = Trimmed(ReadFile("consul.token_file", folder + token));
+  out.consul_wait = MillisOr(consul, "wait_ms", "consul.wait_ms", out.consul_wait);
+  out.consul_zone = TextOr(consul, "zone", "consul.zone", "");
+  const Names& zones = out.site.zones;
+  if (!out.consul_zone.empty() && std::find(zones.begin(), zones.end(), out.consul_zone) == zones.end()) {
+    Wrong("consul.zone", "a zone of the settings, not '" + out.consul_zone + "'");
+  }
+  std::size_t place = 0;
+  for (const element one : List(Need(consul, "services", "consul.services"), "consul.services")) {
+    const std::string path = "consul.services." + std::to_string(place++);
+    const object service = Object(one, path);
+    ConsulService entry{Text(Need(service, "name", path + ".name"), path + ".name"),
+                        Text(Need(service, "kind", path + ".kind"), path + ".kind")};
+    const Names& kinds = out.site.kinds;
+    if (std::find(kinds.begin(), kinds.end(), entry.kind) == kinds.end()) {
+      Wrong(path + ".kind", "a kind of the settings, not '" + entry.kind + "'");
+    }
+    const bool plain = std::all_of(entry.name.begin(), entry.name.end(), [](unsigned char c) {
+      return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+    });
+    if (entry.name.empty() || !plain) Wrong(path + ".name", "letters, digits, '-', '_' and '.'");
+    out.consul_services.push_back(std::move(entry));
+  }
+  if (place == 0) Wrong("consul.services", "one service at least");
+}
+
+}  // namespace
+
 std::string ReadFile(const std::string& key, const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   if (!in) Wrong(key, "a file that can be read, not '" + path + "'");
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
-}  // namespace
+Http ReadHttp(const std::string& path) {
+  try {
+    const std::string json = ReadFile("operator-file", path);
+    const std::size_t slash = path.rfind('/');
+    const std::string folder = slash == std::string::npos ? "" : path.substr(0, slash + 1);
+    simdjson::dom::parser parser;
+    element root_element;
+    if (const auto error = parser.parse(simdjson::padded_string(json)).get(root_element)) {
+      Wrong("file", std::string("JSON (") + simdjson::error_message(error) + ")");
+    }
+    const object root = Object(root_element, "file");
+    const auto text = [&](const char* key) { return Text(Need(root, key, key), key); };
+    Http out;
+    out.path = path;
+    out.name = text("name");
+    out.listen = Address(text("listen"), "listen");
+    out.seed = static_cast<std::uint64_t>(std::random_device{}()) << 32 | std::random_device{}();
+    ReadLimits(root, out.limits);
+    ReadSettings(Need(root, "settings", "settings"), out);
+    // Answers are passed on while they come: a begun one has no deadline, and the module is told so.
+    for (ClassSettings& one : out.site.settings.classes) one.streaming = true;
+    out.slack = MillisOr(root, "slack_ms", "slack_ms", out.slack);
+    out.origin = text("origin");
+    const std::size_t scheme = out.origin.find("://");
+    if (scheme == std::string::npos || out.origin.ends_with('/')) {
+      Wrong("origin", "scheme and authority, like https://scans.example.is");
+    }
+    out.authority = out.origin.substr(scheme + 3);
+    out.audience = text("audience");
+    if ((out.audience + out.name).find_first_of("\"\\") != std::string::npos) Wrong("audience", "no quotes");
+    out.keys_path = folder + text("keys_file");
+    out.keys = ReadFile("keys_file", out.keys_path);
+    out.signing_key = ReadFile("signing_key_file", folder + text("signing_key_file"));
+    const std::string token = TextOr(root, "operator_token_file", "operator_token_file", "");
+    if (!token.empty()) out.operator_token = Trimmed(ReadFile("operator_token_file", folder + token));
+    if (!token.empty() && out.operator_token.size() < 16)
+      Wrong("operator_token_file", "16 characters at least");
+    out.leeway = MillisOr(root, "clock_leeway_ms", "clock_leeway_ms", out.leeway);
+    out.stall = MillisOr(root, "stall_ms", "stall_ms", out.stall);
+    out.most_body = WholeOr(root, "most_body_bytes", "most_body_bytes", out.most_body);
+    if (out.most_body > (1 << 20)) Wrong("most_body_bytes", "1 MiB at most");
+    ReadRoutes(root, out);
+    ReadConsul(root, folder, out);
+    return out;
+  } catch (const Error& error) {
+    throw Error(path + ": " + error.what());
+  }
+}
 
 Platform ReadPlatform() {
   const std::string path = Variable("PROXY_CONFIG");
@@ -171,21 +308,12 @@
   const std::string seed = Text(Need(root, "seed", "seed"), "seed");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), out.seed, 16);
   if (error != std::errc{} || end != seed.data() + seed.size()) Wrong("seed", "hex digits");
-  element limits_element;
-  if (root["limits"].get(limits_element) == simdjson::SUCCESS) {
-    const object limits = Object(limits_element, "limits");
-    out.limits.memory_mb = WholeOr(limits, "memory_mb", "limits.memory_mb", out.limits.memory_mb);
-    out.limits.sockets = WholeOr(limits, "sockets", "limits.sockets", out.limits.sockets);
-    if (out.limits.sockets < 64) Wrong("limits.sockets", "64 at least");
-  }
+  ReadLimits(root, out.limits);
   out.changelog = Address(Text(Need(root, "changelog", "changelog"), "changelog"), "changelog");
   const object known = Object(Need(root, "known", "known"), "known");
   out.known_seq = Whole(Need(known, "seq", "known.seq"), "known.seq");
-  simdjson::dom::array results;
-  if (Need(known, "results", "known.results").get(results) != simdjson::SUCCESS) {
-    Wrong("known.results", "a list");
-  }
-  for (const element one : results) out.known.push_back(simdjson::minify(one));
+  for (const element one : List(Need(known, "results", "known.results"), "known.results"))
+    out.known.push_back(simdjson::minify(one));
   ReadSettings(Need(root, "settings", "settings"), out);
   return out;
 }
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -41,7 +41,39 @@
   std::vector<std::string> known;  // the change log's events up to the start, each one JSON object
 };
 
+// The gateway between sites: an operator's file.
+enum class Carrier { kOpen, kLink, kToken, kEither };
+struct Route {  // of the class at the same place in the settings
+  std::string prefix;
+  Carrier access = Carrier::kEither;
+};
+struct ConsulService {
+  std::string name;
+  std::string kind;  // of the machines that are registered under it
+};
+struct Http : Common {
+  std::string path;       // of the operator's file
+  std::string origin;     // scheme and authority under which links are signed
+  std::string authority;  // the latter alone
+  std::string audience;
+  std::string keys_path;  // read again on SIGHUP
+  std::string keys;       // a JWK set
+  std::string signing_key;
+  std::string operator_token;  // empty: there is no operator's endpoint
+  Micros leeway{5'000'000};
+  Micros stall{10'000'000};
+  std::size_t most_body = 48'000;
+  std::vector<Route> routes;
+  net::Endpoint consul;
+  std::string consul_token;
+  Micros consul_wait{30'000'000};
+  std::string consul_zone;  // of nodes that name none
+  std::vector<ConsulService> consul_services;
+};
+
 // Throws Error.
+Http ReadHttp(const std::string& path);
+std::string ReadFile(const std::string& key, const std::string& path);
 Platform ReadPlatform();
 Platform ParsePlatform(std::string_view json, const std::string& name, const std::string& listen);
 
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -131,7 +131,7 @@
       End(id, *request, due.attempt, {.outcome = Outcome::kTimedOut});
     } else if (!request->answered && !request->begun) {
       // The Router answers at its own deadline, a tick earlier. Should it ever not, the client is still owed.
-      Finish(id, *request, Answer{.id = id, .verdict = Verdict::kOverdue});
+      Finish(id, *request, Answer{.id = id, .verdict = Verdict::kFailed});
       Ask(HangupEvent{id});
       Forget(id);
     }
@@ -202,10 +202,7 @@
 
 void Gateway::Do(const Fail& order) {
   Request* const request = Find(order.id);
-  if (request == nullptr) return;
-  const bool overdue = now_ + 2 * settings_.tick >= request->deadline;
-  Finish(order.id, *request,
-         Answer{.id = order.id, .verdict = overdue ? Verdict::kOverdue : Verdict::kFailed});
+  if (request != nullptr) Finish(order.id, *request, Answer{.id = order.id, .verdict = Verdict::kFailed});
 }
 
 void Gateway::Do(const SetTimer& order) { At(order.at, Due::What::kRouter, order.token); }
@@ -222,6 +219,7 @@
   if (request.answered) return;
   request.answered = true;
   --open_;
+  answer.overdue = now_ + 2 * settings_.tick >= request.deadline;
   out_->push_back(answer);
 }
 
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -77,13 +77,13 @@
   kBroken,   // the answer had begun and cannot be finished: the client must see that
   kRefused,  // trying again is harmless
   kFailed,
-  kOverdue,  // failed because its time is up
 };
 struct Answer {  // final; each request that came gets one, unless its client left
   RequestId id{};
   Verdict verdict = Verdict::kFailed;
   std::uint32_t attempt = 0;
   Micros retry_after{0};  // 0: no advice
+  bool overdue = false;   // the time was up, whatever the verdict
 };
 struct Log {
   std::string text;
--- /dev/null
+++ b/src/front/http/http_front.cpp
@@ -0,0 +1,95 @@
+#include "front/http/http_front.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace tinspan::http {
+namespace {
+
+AccessRules Rules(const config::Http& config) { return {config.origin, config.audience, config.leeway}; }
+
+}  // namespace
+
+KeySet ReadKeys(const config::Http& config, std::string_view json) {
+  try {
+    return KeySet::FromJwks(json, "keys_file");
+  } catch (const Malformed& wrong) {
+    throw config::Error(config.path + ": " + wrong.field + ": expected " + wrong.expected);
+  }
+}
+
+Key ReadSigningKey(const config::Http& config) {
+  try {
+    Key key = Key::FromJwk(config.signing_key, "signing_key_file");
+    if (!key.CanSign()) throw Malformed{"signing_key_file.d", "a private key"};
+    return key;
+  } catch (const Malformed& wrong) {
+    throw config::Error(config.path + ": " + wrong.field + ": expected " + wrong.expected);
+  }
+}
+
+HttpFront::HttpFront(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway,
+                     std::vector<core::Event>& events)
+    : config_(config),
+      access_(ReadKeys(config, config.keys), Rules(config)),
+      signer_(ReadSigningKey(config), config.name, Rules(config)),
+      clients_(loop, config, gateway, access_, events),
+      upstream_(loop, config, gateway, clients_, signer_, events),
+      unlisted_(config.consul_services.size()) {
+  for (const config::ConsulService& service : config.consul_services) {
+    auto changed = [this, &events, &service, first = true](const std::vector<Node>& changes) mutable {
+      core::MembersTold told{MembersEvent::Kind::kPatch, {}};
+      for (const Node& node : changes) {
+        const bool gone = node.member.availability == Availability::kGone;
+        gone ? upstream_.Forsake(node.member.id) : upstream_.Know(node.member.id, {node.name, node.endpoint});
+        told.members.push_back(node.member);
+      }
+      spdlog::info("Consul, service {}: {} changes", service.name, changes.size());
+      events.push_back(std::move(told));
+      if (std::exchange(first, false) && --unlisted_ == 0) clients_.SetReady();
+    };
+    watches_.push_back(std::make_unique<ConsulWatch>(loop, config, service, std::move(changed)));
+  }
+}
+
+void HttpFront::Carry(net::Micros now, const core::Command& command) {
+  if (const auto* send = std::get_if<core::Send>(&command)) return upstream_.Carry(now, *send);
+  if (const auto* stop = std::get_if<core::Stop>(&command)) return upstream_.Carry(now, *stop);
+  if (const auto* relay = std::get_if<core::Relay>(&command)) return upstream_.Carry(now, *relay);
+  if (const auto* answer = std::get_if<core::Answer>(&command)) return Answer(*answer);
+  if (const auto* log = std::get_if<core::Log>(&command)) spdlog::info("router: {}", log->text);
+}
+
+void HttpFront::Answer(const core::Answer& answer) {
+  if (answer.verdict == core::Verdict::kServed) return clients_.Served(answer.id);
+  if (answer.verdict == core::Verdict::kBroken) return clients_.Broken(answer.id);
+  const Asked* const asked = clients_.Find(answer.id);
+  const bool refused = answer.verdict == core::Verdict::kRefused;
+  int status = answer.overdue ? 504 : refused ? 503 : 502;
+  if (asked != nullptr && asked->blame != 0 && !answer.overdue) status = asked->blame;
+  std::string fields;
+  if (status == 503) {
+    const auto seconds = std::max<std::int64_t>(1, (answer.retry_after.count() + 999'999) / 1'000'000);
+    fields = "Retry-After: " + std::to_string(seconds) + "\r\n";
+  }
+  clients_.Answer(answer.id, status, fields);
+}
+
+void HttpFront::EndRound(net::Micros now) {
+  upstream_.EndRound(now);
+  clients_.EndRound(now);
+  for (const auto& watch : watches_) watch->EndRound();
+}
+
+void HttpFront::Reload() {
+  try {
+    KeySet keys = ReadKeys(config_, config::ReadFile("keys_file", config_.keys_path));
+    spdlog::info("keys read again: {} keys", keys.Size());
+    access_.Replace(std::move(keys));
+  } catch (const config::Error& error) {
+    spdlog::error("keys stay as they were: {}", error.what());
+  }
+}
+
+}  // namespace tinspan::http
--- /dev/null
+++ b/src/front/http/http_front.hpp
@@ -0,0 +1,44 @@
+// The gateway's front: HTTP clients, signing servers and Consul round the core. It decides nothing.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "front/http/access.hpp"
+#include "front/http/clients.hpp"
+#include "front/http/consul.hpp"
+#include "front/http/upstream.hpp"
+#include "front/runner.hpp"
+
+namespace tinspan::http {
+
+class HttpFront final : public front::Front {
+ public:
+  // Throws config::Error on keys that make no sense.
+  HttpFront(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway,
+            std::vector<core::Event>& events);
+
+  void Carry(net::Micros now, const core::Command& command) override;
+  void EndRound(net::Micros now) override;
+  void Drain(net::Micros accept_until) override { clients_.Drain(accept_until); }
+  void Reload() override;  // the keys: how they are rotated
+  bool Drained() const override { return clients_.Drained(); }
+  std::uint16_t Port() const { return clients_.Port(); }
+
+ private:
+  void Answer(const core::Answer& answer);
+
+  const config::Http& config_;
+  Access access_;
+  Signer signer_;
+  Clients clients_;
+  Upstream upstream_;
+  std::vector<std::unique_ptr<ConsulWatch>> watches_;
+  std::size_t unlisted_;  // services that Consul has not listed yet
+};
+
+// Throws config::Error.
+KeySet ReadKeys(const config::Http& config, std::string_view json);
+Key ReadSigningKey(const config::Http& config);
+
+}  // namespace tinspan::http
--- /dev/null
+++ b/src/front/http/upstream.cpp
@@ -0,0 +1,295 @@
+#include "front/http/upstream.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace tinspan::http {
+namespace {
+
+constexpr std::size_t kSlowClient = 256
+                                    << 10;  // bytes waiting for a client from which its server is held back
+
+net::PoolRules Rules(const config::Http& config) {
+  net::PoolRules rules;
+  rules.connect_timeout = config.connect_timeout;
+  rules.idle_close = config.idle_close * 3 / 4;
+  rules.exchanges = 1;
+  rules.limits = {.read = 64 << 10, .write = 2 << 20};
+  return rules;
+}
+
+// What a status proves. Nothing for an answer that is the client's.
+std::optional<Outcome> Refusal(int status, bool write, bool only_if_cached) {
+  if (only_if_cached && status == 504) return Outcome::kMiss;  // RFC 9111, 5.2.1.7
+  // A read that was turned away did no harm in any case; of a write, 503 does not prove that it never ran.
+  if (status == 429 || (status == 503 && !write)) return Outcome::kFull;
+  if (status == 401 || status == 403 || status == 407 || status == 408 || status >= 500)
+    return Outcome::kError;
+  return std::nullopt;
+}
+
+// Cache-Status (RFC 9211), the last member: the cache nearest to us.
+FillNote Note(std::string_view status) {
+  const std::size_t comma = status.rfind(',');
+  const std::string_view last = comma == std::string_view::npos ? status : status.substr(comma + 1);
+  const auto has = [last](std::string_view word) { return last.find(word) != std::string_view::npos; };
+  if (has("; hit") || has(";hit")) return FillNote::kHit;
+  if (has("collapsed")) return FillNote::kJoined;
+  if (has("fwd=")) return FillNote::kFilled;
+  return FillNote::kNone;
+}
+
+bool StaysHere(std::string_view name, std::string_view connection) {
+  for (const std::string_view own : {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+                                     "Upgrade", "WWW-Authenticate"}) {
+    if (SameName(own, name)) return true;
+  }
+  return HasToken(connection, name);
+}
+
+}  // namespace
+
+Upstream::Upstream(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Clients& clients,
+                   const Signer& signer, std::vector<core::Event>& events)
+    : config_(config),
+      gateway_(gateway),
+      clients_(clients),
+      signer_(signer),
+      events_(events),
+      pool_(loop, Rules(config), *this) {}
+
+void Upstream::Carry(Micros now, const core::Send& command) {
+  const auto address = addresses_.find(command.order.server);
+  if (clients_.Find(command.order.id) == nullptr || address == addresses_.end()) {
+    events_.push_back(
+        core::AttemptEnded{.id = command.order.id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
+    return;
+  }
+  Link& link = pool_.Take(static_cast<std::uint64_t>(command.order.server), address->second.endpoint, now,
+                          [](const Link& one) { return one.connection.IsOpen() && !one.state.busy; });
+  link.state = UpstreamLink();
+  link.state.id = command.order.id;
+  link.state.attempt = command.attempt;
+  link.state.busy = true;
+  out_[command.order.id] = Out{&link, command};
+  if (link.connection.IsOpen()) {
+    Put(now, link, command);
+  } else {
+    link.state.waiting = true;
+  }
+}
+
+void Upstream::Put(Micros now, Link& link, const core::Send& send) {
+  link.state.waiting = false;
+  const Asked* const asked = clients_.Find(send.order.id);
+  if (asked == nullptr || !gateway_.MaySend(now, send.order.id, send.attempt)) {
+    Tell(link, {.outcome = Outcome::kNotSent});
+    return Free(link);
+  }
+  const SendAttempt& order = send.order;
+  link.state.to_head = asked->method == "HEAD";
+  std::string out = asked->method + " " +
+                    (asked->link ? signer_.Link(asked->uri, now, order.give_up_at) : asked->uri) +
+                    " HTTP/1.1\r\nHost: " + config_.authority + "\r\nVia: 1.1 " + config_.name + "\r\n";
+  if (!asked->link) out += "Authorization: Bearer " + signer_.Token(now, order.give_up_at) + "\r\n";
+  const bool fill = order.source != order.server;
+  std::string control = fill ? "" : "only-if-cached";
+  if (order.max_age > Micros{0}) {
+    control +=
+        (control.empty() ? "" : ", ") + ("max-age=" + std::to_string(order.max_age.count() / 1'000'000));
+  }
+  if (asked->method != "POST" && !control.empty()) out += "Cache-Control: " + control + "\r\n";
+  out += "Tinspan-Fill: keep=" + std::to_string(order.keep);
+  if (fill) out += "; source=" + addresses_[order.source].name;
+  for (const auto& [set, word] : {std::pair{order.join, "join"},
+                                  {order.source_holds, "peek"},
+                                  {order.pass_parent, "pass"},
+                                  {order.renew, "renew"}}) {
+    if (set) out.append("; ").append(word);
+  }
+  out.append("\r\n").append(asked->fields);
+  if (asked->method == "POST") out += "Content-Length: " + std::to_string(asked->body.size()) + "\r\n";
+  const bool taken = link.connection.Write(out, "\r\n", asked->body);
+  link.state.written = link.connection.Queued();
+  if (!taken) Break(link, Outcome::kConnectFailed);
+}
+
+void Upstream::OnLinkOpen(Link& link) {
+  const auto out = link.state.busy ? out_.find(link.state.id) : out_.end();
+  if (link.state.waiting && out != out_.end()) Put(net::Now(), link, core::Send(out->second.send));
+}
+
+// Ends the exchange towards the core, which may still go on on the wire.
+void Upstream::Tell(Link& link, core::AttemptEnded ended) {
+  const auto found = out_.find(link.state.id);
+  if (found == out_.end() || found->second.link != &link) return;
+  ended.id = link.state.id;
+  ended.attempt = link.state.attempt;
+  events_.push_back(ended);
+  out_.erase(found);
+}
+
+void Upstream::Free(Link& link) {
+  const bool keep = link.state.keep && !link.connection.IsClosed();
+  link.connection.HoldReading(false);
+  link.state = UpstreamLink{};
+  if (!keep) {
+    link.connection.Close();
+    pool_.Retire(link);
+  }
+  pool_.Release(link, net::Now());
+}
+
+void Upstream::Break(Link& link, Outcome outcome) {
+  if (!link.state.busy) return;
+  Tell(link, {.outcome = outcome});
+  link.state.keep = false;
+  Free(link);
+}
+
+void Upstream::OnLinkLost(Link& link) {
+  // Its end may be in the buffer yet, if the server closes after each answer: looked at once it may be passed
+  // on.
+  if (link.state.headed && !link.state.relayed && !link.state.discard) return;
+  const bool whole = link.state.written > 0 && link.connection.Sent() >= link.state.written;
+  Break(link, whole ? Outcome::kReset : Outcome::kConnectFailed);
+}
+
+void Upstream::Carry(Micros, const core::Stop& command) {
+  const auto found = out_.find(command.id);
+  if (found == out_.end() || found->second.send.attempt != command.attempt) return;
+  Link& link = *found->second.link;
+  out_.erase(found);
+  link.state.keep = false;  // HTTP/1.1 knows no other way to give a request up
+  Free(link);
+}
+
+void Upstream::Carry(Micros, const core::Relay& command) {
+  const auto found = out_.find(command.id);
+  if (found == out_.end() || found->second.send.attempt != command.attempt) return;
+  Link& link = *found->second.link;
+  link.state.relayed = true;
+  clients_.Pass(command.id, std::exchange(link.state.head, {}));
+  Pump(link);
+}
+
+void Upstream::Pump(Link& link) {
+  UpstreamLink& state = link.state;
+  while (true) {
+    const std::string_view unread = link.connection.Unread();
+    if (!state.busy) {
+      if (unread.empty() || link.connection.IsClosed()) return;
+      link.connection.Close();  // a server that speaks unasked
+      return pool_.Retire(link);
+    }
+    if (!state.headed) {
+      if (unread.empty() || !ReadHead(link)) return;
+      continue;
+    }
+    if (!state.relayed && !state.discard) return;
+    const auto taken = state.body.Take(unread);
+    if (!taken) return Break(link, Outcome::kReset);
+    if (*taken > 0 && state.relayed) {
+      const auto backlog = clients_.Pass(state.id, unread.substr(0, *taken));
+      if (!backlog) return;  // its client has gone: the core says Stop
+      if (*backlog > kSlowClient) {
+        state.held = true;
+        link.connection.HoldReading(true);
+      }
+    }
+    link.connection.Consume(*taken);
+    if (!state.body.IsWhole()) {
+      if (*taken > 0) continue;
+      if (link.connection.IsClosed()) Break(link, Outcome::kReset);
+      return;
+    }
+    if (state.relayed) Tell(link, {.outcome = Outcome::kServed, .note = state.note});
+    return Free(link);
+  }
+}
+
+bool Upstream::ReadHead(Link& link) {
+  UpstreamLink& state = link.state;
+  Head head;
+  const int status = ReadResponse(link.connection.Unread(), head);
+  if (status < 0) return false;
+  if (status > 0) {
+    Break(link, Outcome::kError);
+    return false;
+  }
+  if (head.status < 200) {  // 100 and its like announce the answer
+    link.connection.Consume(head.length);
+    if (head.status != 101) return true;
+    Break(link, Outcome::kError);
+    return false;
+  }
+  std::uint64_t length = 0;
+  const auto framing = ResponseFraming(head, state.to_head, length);
+  if (!framing) {  // without an end that shows, a broken answer could not be told from a whole one
+    Break(link, Outcome::kError);
+    return false;
+  }
+  state.headed = true;
+  const std::string_view connection = head.Field("Connection");
+  state.keep = !HasToken(connection, "close");
+  state.body.Start(*framing, length);
+  state.note = Note(head.Field("Cache-Status"));
+  Asked* const asked = clients_.Find(state.id);
+  const auto out = out_.find(state.id);
+  const bool only = out != out_.end() && out->second.send.order.source == out->second.send.order.server;
+  const auto refusal = Refusal(head.status, asked != nullptr && asked->method == "POST", only);
+  if (refusal || asked == nullptr) {
+    if (asked != nullptr) asked->blame = 0;
+    // A server that takes our signature for none: an error of ours, not of the client.
+    if ((head.status == 401 || head.status == 403) && asked != nullptr) {
+      asked->blame = 502;
+      spdlog::error("server {} at {} refuses our signature with {}", link.server, link.to.Text(),
+                    head.status);
+    }
+    state.discard = true;
+    Tell(link, {.outcome = refusal.value_or(Outcome::kError), .note = FillNote::kNone});
+    link.connection.Consume(head.length);
+    return true;
+  }
+  state.head = "HTTP/1.1 " + std::to_string(head.status) + " \r\n";
+  for (const auto& [name, value] : head.fields) {
+    if (!StaysHere(name, connection)) state.head.append(name).append(": ").append(value).append("\r\n");
+  }
+  state.head.append("Via: 1.1 ").append(config_.name).append("\r\n\r\n");
+  // Age is in whole seconds, rounded down: the copy may be a second older. Without it the answer comes from
+  // the origin (RFC 9111, 5.1).
+  const Micros now = net::Now();
+  Micros issued = now;
+  std::int64_t age = 0;
+  const std::string_view told = head.Field("Age");
+  if (std::from_chars(told.data(), told.data() + told.size(), age).ec == std::errc{} && age >= 0) {
+    issued = now - Micros{(std::min<std::int64_t>(age, 1'000'000'000) + 1) * 1'000'000};
+  }
+  events_.push_back(core::AttemptBegan{.id = state.id, .attempt = state.attempt, .issued = issued});
+  link.connection.Consume(head.length);
+  return true;
+}
+
+void Upstream::EndRound(Micros now) {
+  for (Link& link : pool_.Links()) {
+    UpstreamLink& state = link.state;
+    if (state.held) {
+      const auto backlog = clients_.Backlog(state.id);
+      if (backlog && *backlog < kSlowClient / 2) {
+        state.held = false;
+        link.connection.HoldReading(false);
+        Pump(link);
+      }
+    } else if (state.busy && state.headed && !link.connection.IsClosed() &&
+               now - link.connection.LastHeard() > config_.stall) {
+      link.connection.Close();  // a begun answer that does not move any more
+      Break(link, Outcome::kReset);
+    }
+  }
+  pool_.Sweep(now);
+}
+
+}  // namespace tinspan::http
--- /dev/null
+++ b/src/front/http/upstream.hpp
@@ -0,0 +1,84 @@
+// The servers' side of the gateway: HTTP/1.1 to signing servers, one exchange at a time on a connection.
+//
+// What the module orders goes out in standard fields: `Cache-Control: max-age=N` is the oldest copy that will
+// do, `only-if-cached` asks for no fill. The rest (source of a fill, rank of the copy, and how) stands in
+// `Tinspan-Fill: source=NODE/ID; keep=1; join; peek; pass; renew`, which a server may leave unread.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/gateway.hpp"
+#include "front/http/access.hpp"
+#include "front/http/clients.hpp"
+#include "front/http/http1.hpp"
+#include "net/pool.hpp"
+
+namespace tinspan::http {
+
+struct UpstreamLink {
+  RequestId id{};
+  std::uint32_t attempt = 0;
+  bool busy = false;     // an exchange is under way
+  bool waiting = false;  // for the connection to come up
+  bool headed = false;   // the answer's head has been read
+  bool relayed = false;  // its client may have it
+  bool discard = false;  // nobody may
+  bool to_head = false;  // it answers a HEAD
+  bool keep = true;      // the server goes on with the connection
+  bool held = false;     // its client is slow
+  std::uint64_t written = 0;
+  std::string head;  // the answer's, as the client gets it
+  FillNote note = FillNote::kNone;
+  BodyReader body;
+};
+
+class Upstream final : public net::Pool<UpstreamLink>::User {
+ public:
+  using Pool = net::Pool<UpstreamLink>;
+  using Link = Pool::Link;
+
+  Upstream(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Clients& clients,
+           const Signer& signer, std::vector<core::Event>& events);
+
+  struct Address {
+    std::string name;
+    net::Endpoint endpoint;
+  };
+  void Know(ServerId id, Address address) { addresses_[id] = std::move(address); }
+  void Forsake(ServerId id) { pool_.RetireServer(static_cast<std::uint64_t>(id)); }
+
+  void Carry(Micros now, const core::Send& command);
+  void Carry(Micros now, const core::Stop& command);
+  void Carry(Micros now, const core::Relay& command);
+  void EndRound(Micros now);
+
+  void OnLinkOpen(Link& link) override;
+  void OnLinkBytes(Link& link) override { Pump(link); }
+  void OnLinkLost(Link& link) override;
+
+ private:
+  struct Out {
+    Link* link = nullptr;
+    core::Send send;
+  };
+  void Put(Micros now, Link& link, const core::Send& send);
+  void Pump(Link& link);
+  bool ReadHead(Link& link);  // false: not whole yet, or the exchange is over
+  void Tell(Link& link, core::AttemptEnded ended);
+  void Free(Link& link);                    // the exchange is over on the wire as well
+  void Break(Link& link, Outcome outcome);  // the connection cannot be used any more
+
+  const config::Http& config_;
+  core::Gateway& gateway_;
+  Clients& clients_;
+  const Signer& signer_;
+  std::vector<core::Event>& events_;
+  std::unordered_map<ServerId, Address> addresses_;
+  std::unordered_map<RequestId, Out> out_;
+  Pool pool_;
+};
+
+}  // namespace tinspan::http
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -23,6 +23,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     ::sigprocmask(SIG_BLOCK, &set, nullptr);
     fd_ = net::Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
@@ -31,9 +32,12 @@
   ~Signals() { loop_.Remove(handle_, fd_.Get()); }
   void OnReady(std::uint32_t) override {
     signalfd_siginfo info;
-    while (::read(fd_.Get(), &info, sizeof info) == sizeof info) stop = true;
+    while (::read(fd_.Get(), &info, sizeof info) == sizeof info) {
+      (info.ssi_signo == SIGHUP ? reload : stop) = true;
+    }
   }
   bool stop = false;
+  bool reload = false;
 
  private:
   net::EventLoop& loop_;
@@ -66,6 +70,7 @@
     for (const core::Command& command : commands) front.Carry(now, command);
     front.EndRound(now);
 
+    if (std::exchange(signals.reload, false)) front.Reload();
     if (signals.stop && !stopping) {
       stopping = now;
       spdlog::info("stopping: {} requests open", gateway.OpenRequests());
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -18,6 +18,7 @@
   virtual void EndRound(net::Micros now) = 0;
   // The stop has begun: go on accepting until `accept_until`, then close what is idle.
   virtual void Drain(net::Micros accept_until) = 0;
+  virtual void Reload() {}           // SIGHUP
   virtual bool Drained() const = 0;  // nothing taken is left unanswered or unwritten
 };
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace tinspan::net {
 namespace {
@@ -60,7 +61,7 @@
   if (state_ == State::kOpen && (events & EPOLLOUT) != 0 && !Flush()) return;
   if (state_ == State::kOpen && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     more_ = true;
-    Read();
+    lingering_ ? Linger() : Read();
   }
 }
 
@@ -164,10 +165,7 @@
   if (queue_start_ == queue_.size()) {
     std::string().swap(queue_);
     queue_start_ = 0;
-    if (closing_) {
-      Close();
-      return false;
-    }
+    if (closing_ && !lingering_) Linger();
     if (had) owner_.OnDrained(*this);
   } else if (queue_start_ > queue_.size() / 2) {
     queue_.erase(0, queue_start_);
@@ -192,7 +190,18 @@
 
 void Connection::CloseWhenDrained() {
   closing_ = true;
-  if (Backlog() == 0) Close();
+  if (Backlog() == 0 && state_ == State::kOpen) Linger();
+}
+
+void Connection::Linger() {
+  if (!std::exchange(lingering_, true)) ::shutdown(fd_.Get(), SHUT_WR);
+  char block[4096];
+  while (true) {
+    const ssize_t count = ::recv(fd_.Get(), block, sizeof block, 0);
+    if (count > 0 || (count < 0 && errno == EINTR)) continue;
+    if (count == 0 || errno != EAGAIN) Close();
+    return;
+  }
 }
 
 }  // namespace tinspan::net
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -52,8 +52,11 @@
   std::uint64_t Sent() const { return sent_; }      // of these, taken by the socket
   std::size_t Backlog() const { return static_cast<std::size_t>(queued_ - sent_); }
 
-  void Close();             // at once, no word to the owner
-  void CloseWhenDrained();  // once the queue is empty; reads nothing more
+  void Close();  // at once, no word to the owner
+  // Once the queue is empty our side is ended; what still comes is dropped until the peer ends its own. A
+  // plain close with bytes unread would reset the connection, and the peer might never see the last answer.
+  void CloseWhenDrained();
+  bool IsLingering() const { return lingering_ && state_ == State::kOpen; }
   Micros LastHeard() const { return heard_; }
   Micros Since() const { return since_; }
 
@@ -67,6 +70,7 @@
   void Read();
   bool Flush();
   void Fail();
+  void Linger();
 
   EventLoop& loop_;
   Owner& owner_;
@@ -81,6 +85,7 @@
   bool held_ = false;
   bool more_ = false;  // the socket may hold more than was read
   bool closing_ = false;
+  bool lingering_ = false;
   bool ended_ = false;  // the peer has ended its side
   std::string queue_;   // [queue_start_, end) waits for the socket
   std::size_t queue_start_ = 0;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -67,6 +68,19 @@
       text.remove_prefix(static_cast<std::size_t>(n));
     }
   }
+  // Sends up to `most` bytes of `block` over and over, until for a while nothing more is taken.
+  std::size_t Push(std::string_view block, std::size_t most) {
+    std::size_t sent = 0;
+    while (sent < most) {
+      pollfd one{fd_, POLLOUT, 0};
+      if (::poll(&one, 1, 300) == 0) break;
+      const ssize_t n =
+          ::send(fd_, block.data(), std::min(block.size(), most - sent), MSG_NOSIGNAL | MSG_DONTWAIT);
+      CHECK(n > 0);
+      sent += static_cast<std::size_t>(n);
+    }
+    return sent;
+  }
   // Through the first `mark`, which is left out of what is returned.
   std::string Until(std::string_view mark) {
     std::size_t at;
