--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,181 @@
+// The core without sockets: what it promises whatever the Router decides.
+#include "core/gateway.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace tinspan::core {
+namespace {
+
+constexpr Micros kStart{1'764'576'000'000'000};
+constexpr ServerId kA{11}, kB{12}, kOrigin{13};
+
+Settings MakeSettings() {
+  Settings settings;
+  ClassSettings pages;
+  pages.effect = Effect::kRepeatable;
+  pages.aim = Micros{2'000'000};
+  pages.deadline = Micros{2'500'000};
+  pages.worth = 1;
+  settings.classes = {pages};
+  settings.zone_count = 2;
+  settings.kind_count = 2;
+  settings.zone = ZoneId{1};
+  settings.routers = 1;
+  settings.origin_kind = KindId{1};
+  settings.direct = true;
+  settings.can_cancel = true;
+  settings.retry_after = true;
+  settings.max_attempts = 4;
+  settings.max_retry_after = Micros{2'000'000};
+  settings.tick = Micros{2'000};
+  settings.connect_timeout = Micros{400'000};
+  settings.drain_grace = Micros{500'000};
+  settings.purge_grace = Micros{1'000'000};
+  settings.purge_done = Micros{6'000'000};
+  settings.pace_kb_per_s = 5000;
+  return settings;
+}
+Member MakeMember(ServerId id, Availability availability = Availability::kUp) {
+  const bool origin = id == kOrigin;
+  return {.id = id,
+          .availability = availability,
+          .kind = KindId{origin ? 1u : 0u},
+          .zone = ZoneId{origin ? 0u : 1u}};
+}
+
+class GatewayTest : public ::testing::Test {
+ protected:
+  GatewayTest() {
+    Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  }
+  void Tell(std::vector<Event> events, Micros later = Micros{0}) {
+    now_ += later;
+    commands_.clear();
+    gateway_.Handle(now_, events, commands_);
+  }
+  template <class Kind>
+  std::vector<Kind> All() const {
+    std::vector<Kind> out;
+    for (const Command& one : commands_) {
+      if (const auto* found = std::get_if<Kind>(&one)) out.push_back(*found);
+    }
+    return out;
+  }
+  RequestId Ask(Micros allow = Micros{2'500'000}) {
+    const RequestId id = gateway_.NextId();
+    Tell({RequestCame{.id = id, .allow = allow, .group = GroupId{7}, .object = ObjectId{99}, .size_kb = 50}});
+    return id;
+  }
+  AttemptEnded End(RequestId id, std::uint32_t attempt, Outcome outcome) {
+    return {.id = id, .attempt = attempt, .outcome = outcome, .issued = now_};
+  }
+  Micros now_ = kStart;
+  Gateway gateway_{MakeSettings(), 1, kStart, {}};
+  Commands commands_;
+};
+
+TEST_F(GatewayTest, GivesOneFinalAnswer) {
+  const RequestId id = Ask();
+  ASSERT_EQ(All<Send>().size(), 1u);
+  Tell({End(id, 0, Outcome::kServed), End(id, 0, Outcome::kServed), ClientLeft{id}});
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kServed);
+  EXPECT_EQ(gateway_.OpenRequests(), 0u);
+}
+
+TEST_F(GatewayTest, AnswersAtTheDeadlineLessSlackAndStopsBefore) {
+  const RequestId id = Ask(Micros{300'000});
+  Tell({}, Micros{270'000});
+  EXPECT_TRUE(All<Answer>().empty());
+  Tell({}, Micros{10'000});  // 20 ms before the client gives up
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_TRUE(All<Answer>()[0].overdue);
+  ASSERT_EQ(All<Stop>().size(), 1u);
+  Tell({End(id, 0, Outcome::kServed)});  // too late: dropped
+  EXPECT_TRUE(All<Answer>().empty());
+}
+
+// One attempt out at a time: the next goes only with the end of the one before.
+TEST_F(GatewayTest, SendsAgainOnlyAfterTheEnd) {
+  const RequestId id = Ask();
+  const ServerId first = All<Send>().at(0).order.server;
+  Tell({End(id, 0, Outcome::kFull)});
+  ASSERT_EQ(All<Send>().size(), 1u);
+  EXPECT_NE(All<Send>()[0].order.server, first);
+  EXPECT_EQ(All<Send>()[0].attempt, 1u);
+  Tell({End(id, 0, Outcome::kServed)});  // of the attempt that has ended already
+  EXPECT_TRUE(All<Answer>().empty());
+}
+
+// A send that waits for its connection is looked at again right before it is written.
+TEST_F(GatewayTest, HoldsBackAQueuedSendPastItsDrain) {
+  const RequestId id = Ask();
+  const ServerId server = All<Send>().at(0).order.server;
+  EXPECT_TRUE(gateway_.MaySend(now_, id, 0));
+  Tell({MembersTold{MembersEvent::Kind::kPatch, {MakeMember(server, Availability::kDraining)}}});
+  EXPECT_TRUE(gateway_.MaySend(now_ + Micros{200'000}, id, 0));
+  EXPECT_FALSE(gateway_.MaySend(now_ + Micros{300'000}, id, 0));
+  Tell({MembersTold{MembersEvent::Kind::kPatch, {MakeMember(server, Availability::kGone)}}}, Micros{100'000});
+  EXPECT_FALSE(gateway_.MaySend(now_ + Micros{200'000}, id, 0)) << "the time runs from the first word";
+}
+
+TEST_F(GatewayTest, HoldsBackAQueuedSendPastAPurge) {
+  const RequestId id = Ask();
+  Tell({PurgeTold{.at = now_, .group = GroupId{7}}}, Micros{10'000});
+  EXPECT_TRUE(gateway_.MaySend(now_ + Micros{400'000}, id, 0));
+  EXPECT_FALSE(gateway_.MaySend(now_ + Micros{600'000}, id, 0));
+}
+
+TEST_F(GatewayTest, PassesOnNoCopyOlderThanAPurge) {
+  const Micros purged = now_;
+  Tell({PurgeTold{.at = purged, .object = ObjectId{99}}});
+  now_ += Micros{1'500'000};
+  const RequestId id = Ask();
+  ASSERT_EQ(All<Send>().size(), 1u);
+  EXPECT_LE(All<Send>()[0].order.max_age, Micros{1'500'000});
+  Tell({AttemptEnded{.id = id, .attempt = 0, .outcome = Outcome::kServed, .issued = purged - Micros{1}}});
+  EXPECT_TRUE(All<Answer>().empty());
+  ASSERT_EQ(All<Send>().size(), 1u);  // asked for elsewhere
+  Tell({AttemptEnded{.id = id, .attempt = 1, .outcome = Outcome::kServed, .issued = now_}});
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kServed);
+}
+
+// A begun answer belongs to the client: no deadline, no other attempt, and a break is told as one.
+TEST_F(GatewayTest, ABegunAnswerIsFinishedOrBroken) {
+  const RequestId id = Ask(Micros{300'000});
+  Tell({AttemptBegan{.id = id, .attempt = 0, .issued = now_}});
+  ASSERT_EQ(All<Relay>().size(), 1u);
+  Tell({}, Micros{3'000'000});
+  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_TRUE(All<Stop>().empty());
+  Tell({End(id, 0, Outcome::kReset)});
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kBroken);
+  EXPECT_TRUE(All<Send>().empty());
+}
+
+TEST_F(GatewayTest, StopsWhatAClientLeaves) {
+  const RequestId id = Ask();
+  Tell({ClientLeft{id}});
+  EXPECT_EQ(All<Stop>().size(), 1u);
+  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_FALSE(gateway_.MaySend(now_, id, 0));
+}
+
+// A given-up request is answered at once, with advice on when to come back; it is not held to its deadline.
+TEST_F(GatewayTest, RefusesAtOnceWithAdvice) {
+  RequestId id = Ask();
+  for (std::uint32_t attempt = 0; All<Answer>().empty(); ++attempt) {
+    ASSERT_LT(attempt, 4u);
+    Tell({End(id, attempt, Outcome::kFull)});
+  }
+  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kRefused);
+  EXPECT_EQ(All<Answer>()[0].retry_after, Micros{2'000'000});
+  EXPECT_FALSE(All<Answer>()[0].overdue);
+}
+
+}  // namespace
+}  // namespace tinspan::core
