Bound what open writes and slow clients may hold in memory, on both fronts

Over an eighth of the limit the clients' sockets are now left unread until answers make room. The core ends what a leaving client still has out at once, instead of with the next event.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -63,7 +63,9 @@
   Ask(HangupEvent{event.id});  // calls off what is out
   // What the Router leaves running has nobody to go to.
   for (std::uint32_t i = 0; Find(event.id) != nullptr && i < request->tries.size(); ++i) {
-    if (request->tries[i].out) Do(CancelAttempt{event.id, i});
+    if (!request->tries[i].out) continue;
+    out_->push_back(Stop{event.id, i});
+    End(event.id, *request, i, {.outcome = Outcome::kCancelled});
   }
   Forget(event.id);
 }
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -86,7 +86,7 @@
       listener_(loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
 
 void Clients::Accept(net::Fd fd) {
-  if (clients_.size() >= config_.limits.sockets / 2) {
+  if (clients_.size() >= config_.limits.sockets / 3) {
     spdlog::warn("client turned away: {} connections", clients_.size());
     return;
   }
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -78,7 +78,7 @@
     const auto found = client.open.find(tag);
     if (found == client.open.end()) return true;  // crossed our answer
     events_.push_back(core::ClientLeft{found->second});
-    asked_.erase(found->second);
+    Forget(found->second);
     client.open.erase(found);
     return true;
   }
@@ -151,6 +151,7 @@
   came.class_id = ClassId{static_cast<std::uint32_t>(place - classes.begin())};
   came.id = gateway_.NextId();
   if (!client.open.emplace(asked.tag, came.id).second) return false;
+  held_bytes_ += asked.body.size();
   asked_.emplace(came.id, std::move(asked));
   events_.push_back(came);
   return true;
@@ -187,7 +188,7 @@
       Leave(client->second);
     }
   }
-  asked_.erase(id);
+  Forget(id);
 }
 
 void ClientSide::OnClosed(net::Connection& connection) { Leave(clients_.at(connection.id)); }
@@ -196,12 +197,19 @@
 void ClientSide::Leave(Client& client) {
   for (const auto& [tag, id] : client.open) {
     events_.push_back(core::ClientLeft{id});
-    asked_.erase(id);
+    Forget(id);
   }
   client.open.clear();
   closed_.push_back(client.connection->id);
 }
 
+void ClientSide::Forget(RequestId id) {
+  const auto found = asked_.find(id);
+  if (found == asked_.end()) return;
+  held_bytes_ -= found->second.body.size();
+  asked_.erase(found);
+}
+
 std::size_t ClientSide::Backlog() const {
   std::size_t sum = 0;
   for (const auto& [id, client] : clients_) sum += client.connection->Backlog();
@@ -216,8 +224,12 @@
 
 void ClientSide::EndRound(Micros now) {
   if (listener_.IsOpen() && now >= accept_until_) listener_.Close();
+  // Writes of all clients together could hold more than the memory limit: over a share of it they wait in the
+  // sockets.
+  const bool hold = held_bytes_ > config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
   for (auto& [id, client] : clients_) {
     if (client.connection->IsClosed()) continue;
+    client.connection->HoldReading(hold);
     if (client.consume > 0) client.connection->Consume(std::exchange(client.consume, 0));
     const bool open = !client.open.empty();
     const std::size_t backlog = client.connection->Backlog();
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -38,7 +38,6 @@
   void Serve(RequestId id, bool same, std::string_view body);
   void Refuse(RequestId id, Micros retry_after);
   void Fail(RequestId id);
-  void Drop(RequestId id) { asked_.erase(id); }
 
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
   bool Drained() const;
@@ -62,6 +61,7 @@
   bool Call(Client& client, const RespMessage& message);
   void Write(RequestId id, std::string_view word, std::string_view fields, std::string_view body);
   void Leave(Client& client);
+  void Forget(RequestId id);
 
   net::EventLoop& loop_;
   const config::Platform& config_;
@@ -69,6 +69,7 @@
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
   std::unordered_map<RequestId, Asked> asked_;
+  std::size_t held_bytes_ = 0;  // bodies of the requests that are open
   std::vector<std::uint64_t> closed_;
   std::uint64_t last_ = 0;
   Micros accept_until_ = Micros::max();
