SIGHUP follows the change log that the new configuration names

Front::Reload was empty on the platform (platform_front.hpp), so the old, closed change log was tried for ever; the drain check in the core was not at fault, it never heard of the drain. Change: the file is read and checked as at the start; only the change log's address is taken, `since N` with our number; a file that cannot be used is logged and the old one holds. Requests and connections stay. Also in change_log.cpp, each shown by the new test failing: any byte counted as a sign of life (a log that stops in the middle of an event looked alive), and an event nobody can use was asked for without end; it is asked for once more, then passed over. Silence is now noticed after 1.8 s (lines come each second).

--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/change_log.cpp
@@ -13,9 +13,9 @@
 using simdjson::dom::element;
 
 constexpr net::Connection::Limits kLimits{.read = 8 << 20, .write = 4096};
-// A number comes each second. Two missed and a half: the connection is dead, though nothing says so; what the
-// log has to tell counts as told all the same.
-constexpr Micros kSilence{2'500'000};
+// A line comes each second. Without one for so long the connection is dead, though nothing says so; what the
+// log has to tell counts as told 4 s after it stopped, whether it was heard or not.
+constexpr Micros kSilence{1'800'000};
 constexpr Micros kConnect{400'000};
 constexpr Micros kAgain{100'000};
 
@@ -37,6 +37,7 @@
                      std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
+      at_(config.changelog),
       caches_(caches),
       events_(events),
       parser_(std::make_unique<simdjson::dom::parser>()) {
@@ -53,8 +54,18 @@
 
 ChangeLog::~ChangeLog() { loop_.Timers().Cancel(timer_); }
 
+void ChangeLog::Follow(const net::Endpoint& at) {
+  if (at == at_) return;
+  at_ = at;
+  spdlog::info("change log: following {} after event {}", at_.Text(), seq_);
+  loop_.Timers().Cancel(timer_);
+  if (connection_) connection_->Close();
+  old_ = std::move(connection_);
+  Connect();
+}
+
 void ChangeLog::Connect() {
-  connection_ = std::make_unique<net::Connection>(loop_, config_.changelog, *this, kLimits);
+  connection_ = std::make_unique<net::Connection>(loop_, at_, *this, kLimits);
   Watch();
 }
 
@@ -91,14 +102,25 @@
     try {
       Line(line);
     } catch (const Malformed& wrong) {
-      spdlog::error("change log: {}: expected {}; connecting anew", wrong.field, wrong.expected);
-      return Reconnect();
+      return Unusable(wrong, line.starts_with('{'));
     }
   }
+  if (at == 0) return;     // half a line is no sign of life: what stops in the middle of an event has stopped
   connection.Consume(at);  // nothing of it outlives this call
   Watch();
 }
 
+// What was spoilt on the way comes whole when asked for anew. Spoilt a second time it is passed over, so that
+// one event cannot keep all later ones away for ever.
+void ChangeLog::Unusable(const Malformed& wrong, bool event) {
+  const bool again = event && stuck_ == seq_;
+  spdlog::error("change log: after event {}: {}: expected {}; {}", seq_, wrong.field, wrong.expected,
+                again ? "passed over" : "connecting anew");
+  if (event) stuck_ = seq_;
+  if (again) ++seq_;
+  Reconnect();
+}
+
 void ChangeLog::Line(std::string_view line) {
   if (line.empty()) return;
   if (line.front() == '{') return Apply(line);
--- a/src/front/platform/change_log.hpp
+++ b/src/front/platform/change_log.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/config.hpp"
@@ -23,6 +24,8 @@
   ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
             std::vector<core::Event>& events);
   ~ChangeLog();
+  // From now on the events come from here; their numbers go on.
+  void Follow(const net::Endpoint& at);
   void EndRound();
 
   void OnOpen(net::Connection& connection) override;
@@ -33,15 +36,18 @@
   void Connect();
   void Reconnect();
   void Watch();
-  void Line(std::string_view line);
+  void Line(std::string_view line);  // throws Malformed
+  void Unusable(const Malformed& wrong, bool event);
   void Apply(std::string_view json);  // throws Malformed
 
   net::EventLoop& loop_;
   const config::Platform& config_;
+  net::Endpoint at_;
   CacheSide& caches_;
   std::vector<core::Event>& events_;
   std::unique_ptr<simdjson::dom::parser> parser_;
   std::uint64_t seq_ = 0;
+  std::optional<std::uint64_t> stuck_;  // the event after this one could not be used: asked for anew once
   std::unique_ptr<net::Connection> connection_;
   std::unique_ptr<net::Connection> old_;  // closed in this round
   net::TimerQueue::Id timer_{};
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -20,6 +20,18 @@
   clients_.Fail(answer->id);
 }
 
+// The file is read anew; requests, connections and all that was learnt stay. Where it cannot be used, what
+// was told before holds on.
+void PlatformFront::Reload() {
+  try {
+    const config::Platform told = config::ReadPlatform();
+    changes_.Follow(told.changelog);
+    spdlog::info("configuration read anew; only changelog is taken from it without a restart");
+  } catch (const config::Error& error) {
+    spdlog::error("configuration not read anew, the old one holds: {}", error.what());
+  }
+}
+
 void PlatformFront::EndRound(Micros now) {
   // Clients that are slow to take their answers hold up the servers' answers, not the memory.
   caches_.HoldReading(clients_.Backlog() > most_backlog_);
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -34,16 +34,17 @@
   std::unique_ptr<TempFile> file;
   std::unique_ptr<Program> program;
   Peer log;  // the change log's connection
+  std::string config;
   int port = 0;
 
   explicit World(rlim_t descriptors = 0, bool two = true) {
     std::string members = Member("s-a", cache_a.Address());
     if (two) members += "," + Member("s-b", cache_b.Address());
     members += "," + Member("p-1", parent.Address(), "up") + "," + Member("o-1", origin.Address(), "store");
-    const std::string config = R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":)"
-                               R"({"cores":1.0,"memory_mb":192,"sockets":1024},"changelog":")" +
-                               changelog.Address() + R"(","known":{"seq":1,"results":[)" +
-                               Fleet(1, true, members) + R"(]},"settings":)" + kSettings + "}";
+    config = R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":)"
+             R"({"cores":1.0,"memory_mb":192,"sockets":1024},"changelog":")" +
+             changelog.Address() + R"(","known":{"seq":1,"results":[)" + Fleet(1, true, members) +
+             R"(]},"settings":)" + kSettings + "}";
     file = std::make_unique<TempFile>(config);
     program = std::make_unique<Program>(
         std::vector<std::string>{"serve", "--log-level", "debug"},
@@ -222,6 +223,64 @@
   CHECK(world.log.Until("\n") == "since 3");
 }
 
+// Guards against a change log that moves: what it tells from then on comes from the new address. State and
+// open requests stay, and a file that cannot be used changes nothing.
+void FollowsANewConfiguration() {
+  World world;
+  Peer client = world.Client();
+  client.Send(Call("1"));
+  Peer cache = Chosen(world);
+  cache.Until("\r\n\r\n");
+  const auto reload = [&](const std::string& text) {
+    std::ofstream(world.file->path) << text;
+    world.program->Signal(SIGHUP);
+  };
+  reload("{\"seed\": half a fi");
+  CHECK(world.program->Line("old one holds").find("JSON") != std::string::npos);
+  Server moved;
+  std::string config = world.config;
+  config.replace(config.find(world.changelog.Address()), world.changelog.Address().size(), moved.Address());
+  world.log.Send(Fleet(2, false, Member("s-x", world.cache_a.Address())) + "\n");
+  world.log.Close();
+  world.log = world.changelog.Accept();
+  CHECK(world.log.Until("\n") == "since 2");  // the old one is still followed
+  reload(config);
+  Peer log = moved.Accept();
+  CHECK(log.Until("\n") == "since 2");
+  CHECK(world.log.ToEnd().empty());
+  cache.Send(Ok("abc"));
+  CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+}
+
+// Guards against a change log that tells half an event and stops, tells events twice, or one that nobody can
+// use: none may keep the later ones away.
+void OutlivesABadChangeLog() {
+  World world;
+  const std::string bad = R"({"seq":2,"fleet":{"servers":[{"id":"s-q","kind":"unheard of"}]}})";
+  const std::string gone = Fleet(3, false, Member("s-a", world.cache_a.Address(), "box", "removed"));
+  world.log.Send(bad + "\n" + gone + "\n");
+  world.log = world.changelog.Accept();
+  CHECK(world.log.Until("\n") == "since 1");  // it may have been spoilt on the way: asked for once more
+  world.log.Send(bad + "\n" + gone + "\n");
+  world.log = world.changelog.Accept();
+  CHECK(world.log.Until("\n") == "since 2");
+  const std::string event = Fleet(4, false, Member("p-1", world.parent.Address(), "up", "removed"));
+  world.log.Send(gone + "\n" + gone + "\n");
+  const auto start = UnixMs();
+  for (const char one : event.substr(0, 15)) {  // bytes come, but no line ends
+    world.log.Send(std::string(1, one));
+    ::usleep(100'000);
+  }
+  Peer log = world.changelog.Accept();
+  CHECK(log.Until("\n") == "since 3" && UnixMs() - start < 3'000);
+  log.Send(event + "\n");
+  log.Close();
+  CHECK(world.changelog.Accept().Until("\n") == "since 4");
+  Peer client = world.Client();
+  client.Send(Call("1"));
+  CHECK(world.cache_b.Accept().Until("\r\n\r\n").find(",miss=o-1") != std::string::npos);
+}
+
 // No copy older than a purge goes out once the grace is over, whatever the cache says.
 void HeedsPurges() {
   World world;
@@ -346,6 +405,8 @@
       {"answers_at_the_deadline", AnswersAtTheDeadline},
       {"stops_what_a_client_leaves", StopsWhatAClientLeaves},
       {"follows_the_change_log", FollowsTheChangeLog},
+      {"follows_a_new_configuration", FollowsANewConfiguration},
+      {"outlives_a_bad_change_log", OutlivesABadChangeLog},
       {"heeds_purges", HeedsPurges},
       {"closes_on_malformed_input", ClosesOnMalformedInput},
       {"stops_cleanly", StopsCleanly},
