Bound the fills that are taken to run on: floods of withdrawn requests closed the link in

A probe of the module's beliefs each half second showed it: the ghosts at the link in stood at 66 against a room of 15 and faded over 12 s, after one client's hundreds of withdrawn requests in a moment when fills were late. With the link in closed no fill could tell that it was free. At fault: brain.cpp, Take(OutcomeEvent), AddWork(inlet_, ...) without a bound. Change: such fills hold two fifths of the link's room at most. The new test fails without the bound.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,6 +42,7 @@
 constexpr double kLeastRoom = 20;      // of all its routers together, what a server's room never falls under
 constexpr double kJam = 0.05;          // share of late answers that tells a jam from answers lost on the way
 constexpr double kGhost = 0.6;         // of a fill cut off in a jam, what is counted as running on
+constexpr double kGhostMost = 0.4;     // of the room of the link in, what such fills hold at most
 constexpr double kInletPart = 0.15;    // of its caches' first rooms, what a location's link in bears at first
 constexpr double kSlow = 0.7;          // of the aim: answers later than this say that room runs out
 constexpr double kSlowFill = 1.0;      // the same for fills, which are slower without any trouble
@@ -621,7 +622,10 @@
     attempt.lost = event.outcome == Outcome::kReset;
     // In a jam fills that were cut off or called off run on and hold the link in; they fade from the count.
     const bool runs_on = !ProvesNotRun(event.outcome) && event.outcome != Outcome::kServed;
-    if (runs_on && inlet_.late > kJam) AddWork(inlet_, kGhost * attempt.inlet_chance);
+    // They never close it: where clients withdraw by the hundred, only new fills tell that it is free.
+    if (runs_on && inlet_.late > kJam && WorkOf(inlet_) < kGhostMost * inlet_.room) {
+      AddWork(inlet_, kGhost * attempt.inlet_chance);
+    }
     Unload(attempt);
     Judge(request, attempt, event);
     if (event.finished || event.outcome == Outcome::kServed) request.ended = true;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -599,6 +599,22 @@
   EXPECT_GT(script.FillUp(9000).size(), second.size());
 }
 
+// Guards against clients that withdraw by the hundred: what they leave running is counted, but where it
+// closed the link in, no fill would ever tell that it is free again.
+TEST(LinkIn, FillsThatClientsWithdrawNeverCloseIt) {
+  ManyParents script;
+  for (std::uint64_t object = 2000; object < 2010; ++object) {
+    script.Answer(script.Ask(object).id, 0, Outcome::kServed, FillNote::kFilled, 900ms);
+  }
+  for (std::uint64_t wave = 1; wave <= 50; ++wave) {
+    for (const RequestId id : script.FillUp(10'000 * wave)) {
+      script.Pass(HangupEvent{id});
+      script.Answer(id, 0, Outcome::kCancelled, FillNote::kNone, 5ms);
+    }
+  }
+  EXPECT_GE(script.FillUp(9'000'000).size(), 2u);
+}
+
 // Guards against spending scarce room on what earns little for its sending time.
 TEST(Room, LittleWorthForItsSendingTimeIsTurnedAwayFirst) {
   Script script;
