Blame an error on a server only if no other server answers the same

Also: an answer that cannot be read closes its connection, and each of up to 34 requests on it was one sign against the server, where two shut it out. At fault: brain.cpp, Judge, the branch of kError and kReset. Change: a second server's error ends the request, and neither is blamed; one error is blamed once the request has ended. Attempts sent before the last break of a connection to their server add no sign of their own. The new tests fail without it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -628,13 +628,15 @@
     }
     Unload(attempt);
     Judge(request, attempt, event);
+    attempt.erred = event.outcome == Outcome::kError && event.note == FillNote::kNone;
+    request.served = event.outcome == Outcome::kServed;
     if (event.finished || event.outcome == Outcome::kServed) request.ended = true;
     if (!ProvesNotRun(event.outcome) && request.ran_at == kNobody) {
       request.ran_at = static_cast<int>(event.attempt);
     }
     if (!request.ended && request.Out() == 0) {
-      const bool hopeless =
-          event.note == FillNote::kOriginFailed || (attempt.spare && event.outcome == Outcome::kMiss);
+      const bool hopeless = event.note == FillNote::kOriginFailed || Faulty(request) ||
+                            (attempt.spare && event.outcome == Outcome::kMiss);
       now_ >= request.deadline || hopeless ? GiveUp(request) : Further(request);
     }
     Drop(event.id);
@@ -688,9 +690,12 @@
       LearnRoom(note == FillNote::kNoFillPlace ? inlet_ : server, true, kRoomFull);
     } else if (event.outcome == Outcome::kConnectFailed) {
       Observe(attempt.server, true, kStrong);
-    } else if (event.outcome == Outcome::kError || event.outcome == Outcome::kReset) {
+    } else if (event.outcome == Outcome::kError) {
+      server.heard = now_;  // for the rest see Blame
+    } else if (event.outcome == Outcome::kReset) {
       server.heard = now_;
-      Observe(attempt.server, true, kLight);
+      // All that was open on one connection breaks with it: that is one sign, not many.
+      if (attempt.sent >= std::exchange(server.broke, now_)) Observe(attempt.server, true, kLight);
     } else if (Sec(event.elapsed) > Aim(request)) {
       // Cut off late: the slowest of all, which no answer would ever tell of (incident i150e8d). It speaks of
       // a jam only where fills come late as well; else its answer was lost on the way.
@@ -711,6 +716,24 @@
     if (has_source && untouched) servers_[attempt.source].budget += attempt.source_cost;
   }
 
+  // Two servers answered 'error': what they were asked is at fault, and no third is asked. Guards against
+  // clients that ask for what nobody can answer: each of them would shut out one server after the other.
+  static bool Faulty(const Request& request) {
+    const std::vector<Attempt>& all = request.attempts;
+    const auto erred = [](const Attempt& one) { return one.erred; };
+    const auto first = std::find_if(all.begin(), all.end(), erred);
+    return std::any_of(first, all.end(),
+                       [&](const Attempt& one) { return one.erred && one.server != first->server; });
+  }
+  // Who is to blame for an 'error' shows once the request has ended: its server, unless another said the
+  // same.
+  void Blame(const Request& request) {
+    if (Faulty(request) && !request.served) return;
+    for (const Attempt& attempt : request.attempts) {
+      if (attempt.erred) Observe(attempt.server, true, kLight);
+    }
+  }
+
   void Take(const StartedEvent& event) {
     const auto found = requests_.find(Number(event.id));
     if (found != requests_.end()) found->second.streaming = true;
@@ -832,7 +855,9 @@
   // Forgets a request that has ended and has nothing outstanding.
   void Drop(RequestId id) {
     const auto found = requests_.find(Number(id));
-    if (found != requests_.end() && found->second.ended && found->second.Out() == 0) requests_.erase(found);
+    if (found == requests_.end() || !found->second.ended || found->second.Out() > 0) return;
+    Blame(found->second);
+    requests_.erase(found);
   }
 
   void Unload(const Attempt& attempt) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -29,6 +29,7 @@
   double failing = 0;
   bool suspect = false;
   Micros heard{-1};  // when it last gave a sign of life
+  Micros broke{-1};  // when a connection to it last broke
   Micros next_trial{0};
   int gap = 1;  // in first gaps
   // Cold start and what it bears: sending time asked of it, decaying.
@@ -46,6 +47,7 @@
   bool cancelled = false;
   bool lost = false;         // its answer broke off, the work may be done
   bool judged = false;       // its silence has been counted
+  bool erred = false;        // answered 'error': its server's fault or the request's
   int sibling_value = 0;     // above 0: the source is a sibling with this summary value
   int value = 0;             // the cache's own summary value
   double fill_chance = 0;    // that it needs the source
@@ -64,6 +66,7 @@
   bool ended = false;      // it has its final answer, or needs none
   bool streaming = false;
   bool sibling_failed = false;
+  bool served = false;
   int ran_at = kNobody;  // first attempt that may have run
   int Out() const {
     return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; }));
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -655,6 +655,73 @@
   EXPECT_LE(sent, 10);
 }
 
+// Guards against clients that ask for what nobody can answer: their errors shut out every server in turn.
+TEST(Health, AnErrorThatTwoServersGiveIsTheRequestsFault) {
+  Script script;
+  script.Start();
+  for (std::uint64_t object = 1; object <= 40; ++object) {
+    const SendAttempt first = script.Ask(object);
+    script.Answer(first.id, 0, Outcome::kError);
+    const SendAttempt second = script.OnlyAttempt();
+    EXPECT_NE(second.server, first.server);
+    script.Answer(first.id, 1, Outcome::kError);
+    EXPECT_TRUE(script.All<SendAttempt>().empty());  // no third is asked
+    EXPECT_EQ(script.All<Refuse>().size(), 1u);
+    for (std::uint64_t good = 1; good <= 4; ++good) script.Serve(1000 + 4 * object + good);
+  }
+  std::vector<int> sent(4, 0);
+  for (std::uint64_t object = 2000; object < 2030; ++object)
+    ++sent[static_cast<std::size_t>(script.Serve(object).server)];
+  for (int cache = 1; cache <= 3; ++cache) EXPECT_GT(sent[cache], 3);
+}
+
+// An error that another server makes good is its server's, and so is one without a second opinion.
+TEST(Health, AnErrorThatAnotherServerMakesGoodIsBlamed) {
+  Script script;
+  script.Start();
+  const auto of_first = [&] {
+    int count = 0;
+    for (std::uint64_t object = 5000; object < 5030; ++object) {
+      count += script.Serve(object).server == ServerId{1} ? 1 : 0;
+    }
+    return count;
+  };
+  for (std::uint64_t object = 1; object <= 60; ++object) {
+    const SendAttempt sent = script.Ask(object);
+    const bool bad = sent.server == ServerId{1};
+    if (bad) script.Answer(sent.id, 0, Outcome::kError);
+    script.Answer(sent.id, bad ? 1 : 0, Outcome::kServed, FillNote::kHit);
+  }
+  EXPECT_EQ(of_first(), 0);
+}
+
+// Guards against shutting a server out for one connection that broke with all that was open on it.
+TEST(Health, OneBrokenConnectionIsOneSign) {
+  Script script;
+  script.Start();
+  std::vector<SendAttempt> open;
+  for (std::uint64_t object = 1; open.size() < 5 && object < 200; ++object) {
+    const SendAttempt sent = script.Ask(object);
+    if (sent.server == ServerId{1}) {
+      open.push_back(sent);
+    } else {
+      script.Answer(sent.id, 0, Outcome::kServed, FillNote::kHit);
+    }
+  }
+  ASSERT_EQ(open.size(), 5u);
+  script.now += 10ms;
+  for (const SendAttempt& one : open) {
+    script.Answer(one.id, 0, Outcome::kReset);
+    script.Pass(HangupEvent{one.id});  // the further attempt is no part of this
+    script.Answer(one.id, 1, Outcome::kCancelled);
+  }
+  int again = 0;
+  for (std::uint64_t object = 300; object < 330; ++object) {
+    again += script.Serve(object).server == ServerId{1} ? 1 : 0;
+  }
+  EXPECT_GT(again, 3);
+}
+
 TEST(Health, ASilentCacheIsSuspectedFromSilenceAlone) {
   Script script;
   script.settings.may_duplicate = true;
