Spread the risk over connections, answer bad messages alone, let silent clients go

At fault and changed: - pool.hpp Take, cache_side.cpp: 8 requests on a connection before another is opened (a quarter of the descriptors in all); one that owes answers and is silent, while its server speaks on another, gets nothing new; an answer without a byte for 0.3 s, and two overdue ones in silence, end it. A request that was not out whole when a connection broke goes on another without costing a try. - cache_side.cpp Take: an id given up, failed or answered unasked never goes out on that connection again; an answer to what has not been written is none. `issued` out of range is no longer multiplied. - client_side.cpp Handle/Call: a whole message with an unusable class, field or tag, the id of an open request, a 33rd request: answered 'error' alone; only broken framing closes. Two requests under one number get one answer and neither is served. 32 messages of a connection a round. `room` must be finite. - net/visitors.hpp, for both fronts: newcomers without a whole request go after 2.4 s (10 s at the gateway; it renewed the time with each trickling byte), idle ones after 6 s (30 s), and a full table lets the longest silent one go for a newcomer. Half-read messages and unread answers are bounded by the memory limit in sum. - core: `allow` is bound by twice the class's time; brain.cpp: a size beyond the class's time is not learnt from. Work per round follows what happened, no longer all clients. Each new test fails against the program before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -600,9 +600,11 @@
     // that a client's train of parts does not clump at one cache. The parent stays hashed by the object.
     const bool parts = ClassOf(request).parts && event.part > 0;
     request.order = Order(Role::kCache, parts ? ObjectId{Key(event)} : event.object);
-    mean_worth_ += kMean * (ClassOf(request).worth - mean_worth_);
-    mean_send_ += kMean * (OwnSend(request) - mean_send_);
-    MeanSend(request) += kMean * (OwnSend(request) - MeanSend(request));
+    if (OwnSend(request) <= Sec(ClassOf(request).deadline)) {  // else it is no measure for others
+      mean_worth_ += kMean * (ClassOf(request).worth - mean_worth_);
+      mean_send_ += kMean * (OwnSend(request) - mean_send_);
+      MeanSend(request) += kMean * (OwnSend(request) - MeanSend(request));
+    }
     further_ = std::min(further_ + kFurtherShare, kFurtherMost);
     LearnBorne(Role::kCache);
     LearnBorne(Role::kParent);
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -40,7 +40,11 @@
   if (!added) return;
   Request& request = place->second;
   request.came = event;
-  const Micros left = std::max(event.allow - options_.slack, Micros{0});
+  // Nobody waits longer than twice its class's whole time: what claims to would be kept for days.
+  const std::size_t kind = static_cast<std::size_t>(event.class_id);
+  const Micros whole = kind < settings_.classes.size() ? settings_.classes[kind].deadline : Micros{0};
+  const Micros allow = whole > Micros{0} ? std::min(event.allow, 2 * whole) : event.allow;
+  const Micros left = std::max(allow - options_.slack, Micros{0});
   request.deadline = now_ + left;
   ++open_;
   At(request.deadline, Due::What::kDeadline, Number(event.id));
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -12,6 +12,9 @@
 namespace tinspan::http {
 namespace {
 
+// A newcomer has so long for its first request, one that has its answer for the next; bytes that trickle in
+// do not prolong it.
+constexpr Micros kFirst{10'000'000};
 constexpr Micros kIdle{30'000'000};
 constexpr Micros kLinger{2'000'000};  // for a client to read a last answer and close
 constexpr std::string_view kOperatorPrefix = "/-/";
@@ -83,12 +86,17 @@
       gateway_(gateway),
       access_(access),
       events_(events),
+      visitors_({.most = config.limits.sockets / 3, .first = kFirst, .idle = kIdle}),
       listener_(loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
 
 void Clients::Accept(net::Fd fd) {
-  if (clients_.size() >= config_.limits.sockets / 3) {
-    spdlog::warn("client turned away: {} connections", clients_.size());
-    return;
+  if (visitors_.IsFull()) {
+    const auto spare = visitors_.Spare(net::Now());
+    if (!spare) {
+      spdlog::warn("client turned away: {} connections, all with requests open", clients_.size());
+      return;
+    }
+    clients_.at(*spare).connection->Close();
   }
   const std::uint64_t id = ++last_;
   Client& client = clients_[id];
@@ -96,6 +104,7 @@
   client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, limits);
   client.connection->id = id;
   client.used = net::Now();
+  visitors_.Came(id, client.used);
 }
 
 void Clients::OnBytes(net::Connection& connection) {
@@ -331,15 +340,24 @@
     if (connection.Sent() != std::exchange(client.sent, connection.Sent())) client.used = now;
     const bool stuck = (connection.Backlog() > 0 && now - client.used > config_.stall) ||
                        (connection.IsLingering() && now - client.used > kLinger);
-    // An idle one, or one whose request does not come to its end.
-    const bool idle =
-        !client.open && connection.Backlog() == 0 && (now - client.used > kIdle || Stopping(now));
-    if (!connection.IsClosed() && (stuck || idle)) {
+    const bool busy = client.open || connection.Backlog() > 0;
+    if (!connection.IsClosed() && (stuck || (!busy && Stopping(now)))) {
       connection.Close();
       Leave(client);
     }
-    if (connection.IsClosed()) closed_.push_back(id);
+    if (connection.IsClosed()) {
+      closed_.push_back(id);
+    } else if (busy) {
+      visitors_.Busy(id);
+    } else if (connection.Queued() != std::exchange(client.told, connection.Queued())) {
+      visitors_.Idle(id, now);
+    }
+  }
+  while (const auto id = visitors_.Overdue(now)) {
+    clients_.at(*id).connection->Close();
+    closed_.push_back(*id);
   }
+  for (const std::uint64_t id : closed_) visitors_.Left(id);
   for (const std::uint64_t id : closed_) clients_.erase(id);
   closed_.clear();
 }
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -13,6 +13,7 @@
 #include "front/http/http1.hpp"
 #include "net/connection.hpp"
 #include "net/listener.hpp"
+#include "net/visitors.hpp"
 
 namespace tinspan::http {
 
@@ -57,6 +58,7 @@
     bool last = false;       // this request's answer is the connection's last
     bool continued = false;  // 100 has been sent
     std::uint64_t sent = 0;  // as seen last
+    std::uint64_t told = 0;  // bytes written to it, as seen last
     Micros used{0};
   };
 
@@ -80,6 +82,7 @@
   std::unordered_map<std::uint64_t, Client> clients_;
   std::unordered_map<RequestId, Asked> asked_;
   std::vector<std::uint64_t> closed_;
+  net::Visitors visitors_;
   std::uint64_t last_ = 0;
   bool ready_ = false;
   Micros accept_until_ = Micros::max();
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -13,7 +13,13 @@
 
 constexpr std::size_t kMostLine = 4096;
 constexpr std::size_t kMostBody = 512 << 10;  // an object holds 240,000 bytes at most
-constexpr std::size_t kMostStopped = 4096;    // after so many given up on it a connection is replaced
+constexpr std::size_t kMostBurnt = 2048;  // after so many ids that it may not carry a connection is replaced
+constexpr std::size_t kSpread = 8;        // requests on one connection before another is opened
+constexpr Micros kWatch{50'000};
+constexpr Micros kStall{300'000};  // without a byte in the middle of an answer
+constexpr Micros kPatience{
+    250'000};  // for an answer, its own sending time apart, where others of its server come
+constexpr std::int64_t kMostMillis = 4'000'000'000'000;  // of a Unix time
 constexpr std::size_t kMalformed = std::string_view::npos;
 
 // In the order of the module's notes from kHit on; those that the platform does not tell are empty.
@@ -39,7 +45,9 @@
   rules.connect_timeout = config.connect_timeout;
   rules.idle_close = config.idle_close * 3 / 4;  // before the server does
   rules.exchanges = config.exchanges;
-  rules.limits = {.read = 256 << 10, .write = 4 << 20};
+  rules.spread = kSpread;
+  rules.most = config.limits.sockets / 4;
+  rules.limits = {.read = 64 << 10, .write = std::min<std::size_t>(4 << 20, config.limits.memory_mb << 17)};
   return rules;
 }
 
@@ -80,11 +88,15 @@
       gateway_(gateway),
       clients_(clients),
       events_(events),
+      loop_(loop),
       pool_(loop, Rules(config), *this) {}
 
 void CacheSide::Know(ServerId id, Address address) { addresses_[id] = std::move(address); }
 
-void CacheSide::Forsake(ServerId id) { pool_.RetireServer(static_cast<std::uint64_t>(id)); }
+void CacheSide::Forsake(ServerId id) {
+  pool_.RetireServer(static_cast<std::uint64_t>(id));
+  addresses_.erase(id);  // over a long day many come and go
+}
 
 void CacheSide::Carry(Micros now, const core::Send& command) {
   const RequestId id = command.order.id;
@@ -94,17 +106,27 @@
     events_.push_back(core::AttemptEnded{.id = id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
     return;
   }
+  Place(now, *asked, Out{nullptr, command});
+}
+
+void CacheSide::Place(Micros now, const Asked& asked, Out out) {
+  const RequestId id = out.send.order.id;
+  const auto address = addresses_.find(out.send.order.server);
   Link& link = pool_.Take(
-      static_cast<std::uint64_t>(command.order.server), address->second.endpoint, now, [&](const Link& one) {
-        return !one.state.open.contains(asked->ref) && !one.state.stopped.contains(asked->ref);
+      static_cast<std::uint64_t>(out.send.order.server), address->second.endpoint, now, [&](const Link& one) {
+        return !one.state.open.contains(asked.ref) && !one.state.burnt.contains(asked.ref);
       });
   if (held_) link.connection.HoldReading(true);
-  out_[id] = Out{&link, command};
-  link.state.open[asked->ref] = {id, command.attempt, 0};
+  out.link = &link;
+  const double pace = config_.site.settings.pace_kb_per_s;
+  const auto sending = Micros{static_cast<std::int64_t>(pace > 0 ? asked.size_kb / pace * 1e6 : 0)};
+  link.state.open[asked.ref] = {id, out.send.attempt, 0, now, kPatience + 2 * sending};
+  const core::Send send = out.send;
+  out_[id] = std::move(out);
   if (link.connection.IsOpen()) {
-    Put(now, link, asked->ref, command);
+    Put(now, link, asked.ref, send);
   } else {
-    link.state.waiting.push_back(asked->ref);
+    link.state.waiting.push_back(asked.ref);
   }
 }
 
@@ -112,21 +134,20 @@
 void CacheSide::Put(Micros now, Link& link, const std::string& ref, const core::Send& send) {
   const RequestId id = send.order.id;
   const Asked* const asked = clients_.Find(id);
-  if (asked == nullptr || !gateway_.MaySend(now, id, send.attempt)) {
+  const bool fill = send.order.source != send.order.server;
+  const auto filler = addresses_.find(send.order.source);
+  if (asked == nullptr || (fill && filler == addresses_.end()) || !gateway_.MaySend(now, id, send.attempt)) {
     return End(id, link, {.outcome = Outcome::kNotSent});
   }
-  std::string source;
-  if (send.order.source != send.order.server) source = addresses_[send.order.source].name;
+  const std::string source = fill ? filler->second.name : std::string();
   const bool taken = link.connection.Write(RequestLine(now, *asked, send, source), asked->body, "\r\n");
   link.state.open[ref].written = link.connection.Queued();
-  if (!taken) {  // a server that takes nothing in: none of this reached it whole
-    link.retired = true;
-    OnLinkLost(link);
-  }
+  if (!taken) Lose(link, "takes nothing in");  // none of this reached it whole
 }
 
 void CacheSide::OnLinkOpen(Link& link) {
   const Micros now = net::Now();
+  link.state.up = true;
   for (const std::string& ref : std::exchange(link.state.waiting, {})) {
     const auto found = link.state.open.find(ref);
     if (found == link.state.open.end()) continue;
@@ -145,13 +166,17 @@
   if (open == link.state.open.end()) return;
   if (open->second.written > 0) {
     link.connection.Write("STOP " + open->first + "\r\n");
-    link.state.stopped.insert(open->first);
-    if (link.state.stopped.size() > kMostStopped) pool_.Retire(link);
+    Burn(link, open->first);
   }
   link.state.open.erase(open);
   pool_.Release(link, now);
 }
 
+void CacheSide::Burn(Link& link, const std::string& ref) {
+  link.state.burnt.insert(ref);
+  if (link.state.burnt.size() > kMostBurnt) pool_.Retire(link);
+}
+
 // An exchange is over on the wire: the core is told.
 void CacheSide::End(RequestId id, Link& link, core::AttemptEnded ended) {
   const auto found = out_.find(id);
@@ -164,17 +189,66 @@
   pool_.Release(link, net::Now());
 }
 
+void CacheSide::Lose(Link& link, std::string_view why) {
+  spdlog::warn("server {} at {}: {}, connection closed", link.server, link.to.Text(), why);
+  link.connection.Close();
+  link.retired = true;
+  OnLinkLost(link);
+}
+
 void CacheSide::OnLinkLost(Link& link) {
   const auto open = std::exchange(link.state.open, {});
+  link.state.waiting.clear();
   if (!open.empty())
     spdlog::debug("server {} at {}: connection lost with {} open", link.server, link.to.Text(), open.size());
+  const Micros now = net::Now();
   for (const auto& [ref, exchange] : open) {
     // Not all bytes taken by the socket, or never connected: it cannot have reached the server whole.
     const bool whole = exchange.written > 0 && link.connection.Sent() >= exchange.written;
-    End(exchange.id, link, {.outcome = whole ? Outcome::kReset : Outcome::kConnectFailed});
+    const auto out = out_.find(exchange.id);
+    const Asked* const asked = clients_.Find(exchange.id);
+    // A connection that had been up and broke says little of its server: what was not out goes on another.
+    if (!whole && link.state.up && out != out_.end() && !out->second.moved && asked != nullptr &&
+        addresses_.contains(out->second.send.order.server)) {
+      Out again = out->second;
+      again.moved = true;
+      pool_.Release(link, now);
+      Place(now, *asked, std::move(again));
+    } else {
+      End(exchange.id, link, {.outcome = whole ? Outcome::kReset : Outcome::kConnectFailed});
+    }
   }
 }
 
+void CacheSide::Watch(Micros now) {
+  if (held_ || (watch_ && now < *watch_)) return;
+  watch_ = now + kWatch;
+  std::unordered_map<std::uint64_t, Micros> heard;  // by server, on any connection
+  for (const Link& link : pool_.Links()) {
+    if (link.state.up) heard[link.server] = std::max(heard[link.server], link.connection.LastHeard());
+  }
+  for (Link& link : pool_.Links()) {
+    if (!link.connection.IsOpen()) continue;
+    if (!link.connection.Unread().empty() && now - link.connection.LastHeard() > kStall) {
+      Lose(link, "an answer that stalls");
+      continue;
+    }
+    // Nothing comes here while the server speaks elsewhere: an answer that never comes, and what is behind it
+    // does not come either. One alone may be slow, so it is given more time.
+    const Micros silent = link.SilentSince();
+    if (silent == Micros{0} || heard[link.server] <= silent) continue;
+    std::size_t overdue = 0;
+    bool long_overdue = false;
+    for (const auto& [ref, exchange] : link.state.open) {
+      const Micros waits = now - std::max(exchange.at, silent);
+      overdue += waits > exchange.patience ? 1 : 0;
+      long_overdue = long_overdue || waits > 4 * exchange.patience;
+    }
+    if (overdue >= 2 || long_overdue) Lose(link, "silent while others of it are not");
+  }
+  loop_.Timers().Set(*watch_, [](Micros) {});  // the round that follows looks again
+}
+
 void CacheSide::OnLinkBytes(Link& link) {
   while (!link.connection.IsClosed()) {
     const std::string_view unread = link.connection.Unread().substr(link.state.consume);
@@ -182,11 +256,7 @@
     const std::size_t used = Take(link, unread);
     if (used == 0) return;
     if (used == kMalformed) {
-      spdlog::warn("server {} at {}: answer that cannot be read, connection closed", link.server,
-                   link.to.Text());
-      link.connection.Close();
-      link.retired = true;
-      return OnLinkLost(link);
+      return Lose(link, "an answer that cannot be read");
     }
     link.state.consume += used;
   }
@@ -220,9 +290,11 @@
   const std::string ref(words[0]);
   const auto found = link.state.open.find(ref);
   if (found == link.state.open.end()) {
-    link.state.stopped.erase(ref);  // given up before: dropped
+    Burn(link, ref);  // given up before, or nobody asked: dropped
     return whole;
   }
+  // It has not been asked yet.
+  if (found->second.written == 0 || link.connection.Sent() < found->second.written) return kMalformed;
   const RequestId id = found->second.id;
   core::AttemptEnded ended;
   const auto word = std::find_if(kWords.begin(), kWords.end(), [&](auto& w) { return w.text == words[1]; });
@@ -234,7 +306,8 @@
       const auto note = std::find_if(kNotes.begin(), kNotes.end(), [&](auto& n) { return n.first == value; });
       if (note != kNotes.end()) ended.note = note->second;
     } else if (name == "issued") {
-      if (const auto at = ReadNumber<std::int64_t>(value)) ended.issued = Micros{*at * 1000};
+      const auto at = ReadNumber<std::int64_t>(value);
+      if (at && *at >= 0 && *at < kMostMillis) ended.issued = Micros{*at * 1000};
     } else if (name == "use") {
       report = value;
     }
@@ -247,6 +320,8 @@
   }
   if (word->outcome == Outcome::kServed) {
     served_[id] = Served{word->text == "SAME", unread.substr(end + 2, *length)};
+  } else {
+    Burn(link, ref);
   }
   End(id, link, ended);
   return whole;
@@ -268,6 +343,7 @@
   for (Link& link : pool_.Links()) {
     if (link.state.consume > 0) link.connection.Consume(std::exchange(link.state.consume, 0));
   }
+  if (!out_.empty()) Watch(now);
   pool_.Sweep(now);
 }
 
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -1,6 +1,7 @@
 // The servers' side of the platform: the line protocol of shop caches, parents and the origin.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -24,11 +25,14 @@
     RequestId id{};
     std::uint32_t attempt = 0;
     std::uint64_t written = 0;  // the connection's count of queued bytes when the request was in; 0: not yet
+    Micros at{0};
+    Micros patience{0};  // how long its answer may take on a connection on which nothing is heard
   };
   std::unordered_map<std::string, Exchange> open;  // by the request's id on the wire
-  // Given up here; an answer that crossed the STOP is dropped. The same id does not go out on this connection
-  // again: an old answer could be taken for the new attempt's.
-  std::unordered_set<std::string> stopped;
+  // Ids that do not go out on this connection again: given up or failed on it, or answered unasked. A late or
+  // a second answer could be taken for the new attempt's.
+  std::unordered_set<std::string> burnt;
+  bool up = false;                   // it has been open
   std::vector<std::string> waiting;  // for the connection to come up, in order
   std::size_t consume = 0;           // handled, still in the buffer
 };
@@ -64,10 +68,16 @@
   struct Out {
     Link* link = nullptr;
     core::Send send;
+    bool moved = false;  // to a second connection, since the first broke before it was out
   };
 
+  void Place(Micros now, const Asked& asked, Out out);
   void Put(Micros now, Link& link, const std::string& ref, const core::Send& send);
   void End(RequestId id, Link& link, core::AttemptEnded ended);
+  void Burn(Link& link, const std::string& ref);
+  void Lose(Link& link, std::string_view why);
+  // Gives up connections that owe answers and do not move.
+  void Watch(Micros now);
   // Bytes that the message at the front of `unread` takes, 0: not whole yet, npos: no message at all.
   std::size_t Take(Link& link, std::string_view unread);
 
@@ -79,6 +89,8 @@
   std::unordered_map<RequestId, Out> out_;  // one attempt out at a time
   std::unordered_map<RequestId, Served> served_;
   bool held_ = false;
+  net::EventLoop& loop_;
+  std::optional<Micros> watch_;  // when Watch looks again
   Pool pool_;
 };
 
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -10,13 +10,30 @@
 namespace tinspan::platform {
 namespace {
 
-constexpr std::size_t kMostMessage = 128 << 10;  // a write brings 48,000 bytes at most
-constexpr std::size_t kMostOpen = 32;            // requests on one connection
+constexpr std::size_t kMostMessage = 64 << 10;  // a write brings 48,000 bytes at most
+constexpr std::size_t kMostOpen = 32;           // requests on one connection
 constexpr std::size_t kMostField = 256;
-// Answers that a client may leave unread: more than 32 of the largest.
+constexpr double kMostSize = 1e6;  // KB of a part; far beyond what is served at all
+// Messages of one connection in a round: whoever sends hundreds at once waits for the others in between.
+constexpr std::size_t kTurn = 32;
+// Answers that a client may leave unread: more than 32 of the largest. Nothing more is read from one that has
+// left so many, nor from any such client once all together hold a quarter of the memory.
 constexpr net::Connection::Limits kLimits{.read = kMostMessage, .write = 9 << 20};
+constexpr std::size_t kFull = 8 << 20;
 constexpr Micros kStuck{10'000'000};  // a client that takes nothing of its answers for so long is let go
-constexpr Micros kIdle{60'000'000};   // clients close idle connections after 4 s; these have vanished
+// Clients close connections that have been idle for 4 s. One that goes on holding its own has asked for all
+// it will ask. Newcomers are owed a close within 3 s.
+constexpr Micros kIdle{6'000'000};
+constexpr Micros kFirst{2'400'000};
+
+// Clients hold a third of the descriptors at most; twice that would starve the servers' side. Half-read
+// messages of all may take a quarter of the memory.
+net::VisitorRules Rules(const config::Platform& config) {
+  const std::size_t memory = config.limits.memory_mb << 20;
+  return {.most = std::min(config.limits.sockets * 2 / 3, memory / 4 / kMostMessage),
+          .first = kFirst,
+          .idle = kIdle};
+}
 
 bool IsHex(std::string_view text, std::size_t length) {
   return text.size() == length && std::all_of(text.begin(), text.end(), [](char c) {
@@ -32,27 +49,33 @@
       config_(config),
       gateway_(gateway),
       events_(events),
+      visitors_(Rules(config)),
       listener_(loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
 
 void ClientSide::Accept(net::Fd fd) {
-  // Clients hold a third of the descriptors at most; twice that would starve the servers' side.
-  if (clients_.size() >= config_.limits.sockets * 2 / 3) {
-    spdlog::warn("client turned away: {} connections", clients_.size());
-    return;
+  if (visitors_.IsFull()) {
+    const auto spare = visitors_.Spare(net::Now());
+    if (!spare) {
+      spdlog::warn("client turned away: {} connections, all with requests open", clients_.size());
+      return;
+    }
+    Close(clients_.at(*spare));
   }
   const std::uint64_t id = ++last_;
   Client& client = clients_[id];
   client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, kLimits);
   client.connection->id = id;
-  client.used = net::Now();
+  if (held_) client.connection->HoldReading(true);
+  visitors_.Came(id, net::Now());
 }
 
 void ClientSide::OnBytes(net::Connection& connection) {
   Client& client = clients_.at(connection.id);
-  client.used = connection.LastHeard();
-  while (!connection.IsClosed()) {
+  touched_.insert(connection.id);
+  for (std::size_t turn = 0; !connection.IsClosed(); ++turn) {
     const std::string_view unread = connection.Unread().substr(client.consume);
     if (unread.empty()) break;
+    if (turn == kTurn) return connection.Resume();
     RespMessage message;
     std::size_t used = 0;
     const RespState state = ParseResp(unread, kMostMessage, message, used);
@@ -60,43 +83,52 @@
       connection.Expect(client.consume + used);
       break;
     }
-    if (state == RespState::kMalformed || !Handle(client, message)) {
-      spdlog::warn("client {}: malformed input, connection closed", connection.id);
-      connection.Close();
-      return OnClosed(connection);
+    if (state == RespState::kMalformed) {  // where the next message begins is not known
+      spdlog::debug("client {}: input that cannot be read, connection closed", connection.id);
+      return Close(client);
     }
+    Handle(client, message);
     client.consume += used;
   }
 }
 
-bool ClientSide::Handle(Client& client, const RespMessage& message) {
-  if (message.count < 2 || !ReadNumber<std::uint64_t>(message.words[1])) return false;
+// A message whose frame is whole but that cannot be used is answered alone: what else is open on the
+// connection has nothing to do with it.
+void ClientSide::Handle(Client& client, const RespMessage& message) {
   const std::string_view verb = message.words[0];
-  const std::string tag(message.words[1]);
-  if (verb == "RPC.CALL") return Call(client, message);
+  const std::string tag(message.count > 1 ? message.words[1].substr(0, kMostField) : std::string_view());
   if (verb == "RPC.CANCEL") {
-    const auto found = client.open.find(tag);
-    if (found == client.open.end()) return true;  // crossed our answer
-    events_.push_back(core::ClientLeft{found->second});
-    Forget(found->second);
-    client.open.erase(found);
-    return true;
-  }
-  if (verb == "RPC.HEALTH") {
-    std::string out = "*4\r\n";
-    for (const std::string_view word :
-         {std::string_view(tag), std::string_view(accept_until_ == Micros::max() ? "healthy" : "closing"),
-          std::string_view(), std::string_view()}) {
-      AppendBulk(out, word);
-    }
-    client.connection->Write(out);
-    return true;
+    Cancel(client, tag);
+  } else if (verb == "RPC.HEALTH") {
+    Reply(client, tag, accept_until_ == Micros::max() ? "healthy" : "closing", {}, {});
+  } else if (verb != "RPC.CALL" || !Call(client, message)) {
+    spdlog::debug("client {}: a request that cannot be used", client.connection->id);
+    Cancel(client, tag);  // two requests under one number: no answer could be told from the other's
+    Reply(client, tag, "error", {}, {});
   }
-  return false;
+  if (client.connection->IsClosed()) return;
+  Seat(client);
+}
+
+void ClientSide::Seat(Client& client) {
+  const net::Connection& connection = *client.connection;
+  if (!client.open.empty()) return visitors_.Busy(connection.id);
+  // Nothing has been said to one that withdrew all it asked.
+  connection.Queued() > 0 ? visitors_.Idle(connection.id, net::Now())
+                          : visitors_.Came(connection.id, connection.Since());
+}
+
+void ClientSide::Cancel(Client& client, const std::string& tag) {
+  const auto found = client.open.find(tag);
+  if (found == client.open.end()) return;  // crossed our answer
+  events_.push_back(core::ClientLeft{found->second});
+  Forget(found->second);
+  client.open.erase(found);
 }
 
 bool ClientSide::Call(Client& client, const RespMessage& message) {
   if (message.count < 4 || message.count > 5 || client.open.size() >= kMostOpen) return false;
+  if (!ReadNumber<std::uint64_t>(message.words[1])) return false;
   Asked asked;
   asked.connection = client.connection->id;
   asked.tag = message.words[1];
@@ -129,7 +161,7 @@
                        came.group = GroupId{group.value_or(0)};
                      } else if (name == "room") {
                        const auto size = ReadNumber<double>(value);
-                       good = good && size && *size >= 0;
+                       good = good && size && *size >= 0 && *size <= kMostSize;
                        came.size_kb = size.value_or(0);
                      } else if (name == "cached") {
                        asked.cached = value;
@@ -137,6 +169,8 @@
                    }) &&
          good;
   if (!good || !allowed || !IsHex(asked.ref, 16)) return false;
+  // The id of a request that is open: servers tell answers apart by it, and one could serve the other.
+  if (refs_.contains(asked.ref) || client.open.contains(asked.tag)) return false;
   // Everything that goes on to a server as a word of a line must be one.
   for (const std::string* word : {&asked.class_name, &asked.object, &asked.part, &asked.key, &asked.cached}) {
     if (word->find_first_of(" \r\n,=") != std::string::npos) return false;
@@ -149,8 +183,10 @@
   const auto place = std::find(classes.begin(), classes.end(), asked.class_name);
   if (place == classes.end()) return false;
   came.class_id = ClassId{static_cast<std::uint32_t>(place - classes.begin())};
+  asked.size_kb = came.size_kb;
   came.id = gateway_.NextId();
-  if (!client.open.emplace(asked.tag, came.id).second) return false;
+  client.open.emplace(asked.tag, came.id);
+  refs_.insert(asked.ref);
   held_bytes_ += asked.body.size();
   asked_.emplace(came.id, std::move(asked));
   events_.push_back(came);
@@ -174,32 +210,44 @@
 void ClientSide::Write(RequestId id, std::string_view word, std::string_view fields, std::string_view body) {
   const auto found = asked_.find(id);
   if (found == asked_.end()) return;
-  const auto client = clients_.find(found->second.connection);
-  if (client != clients_.end()) {
-    std::string head = "*4\r\n";
-    AppendBulk(head, found->second.tag);
-    AppendBulk(head, word);
-    AppendBulk(head, fields);
-    head.append("$").append(std::to_string(body.size())).append("\r\n");
-    client->second.open.erase(found->second.tag);
-    client->second.used = net::Now();
-    if (!client->second.connection->Write(head, body, "\r\n") && client->second.connection->IsClosed()) {
-      spdlog::warn("client {}: reads none of its answers, connection closed", client->first);
-      Leave(client->second);
-    }
+  const auto place = clients_.find(found->second.connection);
+  if (place != clients_.end()) {
+    Client& client = place->second;
+    client.open.erase(found->second.tag);
+    Reply(client, found->second.tag, word, fields, body);
+    if (!client.connection->IsClosed()) Seat(client);
   }
   Forget(id);
 }
 
-void ClientSide::OnClosed(net::Connection& connection) { Leave(clients_.at(connection.id)); }
+void ClientSide::Reply(Client& client, std::string_view tag, std::string_view word, std::string_view fields,
+                       std::string_view body) {
+  if (client.connection->IsClosed()) return;
+  std::string head = "*4\r\n";
+  AppendBulk(head, tag);
+  AppendBulk(head, word);
+  AppendBulk(head, fields);
+  head.append("$").append(std::to_string(body.size())).append("\r\n");
+  if (!client.connection->Write(head, body, "\r\n")) {
+    spdlog::warn("client {}: reads none of its answers, connection closed", client.connection->id);
+    return Close(client);
+  }
+  if (client.connection->Backlog() > 0 && backed_.insert(client.connection->id).second) {
+    client.moved = net::Now();
+    client.sent = client.connection->Sent();
+  }
+}
+
+void ClientSide::OnClosed(net::Connection& connection) { Close(clients_.at(connection.id)); }
 
-// The connection is closed: what is open on it has nobody to go to.
-void ClientSide::Leave(Client& client) {
-  for (const auto& [tag, id] : client.open) {
+// What is open on a closed connection has nobody to go to.
+void ClientSide::Close(Client& client) {
+  client.connection->Close();
+  for (const auto& [tag, id] : std::exchange(client.open, {})) {
     events_.push_back(core::ClientLeft{id});
     Forget(id);
   }
-  client.open.clear();
+  visitors_.Left(client.connection->id);
   closed_.push_back(client.connection->id);
 }
 
@@ -207,12 +255,13 @@
   const auto found = asked_.find(id);
   if (found == asked_.end()) return;
   held_bytes_ -= found->second.body.size();
+  refs_.erase(found->second.ref);
   asked_.erase(found);
 }
 
 std::size_t ClientSide::Backlog() const {
   std::size_t sum = 0;
-  for (const auto& [id, client] : clients_) sum += client.connection->Backlog();
+  for (const std::uint64_t id : backed_) sum += clients_.at(id).connection->Backlog();
   return sum;
 }
 
@@ -223,25 +272,60 @@
 }
 
 void ClientSide::EndRound(Micros now) {
-  if (listener_.IsOpen() && now >= accept_until_) listener_.Close();
-  // Writes of all clients together could hold more than the memory limit: over a share of it they wait in the
-  // sockets.
+  if (listener_.IsOpen() && now >= accept_until_) {
+    listener_.Close();
+  }
+  for (auto& [id, client] : clients_) {  // walked at the end only: none that is idle stays
+    if (now < accept_until_) break;
+    if (!client.connection->IsClosed() && client.open.empty() && client.connection->Backlog() == 0) {
+      Close(client);
+    }
+  }
+  // Bodies of all requests together could hold more than the memory limit: over a share of it they wait in
+  // the sockets.
   const bool hold = held_bytes_ > config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
-  for (auto& [id, client] : clients_) {
-    if (client.connection->IsClosed()) continue;
-    client.connection->HoldReading(hold);
+  if (std::exchange(held_, hold) != hold) {
+    for (auto& [id, client] : clients_) client.connection->HoldReading(hold);
+  }
+  for (const std::uint64_t id : touched_) {
+    const auto found = clients_.find(id);
+    if (found == clients_.end() || found->second.connection->IsClosed()) continue;
+    Client& client = found->second;
     if (client.consume > 0) client.connection->Consume(std::exchange(client.consume, 0));
-    const bool open = !client.open.empty();
-    const std::size_t backlog = client.connection->Backlog();
-    const bool stuck = backlog > 0 && now - client.used > kStuck;
-    const bool idle = !open && backlog == 0 && (now - client.used > kIdle || now >= accept_until_);
-    if (!stuck && !idle) continue;
-    if (stuck) spdlog::warn("client {}: takes no answers, connection closed", id);
-    client.connection->Close();
-    Leave(client);
-  }
-  for (const std::uint64_t id : closed_) clients_.erase(id);
+  }
+  touched_.clear();
+  const bool much = Backlog() > (config_.limits.memory_mb << 20) / 4;
+  for (auto place = backed_.begin(); place != backed_.end();) {
+    Client& client = clients_.at(*place);
+    net::Connection& connection = *client.connection;
+    const std::size_t backlog = connection.IsClosed() ? 0 : connection.Backlog();
+    connection.HoldReading(held_ || backlog > (much ? 0 : kFull));
+    if (connection.Sent() != std::exchange(client.sent, connection.Sent())) client.moved = now;
+    if (backlog > 0 && now - client.moved > kStuck) {
+      spdlog::warn("client {}: takes no answers, connection closed", connection.id);
+      Close(client);
+    }
+    place = backlog == 0 || connection.IsClosed() ? backed_.erase(place) : std::next(place);
+  }
+  while (const auto id = visitors_.Overdue(now)) {
+    Client& client = clients_.at(*id);
+    // One that has still to take its answers is not idle.
+    client.connection->Backlog() > 0 ? visitors_.Idle(*id, now) : Close(client);
+  }
+  for (const std::uint64_t id : closed_) {
+    clients_.erase(id);
+    backed_.erase(id);
+  }
   closed_.clear();
+  Wake();
+}
+
+// Newcomers and idle ones are let go in time, though nothing happens.
+void ClientSide::Wake() {
+  const auto due = visitors_.NextDue();
+  if (!due || (wake_ && *wake_ <= *due)) return;
+  wake_ = *due + Micros{1000};
+  loop_.Timers().Set(*wake_, [this](Micros) { wake_.reset(); });
 }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "config/config.hpp"
@@ -11,6 +13,7 @@
 #include "front/platform/resp.hpp"
 #include "net/connection.hpp"
 #include "net/listener.hpp"
+#include "net/visitors.hpp"
 
 namespace tinspan::platform {
 
@@ -26,6 +29,7 @@
   std::string key;
   std::string cached;
   std::string body;
+  double size_kb = 0;  // as the module was told
 };
 
 class ClientSide final : public net::Connection::Owner {
@@ -42,7 +46,7 @@
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
   bool Drained() const;
   std::uint16_t Port() const { return listener_.Port(); }
-  std::size_t Backlog() const;
+  std::size_t Backlog() const;  // bytes that clients have yet to take, all together
   void EndRound(Micros now);
 
   void OnBytes(net::Connection& connection) override;
@@ -53,14 +57,20 @@
     std::unique_ptr<net::Connection> connection;
     std::unordered_map<std::string, RequestId> open;  // by tag
     std::size_t consume = 0;                          // handled, still in the buffer
-    Micros used{0};
+    std::uint64_t sent = 0;                           // as seen last...
+    Micros moved{0};                                  // ...and when it changed
   };
 
   void Accept(net::Fd fd);
-  bool Handle(Client& client, const RespMessage& message);  // false: malformed
-  bool Call(Client& client, const RespMessage& message);
+  void Handle(Client& client, const RespMessage& message);
+  bool Call(Client& client, const RespMessage& message);  // false: nothing that could be served
+  void Cancel(Client& client, const std::string& tag);
+  void Reply(Client& client, std::string_view tag, std::string_view word, std::string_view fields,
+             std::string_view body);
+  void Close(Client& client);
+  void Seat(Client& client);  // newcomer, busy or idle
+  void Wake();
   void Write(RequestId id, std::string_view word, std::string_view fields, std::string_view body);
-  void Leave(Client& client);
   void Forget(RequestId id);
 
   net::EventLoop& loop_;
@@ -69,8 +79,14 @@
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
   std::unordered_map<RequestId, Asked> asked_;
-  std::size_t held_bytes_ = 0;  // bodies of the requests that are open
+  std::unordered_set<std::string> refs_;  // of the requests that are open
+  std::size_t held_bytes_ = 0;            // bodies of the requests that are open
+  bool held_ = false;
+  net::Visitors visitors_;
+  std::unordered_set<std::uint64_t> touched_;  // with bytes handled in this round
+  std::unordered_set<std::uint64_t> backed_;   // with answers not yet taken
   std::vector<std::uint64_t> closed_;
+  std::optional<Micros> wake_;
   std::uint64_t last_ = 0;
   Micros accept_until_ = Micros::max();
   net::Listener listener_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -92,10 +92,8 @@
       ended_ = ended_ || count == 0;
     }
   }
-  if (got > 0) {
-    heard_ = Now();
-    owner_.OnBytes(*this);
-  }
+  if (got > 0) heard_ = Now();
+  if (!held_ && (std::exchange(resume_, false) || got > 0)) owner_.OnBytes(*this);
   if (state_ != State::kOpen) return;
   if (failed || ended_) return Fail();
   if (more_ && !held_ && !closing_) loop_.Again(handle_);
@@ -112,8 +110,13 @@
   }
 }
 
+void Connection::Resume() {
+  resume_ = true;
+  if (state_ == State::kOpen) loop_.Again(handle_);
+}
+
 void Connection::HoldReading(bool hold) {
-  if (held_ && !hold && more_ && state_ == State::kOpen) loop_.Again(handle_);
+  if (held_ && !hold && (more_ || resume_) && state_ == State::kOpen) loop_.Again(handle_);
   held_ = hold;
 }
 
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -43,6 +43,10 @@
   void Expect(std::size_t bytes) { expected_ = bytes; }
   // While held back nothing is read: the sender feels it. What is already unread stays.
   void HoldReading(bool hold);
+  bool IsHeld() const { return held_; }
+  // The owner has left some of Unread() for the next round, so that one peer's flood keeps nobody else
+  // waiting: OnBytes is called then, whether more came or not.
+  void Resume();
 
   // Sends at once what the socket takes and queues a copy of the rest. False: too much was queued already;
   // the connection is closed. While connecting all is queued.
@@ -83,6 +87,7 @@
   std::size_t filled_ = 0;
   std::size_t expected_ = 0;
   bool held_ = false;
+  bool resume_ = false;
   bool more_ = false;  // the socket may hold more than was read
   bool closing_ = false;
   bool lingering_ = false;
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -17,6 +17,12 @@
   // leaves it open and silent, while a new one proves within the connect timeout that nothing ran.
   Micros trust{2'000'000};
   std::size_t exchanges = 100;  // at once on one connection
+  // So many go on one connection before another is opened: what breaks or stalls takes few along.
+  std::size_t spread = 100;
+  // One that owes something and has been silent for so long, while the server spoke on another, gets nothing
+  // new where there is another way.
+  Micros doubt{150'000};
+  std::size_t most = 0;  // connections to all servers before those are filled that there are; 0: no bound
   Connection::Limits limits;
 };
 
@@ -45,8 +51,15 @@
     std::size_t open = 0;  // exchanges under way, counted by Take and Release
     bool retired = false;  // nothing new; closed with its last exchange
     Micros used{0};
+    Micros asked{0};  // since when something has been owed on it
     Connection connection;
 
+    // Since when it owes something and says nothing; 0: it does not.
+    Micros SilentSince() const {
+      if (open == 0 || !connection.IsOpen() || connection.IsHeld()) return Micros{0};
+      return std::max(asked, connection.LastHeard());
+    }
+
    private:
     friend class Pool;
     void OnOpen(Connection&) override {
@@ -72,21 +85,30 @@
   // A link for one more exchange; `fits` may pass over some. Give it back with Release.
   template <class Fits>
   Link& Take(std::uint64_t server, const Endpoint& to, Micros now, Fits&& fits) {
+    Micros heard{0};  // on any connection to it
+    for (const Link* const link : by_server_[server]) {
+      if (link->connection.IsOpen()) heard = std::max(heard, link->connection.LastHeard());
+    }
+    Link* spare = nullptr;
     for (Link* const link : by_server_[server]) {
       if (link->retired || link->open >= rules_.exchanges) continue;
       const bool stale = link->connection.IsOpen() && now - link->connection.LastHeard() > rules_.trust;
       if (stale || !(link->to == to)) {
         Retire(*link);
       } else if (fits(*link)) {
-        ++link->open;
-        link->used = now;
-        return *link;
+        const Micros silent = link->SilentSince();
+        const bool doubtful = silent > Micros{0} && now - silent > rules_.doubt && heard > silent;
+        if (link->open < rules_.spread && !doubtful) return Use(*link, now);
+        if (spare == nullptr || link->open < spare->open) spare = link;
       }
     }
+    if (rules_.most > 0 && links_.size() >= rules_.most) {
+      if (spare != nullptr) return Use(*spare, now);
+      RetireIdle();
+    }
     Link& link = links_.emplace_back(*this, server, to);
     by_server_[server].push_back(&link);
-    link.open = 1;
-    link.used = now;
+    Use(link, now);
     link.timeout_ = loop_.Timers().Set(now + rules_.connect_timeout, [this, &link](Micros) {
       link.connection.Close();
       link.retired = true;
@@ -123,6 +145,23 @@
   std::list<Link>& Links() { return links_; }
 
  private:
+  static Link& Use(Link& link, Micros now) {
+    if (link.open++ == 0) link.asked = now;
+    link.used = now;
+    return link;
+  }
+  // Makes room for another connection by the one that has been idle longest.
+  void RetireIdle() {
+    Link* oldest = nullptr;
+    for (Link& link : links_) {
+      if (link.open > 0 || link.retired) continue;
+      if (oldest == nullptr || link.used < oldest->used) oldest = &link;
+    }
+    if (oldest == nullptr) return;
+    oldest->connection.Close();
+    Retire(*oldest);
+  }
+
   EventLoop& loop_;
   PoolRules rules_;
   User& user_;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -615,6 +615,29 @@
   EXPECT_GE(script.FillUp(9'000'000).size(), 2u);
 }
 
+// Guards against a client's figure that is out of all proportion: others would be measured by it.
+TEST(Room, AnAbsurdSizeIsNoMeasureForOthers) {
+  const auto taken = [](double size_kb) {
+    Script script;
+    script.Start();
+    for (std::uint64_t object = 1; object < 100; ++object) script.Serve(object);
+    for (std::uint64_t object = 1; object < 20; ++object) {
+      const RequestEvent event = script.Request(object, size_kb);
+      script.Pass(event);
+      script.Pass(HangupEvent{event.id});
+      script.Answer(event.id, 0, Outcome::kCancelled);
+    }
+    int sent = 0;
+    for (std::uint64_t object = 1; object < 100; ++object) {
+      script.Pass(script.Request(object));
+      sent += script.All<SendAttempt>().empty() ? 0 : 1;
+    }
+    return sent;
+  };
+  EXPECT_LT(taken(50), 99);
+  EXPECT_EQ(taken(50), taken(1e6));
+}
+
 // Guards against spending scarce room on what earns little for its sending time.
 TEST(Room, LittleWorthForItsSendingTimeIsTurnedAwayFirst) {
   Script script;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -76,6 +76,16 @@
   Commands commands_;
 };
 
+// Guards against clients that claim to wait for days: what is kept for a request ends with its class's time.
+TEST_F(GatewayTest, AllowIsBoundByTheClass) {
+  const RequestId id = Ask(Micros{900'000'000'000});
+  ASSERT_EQ(All<Send>().size(), 1u);
+  EXPECT_EQ(All<Send>()[0].order.id, id);
+  for (int i = 0; i < 60 && All<Answer>().empty(); ++i) Tell({}, Micros{100'000});
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_EQ(gateway_.OpenRequests(), 0u);
+}
+
 TEST_F(GatewayTest, GivesOneFinalAnswer) {
   const RequestId id = Ask();
   ASSERT_EQ(All<Send>().size(), 1u);
