Take 2 ms off what a client allows in place of 20

A probe of each attempt given up: clients allowed little more than the sending time (37 to 160 ms), connections and servers spoke throughout, and of that 20 ms were ours. The way through a node measures 0.05 ms, 0.15 ms at the 99th percentile, and a final answer still counts 8 + 50 ms after the deadline. Ruled out: silent connections (heard within 0 to 66 ms), resets (moved on at once), the CPU share. At fault: config.hpp, Common::slack (gateway.hpp, GatewayOptions::slack).

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -31,7 +31,7 @@
   Micros idle_close{30'000'000};
   std::size_t exchanges = 100;  // at once on one connection to a server
   Micros longest{6'000'000};    // the longest deadline of a class
-  Micros slack{20'000};         // taken off what a client allows
+  Micros slack{2'000};          // taken off what a client allows
 };
 
 // The platform: PROXY_NAME, PROXY_LISTEN and PROXY_CONFIG.
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -94,7 +94,7 @@
 struct GatewayOptions {
   // Taken off what a client allows: `allow` counts from when the client sent, and the answer has still to be
   // written and to reach it.
-  Micros slack{20'000};
+  Micros slack{2'000};
   // A begun answer may take as long as it keeps moving; without any bytes for so long it is broken off by the
   // front. Here only: how long an attempt without a deadline may be remembered.
   Micros sweep{1'000'000};
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -108,6 +108,8 @@
   Peer cache = Chosen(world);
   const std::string line = cache.Until("\r\n");
   CHECK(line.starts_with(std::string("REQ ") + kRef + " queue=pages,path=7f3a9c21e0b4d655,blk=3,budget="));
+  // Nearly all of what the client allows is its answer's: some allow little more than the sending time.
+  CHECK(std::stoi(line.substr(line.find("budget=") + 7)) >= 2'485);
   CHECK(line.find(",miss=p-1") != std::string::npos && line.find(",prio=1") != std::string::npos);
   CHECK(line.find(",f=share+swr") != std::string::npos);
   CHECK(line.ends_with(",mine=4be0c1927d55a6f3 0") && cache.Until("\r\n").empty());
