Heed what Consul says of health at once, however long the catalogue takes

A cache that turned critical got new requests for as long as the catalogue's answer took: 3,965 ms with that query stalled for 4 s. The watch asked both over one connection in turn and applied a health answer only with the catalogue's behind it (ConsulWatch::Answered, Merge); meanwhile no further word of health was heard either.

Each query now has a connection of its own (ConsulQuery). Health applies to the nodes that are known as soon as it is read and asks on at once; the catalogue, asked after each change of health, adds nodes, moves them and brings back those that were gone, which may have come back elsewhere. A query that fails is tried again after 2 s at most, not 10: what changed meanwhile is heard no later.

The new test stalls the catalogue for good and has a node turn critical, another go into maintenance behind it, and the first come back; it fails on the program before. All process tests of the gateway pass.

--- a/src/front/http/consul.cpp
+++ b/src/front/http/consul.cpp
@@ -4,7 +4,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "setup/setup.hpp"
@@ -14,19 +13,16 @@
 
 using simdjson::dom::element;
 
-constexpr net::Connection::Limits kLimits{.read = 16 << 20, .write = 64 << 10};
-constexpr Micros kConnect{2'000'000};
-constexpr Micros kFirstBackOff{200'000};
-constexpr Micros kMostBackOff{10'000'000};
+constexpr Micros kAnswer{2'000'000};  // for an answer that does not wait for a change
 
 std::string_view TextAt(const element& in, std::string_view pointer) {
   std::string_view text;
   return in.at_pointer(pointer).get(text) == simdjson::SUCCESS ? text : std::string_view();
 }
 
-simdjson::dom::array ListOf(const element& value, const char* field) {
+simdjson::dom::array ReadList(simdjson::dom::parser& parser, const std::string& body, const char* field) {
   simdjson::dom::array out;
-  if (value.get(out) != simdjson::SUCCESS) throw Malformed{field, "a list"};
+  if (parser.parse(body).get(out) != simdjson::SUCCESS) throw Malformed{field, "a JSON list"};
   return out;
 }
 
@@ -49,103 +45,55 @@
 
 ConsulWatch::ConsulWatch(net::EventLoop& loop, const config::Http& config,
                          const config::ConsulService& service, Changed changed)
-    : loop_(loop), config_(config), service_(service), changed_(std::move(changed)) {
-  Ask(Query::kHealth);
+    : config_(config),
+      service_(service),
+      changed_(std::move(changed)),
+      health_query_(loop, config, "health of " + service.name,
+                    [this](std::uint64_t index, const std::string& body) { OnHealth(index, body); }),
+      catalog_query_(loop, config, "nodes of " + service.name,
+                     [this](std::uint64_t, const std::string& body) { OnCatalog(body); }) {
+  AskHealth();
 }
 
-ConsulWatch::~ConsulWatch() { loop_.Timers().Cancel(timer_); }
+void ConsulWatch::EndRound() {
+  health_query_.EndRound();
+  catalog_query_.EndRound();
+}
 
-void ConsulWatch::Ask(Query query) {
-  query_ = query;
-  loop_.Timers().Cancel(timer_);
+void ConsulWatch::AskHealth() {
+  const auto seconds = std::max<std::int64_t>(1, config_.consul_wait.count() / 1'000'000);
   // A blocking query may take its wait and up to a sixteenth more; longer than that is silence.
-  const Micros limit = kConnect + (query == Query::kHealth ? config_.consul_wait * 17 / 16 : Micros{0});
-  timer_ = loop_.Timers().Set(net::Now() + limit, [this](Micros) { Failed("no answer"); });
-  if (connection_ && connection_->IsOpen()) return OnOpen(*connection_);
-  connection_ = std::make_unique<net::Connection>(loop_, config_.consul, *this, kLimits);
+  health_query_.Ask("/v1/health/service/" + service_.name + "?index=" + std::to_string(index_) +
+                        "&wait=" + std::to_string(seconds) + "s",
+                    kAnswer + config_.consul_wait * 17 / 16);
 }
 
-void ConsulWatch::OnOpen(net::Connection& connection) {
-  std::string path = query_ == Query::kHealth ? "/v1/health/service/" : "/v1/catalog/service/";
-  path += service_.name;
-  if (query_ == Query::kHealth) {
-    const auto seconds = std::max<std::int64_t>(1, config_.consul_wait.count() / 1'000'000);
-    path += "?index=" + std::to_string(index_) + "&wait=" + std::to_string(seconds) + "s";
-  }
-  std::string out = "GET " + path + " HTTP/1.1\r\nHost: " + config_.consul.Text() + "\r\n";
-  if (!config_.consul_token.empty()) out += "X-Consul-Token: " + config_.consul_token + "\r\n";
-  connection.Write(out + "\r\n");
+// One at a time; what changed while it was out is not in its answer for certain.
+void ConsulWatch::AskCatalog() {
+  again_ = !catalog_query_.IsIdle();
+  if (!again_) catalog_query_.Ask("/v1/catalog/service/" + service_.name, kAnswer);
 }
 
-void ConsulWatch::OnBytes(net::Connection& connection) {
-  const std::string_view unread = connection.Unread();
-  Head head;
-  const int status = ReadResponse(unread, head);
-  if (status < 0) return;
-  std::uint64_t length = 0;
-  const auto framing = status == 0 ? ResponseFraming(head, false, length) : std::nullopt;
-  if (!framing) return Failed("an answer that cannot be read");
-  body_.Start(*framing, length);
-  const auto taken = body_.Take(unread.substr(head.length));
-  if (!taken) return Failed("an answer that cannot be read");
-  if (!body_.IsWhole()) {
-    if (*framing == BodyReader::Framing::kLength) connection.Expect(head.length + length);
-    return;
-  }
-  const std::string_view raw = unread.substr(head.length, *taken);
-  const std::string body = *framing == BodyReader::Framing::kChunked ? Dechunked(raw) : std::string(raw);
-  const bool keep = !HasToken(head.Field("Connection"), "close");
-  try {
-    if (head.status != 200) throw Malformed{"status", "200, not " + std::to_string(head.status)};
-    Answered(head, body);
-  } catch (const Malformed& wrong) {
-    return Failed(wrong.field + ": expected " + wrong.expected);
-  }
-  connection.Consume(head.length + *taken);
-  if (!keep) {
-    connection.Close();
-    old_ = std::move(connection_);
-  }
-  Ask(query_ == Query::kHealth ? Query::kCatalog : Query::kHealth);
-}
-
-void ConsulWatch::OnClosed(net::Connection&) { Failed("connection lost"); }
-
-// The list stays as it is; the next query comes later and later.
-void ConsulWatch::Failed(const std::string& why) {
-  loop_.Timers().Cancel(timer_);
-  if (connection_) {
-    connection_->Close();
-    old_ = std::move(connection_);
+void ConsulWatch::OnHealth(std::uint64_t index, const std::string& body) {
+  simdjson::dom::parser parser;
+  const simdjson::dom::array list = ReadList(parser, body, "health");
+  health_.clear();
+  for (const element entry : list) {
+    const std::string name =
+        std::string(TextAt(entry, "/Node/Node")) + "/" + std::string(TextAt(entry, "/Service/ID"));
+    health_[name] = HealthOf(entry);
   }
-  const Micros wait = std::min(kMostBackOff, kFirstBackOff * (std::int64_t{1} << std::min(failures_, 10u)));
-  ++failures_;
-  spdlog::warn("Consul, service {}: {}; the list is kept, next query in {} ms", service_.name, why,
-               wait.count() / 1000);
-  timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) { Ask(Query::kHealth); });
+  // An index that goes back (a server restored from a snapshot, say) starts over; one of 0 would not block.
+  index_ = index < index_ ? 0 : std::max<std::uint64_t>(index, 1);
+  if (listed_) Merge(false);
+  AskHealth();
+  AskCatalog();
 }
 
-void ConsulWatch::Answered(const Head& head, const std::string& body) {
+void ConsulWatch::OnCatalog(const std::string& body) {
   simdjson::dom::parser parser;
-  element list;
-  if (parser.parse(simdjson::padded_string(body)).get(list) != simdjson::SUCCESS)
-    throw Malformed{"body", "JSON"};
-  if (query_ == Query::kHealth) {
-    const std::string_view told = head.Field("X-Consul-Index");
-    std::uint64_t index = 0;
-    std::from_chars(told.data(), told.data() + told.size(), index);
-    health_.clear();
-    for (const element entry : ListOf(list, "health")) {
-      const std::string name =
-          std::string(TextAt(entry, "/Node/Node")) + "/" + std::string(TextAt(entry, "/Service/ID"));
-      health_[name] = HealthOf(entry);
-    }
-    // An index that goes back (a server restored from a snapshot, say) starts over; one of 0 would not block.
-    next_index_ = index < index_ ? 0 : std::max<std::uint64_t>(index, 1);
-    return;
-  }
-  catalog_.clear();
-  for (const element entry : ListOf(list, "catalog")) {
+  std::map<std::string, Node> nodes;
+  for (const element entry : ReadList(parser, body, "catalog")) {
     Node node;
     node.name = std::string(TextAt(entry, "/Node")) + "/" + std::string(TextAt(entry, "/ServiceID"));
     std::string_view address = TextAt(entry, "/ServiceAddress");
@@ -173,15 +121,16 @@
     if (entry.at_pointer("/ServiceWeights/Passing").get(weight) == simdjson::SUCCESS && weight > 0) {
       node.member.weight = static_cast<double>(weight);
     }
-    catalog_[node.name] = std::move(node);
+    nodes[node.name] = std::move(node);
   }
-  failures_ = 0;
-  index_ = next_index_;
-  Merge();
+  catalog_ = std::move(nodes);
+  Merge(true);
+  spdlog::debug("Consul, nodes listed: {}, {} of them", service_.name, catalog_.size());
+  if (again_) AskCatalog();
 }
 
 // What has changed since it was told last. New after the first list means just started: cold.
-void ConsulWatch::Merge() {
+void ConsulWatch::Merge(bool from_catalog) {
   std::vector<Node> changes;
   for (auto& [name, node] : catalog_) {
     const auto health = health_.find(name);
@@ -189,6 +138,7 @@
     const auto known = told_.find(name);
     const bool was = known != told_.end() && known->second.member.availability != Availability::kGone;
     if (!was && node.member.availability == Availability::kGone) continue;
+    if (!was && !from_catalog) continue;  // it may have come back elsewhere
     const bool moved = was && !(known->second.endpoint == node.endpoint);
     if (was && !moved) {
       node.member.started = known->second.member.started;
--- /dev/null
+++ b/src/front/http/consul_query.cpp
@@ -0,0 +1,100 @@
+#include "front/http/consul_query.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace tinspan::http {
+namespace {
+
+constexpr net::Connection::Limits kLimits{.read = 16 << 20, .write = 64 << 10};
+constexpr Micros kFirstBackOff{200'000};
+constexpr Micros kMostBackOff{2'000'000};
+
+}  // namespace
+
+ConsulQuery::ConsulQuery(net::EventLoop& loop, const config::Http& config, std::string name,
+                         Answered answered)
+    : loop_(loop), config_(config), name_(std::move(name)), answered_(std::move(answered)) {}
+
+ConsulQuery::~ConsulQuery() { loop_.Timers().Cancel(timer_); }
+
+void ConsulQuery::Ask(std::string path, Micros limit) {
+  path_ = std::move(path);
+  limit_ = limit;
+  Try();
+}
+
+void ConsulQuery::Try() {
+  loop_.Timers().Cancel(timer_);
+  timer_ = loop_.Timers().Set(net::Now() + limit_, [this](Micros) { Failed("no answer"); });
+  if (connection_ && connection_->IsOpen()) return OnOpen(*connection_);
+  connection_ = std::make_unique<net::Connection>(loop_, config_.consul, *this, kLimits);
+}
+
+void ConsulQuery::OnOpen(net::Connection& connection) {
+  std::string out = "GET " + path_ + " HTTP/1.1\r\nHost: " + config_.consul.Text() + "\r\n";
+  if (!config_.consul_token.empty()) out += "X-Consul-Token: " + config_.consul_token + "\r\n";
+  connection.Write(out + "\r\n");
+}
+
+void ConsulQuery::OnBytes(net::Connection& connection) {
+  if (IsIdle()) return LetGo();  // it speaks unasked
+  const std::string_view unread = connection.Unread();
+  Head head;
+  const int status = ReadResponse(unread, head);
+  if (status < 0) return;
+  std::uint64_t length = 0;
+  const auto framing = status == 0 ? ResponseFraming(head, false, length) : std::nullopt;
+  if (!framing) return Failed("an answer that cannot be read");
+  body_.Start(*framing, length);
+  const auto taken = body_.Take(unread.substr(head.length));
+  if (!taken) return Failed("an answer that cannot be read");
+  if (!body_.IsWhole()) {
+    if (*framing == BodyReader::Framing::kLength) connection.Expect(head.length + length);
+    return;
+  }
+  const std::string_view raw = unread.substr(head.length, *taken);
+  const std::string body = *framing == BodyReader::Framing::kChunked ? Dechunked(raw) : std::string(raw);
+  loop_.Timers().Cancel(timer_);
+  const std::string path = std::exchange(path_, {});
+  try {
+    if (head.status != 200) throw Malformed{"status", "200, not " + std::to_string(head.status)};
+    const bool keep = !HasToken(head.Field("Connection"), "close");
+    const std::string_view told = head.Field("X-Consul-Index");
+    std::uint64_t index = 0;
+    std::from_chars(told.data(), told.data() + told.size(), index);
+    // Whoever asks on from within must find the connection free.
+    connection.Consume(head.length + *taken);
+    if (!keep) LetGo();
+    answered_(index, body);
+    failures_ = 0;
+  } catch (const Malformed& wrong) {
+    if (path_.empty()) path_ = path;
+    Failed(wrong.field + ": expected " + wrong.expected);
+  }
+}
+
+void ConsulQuery::OnClosed(net::Connection&) {
+  if (IsIdle()) return LetGo();
+  Failed("connection lost");
+}
+
+void ConsulQuery::LetGo() {
+  if (!connection_) return;
+  connection_->Close();
+  old_ = std::move(connection_);
+}
+
+void ConsulQuery::Failed(const std::string& why) {
+  loop_.Timers().Cancel(timer_);
+  LetGo();
+  const Micros wait = std::min(kMostBackOff, kFirstBackOff * (std::int64_t{1} << std::min(failures_, 10u)));
+  ++failures_;
+  spdlog::warn("Consul, {}: {}; the list is kept, next query in {} ms", name_, why, wait.count() / 1000);
+  timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) { Try(); });
+}
+
+}  // namespace tinspan::http
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -105,7 +105,8 @@
   std::string folder;
   std::unique_ptr<Program> program;
   std::map<std::string, Peer> watches;  // by service; a health query waits on each
-  std::string asked;                    // the last health query
+  std::map<std::string, Peer> catalogs;
+  std::string asked;  // the last health query
   int port = 0;
 
   explicit World(bool two = false) {
@@ -154,17 +155,26 @@
     CHECK(asked.starts_with("GET /v1/health/service/") &&
           asked.find("X-Consul-Token: consul-secret") != std::string::npos);
   }
-  // Answers the waiting query, the catalogue's after it, and waits for the next.
-  void Tell(const std::string& service, int index, const std::string& health, const std::string& catalog) {
+  // Answers the waiting query, and waits for the next and for the catalogue's.
+  void TellHealth(const std::string& service, int index, const std::string& health) {
     Peer& peer = watches.at(service);
     peer.Send(Reply("200 OK", "[" + health + "]", "X-Consul-Index: " + std::to_string(index) + "\r\n"));
-    CHECK(peer.Until("\r\n\r\n").starts_with("GET /v1/catalog/service/" + service + " "));
+    Asked(peer);
+    if (!catalogs.contains(service)) catalogs[service] = consul.Accept();
+    CHECK(catalogs[service].Until("\r\n\r\n").starts_with("GET /v1/catalog/service/" + service + " "));
+  }
+  void TellCatalog(const std::string& service, const std::string& catalog) {
     const std::string body = "[" + catalog + "]";  // in chunks, as Consul sends longer ones
     char size[16];
     std::snprintf(size, sizeof size, "%zx", body.size());
-    peer.Send(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size + "\r\n" + body +
-              "\r\n0\r\n\r\n");
-    Asked(peer);
+    catalogs.at(service).Send(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size +
+                              "\r\n" + body + "\r\n0\r\n\r\n");
+  }
+  // Both, and waits until the list is in force.
+  void Tell(const std::string& service, int index, const std::string& health, const std::string& catalog) {
+    TellHealth(service, index, health);
+    TellCatalog(service, catalog);
+    program->Line("nodes listed: " + service);
   }
   Peer Client() { return Peer::Connect(port); }
   int Status(const std::string& request) {
@@ -464,6 +474,42 @@
   CHECK(served_by(world.cache));
 }
 
+// What health says of nodes that are known holds at once, though the catalogue's answer never comes, and the
+// next word of health is heard meanwhile; the catalogue's answer still counts when it comes.
+void HeedsHealthBeforeTheCatalog() {
+  World world(true);
+  const auto served_by = [&](Server& server) {
+    Peer client = world.Client();
+    client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
+    Peer peer = server.Accept();
+    Message(peer);
+    peer.Send(Reply("200 OK", "page", "Connection: close\r\n"));
+    return Read(client).body == "page";
+  };
+  const auto told = [&] { world.program->Line("shop-cache: 1 changes"); };
+  world.TellHealth("shop-cache", 8, Health("n1", "critical") + "," + Health("n2", "passing"));
+  told();
+  CHECK(served_by(world.second) && world.cache.Quiet(0));
+  Peer& watch = world.watches.at("shop-cache");  // the catalogue is still silent
+  watch.Send(Reply("200 OK",
+                   "[" + Health("n1", "critical") + "," + Health("n2", "critical", "_node_maintenance") + "]",
+                   "X-Consul-Index: 9\r\n"));
+  told();
+  CHECK(served_by(world.stock) && world.second.Quiet(0));
+  world.Asked(watch);
+  CHECK(world.asked.find("?index=9&") != std::string::npos);
+  watch.Send(Reply("200 OK", "[" + Health("n1", "passing") + "," + Health("n2", "critical") + "]",
+                   "X-Consul-Index: 10\r\n"));
+  told();
+  world.Asked(watch);
+  // n1 was gone: only the catalogue tells whether it has come back where it was.
+  const std::string both = Entry("n1", world.cache) + "," + Entry("n2", world.second);
+  world.TellCatalog("shop-cache", both);
+  told();
+  // Health has changed since that was asked: it is asked again.
+  CHECK(world.catalogs.at("shop-cache").Until("\r\n\r\n").starts_with("GET /v1/catalog/service/"));
+}
+
 // What comes after the first list has just started, cold: without a figure yet of what one bears the module
 // asks the main stock in its place.
 void TreatsNewNodesAsCold() {
@@ -546,6 +592,7 @@
                    {"breaks_visibly", BreaksVisibly},
                    {"holds_servers_back", HoldsServersBack},
                    {"follows_consul", FollowsConsul},
+                   {"heeds_health_before_the_catalog", HeedsHealthBeforeTheCatalog},
                    {"treats_new_nodes_as_cold", TreatsNewNodesAsCold},
                    {"purges_for_operators", PurgesForOperators},
                    {"is_strict", IsStrict}},
