--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,15 +1,20 @@
 #include "cli/serve.hpp"
 
-#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <iostream>
+#include <memory>
 
 #include "front/http/http_front.hpp"
 #include "front/platform/platform_front.hpp"
 #include "front/runner.hpp"
+#include "log/log.hpp"
+#include "record/recorder.hpp"
 
 namespace tinspan::cli {
 namespace {
 
-core::GatewayOptions Options(const config::Common& config) { return {.slack = config.slack}; }
+core::GatewayOptions CoreOptions(const config::Common& config) { return {.slack = config.slack}; }
 
 // SIGKILL comes no earlier than the longest deadline (3 s at least) plus 0.7 s after SIGTERM.
 front::StopTimes Stop(const config::Common& config) {
@@ -18,20 +23,81 @@
   return times;
 }
 
+std::unique_ptr<record::Recorder> MakeRecorder(const config::Http& config) {
+  if (config.record.folder.empty()) return nullptr;
+  const std::string text = config::ReadFile("operator-file", config.path);
+  record::RecorderOptions options{.folder = config.record.folder,
+                                  .name = config.name,
+                                  .version = TINSPAN_VERSION,
+                                  .front = "gateway",
+                                  .config = XXH3_64bits(text.data(), text.size()),
+                                  .classes = config.site.classes,
+                                  .zones = config.site.zones,
+                                  .kinds = config.site.kinds,
+                                  .rotation = {.segment_bytes = config.record.segment_bytes,
+                                               .segment_age = config.record.segment_age,
+                                               .total_bytes = config.record.total_bytes},
+                                  .tracker = {.sample_ppm = config.record.sample_ppm},
+                                  .seed = config.seed};
+  try {
+    return std::make_unique<record::Recorder>(config.site.settings, std::move(options), net::Now());
+  } catch (const std::exception& error) {  // requests are served all the same
+    log::Error("record.off", {{"reason", error.what()}, {"lost", 0}},
+               "recording is off until the next start: {}", error.what());
+    return nullptr;
+  }
+}
+// The platform gives no disk that lasts: nothing is recorded there.
+std::unique_ptr<record::Recorder> MakeRecorder(const config::Platform&) { return nullptr; }
+
 template <class Front, class Config>
 void Serve(const Config& config) {
   net::EventLoop loop;
   std::vector<core::Event> events;
-  core::Gateway gateway(config.site.settings, config.seed, net::Now(), Options(config));
+  core::Gateway gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
+  const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
   Front front(loop, config, gateway, events);
   // The port as it is, since 0 asks for any free one.
-  spdlog::info("{} serving at {}", config.name, net::Endpoint{config.listen.address, front.Port()}.Text());
-  front::Run(loop, gateway, front, events, Stop(config));
+  const std::string at = net::Endpoint{config.listen.address, front.Port()}.Text();
+  log::Info("serve.listening", {{"name", config.name}, {"address", at}}, "{} serving at {}", config.name, at);
+  if (recorder) recorder->OnLife(net::Now(), core::Life::kServing, 0, at, 0);
+  front::Run(loop, gateway, front, events, Stop(config), recorder.get());
+}
+
+config::Http ReadGateway(const Values& values) {
+  config::Http config = config::ReadHttp(values["operator-file"].as<std::string>());
+  http::ReadKeys(config, config.keys);
+  http::ReadSigningKey(config);
+  return config;
 }
 
 }  // namespace
 
-void ServePlatform(const config::Platform& config) { Serve<platform::PlatformFront>(config); }
-void ServeHttp(const config::Http& config) { Serve<http::HttpFront>(config); }
+void DescribeServe(Options& options) {
+  DescribeFile(options);
+  DescribeLog(options);
+}
+
+int RunServe(const Values& values, const std::vector<std::string>&) {
+  StartLog(values);
+  try {
+    if (values.count("operator-file") > 0) {
+      Serve<http::HttpFront>(ReadGateway(values));
+    } else {
+      Serve<platform::PlatformFront>(config::ReadPlatform());
+    }
+  } catch (const std::exception& error) {
+    log::Error("serve.failed", {{"reason", error.what()}}, "{}", error.what());
+    return 1;
+  }
+  return 0;
+}
+
+int RunCheckConfig(const Values& values, const std::vector<std::string>&) {
+  values.count("operator-file") > 0 ? static_cast<void>(ReadGateway(values))
+                                    : static_cast<void>(config::ReadPlatform());
+  std::cout << "the configuration is in order\n";
+  return 0;
+}
 
 }  // namespace tinspan::cli
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -1,11 +1,12 @@
 // The program at work: the parts put together and run.
 #pragma once
 
-#include "config/config.hpp"
+#include "cli/command.hpp"
 
 namespace tinspan::cli {
 
-void ServePlatform(const config::Platform& config);
-void ServeHttp(const config::Http& config);
+void DescribeServe(Options& options);
+int RunServe(const Values& values, const std::vector<std::string>& arguments);
+int RunCheckConfig(const Values& values, const std::vector<std::string>& arguments);
 
 }  // namespace tinspan::cli
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -227,6 +227,35 @@
   if (place == 0) Wrong("consul.services", "one service at least");
 }
 
+// Sizes in whole MB, ages in whole seconds, the sample as a share.
+void ReadRecord(const object& root, const std::string& folder, Record& out) {
+  element value;
+  if (root["record"].get(value) != simdjson::SUCCESS) return;
+  const object record = Object(value, "record");
+  const std::string named = Text(Need(record, "folder", "record.folder"), "record.folder");
+  if (named.empty()) Wrong("record.folder", "a folder");
+  out.folder = named.front() == '/' ? named : folder + named;
+  const auto whole = [&](const char* key, std::size_t absent, std::size_t least, std::size_t most) {
+    const std::string path = std::string("record.") + key;
+    const std::size_t told = WholeOr(record, key, path, absent);
+    if (told < least || told > most) {
+      Wrong(path, std::to_string(least) + " to " + std::to_string(most) + ", not " + std::to_string(told));
+    }
+    return told;
+  };
+  out.segment_bytes = std::uint64_t{whole("segment_mb", out.segment_bytes >> 20, 1, 1024)} << 20;
+  out.total_bytes = std::uint64_t{whole("total_mb", out.total_bytes >> 20, 2, 1 << 20)} << 20;
+  if (out.total_bytes < 2 * out.segment_bytes) Wrong("record.total_mb", "twice record.segment_mb at least");
+  out.segment_age = Micros{static_cast<std::int64_t>(whole("segment_s", 600, 1, 86'400)) * 1'000'000};
+  if (record["sample"].get(value) == simdjson::SUCCESS) {
+    double share = 0;
+    if (value.get(share) != simdjson::SUCCESS || !(share >= 0 && share <= 1)) {
+      Wrong("record.sample", "a share from 0 to 1");
+    }
+    out.sample_ppm = static_cast<std::uint32_t>(share * 1e6 + 0.5);
+  }
+}
+
 }  // namespace
 
 std::string ReadFile(const std::string& key, const std::string& path) {
@@ -278,6 +307,7 @@
     if (out.most_body > (1 << 20)) Wrong("most_body_bytes", "1 MiB at most");
     ReadRoutes(root, out);
     ReadConsul(root, folder, out);
+    ReadRecord(root, folder, out.record);
     return out;
   } catch (const Error& error) {
     throw Error(path + ": " + error.what());
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -51,6 +51,13 @@
   std::string name;
   std::string kind;  // of the machines that are registered under it
 };
+struct Record {  // the flight recorder; off where `folder` is empty
+  std::string folder;
+  std::uint64_t segment_bytes = 8 << 20;
+  Micros segment_age{600'000'000};
+  std::uint64_t total_bytes = 256 << 20;
+  std::uint32_t sample_ppm = 10'000;  // of requests that went well
+};
 struct Http : Common {
   std::string path;       // of the operator's file
   std::string origin;     // scheme and authority under which links are signed
@@ -69,6 +76,7 @@
   Micros consul_wait{30'000'000};
   std::string consul_zone;  // of nodes that name none
   std::vector<ConsulService> consul_services;
+  Record record;
 };
 
 // Throws Error.
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -49,15 +49,28 @@
   std::optional<Micros> issued{};
 };
 struct MembersTold {
+  struct Named {
+    std::string name;
+    std::string address;
+  };
   MembersEvent::Kind kind = MembersEvent::Kind::kFull;
-  std::vector<Member> members;
+  std::vector<Member> members{};
+  // For the record only; what is empty is not told.
+  std::vector<Named> names{};  // of the member at the same place
+  std::string source{};        // such as "changelog"
+  std::uint64_t version = 0;   // the source's own number of what it told
 };
 struct PurgeTold {
   Micros at{0};  // when the purge was made
   GroupId group{};
   std::optional<ObjectId> object{};  // none: the whole group
 };
-using Event = std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold>;
+struct ConnectionLost {  // of a server, with requests open on it; each of them is told by AttemptEnded
+  ServerId server{};
+  std::size_t open = 0;
+};
+using Event =
+    std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold, ConnectionLost>;
 
 // ---- Commands, to be carried out in order. ----
 struct Send {
@@ -150,6 +163,7 @@
   void On(const AttemptEnded& event);
   void On(const MembersTold& event);
   void On(const PurgeTold& event);
+  void On(const ConnectionLost&) {}  // of no weight for any decision: what was open on it is told one by one
   void RunDue();
 
   template <class RouterEvent>
--- /dev/null
+++ b/src/core/observer.hpp
@@ -0,0 +1,26 @@
+// Who looks on while the core works: it is told each round and each turn in the program's life, and answers
+// nothing. It must not block and must not throw.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+#include "core/gateway.hpp"
+
+namespace tinspan::core {
+
+enum class Life { kStarted, kSignalled, kStopping, kStopped, kCut, kReloaded, kReloadRefused, kServing };
+
+class Observer {
+ public:
+  virtual ~Observer() = default;
+  // After Gateway::Handle, and before the commands are carried out. `now`: the wall clock.
+  virtual void OnRound(Micros now, std::span<const Event> events, const Commands& commands,
+                       std::size_t open) = 0;
+  // `signal`: its number with kSignalled; `open`: requests without their final answer.
+  virtual void OnLife(Micros now, Life what, int signal, std::string_view text, std::size_t open) = 0;
+  // The longest that it may be until the next OnRound.
+  virtual Micros MostWait(Micros now) const = 0;
+};
+
+}  // namespace tinspan::core
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -1,12 +1,12 @@
 #include "front/http/clients.hpp"
 
 #include <simdjson.h>
-#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
+#include "log/log.hpp"
 #include "setup/text.hpp"
 
 namespace tinspan::http {
@@ -93,7 +93,8 @@
   if (visitors_.IsFull()) {
     const auto spare = visitors_.Spare(net::Now());
     if (!spare) {
-      spdlog::warn("client turned away: {} connections, all with requests open", clients_.size());
+      log::Warn("client.turned_away", {{"connections", clients_.size()}},
+                "client turned away: {} connections, all with requests open", clients_.size());
       return;
     }
     clients_.at(*spare).connection->Close();
@@ -131,7 +132,8 @@
   const std::string_view expect = status == 0 ? head.Field("Expect") : std::string_view();
   if (!expect.empty() && !SameName(expect, "100-continue")) status = 417;
   if (status != 0) {  // where it ends is not known, or not worth reading: the connection ends with it
-    spdlog::info("client {}: request refused with {}", client.connection->id, status);
+    log::Info("client.unreadable", {{"client", client.connection->id}, {"status", status}},
+              "client {}: request refused with {}", client.connection->id, status);
     client.last = true;
     Reply(client, status, "");
     return false;
@@ -247,7 +249,10 @@
   } else {
     return 400;
   }
-  spdlog::info("operator purges {} {}", told.object ? "object" : "group", text);
+  const std::string_view what = told.object ? "object" : "group";
+  // An object is named by path and query: queries stay out of the log.
+  const std::string_view shown = text.substr(0, text.find('?'));
+  log::Info("purge.told", {{"what", what}, {"name", shown}}, "operator purges {} {}", what, shown);
   events_.push_back(told);
   return 204;
 }
--- a/src/front/http/consul.cpp
+++ b/src/front/http/consul.cpp
@@ -1,11 +1,11 @@
 #include "front/http/consul.hpp"
 
 #include <simdjson.h>
-#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <utility>
 
+#include "log/log.hpp"
 #include "setup/setup.hpp"
 
 namespace tinspan::http {
@@ -102,7 +102,8 @@
     if (entry["ServicePort"].get(port) != simdjson::SUCCESS) port = 0;
     const auto endpoint = net::Endpoint::Parse(std::string(address) + ":" + std::to_string(port));
     if (!endpoint || port == 0) {
-      spdlog::warn("Consul: {} has no address that can be used", node.name);
+      log::Warn("consul.no_address", {{"node", node.name}}, "Consul: {} has no address that can be used",
+                node.name);
       continue;
     }
     node.endpoint = *endpoint;
@@ -111,7 +112,8 @@
     const auto place =
         std::find(zones.begin(), zones.end(), zone.empty() ? config_.consul_zone : std::string(zone));
     if (place == zones.end()) {
-      spdlog::warn("Consul: {} is in a zone that the settings do not list", node.name);
+      log::Warn("consul.unknown_zone", {{"node", node.name}, {"zone", zone}},
+                "Consul: {} is in a zone that the settings do not list", node.name);
       continue;
     }
     node.member.id = HashName(node.name);
@@ -125,7 +127,8 @@
   }
   catalog_ = std::move(nodes);
   Merge(true);
-  spdlog::debug("Consul, nodes listed: {}, {} of them", service_.name, catalog_.size());
+  log::Debug("consul.listed", {{"service", service_.name}, {"nodes", catalog_.size()}},
+             "Consul, nodes listed: {}, {} of them", service_.name, catalog_.size());
   if (again_) AskCatalog();
 }
 
@@ -155,7 +158,7 @@
     changes.push_back(std::move(gone));
   }
   for (const Node& node : changes) told_[node.name] = node;
-  if (!changes.empty() || !listed_) changed_(changes);
+  if (!changes.empty() || !listed_) changed_(changes, index_);
   listed_ = true;
 }
 
--- a/src/front/http/consul.hpp
+++ b/src/front/http/consul.hpp
@@ -24,8 +24,8 @@
 // them, and brings back those that were gone.
 class ConsulWatch {
  public:
-  using Changed =
-      std::function<void(const std::vector<Node>& changes)>;  // goners too; called first when listed
+  using Changed = std::function<void(const std::vector<Node>& changes,
+                                     std::uint64_t index)>;  // goners too; called first when listed
   ConsulWatch(net::EventLoop& loop, const config::Http& config, const config::ConsulService& service,
               Changed changed);
   void EndRound();
--- a/src/front/http/consul_query.cpp
+++ b/src/front/http/consul_query.cpp
@@ -1,11 +1,11 @@
 #include "front/http/consul_query.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <charconv>
 #include <utility>
 
+#include "log/log.hpp"
+
 namespace tinspan::http {
 namespace {
 
@@ -93,7 +93,9 @@
   LetGo();
   const Micros wait = std::min(kMostBackOff, kFirstBackOff * (std::int64_t{1} << std::min(failures_, 10u)));
   ++failures_;
-  spdlog::warn("Consul, {}: {}; the list is kept, next query in {} ms", name_, why, wait.count() / 1000);
+  const std::int64_t millis = wait.count() / 1000;
+  log::Warn("consul.query_failed", {{"query", name_}, {"reason", why}, {"again_ms", millis}},
+            "Consul, {}: {}; the list is kept, next query in {} ms", name_, why, millis);
   timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) { Try(); });
 }
 
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -1,9 +1,9 @@
 #include "front/http/http_front.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <utility>
 
+#include "log/log.hpp"
+
 namespace tinspan::http {
 namespace {
 
@@ -38,14 +38,20 @@
       upstream_(loop, config, gateway, clients_, signer_, events),
       unlisted_(config.consul_services.size()) {
   for (const config::ConsulService& service : config.consul_services) {
-    auto changed = [this, &events, &service, first = true](const std::vector<Node>& changes) mutable {
-      core::MembersTold told{MembersEvent::Kind::kPatch, {}};
+    auto changed = [this, &events, &service, first = true](const std::vector<Node>& changes,
+                                                           std::uint64_t index) mutable {
+      core::MembersTold told;
+      told.kind = MembersEvent::Kind::kPatch;
+      told.source = "consul/" + service.name;
+      told.version = index;
       for (const Node& node : changes) {
         const bool gone = node.member.availability == Availability::kGone;
         gone ? upstream_.Forsake(node.member.id) : upstream_.Know(node.member.id, {node.name, node.endpoint});
         told.members.push_back(node.member);
+        told.names.push_back({node.name, node.endpoint.Text()});
       }
-      spdlog::info("Consul, service {}: {} changes", service.name, changes.size());
+      log::Info("consul.changed", {{"service", service.name}, {"changes", changes.size()}},
+                "Consul, service {}: {} changes", service.name, changes.size());
       events.push_back(std::move(told));
       if (std::exchange(first, false) && --unlisted_ == 0) clients_.SetReady();
     };
@@ -58,7 +64,9 @@
   if (const auto* stop = std::get_if<core::Stop>(&command)) return upstream_.Carry(now, *stop);
   if (const auto* relay = std::get_if<core::Relay>(&command)) return upstream_.Carry(now, *relay);
   if (const auto* answer = std::get_if<core::Answer>(&command)) return Answer(*answer);
-  if (const auto* log = std::get_if<core::Log>(&command)) spdlog::info("router: {}", log->text);
+  if (const auto* line = std::get_if<core::Log>(&command)) {
+    log::Info("router.line", {}, "router: {}", line->text);
+  }
 }
 
 void HttpFront::Answer(const core::Answer& answer) {
@@ -82,13 +90,15 @@
   for (const auto& watch : watches_) watch->EndRound();
 }
 
-void HttpFront::Reload() {
+bool HttpFront::Reload() {
   try {
     KeySet keys = ReadKeys(config_, config::ReadFile("keys_file", config_.keys_path));
-    spdlog::info("keys read again: {} keys", keys.Size());
+    log::Info("keys.reloaded", {{"keys", keys.Size()}}, "keys read again: {} keys", keys.Size());
     access_.Replace(std::move(keys));
+    return true;
   } catch (const config::Error& error) {
-    spdlog::error("keys stay as they were: {}", error.what());
+    log::Error("keys.refused", {{"reason", error.what()}}, "keys stay as they were: {}", error.what());
+    return false;
   }
 }
 
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -21,7 +21,7 @@
   void Carry(net::Micros now, const core::Command& command) override;
   void EndRound(net::Micros now) override;
   void Drain(net::Micros accept_until) override { clients_.Drain(accept_until); }
-  void Reload() override;  // the keys: how they are rotated
+  bool Reload() override;  // the keys: how they are rotated
   bool Drained() const override { return clients_.Drained(); }
   std::uint16_t Port() const { return clients_.Port(); }
 
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -1,11 +1,11 @@
 #include "front/http/upstream.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <charconv>
 #include <utility>
 
+#include "log/log.hpp"
+
 namespace tinspan::http {
 namespace {
 
@@ -155,6 +155,7 @@
   // on.
   if (link.state.headed && !link.state.relayed && !link.state.discard) return;
   const bool whole = link.state.written > 0 && link.connection.Sent() >= link.state.written;
+  if (link.state.busy) events_.emplace_back(core::ConnectionLost{ServerId{link.server}, 1});
   Break(link, whole ? Outcome::kReset : Outcome::kConnectFailed);
 }
 
@@ -246,8 +247,8 @@
     // A server that takes our signature for none: an error of ours, not of the client.
     if ((head.status == 401 || head.status == 403) && asked != nullptr) {
       asked->blame = 502;
-      spdlog::error("server {} at {} refuses our signature with {}", link.server, link.to.Text(),
-                    head.status);
+      log::Error("server.refuses_signature", {{"server", link.server}, {"status", head.status}},
+                 "server {} at {} refuses our signature with {}", link.server, link.to.Text(), head.status);
     }
     state.discard = true;
     Tell(link, {.outcome = refusal.value_or(Outcome::kError), .note = FillNote::kNone});
@@ -268,7 +269,7 @@
   if (std::from_chars(told.data(), told.data() + told.size(), age).ec == std::errc{} && age >= 0) {
     issued = now - Micros{(std::min<std::int64_t>(age, 1'000'000'000) + 1) * 1'000'000};
   }
-  events_.push_back(core::AttemptBegan{.id = state.id, .attempt = state.attempt, .issued = issued});
+  events_.emplace_back(core::AttemptBegan{.id = state.id, .attempt = state.attempt, .issued = issued});
   link.connection.Consume(head.length);
   return true;
 }
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -1,12 +1,11 @@
 #include "front/platform/cache_side.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <array>
 #include <utility>
 
 #include "front/platform/fields.hpp"
+#include "log/log.hpp"
 
 namespace tinspan::platform {
 namespace {
@@ -191,7 +190,9 @@
 }
 
 void CacheSide::Lose(Link& link, std::string_view why) {
-  spdlog::warn("server {} at {}: {}, connection closed", link.server, link.to.Text(), why);
+  const std::string at = link.to.Text();
+  log::Warn("server.connection_closed", {{"server", link.server}, {"address", at}, {"reason", why}},
+            "server {} at {}: {}, connection closed", link.server, at, why);
   link.connection.Close();
   link.retired = true;
   OnLinkLost(link);
@@ -200,8 +201,11 @@
 void CacheSide::OnLinkLost(Link& link) {
   const auto open = std::exchange(link.state.open, {});
   link.state.waiting.clear();
-  if (!open.empty())
-    spdlog::debug("server {} at {}: connection lost with {} open", link.server, link.to.Text(), open.size());
+  if (!open.empty()) {
+    log::Debug("server.connection_lost", {{"server", link.server}, {"open", open.size()}},
+               "server {} at {}: connection lost with {} open", link.server, link.to.Text(), open.size());
+    events_.emplace_back(core::ConnectionLost{ServerId{link.server}, open.size()});
+  }
   const Micros now = net::Now();
   for (const auto& [ref, exchange] : open) {
     // Not all bytes taken by the socket, or never connected: it cannot have reached the server whole.
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/change_log.cpp
@@ -1,11 +1,11 @@
 #include "front/platform/change_log.hpp"
 
 #include <simdjson.h>
-#include <spdlog/spdlog.h>
 
 #include <utility>
 
 #include "front/platform/fields.hpp"
+#include "log/log.hpp"
 
 namespace tinspan::platform {
 namespace {
@@ -57,7 +57,9 @@
 void ChangeLog::Follow(const net::Endpoint& at) {
   if (at == at_) return;
   at_ = at;
-  spdlog::info("change log: following {} after event {}", at_.Text(), seq_);
+  const std::string to = at_.Text();
+  log::Info("changelog.following", {{"address", to}, {"seq", seq_}},
+            "change log: following {} after event {}", to, seq_);
   loop_.Timers().Cancel(timer_);
   if (connection_) connection_->Close();
   old_ = std::move(connection_);
@@ -74,7 +76,8 @@
   loop_.Timers().Cancel(timer_);
   const Micros wait = connection_->IsOpen() ? kSilence : kConnect;
   timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) {
-    spdlog::warn("change log: silent, connecting anew after event {}", seq_);
+    log::Warn("changelog.silent", {{"seq", seq_}}, "change log: silent, connecting anew after event {}",
+              seq_);
     Reconnect();
   });
 }
@@ -114,8 +117,10 @@
 // one event cannot keep all later ones away for ever.
 void ChangeLog::Unusable(const Malformed& wrong, bool event) {
   const bool again = event && stuck_ == seq_;
-  spdlog::error("change log: after event {}: {}: expected {}; {}", seq_, wrong.field, wrong.expected,
-                again ? "passed over" : "connecting anew");
+  log::Error("changelog.unusable",
+             {{"seq", seq_}, {"field", wrong.field}, {"expected", wrong.expected}, {"passed_over", again}},
+             "change log: after event {}: {}: expected {}; {}", seq_, wrong.field, wrong.expected,
+             again ? "passed over" : "connecting anew");
   if (event) stuck_ = seq_;
   if (again) ++seq_;
   Reconnect();
@@ -140,6 +145,8 @@
   element part;
   if (event["fleet"].get(part) == simdjson::SUCCESS) {
     core::MembersTold told;
+    told.source = "changelog";
+    told.version = GetOr<std::uint64_t>(part, "version", 0);
     told.kind = GetOr(part, "full", false) ? MembersEvent::Kind::kFull : MembersEvent::Kind::kPatch;
     for (const element one : Get<simdjson::dom::array>(part, "servers")) {
       // By the id: a new server may take the address of one that has gone.
@@ -163,6 +170,7 @@
       }
       if (member.availability == Availability::kGone) caches_.Forsake(member.id);
       told.members.push_back(member);
+      told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
     }
     events_.push_back(std::move(told));
   } else if (event["invalidate"].get(part) == simdjson::SUCCESS) {
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -1,11 +1,10 @@
 #include "front/platform/client_side.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "front/platform/fields.hpp"
+#include "log/log.hpp"
 
 namespace tinspan::platform {
 namespace {
@@ -56,7 +55,8 @@
   if (visitors_.IsFull()) {
     const auto spare = visitors_.Spare(net::Now());
     if (!spare) {
-      spdlog::warn("client turned away: {} connections, all with requests open", clients_.size());
+      log::Warn("client.turned_away", {{"connections", clients_.size()}},
+                "client turned away: {} connections, all with requests open", clients_.size());
       return;
     }
     Close(clients_.at(*spare));
@@ -84,7 +84,8 @@
       break;
     }
     if (state == RespState::kMalformed) {  // where the next message begins is not known
-      spdlog::debug("client {}: input that cannot be read, connection closed", connection.id);
+      log::Debug("client.unreadable", {{"client", connection.id}},
+                 "client {}: input that cannot be read, connection closed", connection.id);
       return Close(client);
     }
     Handle(client, message);
@@ -102,7 +103,8 @@
   } else if (verb == "RPC.HEALTH") {
     Reply(client, tag, accept_until_ == Micros::max() ? "healthy" : "closing", {}, {});
   } else if (verb != "RPC.CALL" || !Call(client, message)) {
-    spdlog::debug("client {}: a request that cannot be used", client.connection->id);
+    log::Debug("client.unusable", {{"client", client.connection->id}},
+               "client {}: a request that cannot be used", client.connection->id);
     Cancel(client, tag);  // two requests under one number: no answer could be told from the other's
     Reply(client, tag, "error", {}, {});
   }
@@ -229,7 +231,8 @@
   AppendBulk(head, fields);
   head.append("$").append(std::to_string(body.size())).append("\r\n");
   if (!client.connection->Write(head, body, "\r\n")) {
-    spdlog::warn("client {}: reads none of its answers, connection closed", client.connection->id);
+    log::Warn("client.reads_nothing", {{"client", client.connection->id}},
+              "client {}: reads none of its answers, connection closed", client.connection->id);
     return Close(client);
   }
   if (client.connection->Backlog() > 0 && backed_.insert(client.connection->id).second) {
@@ -302,7 +305,8 @@
     connection.HoldReading(held_ || backlog > (much ? 0 : kFull));
     if (connection.Sent() != std::exchange(client.sent, connection.Sent())) client.moved = now;
     if (backlog > 0 && now - client.moved > kStuck) {
-      spdlog::warn("client {}: takes no answers, connection closed", connection.id);
+      log::Warn("client.stuck", {{"client", connection.id}, {"backlog", backlog}},
+                "client {}: takes no answers, connection closed", connection.id);
       Close(client);
     }
     place = backlog == 0 || connection.IsClosed() ? backed_.erase(place) : std::next(place);
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -1,19 +1,20 @@
 #include "front/platform/platform_front.hpp"
 
-#include <spdlog/spdlog.h>
+#include "log/log.hpp"
 
 namespace tinspan::platform {
 
 void PlatformFront::Carry(Micros now, const core::Command& command) {
   if (const auto* send = std::get_if<core::Send>(&command)) return caches_.Carry(now, *send);
   if (const auto* stop = std::get_if<core::Stop>(&command)) return caches_.Carry(now, *stop);
-  if (const auto* log = std::get_if<core::Log>(&command)) return spdlog::info("router: {}", log->text);
+  if (const auto* line = std::get_if<core::Log>(&command))
+    return log::Info("router.line", {}, "router: {}", line->text);
   const auto* const answer = std::get_if<core::Answer>(&command);
   if (answer == nullptr) return;  // Relay: answers come whole here
   if (answer->verdict == core::Verdict::kServed) {
     const CacheSide::Served* const served = caches_.Answer(answer->id);
     if (served != nullptr) return clients_.Serve(answer->id, served->same, served->body);
-    spdlog::error("an answer without its bytes");
+    log::Error("core.answer_without_bytes", {}, "an answer without its bytes");
     return clients_.Fail(answer->id);
   }
   if (answer->verdict == core::Verdict::kRefused) return clients_.Refuse(answer->id, answer->retry_after);
@@ -22,13 +23,17 @@
 
 // The file is read anew; requests, connections and all that was learnt stay. Where it cannot be used, what
 // was told before holds on.
-void PlatformFront::Reload() {
+bool PlatformFront::Reload() {
   try {
     const config::Platform told = config::ReadPlatform();
     changes_.Follow(told.changelog);
-    spdlog::info("configuration read anew; only changelog is taken from it without a restart");
+    log::Info("config.reloaded", {},
+              "configuration read anew; only changelog is taken from it without a restart");
+    return true;
   } catch (const config::Error& error) {
-    spdlog::error("configuration not read anew, the old one holds: {}", error.what());
+    log::Error("config.refused", {{"reason", error.what()}},
+               "configuration not read anew, the old one holds: {}", error.what());
+    return false;
   }
 }
 
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -20,7 +20,7 @@
   void Carry(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
   void Drain(Micros accept_until) override { clients_.Drain(accept_until); }
-  void Reload() override;
+  bool Reload() override;
   bool Drained() const override { return clients_.Drained(); }
   std::uint16_t Port() const { return clients_.Port(); }
 
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -1,6 +1,5 @@
 #include "front/runner.hpp"
 
-#include <spdlog/spdlog.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 
@@ -11,6 +10,8 @@
 #include <system_error>
 #include <utility>
 
+#include "log/log.hpp"
+
 namespace tinspan::front {
 namespace {
 
@@ -34,10 +35,12 @@
     signalfd_siginfo info;
     while (::read(fd_.Get(), &info, sizeof info) == sizeof info) {
       (info.ssi_signo == SIGHUP ? reload : stop) = true;
+      last = static_cast<int>(info.ssi_signo);
     }
   }
   bool stop = false;
   bool reload = false;
+  int last = 0;  // the number of the signal that came last
 
  private:
   net::EventLoop& loop_;
@@ -48,8 +51,11 @@
 }  // namespace
 
 void Run(net::EventLoop& loop, core::Gateway& gateway, Front& front, std::vector<core::Event>& events,
-         StopTimes times) {
+         StopTimes times, core::Observer* observer) {
   Signals signals(loop);
+  const auto tell = [&](Micros now, core::Life what, int signal = 0) {
+    if (observer != nullptr) observer->OnLife(now, what, signal, {}, gateway.OpenRequests());
+  };
   std::optional<Micros> stopping;
   core::Commands commands;
   std::vector<core::Event> batch;
@@ -60,6 +66,7 @@
     for (const auto& next : {gateway.NextDue(), loop.Timers().Next()}) {
       if (next) wait = std::min(wait, std::max(*next - before, Micros{0}));
     }
+    if (observer != nullptr) wait = std::min(wait, observer->MostWait(before));
     if (!std::exchange(first, false)) loop.Poll(events.empty() ? wait : Micros{0});
     const Micros now = net::Now();
     loop.Timers().Run(now);
@@ -67,22 +74,31 @@
     batch.swap(events);
     commands.clear();
     gateway.Handle(now, batch, commands);
+    if (observer != nullptr) observer->OnRound(now, batch, commands, gateway.OpenRequests());
     for (const core::Command& command : commands) front.Carry(now, command);
     front.EndRound(now);
 
-    if (std::exchange(signals.reload, false)) front.Reload();
+    if (signals.last != 0) tell(now, core::Life::kSignalled, std::exchange(signals.last, 0));
+    if (std::exchange(signals.reload, false)) {
+      tell(now, front.Reload() ? core::Life::kReloaded : core::Life::kReloadRefused);
+    }
     if (signals.stop && !stopping) {
       stopping = now;
-      spdlog::info("stopping: {} requests open", gateway.OpenRequests());
+      log::Info("stop.begun", {{"open", gateway.OpenRequests()}}, "stopping: {} requests open",
+                gateway.OpenRequests());
+      tell(now, core::Life::kStopping);
       front.Drain(now + times.accept);
     }
     if (stopping && now - *stopping >= times.accept && gateway.OpenRequests() == 0 && events.empty() &&
         front.Drained()) {
-      spdlog::info("stopped, all that was taken is answered");
+      log::Info("stop.done", {{"open", 0}}, "stopped, all that was taken is answered");
+      tell(now, core::Life::kStopped);
       return;
     }
     if (stopping && now - *stopping >= times.most) {
-      spdlog::warn("stopped with {} requests open", gateway.OpenRequests());
+      tell(now, core::Life::kCut);
+      log::Warn("stop.cut", {{"open", gateway.OpenRequests()}}, "stopped with {} requests open",
+                gateway.OpenRequests());
       return;
     }
   }
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/gateway.hpp"
+#include "core/observer.hpp"
 #include "net/event_loop.hpp"
 
 namespace tinspan::front {
@@ -18,8 +19,8 @@
   virtual void EndRound(net::Micros now) = 0;
   // The stop has begun: go on accepting until `accept_until`, then close what is idle.
   virtual void Drain(net::Micros accept_until) = 0;
-  virtual void Reload() {}           // SIGHUP
-  virtual bool Drained() const = 0;  // nothing taken is left unanswered or unwritten
+  virtual bool Reload() { return true; }  // SIGHUP; false: what holds stays as it was, and the log says why
+  virtual bool Drained() const = 0;       // nothing taken is left unanswered or unwritten
 };
 
 struct StopTimes {
@@ -28,8 +29,8 @@
 };
 
 // Runs until SIGTERM or SIGINT and what was taken is finished. `events` is where the front's parts put what
-// they gather.
+// they gather; `observer` may be none.
 void Run(net::EventLoop& loop, core::Gateway& gateway, Front& front, std::vector<core::Event>& events,
-         StopTimes times);
+         StopTimes times, core::Observer* observer);
 
 }  // namespace tinspan::front
--- /dev/null
+++ b/src/record/reader.hpp
@@ -0,0 +1,109 @@
+// Reading what recorders wrote, also while they still write and after they died in the middle.
+//
+// Nothing is repaired silently: a torn tail, bytes that were changed, a segment that is missing, a record or
+// a format that is not known here are passed over as far as needed, and each is told as a Trouble with its
+// file and offset.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "record/frame.hpp"
+#include "record/record.pb.h"
+#include "tinspan/router.hpp"
+
+namespace tinspan::record {
+
+struct Trouble {
+  std::string file;
+  std::uint64_t offset = 0;
+  std::string what;
+};
+
+// One segment, fed its bytes as they come. Pure.
+class SegmentReader {
+ public:
+  explicit SegmentReader(std::string file) : file_(std::move(file)) {}
+  enum class State { kRecord, kTrouble, kMore };
+  void Feed(std::string_view bytes) { frames_.Feed(bytes); }
+  State Next();
+  // No more will come: call until it answers kMore.
+  State End();
+
+  const wire::Record& Record() const { return record_; }
+  Micros At() const { return Micros{base_ + record_.at_us()}; }  // Unix time, by the writer's own clock
+  std::uint64_t Offset() const { return offset_; }
+  const Trouble& Problem() const { return trouble_; }
+
+ private:
+  State Read(FrameReader::State state);
+  State Told(std::uint64_t offset, std::string what);
+
+  std::string file_;
+  FrameReader frames_;
+  wire::Record record_;
+  std::optional<std::int64_t> header_;  // its wall clock
+  std::int64_t base_ = 0;
+  std::uint64_t offset_ = 0;
+  bool foreign_ = false;
+  bool newer_told_ = false;
+  Trouble trouble_;
+};
+
+// What a segment's file name tells.
+struct SegmentName {
+  std::string path;
+  std::string prefix;  // the instance, as file names write it
+  std::int64_t incarnation = 0;
+  std::uint32_t segment = 0;
+  auto operator<=>(const SegmentName& o) const {
+    return std::tie(prefix, incarnation, segment, path) <=>
+           std::tie(o.prefix, o.incarnation, o.segment, o.path);
+  }
+  bool operator==(const SegmentName& o) const { return path == o.path; }
+};
+std::optional<SegmentName> ReadSegmentName(const std::string& path);
+
+class Sink {
+ public:
+  virtual ~Sink() = default;
+  // Records of one incarnation come in the order in which they were written.
+  virtual void OnRecord(const SegmentName& from, Micros at, const wire::Record& record) = 0;
+  virtual void OnTrouble(const Trouble& trouble) = 0;
+};
+
+// Folders of segments, or single segments, followed as they grow.
+class FolderReader {
+ public:
+  // Throws std::runtime_error naming a path that is neither a folder nor a file that can be read.
+  explicit FolderReader(std::vector<std::string> paths);
+  // Reads all that has been written since the last call. How many segments there are.
+  std::size_t Poll(Sink& sink);
+  // Nothing more will come: what is half there is told as damage.
+  void Finish(Sink& sink);
+  std::uint64_t Bytes() const { return bytes_; }
+
+ private:
+  struct Open {
+    SegmentName name;
+    std::uint64_t read = 0;
+    std::unique_ptr<SegmentReader> reader;
+    bool finished = false;
+  };
+  void List();
+  void ReadOn(Open& file, Sink& sink);
+  static void Drain(Open& file, Sink& sink, bool end);
+
+  std::vector<std::string> paths_;
+  std::map<SegmentName, Open> files_;
+  std::map<std::pair<std::string, std::int64_t>, std::uint32_t> last_;  // segment begun, by incarnation
+  std::uint64_t bytes_ = 0;
+};
+
+}  // namespace tinspan::record
--- /dev/null
+++ b/src/record/recorder.cpp
@@ -0,0 +1,208 @@
+#include "record/recorder.hpp"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <stdexcept>
+#include <utility>
+
+#include "log/log.hpp"
+#include "record/frame.hpp"
+
+namespace tinspan::record {
+namespace {
+
+constexpr std::size_t kMostWaiting = 4 << 20;  // bytes in memory for a disk that does not keep up
+constexpr std::size_t kBlock = 64 << 10;
+constexpr Micros kHandOver{100'000};
+
+Micros Mono() {
+  return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+// What earlier incarnations left, the oldest first.
+std::vector<SegmentFile> Old(const RecorderOptions& options) {
+  namespace fs = std::filesystem;
+  if (::mkdir(options.folder.c_str(), 0700) != 0 && errno != EEXIST) {
+    throw std::runtime_error(options.folder + ": " + std::strerror(errno));
+  }
+  const std::string prefix = FilePrefix(options.name);
+  std::vector<SegmentFile> out;
+  std::error_code error;
+  for (const auto& entry : fs::directory_iterator(options.folder, error)) {
+    const std::string name = entry.path().filename().string();
+    if (!name.starts_with(prefix) || !name.ends_with(kSuffix)) continue;
+    // A longer name that begins alike has a dot elsewhere.
+    if (std::count(name.begin() + static_cast<std::ptrdiff_t>(prefix.size()), name.end(), '.') != 2) continue;
+    std::error_code size_error;
+    const auto bytes = entry.file_size(size_error);
+    out.push_back({entry.path().string(), size_error ? 0 : bytes});
+  }
+  if (error) throw std::runtime_error(options.folder + ": " + error.message());
+  std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
+  return out;
+}
+
+}  // namespace
+
+std::string FilePrefix(std::string_view name) {
+  std::string out(name.substr(0, 100));
+  for (char& c : out) {
+    if (!std::isalnum(static_cast<unsigned char>(c)) && c != '-') c = '_';
+  }
+  return out + ".";
+}
+
+Recorder::Recorder(const Settings& settings, RecorderOptions options, Micros now)
+    : options_(std::move(options)),
+      settings_(settings),
+      incarnation_(now),
+      tracker_(settings, options_.tracker, options_.seed),
+      rotation_(options_.rotation, Old(options_)) {
+  OnLife(now, core::Life::kStarted, 0, {}, 0);
+  HandOver();  // so that a start is seen, however soon the end comes
+}
+
+Recorder::~Recorder() {
+  if (off_) return;
+  HandOver();
+}
+
+void Recorder::OnRound(Micros now, std::span<const core::Event> events, const core::Commands& commands,
+                       std::size_t open) {
+  if (off_) return;
+  const Micros mono = Mono();
+  tracker_.Round(now, mono, events, commands, open, records_);
+  if (!records_.empty()) Take(now);
+  if (order_.bytes.size() >= kBlock || (!order_.bytes.empty() && mono - handed_ >= kHandOver)) HandOver();
+}
+
+void Recorder::OnLife(Micros now, core::Life what, int signal, std::string_view text, std::size_t open) {
+  if (off_) return;
+  if (what == core::Life::kStopped || what == core::Life::kCut) tracker_.Flush(now, records_);
+  wire::Record& record = records_.emplace_back();
+  record.set_at_us(now.count());
+  wire::Life& life = *record.mutable_life();
+  life.set_what(static_cast<wire::Life::What>(static_cast<int>(what) + 1));
+  life.set_signal(static_cast<std::uint32_t>(signal));
+  life.set_open(static_cast<std::uint32_t>(open));
+  life.set_text(std::string(text));
+  Take(now);
+  HandOver();
+}
+
+Micros Recorder::MostWait(Micros) const {
+  if (off_) return Micros::max();
+  const Micros mono = Mono();
+  Micros due = tracker_.NextDue();
+  if (!order_.bytes.empty()) due = std::min(due, handed_ + kHandOver);
+  return std::max(due - mono, Micros{0});
+}
+
+void Recorder::Take(Micros now) {
+  const std::vector<wire::Record> records = std::exchange(records_, {});
+  if (writer_.Waiting() > kMostWaiting) {
+    for (const wire::Record& record : records) gap_.set_bytes(gap_.bytes() + record.ByteSizeLong());
+    gap_.set_records(gap_.records() + records.size());
+    lost_ += records.size();
+    return;
+  }
+  if (gap_.records() > 0) {
+    wire::Record record;
+    record.set_at_us(now.count());
+    *record.mutable_gap() = std::exchange(gap_, {});
+    Encode(now, record);
+  }
+  for (wire::Record record : records) Encode(now, record);
+}
+
+void Recorder::Encode(Micros now, wire::Record& record) {
+  if (off_) return;
+  // The size is the same to a few bytes whatever the time is set off from; a whole time is the longest.
+  const std::size_t most = record.ByteSizeLong() + kFrameHead;
+  if (most > kMostMessage) {
+    ++lost_;
+    gap_.set_records(gap_.records() + 1);
+    return;
+  }
+  if (!rotation_.Fits(most, now)) OpenSegment(now);
+  if (off_) return;
+  record.set_at_us(record.at_us() - base_.count());
+  scratch_.clear();
+  record.AppendToString(&scratch_);
+  const std::size_t before = order_.bytes.size();
+  AppendFrame(order_.bytes, scratch_);
+  rotation_.Wrote(order_.bytes.size() - before);
+}
+
+void Recorder::OpenSegment(Micros now) {
+  HandOver();
+  base_ = now;
+  char number[48];
+  std::snprintf(number, sizeof number, "%016lld.%06u", static_cast<long long>(incarnation_.count()),
+                ++segment_);
+  const std::string path = options_.folder + "/" + FilePrefix(options_.name) + number + std::string(kSuffix);
+  order_.remove = rotation_.Open(path, now);
+  order_.open = path;
+
+  wire::Record first;
+  wire::Header& header = *first.mutable_header();
+  header.set_format(kFormat);
+  header.set_name(options_.name);
+  header.set_incarnation(incarnation_.count());
+  header.set_segment(segment_);
+  header.set_version(options_.version);
+  header.set_config(options_.config);
+  header.set_wall_us(base_.count());
+  header.set_mono_us(Mono().count());
+  header.set_front(options_.front);
+  header.set_sample_ppm(options_.tracker.sample_ppm);
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+    const ClassSettings& of = settings_.classes[i];
+    wire::Class& out = *header.add_classes();
+    out.set_name(i < options_.classes.size() ? options_.classes[i] : std::to_string(i));
+    out.set_aim_us(of.aim.count());
+    out.set_deadline_us(of.deadline.count());
+    out.set_worth(of.worth);
+    out.set_late_worth(of.late_worth);
+    out.set_stale_worth(of.stale_worth);
+  }
+  for (const std::string& zone : options_.zones) header.add_zones(zone);
+  for (const std::string& kind : options_.kinds) header.add_kinds(kind);
+  order_.bytes.append(kMagic);
+  AppendFrame(order_.bytes, first.SerializeAsString());
+  std::vector<wire::Record> servers;
+  tracker_.Restate(now, servers);
+  for (wire::Record& one : servers) {
+    one.set_at_us(0);
+    AppendFrame(order_.bytes, one.SerializeAsString());
+  }
+  AppendFrame(order_.bytes, first.SerializeAsString());  // should the first be spoilt
+  rotation_.Wrote(order_.bytes.size());
+  const std::size_t room = std::min(options_.rotation.segment_bytes, options_.rotation.total_bytes / 2);
+  if (order_.bytes.size() > room / 2) {
+    TurnOff("a segment of " + std::to_string(room) + " bytes is too small for " +
+            std::to_string(servers.size()) + " servers");
+  }
+}
+
+void Recorder::HandOver() {
+  handed_ = Mono();
+  if (!order_.bytes.empty()) writer_.Give(std::exchange(order_, {}));
+  const std::string failure = writer_.Failure();
+  if (!failure.empty()) TurnOff(failure);
+}
+
+void Recorder::TurnOff(const std::string& why) {
+  if (std::exchange(off_, true)) return;
+  order_ = {};
+  records_.clear();
+  log::Error("record.off", {{"reason", why}, {"lost", lost_}},
+             "recording is off until the next start: {}; {} records were dropped before", why, lost_);
+}
+
+}  // namespace tinspan::record
--- /dev/null
+++ b/src/record/recorder.hpp
@@ -0,0 +1,72 @@
+// The flight recorder of a running instance: what the core is told, decides and does goes into segments in a
+// folder (record.proto, frame.hpp; docs/design/record.md).
+//
+// Promises: it never stalls or fails a request; its memory is bounded; its files together never hold more
+// than the bound. A disk that fails turns it off, with one line in the log.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/observer.hpp"
+#include "record/rotation.hpp"
+#include "record/tracker.hpp"
+#include "record/writer.hpp"
+
+namespace tinspan::record {
+
+struct RecorderOptions {
+  std::string folder;   // made if it is not there
+  std::string name;     // of the instance: the files of one name in a folder belong together
+  std::string version;  // of the program
+  std::string front;    // "platform" or "gateway"
+  std::uint64_t config = 0;
+  std::vector<std::string> classes, zones, kinds;
+  RotationRules rotation;
+  TrackerRules tracker;
+  std::uint64_t seed = 0;
+};
+
+// NAME.START.SEGMENT.tsrec; a name's characters that file names had better not hold become '_'.
+inline constexpr std::string_view kSuffix = ".tsrec";
+std::string FilePrefix(std::string_view name);
+
+class Recorder final : public core::Observer {
+ public:
+  // Throws std::runtime_error where the folder cannot be had.
+  Recorder(const Settings& settings, RecorderOptions options, Micros now);
+  ~Recorder() override;
+
+  void OnRound(Micros now, std::span<const core::Event> events, const core::Commands& commands,
+               std::size_t open) override;
+  void OnLife(Micros now, core::Life what, int signal, std::string_view text, std::size_t open) override;
+  Micros MostWait(Micros now) const override;
+
+  bool IsOn() const { return !off_; }
+  std::uint64_t Lost() const { return lost_; }  // records that were dropped
+
+ private:
+  void Take(Micros now);  // what is in records_
+  void Encode(Micros now, wire::Record& record);
+  void OpenSegment(Micros now);
+  void HandOver();
+  void TurnOff(const std::string& why);
+
+  const RecorderOptions options_;
+  const Settings settings_;
+  const Micros incarnation_;
+  Tracker tracker_;
+  Rotation rotation_;
+  Writer writer_;
+  std::uint32_t segment_ = 0;
+  Micros base_{0};  // wall clock of the open segment's header
+  std::vector<wire::Record> records_;
+  Writer::Order order_;
+  std::string scratch_;
+  Micros handed_{0};  // mono
+  wire::Gap gap_;
+  std::uint64_t lost_ = 0;
+  bool off_ = false;
+};
+
+}  // namespace tinspan::record
--- /dev/null
+++ b/src/record/tracker.cpp
@@ -0,0 +1,463 @@
+#include "record/tracker.hpp"
+
+#include <algorithm>
+#include <boost/histogram/axis/regular.hpp>
+#include <cmath>
+#include <utility>
+
+namespace tinspan::record {
+namespace {
+
+constexpr std::uint32_t kBuckets = 256;
+constexpr double kFirstEdge = 64;  // microseconds
+constexpr Micros kKeepGone{60'000'000};
+
+const auto& LatencyAxis() {
+  namespace axis = boost::histogram::axis;
+  static const axis::regular<double, axis::transform::log> kAxis(
+      kBuckets - 1, kFirstEdge, kFirstEdge * std::exp2((kBuckets - 1) / 8.0));
+  return kAxis;
+}
+
+std::uint32_t Clip32(std::int64_t value) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, 0xffffffff));
+}
+
+}  // namespace
+
+const char* Name(Ending ending) {
+  constexpr std::array kNames{"in_time", "stale",  "late",    "late_stale", "broken",
+                              "refused", "failed", "overdue", "left"};
+  static_assert(kNames.size() == kEndings);
+  const auto place = static_cast<std::size_t>(ending);
+  return place < kNames.size() ? kNames[place] : "unknown";
+}
+
+const char* Name(Outcome outcome) {
+  constexpr std::array kNames{"served", "error",     "full",     "timed_out", "connect_failed",
+                              "reset",  "cancelled", "not_sent", "miss"};
+  const auto place = static_cast<std::size_t>(outcome);
+  return place < kNames.size() ? kNames[place] : "unknown";
+}
+
+const char* Name(Availability availability) {
+  constexpr std::array kNames{"up", "draining", "gone"};
+  const auto place = static_cast<std::size_t>(availability);
+  return place < kNames.size() ? kNames[place] : "unknown";
+}
+
+double Earned(Ending ending, const wire::Class& of) {
+  switch (ending) {
+    case Ending::kInTime:
+      return 1;
+    case Ending::kStale:
+      return of.stale_worth();
+    case Ending::kLate:
+      return of.late_worth();
+    case Ending::kLateStale:
+      return of.late_worth() * of.stale_worth();
+    default:
+      return 0;
+  }
+}
+
+std::uint32_t LatencyBucket(Micros latency) {
+  const double value = std::max(static_cast<double>(latency.count()), kFirstEdge);
+  return static_cast<std::uint32_t>(
+      std::clamp<int>(LatencyAxis().index(value), 0, static_cast<int>(kBuckets) - 1));
+}
+
+Micros LatencyOf(std::uint32_t bucket) {
+  const int place = static_cast<int>(std::min(bucket, kBuckets - 1));
+  return place == 0 ? Micros{0} : Micros{std::llround(LatencyAxis().value(place))};
+}
+
+Tracker::Tracker(const Settings& settings, TrackerRules rules, std::uint64_t seed)
+    : settings_(settings), rules_(rules), random_(seed) {}
+
+void Tracker::Round(Micros wall, Micros mono, std::span<const core::Event> events,
+                    const core::Commands& commands, std::size_t open, std::vector<wire::Record>& out) {
+  now_ = wall;
+  mono_ = mono;
+  out_ = &out;
+  if (counted_ && mono_ - window_from_ >= rules_.window) CloseWindow();
+  for (const core::Event& event : events) std::visit([this](const auto& one) { On(one); }, event);
+  for (const core::Command& command : commands) std::visit([this](const auto& one) { On(one); }, command);
+  for (const RequestId id : touched_) Settle(id);
+  touched_.clear();
+  if (mono_ >= next_second_) Second(open);
+  out_ = nullptr;
+}
+
+void Tracker::Flush(Micros wall, std::vector<wire::Record>& out) {
+  now_ = wall;
+  out_ = &out;
+  second_over_ = true;
+  if (counted_ || !latency_.empty()) CloseWindow();
+  out_ = nullptr;
+}
+
+Micros Tracker::NextDue() const {
+  return counted_ ? std::min(next_second_, window_from_ + rules_.window) : next_second_;
+}
+
+// ---- Events. ----
+
+void Tracker::On(const core::RequestCame& event) {
+  const auto [place, added] = requests_.try_emplace(event.id);
+  if (!added) return;
+  place->second.came = event;
+  place->second.at = now_;
+  ++came_[static_cast<std::uint32_t>(event.class_id)];
+  Count();
+}
+
+void Tracker::On(const core::ClientLeft& event) {
+  Request* const request = Find(event.id);
+  if (request != nullptr && !request->ending) End(*request, Ending::kLeft, 0);
+}
+
+void Tracker::On(const core::AttemptBegan& event) {
+  Request* const request = Find(event.id);
+  Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
+  if (attempt != nullptr && !attempt->ended) attempt->begun = now_;
+}
+
+void Tracker::On(const core::AttemptEnded& event) {
+  Request* const request = Find(event.id);
+  Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
+  if (attempt == nullptr || attempt->ended) return;  // given up before
+  attempt->note = event.note;
+  attempt->fill_wait = event.fill_wait.value_or(Micros{0});
+  if (event.outcome == Outcome::kServed) {
+    attempt->served = true;  // unless the core finds it older than a purge
+  } else {
+    EndAttempt(*request, *attempt, event.outcome);
+  }
+}
+
+void Tracker::On(const core::MembersTold& event) {
+  const bool whole = event.kind == MembersEvent::Kind::kFull || event.kind == MembersEvent::Kind::kStale;
+  wire::Members told;
+  told.set_source(event.source);
+  told.set_version(event.version);
+  told.set_kind(event.kind == MembersEvent::Kind::kPatch   ? 0
+                : event.kind == MembersEvent::Kind::kFull  ? 1
+                : event.kind == MembersEvent::Kind::kStale ? 2
+                                                           : 3);
+  std::vector<std::uint32_t> named;  // numbers in the list
+  const auto put = [&](Known& known, const Member& member) {
+    wire::Member& out = *told.add_members();
+    out.set_server(known.number);
+    out.set_state(static_cast<std::uint32_t>(member.availability));
+    out.set_weight(member.weight);
+    out.set_started_us(member.started.count());
+    known.state = member.availability;
+    known.gone = now_;
+  };
+  for (std::size_t i = 0; i < event.members.size(); ++i) {
+    const Member& member = event.members[i];
+    bool fresh = false;
+    Known& known = Number(member.id, fresh);
+    const core::MembersTold::Named none;
+    const core::MembersTold::Named& named_as = i < event.names.size() ? event.names[i] : none;
+    const bool renamed = (!named_as.name.empty() && known.name != named_as.name) ||
+                         (!named_as.address.empty() && known.address != named_as.address);
+    if (fresh || renamed) {
+      if (!named_as.name.empty()) known.name = named_as.name;
+      if (!named_as.address.empty()) known.address = named_as.address;
+      known.zone = static_cast<std::uint32_t>(member.zone);
+      known.kind = static_cast<std::uint32_t>(member.kind);
+      WriteServer(known, *Put().mutable_server());
+    }
+    named.push_back(known.number);
+    if (fresh || known.state != member.availability || !whole) put(known, member);
+  }
+  if (whole) {
+    std::sort(named.begin(), named.end());
+    std::map<std::uint32_t, ServerId> missing;  // in the order of their numbers
+    for (const auto& [id, known] : servers_) {
+      if (known.state != Availability::kGone && !std::binary_search(named.begin(), named.end(), known.number))
+        missing.emplace(known.number, id);
+    }
+    for (const auto& [number, id] : missing) {
+      put(servers_.at(id), Member{.id = id, .availability = Availability::kGone});
+    }
+  }
+  *Put().mutable_members() = std::move(told);
+}
+
+void Tracker::On(const core::PurgeTold& event) {
+  wire::Purge& out = *Put().mutable_purge();
+  out.set_made_us(event.at.count());
+  out.set_group(static_cast<std::uint64_t>(event.group));
+  out.set_object(event.object ? static_cast<std::uint64_t>(*event.object) : 0);
+}
+
+void Tracker::On(const core::ConnectionLost& event) {
+  Losses& losses = lost_[Server(event.server).number];
+  ++losses.connections;
+  losses.open += static_cast<std::uint32_t>(event.open);
+}
+
+// ---- Commands. ----
+
+void Tracker::On(const core::Send& command) {
+  Request* const request = Find(command.order.id);
+  if (request == nullptr) return;
+  Known& server = Server(command.order.server);
+  ++server.out;
+  const bool fill = command.order.source != command.order.server;
+  const SendAttempt& order = command.order;
+  request->attempts.push_back({.number = command.attempt,
+                               .id = order.server,
+                               .server = server.number,
+                               .source = fill ? Server(order.source).number : 0,
+                               .sent = now_,
+                               .give_up_at = order.give_up_at,
+                               .ended = std::nullopt,
+                               .begun = std::nullopt,
+                               .keep = order.keep,
+                               .how = (order.join ? 1u : 0u) | (order.source_holds ? 2u : 0u) |
+                                      (order.pass_parent ? 4u : 0u) | (order.renew ? 8u : 0u)});
+}
+
+void Tracker::On(const core::Stop& command) {
+  Request* const request = Find(command.id);
+  Attempt* const attempt = request == nullptr ? nullptr : Find(*request, command.attempt);
+  if (attempt == nullptr || attempt->ended) return;
+  const bool due = now_ >= attempt->give_up_at;
+  // An answer that had begun and was never passed on was older than a purge.
+  const bool purged = attempt->begun && *attempt->begun == now_ && !request->ending;
+  EndAttempt(*request, *attempt, purged ? Outcome::kError : due ? Outcome::kTimedOut : Outcome::kCancelled);
+}
+
+void Tracker::On(const core::Answer& command) {
+  Request* const request = Find(command.id);
+  if (request == nullptr || request->ending) return;
+  request->overdue = command.overdue;
+  request->retry_after_ms = Clip32(command.retry_after.count() / 1000);
+  using core::Verdict;
+  Attempt* const attempt = Find(*request, command.attempt);
+  const bool answered = command.verdict == Verdict::kServed || command.verdict == Verdict::kBroken;
+  const std::uint32_t server = answered && attempt != nullptr ? attempt->server : 0;
+  if (command.verdict == Verdict::kServed) {
+    const auto place = static_cast<std::size_t>(request->came.class_id);
+    Micros aim = Micros::max();
+    if (place < settings_.classes.size() && settings_.classes[place].aim > Micros{0}) {
+      const ClassSettings& of = settings_.classes[place];
+      const double sending =
+          settings_.pace_kb_per_s > 0 ? request->came.size_kb / settings_.pace_kb_per_s * 1e6 : 0;
+      aim = of.aim + Micros{std::llround(of.aim_stretch * sending)};
+    }
+    const bool late = now_ - request->at > aim;
+    const bool stale = attempt != nullptr && attempt->note == FillNote::kStaleHit;
+    if (attempt != nullptr && !attempt->ended) EndAttempt(*request, *attempt, Outcome::kServed);
+    ++latency_[static_cast<std::uint32_t>(request->came.class_id) * kBuckets +
+               LatencyBucket(now_ - request->at)];
+    End(*request,
+        late ? (stale ? Ending::kLateStale : Ending::kLate) : (stale ? Ending::kStale : Ending::kInTime),
+        server);
+  } else if (command.verdict == Verdict::kBroken) {
+    End(*request, Ending::kBroken, server);
+  } else {
+    End(*request,
+        command.overdue                        ? Ending::kOverdue
+        : command.verdict == Verdict::kRefused ? Ending::kRefused
+                                               : Ending::kFailed,
+        server);
+  }
+}
+
+void Tracker::On(const core::Log& command) { Put().set_router_line(command.text); }
+
+// ---- Requests. ----
+
+Tracker::Request* Tracker::Find(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return nullptr;
+  touched_.push_back(id);
+  return &found->second;
+}
+
+Tracker::Attempt* Tracker::Find(Request& request, std::uint32_t number) {
+  const auto found = std::find_if(request.attempts.begin(), request.attempts.end(),
+                                  [number](const Attempt& one) { return one.number == number; });
+  return found == request.attempts.end() ? nullptr : &*found;
+}
+
+void Tracker::EndAttempt(Request& request, Attempt& attempt, Outcome outcome) {
+  attempt.ended = now_;
+  attempt.outcome = outcome;
+  attempt.served = false;
+  ++attempts_[Key(attempt.server, request.came.class_id, static_cast<std::uint32_t>(outcome))];
+  Count();
+  const auto server = servers_.find(attempt.id);
+  if (server != servers_.end() && server->second.out > 0) --server->second.out;
+}
+
+void Tracker::End(Request& request, Ending ending, std::uint32_t server) {
+  request.ending = ending;
+  request.answered = now_;
+  ++ended_[Key(server, request.came.class_id, static_cast<std::uint32_t>(ending))];
+  Count();
+}
+
+// At the end of a round: what the core did not pass on was too old; what is over is written and forgotten.
+void Tracker::Settle(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  Request& request = found->second;
+  bool out = false;
+  for (Attempt& attempt : request.attempts) {
+    if (attempt.served && !attempt.ended) EndAttempt(request, attempt, Outcome::kError);
+    out = out || !attempt.ended;
+  }
+  if (!request.ending || out) return;
+  const bool fine = *request.ending == Ending::kInTime || *request.ending == Ending::kStale ||
+                    *request.ending == Ending::kLeft;
+  const bool drawn = random_() % 1'000'000 < rules_.sample_ppm;
+  if (!fine || drawn) Trace(id, request, fine);
+  requests_.erase(found);
+}
+
+void Tracker::Trace(RequestId id, const Request& request, bool sampled) {
+  wire::Record& record = Put();
+  record.set_at_us(request.answered.count());
+  wire::Trace& out = *record.mutable_trace();
+  out.set_request(static_cast<std::uint64_t>(id));
+  out.set_class_id(static_cast<std::uint32_t>(request.came.class_id));
+  out.set_object(static_cast<std::uint64_t>(request.came.object));
+  out.set_group(static_cast<std::uint64_t>(request.came.group));
+  out.set_part(request.came.part);
+  out.set_size_kb(static_cast<float>(request.came.size_kb));
+  out.set_repeat(request.came.repeat);
+  out.set_took_us(Clip32((request.answered - request.at).count()));
+  out.set_verdict(static_cast<std::uint32_t>(*request.ending));
+  out.set_retry_after_ms(request.retry_after_ms);
+  out.set_overdue(request.overdue);
+  out.set_sampled(sampled);
+  out.set_allow_ms(Clip32(request.came.allow.count() / 1000));
+  for (const Attempt& one : request.attempts) {
+    wire::Attempt& attempt = *out.add_attempts();
+    attempt.set_number(one.number);
+    attempt.set_server(one.server);
+    attempt.set_source(one.source);
+    attempt.set_sent_us(Clip32((one.sent - request.at).count()));
+    attempt.set_took_us(Clip32((*one.ended - one.sent).count()));
+    attempt.set_outcome(static_cast<std::uint32_t>(one.outcome));
+    attempt.set_note(static_cast<std::uint32_t>(one.note));
+    attempt.set_fill_wait_us(Clip32(one.fill_wait.count()));
+    attempt.set_begun_us(one.begun ? Clip32((*one.begun - one.sent).count()) : 0);
+    attempt.set_keep(one.keep);
+    attempt.set_how(one.how);
+  }
+}
+
+// ---- Servers. ----
+
+Tracker::Known& Tracker::Number(ServerId id, bool& fresh) {
+  const auto [place, added] = servers_.try_emplace(id);
+  fresh = added;
+  if (added) {
+    place->second.number = ++last_number_;
+    place->second.id = id;
+  }
+  return place->second;
+}
+
+Tracker::Known& Tracker::Server(ServerId id) {
+  bool fresh = false;
+  Known& known = Number(id, fresh);
+  if (fresh) WriteServer(known, *Put().mutable_server());
+  return known;
+}
+
+void Tracker::WriteServer(const Known& known, wire::Server& out) const {
+  out.set_number(known.number);
+  out.set_id(static_cast<std::uint64_t>(known.id));
+  out.set_name(known.name);
+  out.set_address(known.address);
+  out.set_zone(known.zone);
+  out.set_kind(known.kind);
+  out.set_state(static_cast<std::uint32_t>(known.state));
+}
+
+void Tracker::Restate(Micros wall, std::vector<wire::Record>& out) const {
+  std::map<std::uint32_t, const Known*> ordered;
+  for (const auto& [id, known] : servers_) ordered.emplace(known.number, &known);
+  for (const auto& [number, known] : ordered) {
+    wire::Record& record = out.emplace_back();
+    record.set_at_us(wall.count());
+    WriteServer(*known, *record.mutable_server());
+  }
+}
+
+// ---- Writing. ----
+
+wire::Record& Tracker::Put() {
+  wire::Record& record = out_->emplace_back();
+  record.set_at_us(now_.count());
+  return record;
+}
+
+std::uint64_t Tracker::Key(std::uint32_t server, ClassId of, std::uint32_t what) const {
+  return (std::uint64_t{server} * settings_.classes.size() + static_cast<std::uint32_t>(of)) * 16 + what;
+}
+
+void Tracker::Count() {
+  if (std::exchange(counted_, true)) return;
+  window_from_ = mono_;
+}
+
+void Tracker::CloseWindow() {
+  wire::Window& out = *Put().mutable_window();
+  out.set_length_us(counted_ ? Clip32((mono_ - window_from_).count()) : 0);
+  const auto put = [](const auto& counts, auto* target) {
+    for (const auto& [key, count] : counts) {
+      target->Add(key);
+      target->Add(count);
+    }
+  };
+  put(came_, out.mutable_came());
+  put(ended_, out.mutable_ended());
+  put(attempts_, out.mutable_attempts());
+  came_.clear();
+  ended_.clear();
+  attempts_.clear();
+  counted_ = false;
+  if (!std::exchange(second_over_, false)) return;
+  put(latency_, out.mutable_latency());
+  latency_.clear();
+}
+
+void Tracker::Second(std::size_t open) {
+  next_second_ = mono_ + rules_.second;
+  second_over_ = true;
+  for (const auto& [number, losses] : lost_) {
+    wire::Lost& out = *Put().mutable_lost();
+    out.set_server(number);
+    out.set_connections(losses.connections);
+    out.set_open(losses.open);
+  }
+  lost_.clear();
+  wire::Heartbeat& beat = *Put().mutable_heartbeat();
+  beat.set_wall_us(now_.count());
+  beat.set_mono_us(mono_.count());
+  beat.set_open(static_cast<std::uint32_t>(open));
+  std::map<std::uint32_t, std::uint32_t> out;
+  for (const auto& [id, known] : servers_) {
+    if (known.out > 0) out.emplace(known.number, known.out);
+  }
+  for (const auto& [number, count] : out) {
+    beat.add_out(number);
+    beat.add_out(count);
+  }
+  // Over a long day many come and go.
+  std::erase_if(servers_, [this](const auto& entry) {
+    const Known& known = entry.second;
+    return known.state == Availability::kGone && known.out == 0 && now_ - known.gone > kKeepGone;
+  });
+}
+
+}  // namespace tinspan::record
