--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -7,6 +7,7 @@
 #include "cli/command.hpp"
 #include "cli/init.hpp"
 #include "cli/keys.hpp"
+#include "cli/records.hpp"
 #include "cli/serve.hpp"
 #include "log/log.hpp"
 
@@ -15,6 +16,8 @@
 
 namespace po = boost::program_options;
 
+constexpr std::size_t kMany = 4096;
+
 void None(Options&) {}
 
 int Version(const Values&, const std::vector<std::string>&) {
@@ -42,6 +45,15 @@
     Command{"keys token", "", "sign a bearer token",
             "tinspan keys token -f gateway/gateway.json --expires 3600\n", 0, 0, DescribeKeysSign,
             RunKeysToken},
+    Command{"records ls", "DIR...", "list the lives of instances whose records are in these folders",
+            "tinspan records ls gateway/records\n", 1, kMany, None, RunRecordsList},
+    Command{"records cat", "DIR...",
+            "print records as JSON lines; what cannot be read goes to standard error",
+            "tinspan records cat --kind trace --class orders gateway/records\n"
+            "tinspan records cat --from 2026-12-01T14:03:00Z --server n1/c gateway/records\n",
+            1, kMany, DescribeRecordsCat, RunRecordsCat},
+    Command{"records verify", "DIR...", "say what cannot be read, with file and offset; 1 if there is any",
+            "tinspan records verify gateway/records\n", 1, kMany, None, RunRecordsVerify},
     Command{"version", "", "print the version", "tinspan version\n", 0, 0, None, Version},
     Command{"help", "[COMMAND]", "explain a command", "tinspan help serve\ntinspan help keys link\n", 0, 2,
             None, Help},
--- /dev/null
+++ b/src/cli/records.cpp
@@ -0,0 +1,179 @@
+#include "cli/records.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <stdexcept>
+
+#include "record/json.hpp"
+#include "record/reader.hpp"
+#include "setup/time_text.hpp"
+
+namespace tinspan::cli {
+namespace {
+
+namespace po = boost::program_options;
+using record::SegmentName;
+namespace wire = record::wire;
+
+std::string TextOf(const Values& values, const char* option) {
+  return values.count(option) > 0 ? values[option].as<std::string>() : std::string();
+}
+
+void Tell(const record::Trouble& trouble) {
+  std::cerr << trouble.file << ": offset " << trouble.offset << ": " << trouble.what << "\n";
+}
+
+using Incarnation = std::pair<std::string, std::int64_t>;
+
+// Sums up each incarnation.
+class Summary final : public record::Sink {
+ public:
+  struct Line {
+    record::Book book;
+    std::map<std::uint32_t, bool> segments;
+    std::optional<Micros> from, to;
+    std::uint64_t records = 0, requests = 0, traces = 0, dropped = 0;
+    std::string end = "no end";  // a recorder that was killed writes none
+  };
+  void OnRecord(const SegmentName& from, Micros at, const wire::Record& record) override {
+    Line& line = lines[{from.prefix, from.incarnation}];
+    line.book.Note(record);
+    line.segments[from.segment] = true;
+    line.from = std::min(line.from.value_or(at), at);
+    line.to = std::max(line.to.value_or(at), at);
+    ++line.records;
+    if (record.has_trace()) ++line.traces;
+    if (record.has_gap()) line.dropped += record.gap().records();
+    for (int i = 1; record.has_window() && i < record.window().ended_size(); i += 2) {
+      line.requests += record.window().ended(i);
+    }
+    if (record.has_life() && record.life().what() == wire::Life::STOPPED) line.end = "stopped";
+    if (record.has_life() && record.life().what() == wire::Life::CUT) line.end = "cut";
+  }
+  void OnTrouble(const record::Trouble& trouble) override {
+    Tell(trouble);
+    ++troubles;
+  }
+  std::map<Incarnation, Line> lines;
+  std::uint64_t troubles = 0;
+};
+
+// All that is in the folders now. Throws where that is nothing.
+std::uint64_t ReadAll(const std::vector<std::string>& paths, record::Sink& sink) {
+  record::FolderReader reader(paths);
+  if (reader.Poll(sink) == 0) {
+    throw std::runtime_error(paths[0] + ": no records are here (NAME.START.NUMBER.tsrec)");
+  }
+  reader.Finish(sink);
+  return reader.Bytes();
+}
+
+// Prints what passes the filters.
+class Printer final : public record::Sink {
+ public:
+  explicit Printer(const Values& values)
+      : from_(TimeOption(values, "from")),
+        to_(TimeOption(values, "to")),
+        kind_(TextOf(values, "kind")),
+        server_(TextOf(values, "server")),
+        class_(TextOf(values, "class")),
+        request_(values.count("request") > 0 ? std::optional(values["request"].as<std::uint64_t>())
+                                             : std::nullopt) {
+    if (!kind_.empty() && !record::IsKind(kind_)) {
+      throw Usage{
+          "option '--kind': expected one of heartbeat, life, server, members, purge, window, trace, router, "
+          "lost, gap, header, not '" +
+          kind_ + "'"};
+    }
+  }
+  void OnRecord(const SegmentName& from, Micros at, const wire::Record& record) override {
+    record::Book& book = books_[{from.prefix, from.incarnation}];
+    book.Note(record);
+    if ((from_ && at < *from_) || (to_ && at > *to_)) return;
+    if (!kind_.empty() && record::KindOf(record) != kind_) return;
+    if (request_ && !(record.has_trace() && record.trace().request() == *request_)) return;
+    auto json = record::ToJson(book, at, record);
+    if (!server_.empty() && !Names(json, {"server", "source", "name"}, server_)) return;
+    if (!class_.empty() && !Names(json, {"class"}, class_)) return;
+    std::cout << json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) << "\n";
+  }
+  void OnTrouble(const record::Trouble& trouble) override {
+    Tell(trouble);
+    troubled_ = true;
+  }
+  bool Troubled() const { return troubled_; }
+
+ private:
+  // Whether one of these members, here or further in, has that value.
+  static bool Names(const nlohmann::ordered_json& json, std::initializer_list<std::string_view> members,
+                    const std::string& value) {
+    for (const auto& [key, one] : json.items()) {
+      if (one.is_structured() && Names(one, members, value)) return true;
+      if (one == value && std::find(members.begin(), members.end(), key) != members.end()) return true;
+    }
+    return false;
+  }
+  std::optional<Micros> from_, to_;
+  std::string kind_, server_, class_;
+  std::optional<std::uint64_t> request_;
+  std::map<Incarnation, record::Book> books_;
+  bool troubled_ = false;
+};
+
+}  // namespace
+
+std::optional<Micros> TimeOption(const Values& values, const char* option) {
+  const std::string text = TextOf(values, option);
+  if (text.empty()) return std::nullopt;
+  const auto time = ReadTime(text);
+  if (!time) {
+    throw Usage{std::string("option '--") + option +
+                "': expected a time such as 2026-12-01T14:03:00Z or @1764597780.5, not '" + text + "'"};
+  }
+  return time;
+}
+
+void DescribeRecordsCat(Options& options) {
+  options.add_options()("from", po::value<std::string>()->value_name("TIME"),
+                        "not before, as 2026-12-01T14:03:00Z")(
+      "to", po::value<std::string>()->value_name("TIME"), "not after")(
+      "kind", po::value<std::string>()->value_name("KIND"),
+      "heartbeat, life, server, members, purge, window, trace, router, lost, gap or header")(
+      "server", po::value<std::string>()->value_name("NAME"), "what names this server")(
+      "class", po::value<std::string>()->value_name("NAME"), "what names this class")(
+      "request", po::value<std::uint64_t>()->value_name("NUMBER"), "the trace of this request");
+}
+
+int RunRecordsList(const Values&, const std::vector<std::string>& arguments) {
+  Summary summary;
+  const std::uint64_t bytes = ReadAll(arguments, summary);
+  for (const auto& [key, line] : summary.lines) {
+    std::cout << line.book.Header().name() << "  started " << TimeText(Micros{key.second}) << "  records "
+              << TimeText(line.from.value_or(Micros{0})) << " to " << TimeText(line.to.value_or(Micros{0}))
+              << "  " << line.segments.size() << " segments  " << line.requests << " requests  "
+              << line.traces << " traces  " << line.end;
+    if (line.dropped > 0) std::cout << "  " << line.dropped << " records dropped";
+    std::cout << "\n";
+  }
+  std::cout << summary.lines.size() << " lives, " << bytes << " bytes, " << summary.troubles << " troubles\n";
+  return 0;
+}
+
+int RunRecordsCat(const Values& values, const std::vector<std::string>& arguments) {
+  Printer printer(values);
+  ReadAll(arguments, printer);
+  return printer.Troubled() ? 1 : 0;
+}
+
+int RunRecordsVerify(const Values&, const std::vector<std::string>& arguments) {
+  Summary summary;
+  const std::uint64_t bytes = ReadAll(arguments, summary);
+  std::uint64_t records = 0;
+  for (const auto& [key, line] : summary.lines) records += line.records;
+  std::cout << records << " records in " << bytes << " bytes, " << summary.troubles << " troubles\n";
+  return summary.troubles == 0 ? 0 : 1;
+}
+
+}  // namespace tinspan::cli
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -34,6 +34,10 @@
 struct ClientLeft {  // nothing is owed any more
   RequestId id{};
 };
+struct AttemptWritten {  // it had to wait for a connection, and has gone out only now
+  RequestId id{};
+  std::uint32_t attempt = 0;
+};
 struct AttemptBegan {  // the answer's first bytes are here and may be passed on from now
   RequestId id{};
   std::uint32_t attempt = 0;
@@ -70,7 +74,8 @@
   std::size_t open = 0;
 };
 using Event =
-    std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold, ConnectionLost>;
+    std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold,
+                 ConnectionLost, AttemptWritten>;
 
 // ---- Commands, to be carried out in order. ----
 struct Send {
@@ -163,6 +168,7 @@
   void On(const AttemptEnded& event);
   void On(const MembersTold& event);
   void On(const PurgeTold& event);
+  void On(const AttemptWritten&) {}  // the attempt's time runs from its order
   void On(const ConnectionLost&) {}  // of no weight for any decision: what was open on it is told one by one
   void RunDue();
 
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -119,7 +119,10 @@
 
 void Upstream::OnLinkOpen(Link& link) {
   const auto out = link.state.busy ? out_.find(link.state.id) : out_.end();
-  if (link.state.waiting && out != out_.end()) Put(net::Now(), link, core::Send(out->second.send));
+  if (!link.state.waiting || out == out_.end()) return;
+  const core::Send send = out->second.send;
+  Put(net::Now(), link, send);
+  if (link.state.written > 0) events_.emplace_back(core::AttemptWritten{send.order.id, send.attempt});
 }
 
 // Ends the exchange towards the core, which may still go on on the wire.
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -152,7 +152,10 @@
     const auto found = link.state.open.find(ref);
     if (found == link.state.open.end()) continue;
     const auto out = out_.find(found->second.id);
-    if (out != out_.end()) Put(now, link, ref, core::Send(out->second.send));
+    if (out == out_.end()) continue;
+    const core::Send send = out->second.send;
+    Put(now, link, ref, send);
+    events_.emplace_back(core::AttemptWritten{send.order.id, send.attempt});
   }
 }
 
--- /dev/null
+++ b/src/record/book.cpp
@@ -0,0 +1,35 @@
+#include "record/book.hpp"
+
+#include <algorithm>
+
+namespace tinspan::record {
+
+void Book::Note(const wire::Record& record) {
+  if (record.has_header()) header_ = record.header();
+  if (record.has_server()) servers_[record.server().number()] = record.server();
+}
+
+std::string Book::ClassName(std::uint32_t place) const {
+  return place < static_cast<std::uint32_t>(header_.classes_size())
+             ? header_.classes(static_cast<int>(place)).name()
+             : "class " + std::to_string(place);
+}
+
+const wire::Server* Book::Server(std::uint32_t number) const {
+  const auto found = servers_.find(number);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+std::string Book::ServerName(std::uint32_t number) const {
+  if (number == 0) return "-";
+  const wire::Server* const server = Server(number);
+  return server == nullptr || server->name().empty() ? "server " + std::to_string(number) : server->name();
+}
+
+Book::Key Book::Split(std::uint64_t key) const {
+  const auto classes = static_cast<std::uint64_t>(std::max(header_.classes_size(), 1));
+  return {static_cast<std::uint32_t>(key / 16 / classes), static_cast<std::uint32_t>(key / 16 % classes),
+          static_cast<std::uint32_t>(key % 16)};
+}
+
+}  // namespace tinspan::record
--- /dev/null
+++ b/src/record/json.cpp
@@ -0,0 +1,235 @@
+#include "record/json.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include "setup/time_text.hpp"
+
+namespace tinspan::record {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::array<std::string_view, 14> kKinds{"heartbeat", "life",  "server",     "members", "purge",
+                                                  "window",    "trace", "router",     "lost",    "gap",
+                                                  "header",    "drain", "purge_held", "unknown"};
+
+double Millis(std::int64_t micros) { return static_cast<double>(micros) / 1000; }
+
+Json Counts(const Book& book, const google::protobuf::RepeatedField<std::uint64_t>& counts, bool requests) {
+  Json out = Json::array();
+  for (int i = 0; i + 1 < counts.size(); i += 2) {
+    const Book::Key key = book.Split(counts.Get(i));
+    Json one{{"class", book.ClassName(key.class_id)}, {"server", book.ServerName(key.server)}};
+    if (requests) {
+      one["verdict"] = Name(static_cast<Ending>(key.what));
+      const auto& classes = book.Header().classes();
+      if (key.class_id < static_cast<std::uint32_t>(classes.size())) {
+        const wire::Class& of = classes.Get(static_cast<int>(key.class_id));
+        one["worth"] =
+            static_cast<double>(counts.Get(i + 1)) * of.worth() * Earned(static_cast<Ending>(key.what), of);
+      }
+    } else {
+      one["outcome"] = Name(static_cast<Outcome>(key.what));
+    }
+    one["count"] = counts.Get(i + 1);
+    out.push_back(std::move(one));
+  }
+  return out;
+}
+
+Json Of(const Book&, const wire::Heartbeat& beat) {
+  return {{"wall", TimeText(Micros{beat.wall_us()})}, {"mono_us", beat.mono_us()}, {"open", beat.open()}};
+}
+Json Of(const Book&, const wire::Life& life) {
+  std::string what = wire::Life::What_Name(life.what());
+  std::transform(what.begin(), what.end(), what.begin(), [](unsigned char c) { return std::tolower(c); });
+  Json out{{"what", what}, {"open", life.open()}};
+  if (life.signal() != 0) out["signal"] = life.signal();
+  if (!life.text().empty()) out["text"] = life.text();
+  return out;
+}
+Json Of(const Book& book, const wire::Server& server) {
+  Json out{{"number", server.number()},
+           {"id", Hex(server.id())},
+           {"name", server.name()},
+           {"address", server.address()}};
+  const wire::Header& header = book.Header();
+  if (server.zone() < static_cast<std::uint32_t>(header.zones_size()))
+    out["zone"] = header.zones(static_cast<int>(server.zone()));
+  if (server.kind() < static_cast<std::uint32_t>(header.kinds_size()))
+    out["machine"] = header.kinds(static_cast<int>(server.kind()));
+  out["state"] = Name(static_cast<Availability>(server.state()));
+  return out;
+}
+Json Of(const Book& book, const wire::Members& members) {
+  constexpr std::array kHow{"changes", "whole", "whole, perhaps old", "source lost"};
+  Json list = Json::array();
+  for (const wire::Member& one : members.members()) {
+    Json member{{"server", book.ServerName(one.server())},
+                {"state", Name(static_cast<Availability>(one.state()))},
+                {"weight", one.weight()}};
+    if (one.started_us() != 0) member["started"] = TimeText(Micros{one.started_us()});
+    list.push_back(std::move(member));
+  }
+  return {{"source", members.source()},
+          {"version", members.version()},
+          {"list", members.kind() < kHow.size() ? kHow[members.kind()] : "unknown"},
+          {"members", std::move(list)}};
+}
+Json Of(const Book&, const wire::Purge& purge) {
+  Json out{{"made", TimeText(Micros{purge.made_us()})}};
+  purge.object() != 0 ? out["object"] = Hex(purge.object()) : out["group"] = Hex(purge.group());
+  return out;
+}
+Json Of(const Book& book, const wire::Window& window) {
+  Json came = Json::array(), latency = Json::array();
+  for (int i = 0; i + 1 < window.came_size(); i += 2) {
+    came.push_back({{"class", book.ClassName(window.came(i))}, {"count", window.came(i + 1)}});
+  }
+  for (int i = 0; i + 1 < window.latency_size(); i += 2) {
+    latency.push_back({{"class", book.ClassName(window.latency(i) / 256)},
+                       {"from_ms", Millis(LatencyOf(window.latency(i) % 256).count())},
+                       {"count", window.latency(i + 1)}});
+  }
+  Json repeats = Json::array();
+  for (int i = 0; i + 1 < window.repeats_size(); i += 2) {
+    repeats.push_back({{"class", book.ClassName(window.repeats(i))}, {"count", window.repeats(i + 1)}});
+  }
+  Json out{{"length_ms", Millis(window.length_us())},
+           {"came", std::move(came)},
+           {"ended", Counts(book, window.ended(), true)},
+           {"attempts", Counts(book, window.attempts(), false)}};
+  if (!repeats.empty()) out["repeats"] = std::move(repeats);
+  if (!latency.empty()) out["latency"] = std::move(latency);
+  return out;
+}
+Json Of(const Book& book, const wire::Trace& trace) {
+  constexpr std::array kNotes{"none",         "hit",           "filled",         "filled_via_origin",
+                              "joined",       "stale_hit",     "source_refused", "source_unreached",
+                              "source_lacks", "no_fill_place", "origin_failed"};
+  Json attempts = Json::array();
+  for (const wire::Attempt& one : trace.attempts()) {
+    Json attempt{{"number", one.number()},
+                 {"server", book.ServerName(one.server())},
+                 {"sent_ms", Millis(one.sent_us())},
+                 {"took_ms", Millis(one.took_us())},
+                 {"outcome", Name(static_cast<Outcome>(one.outcome()))}};
+    if (one.source() != 0) attempt["source"] = book.ServerName(one.source());
+    if (one.note() != 0) attempt["note"] = one.note() < kNotes.size() ? kNotes[one.note()] : "unknown";
+    if (one.fill_wait_us() != 0) attempt["fill_wait_ms"] = Millis(one.fill_wait_us());
+    if (one.begun_us() != 0) attempt["begun_ms"] = Millis(one.begun_us());
+    if (one.keep() != 0) attempt["keep"] = one.keep();
+    attempts.push_back(std::move(attempt));
+  }
+  Json out{{"request", trace.request()},
+           {"class", book.ClassName(trace.class_id())},
+           {"object", Hex(trace.object())},
+           {"group", Hex(trace.group())},
+           {"part", trace.part()},
+           {"size_kb", trace.size_kb()},
+           {"repeat", trace.repeat()},
+           {"allow_ms", trace.allow_ms()},
+           {"took_ms", Millis(trace.took_us())},
+           {"verdict", Name(static_cast<Ending>(trace.verdict()))}};
+  if (trace.retry_after_ms() != 0) out["retry_after_ms"] = trace.retry_after_ms();
+  out["sampled"] = trace.sampled();
+  out["attempts"] = std::move(attempts);
+  return out;
+}
+Json Of(const Book& book, const wire::Lost& lost) {
+  return {
+      {"server", book.ServerName(lost.server())}, {"connections", lost.connections()}, {"open", lost.open()}};
+}
+Json Of(const Book&, const wire::Header& header) {
+  Json classes = Json::array();
+  for (const wire::Class& of : header.classes()) {
+    classes.push_back({{"name", of.name()},
+                       {"aim_ms", Millis(of.aim_us())},
+                       {"deadline_ms", Millis(of.deadline_us())},
+                       {"worth", of.worth()}});
+  }
+  return {{"format", header.format()},         {"started", TimeText(Micros{header.incarnation()})},
+          {"segment", header.segment()},       {"version", header.version()},
+          {"config", Hex(header.config())},    {"front", header.front()},
+          {"sample_ppm", header.sample_ppm()}, {"classes", std::move(classes)}};
+}
+
+}  // namespace
+
+std::string Hex(std::uint64_t value) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string out(16, '0');
+  for (std::size_t i = 0; i < 16; ++i) out[15 - i] = kDigits[value >> (4 * i) & 15];
+  return out;
+}
+
+std::string_view KindOf(const wire::Record& record) {
+  const auto place = static_cast<std::size_t>(record.what_case());
+  // The oneof's numbers begin at 2, with the heartbeat.
+  return place >= 2 && place - 2 < kKinds.size() - 1 ? kKinds[place - 2] : kKinds.back();
+}
+
+bool IsKind(std::string_view name) { return std::find(kKinds.begin(), kKinds.end(), name) != kKinds.end(); }
+
+Json ToJson(const Book& book, Micros at, const wire::Record& record) {
+  Json out{{"time", TimeText(at)}, {"instance", book.Header().name()}, {"kind", KindOf(record)}};
+  const auto add = [&](const Json& more) { out.update(more); };
+  switch (record.what_case()) {
+    case wire::Record::kHeartbeat:
+      add(Of(book, record.heartbeat()));
+      break;
+    case wire::Record::kLife:
+      add(Of(book, record.life()));
+      break;
+    case wire::Record::kServer:
+      add(Of(book, record.server()));
+      break;
+    case wire::Record::kMembers:
+      add(Of(book, record.members()));
+      break;
+    case wire::Record::kPurge:
+      add(Of(book, record.purge()));
+      break;
+    case wire::Record::kWindow:
+      add(Of(book, record.window()));
+      break;
+    case wire::Record::kTrace:
+      add(Of(book, record.trace()));
+      break;
+    case wire::Record::kRouterLine:
+      out["text"] = record.router_line();
+      break;
+    case wire::Record::kLost:
+      add(Of(book, record.lost()));
+      break;
+    case wire::Record::kGap:
+      out["records"] = record.gap().records();
+      out["bytes"] = record.gap().bytes();
+      break;
+    case wire::Record::kHeader:
+      add(Of(book, record.header()));
+      break;
+    case wire::Record::kDrain:
+      out["server"] = book.ServerName(record.drain().server());
+      out["told"] = TimeText(at - Micros{record.drain().told_us()});
+      out["sent"] = record.drain().sent();
+      if (record.drain().sent() > 0) out["last_ms"] = Millis(record.drain().last_us());
+      break;
+    case wire::Record::kPurgeHeld:
+      record.purge_held().object() != 0 ? out["object"] = Hex(record.purge_held().object())
+                                        : out["group"] = Hex(record.purge_held().group());
+      out["told"] = TimeText(at - Micros{record.purge_held().told_us()});
+      out["served"] = record.purge_held().served();
+      if (record.purge_held().served() > 0) {
+        out["last_sent_ms"] = Millis(record.purge_held().last_sent_us());
+        out["last_served_ms"] = Millis(record.purge_held().last_served_us());
+      }
+      break;
+    case wire::Record::WHAT_NOT_SET:
+      break;
+  }
+  return out;
+}
+
+}  // namespace tinspan::record
--- a/src/record/reader.hpp
+++ b/src/record/reader.hpp
@@ -37,7 +37,7 @@
   State End();
 
   const wire::Record& Record() const { return record_; }
-  Micros At() const { return Micros{base_ + record_.at_us()}; }  // Unix time, by the writer's own clock
+  Micros At() const { return Micros{base_ + record_.at_us()}; }  // see Sink
   std::uint64_t Offset() const { return offset_; }
   const Trouble& Problem() const { return trouble_; }
 
@@ -73,7 +73,8 @@
 class Sink {
  public:
   virtual ~Sink() = default;
-  // Records of one incarnation come in the order in which they were written.
+  // Records of one incarnation come in the order in which they were written. `at`: Unix time as the writer's
+  // clock told it at the segment's head, carried on by one that never steps.
   virtual void OnRecord(const SegmentName& from, Micros at, const wire::Record& record) = 0;
   virtual void OnTrouble(const Trouble& trouble) = 0;
 };
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -83,9 +83,9 @@
 
 void Recorder::OnLife(Micros now, core::Life what, int signal, std::string_view text, std::size_t open) {
   if (off_) return;
-  if (what == core::Life::kStopped || what == core::Life::kCut) tracker_.Flush(now, records_);
+  if (what == core::Life::kStopped || what == core::Life::kCut) tracker_.Flush(Mono(), records_);
   wire::Record& record = records_.emplace_back();
-  record.set_at_us(now.count());
+  record.set_at_us(Mono().count());
   wire::Life& life = *record.mutable_life();
   life.set_what(static_cast<wire::Life::What>(static_cast<int>(what) + 1));
   life.set_signal(static_cast<std::uint32_t>(signal));
@@ -113,7 +113,7 @@
   }
   if (gap_.records() > 0) {
     wire::Record record;
-    record.set_at_us(now.count());
+    record.set_at_us(Mono().count());
     *record.mutable_gap() = std::exchange(gap_, {});
     Encode(now, record);
   }
@@ -141,7 +141,7 @@
 
 void Recorder::OpenSegment(Micros now) {
   HandOver();
-  base_ = now;
+  base_ = Mono();
   char number[48];
   std::snprintf(number, sizeof number, "%016lld.%06u", static_cast<long long>(incarnation_.count()),
                 ++segment_);
@@ -157,8 +157,8 @@
   header.set_segment(segment_);
   header.set_version(options_.version);
   header.set_config(options_.config);
-  header.set_wall_us(base_.count());
-  header.set_mono_us(Mono().count());
+  header.set_wall_us(now.count());
+  header.set_mono_us(base_.count());
   header.set_front(options_.front);
   header.set_sample_ppm(options_.tracker.sample_ppm);
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
@@ -176,11 +176,8 @@
   order_.bytes.append(kMagic);
   AppendFrame(order_.bytes, first.SerializeAsString());
   std::vector<wire::Record> servers;
-  tracker_.Restate(now, servers);
-  for (wire::Record& one : servers) {
-    one.set_at_us(0);
-    AppendFrame(order_.bytes, one.SerializeAsString());
-  }
+  tracker_.Restate(servers);
+  for (const wire::Record& one : servers) AppendFrame(order_.bytes, one.SerializeAsString());
   AppendFrame(order_.bytes, first.SerializeAsString());  // should the first be spoilt
   rotation_.Wrote(order_.bytes.size());
   const std::size_t room = std::min(options_.rotation.segment_bytes, options_.rotation.total_bytes / 2);
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -59,7 +59,7 @@
   Rotation rotation_;
   Writer writer_;
   std::uint32_t segment_ = 0;
-  Micros base_{0};  // wall clock of the open segment's header
+  Micros base_{0};  // of the open segment, by the clock that never steps
   std::vector<wire::Record> records_;
   Writer::Order order_;
   std::string scratch_;
--- a/src/record/tracker.cpp
+++ b/src/record/tracker.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint32_t kBuckets = 256;
 constexpr double kFirstEdge = 64;  // microseconds
 constexpr Micros kKeepGone{60'000'000};
+constexpr Micros kDrainWatch{3'000'000};  // after which what still went to a server is written down
 
 const auto& LatencyAxis() {
   namespace axis = boost::histogram::axis;
@@ -77,20 +78,20 @@
 
 void Tracker::Round(Micros wall, Micros mono, std::span<const core::Event> events,
                     const core::Commands& commands, std::size_t open, std::vector<wire::Record>& out) {
-  now_ = wall;
-  mono_ = mono;
+  wall_ = wall;
+  now_ = mono;
   out_ = &out;
-  if (counted_ && mono_ - window_from_ >= rules_.window) CloseWindow();
+  if (counted_ && now_ - window_from_ >= rules_.window) CloseWindow();
   for (const core::Event& event : events) std::visit([this](const auto& one) { On(one); }, event);
   for (const core::Command& command : commands) std::visit([this](const auto& one) { On(one); }, command);
   for (const RequestId id : touched_) Settle(id);
   touched_.clear();
-  if (mono_ >= next_second_) Second(open);
+  if (now_ >= next_second_) Second(open);
   out_ = nullptr;
 }
 
-void Tracker::Flush(Micros wall, std::vector<wire::Record>& out) {
-  now_ = wall;
+void Tracker::Flush(Micros mono, std::vector<wire::Record>& out) {
+  now_ = mono;
   out_ = &out;
   second_over_ = true;
   if (counted_ || !latency_.empty()) CloseWindow();
@@ -109,6 +110,7 @@
   place->second.came = event;
   place->second.at = now_;
   ++came_[static_cast<std::uint32_t>(event.class_id)];
+  if (event.repeat) ++repeats_[static_cast<std::uint32_t>(event.class_id)];
   Count();
 }
 
@@ -120,7 +122,9 @@
 void Tracker::On(const core::AttemptBegan& event) {
   Request* const request = Find(event.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
-  if (attempt != nullptr && !attempt->ended) attempt->begun = now_;
+  if (attempt == nullptr || attempt->ended) return;
+  attempt->begun = now_;
+  attempt->issued = event.issued;
 }
 
 void Tracker::On(const core::AttemptEnded& event) {
@@ -129,6 +133,7 @@
   if (attempt == nullptr || attempt->ended) return;  // given up before
   attempt->note = event.note;
   attempt->fill_wait = event.fill_wait.value_or(Micros{0});
+  if (event.issued) attempt->issued = event.issued;
   if (event.outcome == Outcome::kServed) {
     attempt->served = true;  // unless the core finds it older than a purge
   } else {
@@ -152,8 +157,7 @@
     out.set_state(static_cast<std::uint32_t>(member.availability));
     out.set_weight(member.weight);
     out.set_started_us(member.started.count());
-    known.state = member.availability;
-    known.gone = now_;
+    Leave(known, member.availability);
   };
   for (std::size_t i = 0; i < event.members.size(); ++i) {
     const Member& member = event.members[i];
@@ -192,6 +196,52 @@
   out.set_made_us(event.at.count());
   out.set_group(static_cast<std::uint64_t>(event.group));
   out.set_object(event.object ? static_cast<std::uint64_t>(*event.object) : 0);
+  const PurgeKey key = event.object ? PurgeKey{0, static_cast<std::uint64_t>(*event.object)}
+                                    : PurgeKey{static_cast<std::uint64_t>(event.group), 0};
+  Purge& purge = purges_[key];
+  if (event.at >= purge.made) purge = {.made = event.at, .told = now_};
+}
+
+// Draining, then gone: the time runs from the first word.
+void Tracker::Leave(Known& known, Availability state) {
+  if (known.state == Availability::kUp && state != Availability::kUp) {
+    if (!std::exchange(known.leaving, true)) ++leaving_;
+    known.told = now_;
+    known.sent = 0;
+    known.last_sent = Micros{0};
+  }
+  known.state = state;
+  known.changed = now_;
+}
+
+void Tracker::On(const core::AttemptWritten& event) {
+  Request* const request = Find(event.id);
+  Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
+  if (attempt != nullptr && !attempt->ended) Went(*attempt);
+}
+
+// An attempt has gone out now: to a server, or with one as its source, that is no longer up?
+void Tracker::Went(const Attempt& attempt) {
+  if (leaving_ == 0) return;
+  for (auto& [id, known] : servers_) {
+    if (!known.leaving || (known.number != attempt.server && known.number != attempt.source)) continue;
+    // One that had to wait for its connection comes a second time.
+    if (attempt.sent == now_ || attempt.sent < known.told) ++known.sent;
+    known.last_sent = now_;
+  }
+}
+
+// An answer that was passed on: by a copy from before a purge?
+void Tracker::Old(const Request& request, const Attempt& attempt) {
+  if (!attempt.issued) return;
+  for (const PurgeKey& key : {PurgeKey{static_cast<std::uint64_t>(request.came.group), 0},
+                              PurgeKey{0, static_cast<std::uint64_t>(request.came.object)}}) {
+    const auto purge = purges_.find(key);
+    if (purge == purges_.end() || *attempt.issued >= purge->second.made) continue;
+    ++purge->second.served;
+    purge->second.last_sent = std::max(purge->second.last_sent, attempt.sent);
+    purge->second.last_served = now_;
+  }
 }
 
 void Tracker::On(const core::ConnectionLost& event) {
@@ -215,18 +265,20 @@
                                .source = fill ? Server(order.source).number : 0,
                                .sent = now_,
                                .give_up_at = order.give_up_at,
+                               .issued = std::nullopt,
                                .ended = std::nullopt,
                                .begun = std::nullopt,
                                .keep = order.keep,
                                .how = (order.join ? 1u : 0u) | (order.source_holds ? 2u : 0u) |
                                       (order.pass_parent ? 4u : 0u) | (order.renew ? 8u : 0u)});
+  Went(request->attempts.back());
 }
 
 void Tracker::On(const core::Stop& command) {
   Request* const request = Find(command.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, command.attempt);
   if (attempt == nullptr || attempt->ended) return;
-  const bool due = now_ >= attempt->give_up_at;
+  const bool due = wall_ >= attempt->give_up_at;
   // An answer that had begun and was never passed on was older than a purge.
   const bool purged = attempt->begun && *attempt->begun == now_ && !request->ending;
   EndAttempt(*request, *attempt, purged ? Outcome::kError : due ? Outcome::kTimedOut : Outcome::kCancelled);
@@ -252,6 +304,7 @@
     }
     const bool late = now_ - request->at > aim;
     const bool stale = attempt != nullptr && attempt->note == FillNote::kStaleHit;
+    if (attempt != nullptr) Old(*request, *attempt);
     if (attempt != nullptr && !attempt->ended) EndAttempt(*request, *attempt, Outcome::kServed);
     ++latency_[static_cast<std::uint32_t>(request->came.class_id) * kBuckets +
                LatencyBucket(now_ - request->at)];
@@ -383,13 +436,11 @@
   out.set_state(static_cast<std::uint32_t>(known.state));
 }
 
-void Tracker::Restate(Micros wall, std::vector<wire::Record>& out) const {
+void Tracker::Restate(std::vector<wire::Record>& out) const {
   std::map<std::uint32_t, const Known*> ordered;
   for (const auto& [id, known] : servers_) ordered.emplace(known.number, &known);
   for (const auto& [number, known] : ordered) {
-    wire::Record& record = out.emplace_back();
-    record.set_at_us(wall.count());
-    WriteServer(*known, *record.mutable_server());
+    WriteServer(*known, *out.emplace_back().mutable_server());
   }
 }
 
@@ -407,12 +458,12 @@
 
 void Tracker::Count() {
   if (std::exchange(counted_, true)) return;
-  window_from_ = mono_;
+  window_from_ = now_;
 }
 
 void Tracker::CloseWindow() {
   wire::Window& out = *Put().mutable_window();
-  out.set_length_us(counted_ ? Clip32((mono_ - window_from_).count()) : 0);
+  out.set_length_us(counted_ ? Clip32((now_ - window_from_).count()) : 0);
   const auto put = [](const auto& counts, auto* target) {
     for (const auto& [key, count] : counts) {
       target->Add(key);
@@ -420,9 +471,11 @@
     }
   };
   put(came_, out.mutable_came());
+  put(repeats_, out.mutable_repeats());
   put(ended_, out.mutable_ended());
   put(attempts_, out.mutable_attempts());
   came_.clear();
+  repeats_.clear();
   ended_.clear();
   attempts_.clear();
   counted_ = false;
@@ -432,7 +485,7 @@
 }
 
 void Tracker::Second(std::size_t open) {
-  next_second_ = mono_ + rules_.second;
+  next_second_ = now_ + rules_.second;
   second_over_ = true;
   for (const auto& [number, losses] : lost_) {
     wire::Lost& out = *Put().mutable_lost();
@@ -442,8 +495,8 @@
   }
   lost_.clear();
   wire::Heartbeat& beat = *Put().mutable_heartbeat();
-  beat.set_wall_us(now_.count());
-  beat.set_mono_us(mono_.count());
+  beat.set_wall_us(wall_.count());
+  beat.set_mono_us(now_.count());
   beat.set_open(static_cast<std::uint32_t>(open));
   std::map<std::uint32_t, std::uint32_t> out;
   for (const auto& [id, known] : servers_) {
@@ -453,10 +506,36 @@
     beat.add_out(number);
     beat.add_out(count);
   }
+  for (auto& [id, known] : servers_) {
+    if (leaving_ == 0) break;
+    if (!known.leaving || now_ - known.told < kDrainWatch) continue;
+    known.leaving = false;
+    --leaving_;
+    wire::Drain& drain = *Put().mutable_drain();
+    drain.set_server(known.number);
+    drain.set_told_us(Clip32((now_ - known.told).count()));
+    drain.set_sent(known.sent);
+    drain.set_last_us(known.sent == 0 ? 0 : Clip32((known.last_sent - known.told).count()));
+  }
+  std::erase_if(purges_, [this](const auto& entry) {
+    const auto& [key, purge] = entry;
+    if (now_ - purge.told < settings_.purge_done) return false;
+    wire::PurgeHeld& held = *Put().mutable_purge_held();
+    held.set_group(key.first);
+    held.set_object(key.second);
+    held.set_told_us(Clip32((now_ - purge.told).count()));
+    held.set_served(purge.served);
+    if (purge.served > 0) {
+      held.set_last_sent_us(Clip32((purge.last_sent - purge.told).count()));
+      held.set_last_served_us(Clip32((purge.last_served - purge.told).count()));
+    }
+    return true;
+  });
   // Over a long day many come and go.
   std::erase_if(servers_, [this](const auto& entry) {
     const Known& known = entry.second;
-    return known.state == Availability::kGone && known.out == 0 && now_ - known.gone > kKeepGone;
+    return known.state == Availability::kGone && known.out == 0 && !known.leaving &&
+           now_ - known.changed > kKeepGone;
   });
 }
 
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -56,15 +56,15 @@
   Tracker(const Settings& settings, TrackerRules rules, std::uint64_t seed);
 
   // One round of the loop: what the core was handed and what came back, at the wall clock and at one that
-  // never steps. Appends records to `out`; their `at_us` is Unix time and still to be set off.
+  // never steps. Appends records to `out`; their `at_us` is the latter, still to be set off.
   void Round(Micros wall, Micros mono, std::span<const core::Event> events, const core::Commands& commands,
              std::size_t open, std::vector<wire::Record>& out);
   // Whatever is counted so far, before the end or a new segment.
-  void Flush(Micros wall, std::vector<wire::Record>& out);
+  void Flush(Micros mono, std::vector<wire::Record>& out);
   // When Round wants to be called again though nothing happens, by the clock that never steps.
   Micros NextDue() const;
   // The servers that have a number, as a segment restates them.
-  void Restate(Micros wall, std::vector<wire::Record>& out) const;
+  void Restate(std::vector<wire::Record>& out) const;
 
   std::size_t Watched() const { return requests_.size(); }
 
@@ -74,9 +74,10 @@
     ServerId id{};
     std::uint32_t server = 0;  // the number that it was given
     std::uint32_t source = 0;
-    Micros sent{0};
-    Micros give_up_at{0};
-    bool served = false;  // its answer is here; whether the core passes it on is not known yet
+    Micros sent{0};                // mono, like all here but where said
+    Micros give_up_at{0};          // wall clock
+    std::optional<Micros> issued;  // wall clock: when the origin gave out the copy
+    bool served = false;           // its answer is here; whether the core passes it on is not known yet
     std::optional<Micros> ended;
     std::optional<Micros> begun;
     Outcome outcome = Outcome::kServed;
@@ -101,8 +102,19 @@
     std::uint32_t zone = 0, kind = 0;
     Availability state = Availability::kUp;
     std::uint32_t out = 0;  // attempts
-    Micros gone{0};
+    Micros changed{0};
+    bool leaving = false;  // told to be draining or gone, and its Drain is still to be written
+    Micros told{0};        // first
+    std::uint32_t sent = 0;
+    Micros last_sent{0};
   };
+  struct Purge {
+    Micros made{0};  // wall clock
+    Micros told{0};
+    std::uint32_t served = 0;
+    Micros last_sent{0}, last_served{0};
+  };
+  using PurgeKey = std::pair<std::uint64_t, std::uint64_t>;  // group, or 0 and the object
 
   void On(const core::RequestCame& event);
   void On(const core::ClientLeft& event);
@@ -111,6 +123,7 @@
   void On(const core::MembersTold& event);
   void On(const core::PurgeTold& event);
   void On(const core::ConnectionLost& event);
+  void On(const core::AttemptWritten& event);
   void On(const core::Send& command);
   void On(const core::Stop& command);
   void On(const core::Relay&) {}
@@ -129,6 +142,9 @@
   void Settle(RequestId id);
   void Trace(RequestId id, const Request& request, bool sampled);
   void Count();
+  void Went(const Attempt& attempt);
+  void Old(const Request& request, const Attempt& attempt);
+  void Leave(Known& known, Availability state);
   void CloseWindow();
   void Second(std::size_t open);
 
@@ -136,17 +152,20 @@
   const TrackerRules rules_;
   std::mt19937_64 random_;
   std::vector<wire::Record>* out_ = nullptr;
-  Micros now_{0};  // wall clock
-  Micros mono_{0};
+  Micros wall_{0};
+  Micros now_{0};  // by the clock that never steps
   std::unordered_map<RequestId, Request> requests_;
   std::vector<RequestId> touched_;  // in this round: may be over
   std::unordered_map<ServerId, Known> servers_;
   std::uint32_t last_number_ = 0;
+  std::size_t leaving_ = 0;
+  std::map<PurgeKey, Purge> purges_;  // told lately
 
   // The window at hand. Ordered, so that the same course gives the same bytes.
   bool counted_ = false;
-  Micros window_from_{0};  // mono
+  Micros window_from_{0};
   std::map<std::uint32_t, std::uint32_t> came_;
+  std::map<std::uint32_t, std::uint32_t> repeats_;
   std::map<std::uint64_t, std::uint32_t> ended_;
   std::map<std::uint64_t, std::uint32_t> attempts_;
   std::map<std::uint32_t, std::uint32_t> latency_;
