--- a/src/cli/records.cpp
+++ b/src/cli/records.cpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <stdexcept>
 
+#include "record/folder.hpp"
 #include "record/json.hpp"
-#include "record/reader.hpp"
 #include "setup/time_text.hpp"
 
 namespace tinspan::cli {
--- a/src/record/reader.hpp
+++ b/src/record/reader.hpp
@@ -1,13 +1,11 @@
 // Reading what recorders wrote, also while they still write and after they died in the middle.
 //
-// Nothing is repaired silently: a torn tail, bytes that were changed, a segment that is missing, a record or
-// a format that is not known here are passed over as far as needed, and each is told as a Trouble with its
-// file and offset.
+// Pure: bytes in, records out (folder.hpp reads files). Nothing is repaired silently: a torn tail, bytes that
+// were changed, a segment that is missing, a record or a format that is not known here are passed over as far
+// as needed, and each is told as a Trouble with its file and offset.
 #pragma once
 
 #include <cstdint>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,6 +54,10 @@
   Trouble trouble_;
 };
 
+// NAME.START.SEGMENT.tsrec; a name's characters that file names had better not hold become '_'.
+inline constexpr std::string_view kSuffix = ".tsrec";
+std::string FilePrefix(std::string_view name);
+
 // What a segment's file name tells.
 struct SegmentName {
   std::string path;
@@ -79,32 +81,4 @@
   virtual void OnTrouble(const Trouble& trouble) = 0;
 };
 
-// Folders of segments, or single segments, followed as they grow.
-class FolderReader {
- public:
-  // Throws std::runtime_error naming a path that is neither a folder nor a file that can be read.
-  explicit FolderReader(std::vector<std::string> paths);
-  // Reads all that has been written since the last call. How many segments there are.
-  std::size_t Poll(Sink& sink);
-  // Nothing more will come: what is half there is told as damage.
-  void Finish(Sink& sink);
-  std::uint64_t Bytes() const { return bytes_; }
-
- private:
-  struct Open {
-    SegmentName name;
-    std::uint64_t read = 0;
-    std::unique_ptr<SegmentReader> reader;
-    bool finished = false;
-  };
-  void List();
-  void ReadOn(Open& file, Sink& sink);
-  static void Drain(Open& file, Sink& sink, bool end);
-
-  std::vector<std::string> paths_;
-  std::map<SegmentName, Open> files_;
-  std::map<std::pair<std::string, std::int64_t>, std::uint32_t> last_;  // segment begun, by incarnation
-  std::uint64_t bytes_ = 0;
-};
-
 }  // namespace tinspan::record
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -3,7 +3,6 @@
 #include <sys/stat.h>
 
 #include <algorithm>
-#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
@@ -49,14 +48,6 @@
 
 }  // namespace
 
-std::string FilePrefix(std::string_view name) {
-  std::string out(name.substr(0, 100));
-  for (char& c : out) {
-    if (!std::isalnum(static_cast<unsigned char>(c)) && c != '-') c = '_';
-  }
-  return out + ".";
-}
-
 Recorder::Recorder(const Settings& settings, RecorderOptions options, Micros now)
     : options_(std::move(options)),
       settings_(settings),
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/observer.hpp"
+#include "record/reader.hpp"
 #include "record/rotation.hpp"
 #include "record/tracker.hpp"
 #include "record/writer.hpp"
@@ -27,10 +28,6 @@
   std::uint64_t seed = 0;
 };
 
-// NAME.START.SEGMENT.tsrec; a name's characters that file names had better not hold become '_'.
-inline constexpr std::string_view kSuffix = ".tsrec";
-std::string FilePrefix(std::string_view name);
-
 class Recorder final : public core::Observer {
  public:
   // Throws std::runtime_error where the folder cannot be had.
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -12,8 +12,8 @@
 
 #include "record/book.hpp"
 #include "record/frame.hpp"
+#include "record/folder.hpp"
 #include "record/json.hpp"
-#include "record/reader.hpp"
 #include "record/recorder.hpp"
 
 namespace tinspan::record {
