--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -8,6 +8,7 @@
 #include "cli/init.hpp"
 #include "cli/keys.hpp"
 #include "cli/records.hpp"
+#include "cli/report.hpp"
 #include "cli/serve.hpp"
 #include "log/log.hpp"
 
@@ -54,6 +55,11 @@
             1, kMany, DescribeRecordsCat, RunRecordsCat},
     Command{"records verify", "DIR...", "say what cannot be read, with file and offset; 1 if there is any",
             "tinspan records verify gateway/records\n", 1, kMany, None, RunRecordsVerify},
+    Command{"report", "DIR...",
+            "retell what happened from the records in these folders, as one page or as data",
+            "tinspan report north/records south/records -o report.html\n"
+            "tinspan report --around 2026-12-01T14:03:00Z --format json gateway/records\n",
+            1, kMany, DescribeReport, RunReport},
     Command{"version", "", "print the version", "tinspan version\n", 0, 0, None, Version},
     Command{"help", "[COMMAND]", "explain a command", "tinspan help serve\ntinspan help keys link\n", 0, 2,
             None, Help},
--- a/src/cli/records.cpp
+++ b/src/cli/records.cpp
@@ -60,16 +60,6 @@
   std::uint64_t troubles = 0;
 };
 
-// All that is in the folders now. Throws where that is nothing.
-std::uint64_t ReadAll(const std::vector<std::string>& paths, record::Sink& sink) {
-  record::FolderReader reader(paths);
-  if (reader.Poll(sink) == 0) {
-    throw std::runtime_error(paths[0] + ": no records are here (NAME.START.NUMBER.tsrec)");
-  }
-  reader.Finish(sink);
-  return reader.Bytes();
-}
-
 // Prints what passes the filters.
 class Printer final : public record::Sink {
  public:
@@ -124,6 +114,15 @@
 
 }  // namespace
 
+std::uint64_t ReadAll(const std::vector<std::string>& paths, record::Sink& sink) {
+  record::FolderReader reader(paths);
+  if (reader.Poll(sink) == 0) {
+    throw std::runtime_error(paths[0] + ": no records are here (NAME.START.NUMBER.tsrec)");
+  }
+  reader.Finish(sink);
+  return reader.Bytes();
+}
+
 std::optional<Micros> TimeOption(const Values& values, const char* option) {
   const std::string text = TextOf(values, option);
   if (text.empty()) return std::nullopt;
--- a/src/cli/records.hpp
+++ b/src/cli/records.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "cli/command.hpp"
-#include "tinspan/router.hpp"
+#include "record/reader.hpp"
 
 namespace tinspan::cli {
 
@@ -13,6 +13,9 @@
 int RunRecordsCat(const Values& values, const std::vector<std::string>& arguments);
 int RunRecordsVerify(const Values& values, const std::vector<std::string>& arguments);
 
+// All that is in the folders now, and how many bytes that was. Throws std::runtime_error where that is
+// nothing.
+std::uint64_t ReadAll(const std::vector<std::string>& paths, record::Sink& sink);
 // A time given as an option, or nothing where it is not. Throws Usage.
 std::optional<Micros> TimeOption(const Values& values, const char* option);
 
--- /dev/null
+++ b/src/cli/report.hpp
@@ -0,0 +1,11 @@
+// `tinspan report`: an incident retold from saved records, offline.
+#pragma once
+
+#include "cli/command.hpp"
+
+namespace tinspan::cli {
+
+void DescribeReport(Options& options);
+int RunReport(const Values& values, const std::vector<std::string>& arguments);
+
+}  // namespace tinspan::cli
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -73,9 +73,8 @@
   ServerId server{};
   std::size_t open = 0;
 };
-using Event =
-    std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold,
-                 ConnectionLost, AttemptWritten>;
+using Event = std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold,
+                           ConnectionLost, AttemptWritten>;
 
 // ---- Commands, to be carried out in order. ----
 struct Send {
--- a/src/record/tracker.cpp
+++ b/src/record/tracker.cpp
@@ -210,10 +210,22 @@
     known.sent = 0;
     known.last_sent = Micros{0};
   }
+  // Back again: what goes there from now on is as it should be.
+  if (known.leaving && state == Availability::kUp) WriteDrain(known);
   known.state = state;
   known.changed = now_;
 }
 
+void Tracker::WriteDrain(Known& known) {
+  known.leaving = false;
+  --leaving_;
+  wire::Drain& drain = *Put().mutable_drain();
+  drain.set_server(known.number);
+  drain.set_told_us(Clip32((now_ - known.told).count()));
+  drain.set_sent(known.sent);
+  drain.set_last_us(known.sent == 0 ? 0 : Clip32((known.last_sent - known.told).count()));
+}
+
 void Tracker::On(const core::AttemptWritten& event) {
   Request* const request = Find(event.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
@@ -508,14 +520,7 @@
   }
   for (auto& [id, known] : servers_) {
     if (leaving_ == 0) break;
-    if (!known.leaving || now_ - known.told < kDrainWatch) continue;
-    known.leaving = false;
-    --leaving_;
-    wire::Drain& drain = *Put().mutable_drain();
-    drain.set_server(known.number);
-    drain.set_told_us(Clip32((now_ - known.told).count()));
-    drain.set_sent(known.sent);
-    drain.set_last_us(known.sent == 0 ? 0 : Clip32((known.last_sent - known.told).count()));
+    if (known.leaving && now_ - known.told >= kDrainWatch) WriteDrain(known);
   }
   std::erase_if(purges_, [this](const auto& entry) {
     const auto& [key, purge] = entry;
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -145,6 +145,7 @@
   void Went(const Attempt& attempt);
   void Old(const Request& request, const Attempt& attempt);
   void Leave(Known& known, Availability state);
+  void WriteDrain(Known& known);
   void CloseWindow();
   void Second(std::size_t open);
 
--- a/src/timeline/course.cpp
+++ b/src/timeline/course.cpp
@@ -57,6 +57,7 @@
   }
   const Micros at = life.wall + Micros{header.mono_us() + record.at_us()} - life.mono;
   if (life.records == 1) life.first = life.last = at;
+  life.first = std::min(life.first, at);
   life.last = std::max(life.last, at);
   switch (record.what_case()) {
     case wire::Record::kHeartbeat:
@@ -117,7 +118,6 @@
 }
 
 void Course::Take(Life& life, Micros at, const wire::Heartbeat& beat) {
-  life.open = beat.open();
   const Micros moved = Micros{beat.wall_us()} - at;
   Micros before{0};
   for (const Life::Step& step : life.steps) before += step.by;
@@ -145,6 +145,7 @@
   cells.resize(std::max(cells.size(), classes));
   for (int i = 0; i + 1 < window.came_size(); i += 2) {
     if (window.came(i) < classes) cells[window.came(i)].came += window.came(i + 1);
+    life.open += window.came(i + 1);
   }
   for (int i = 0; i + 1 < window.repeats_size(); i += 2) {
     if (window.repeats(i) < classes) cells[window.repeats(i)].repeats += window.repeats(i + 1);
@@ -152,6 +153,7 @@
   for (int i = 0; i + 1 < window.ended_size(); i += 2) {
     const record::Book::Key key = life.book.Split(window.ended(i));
     if (key.what < record::kEndings) cells[key.class_id].ended[key.what] += window.ended(i + 1);
+    life.open -= static_cast<std::int64_t>(window.ended(i + 1));
   }
   const std::int64_t bin = Bin(at, kServerBin);
   for (int i = 0; i + 1 < window.attempts_size(); i += 2) {
--- a/src/timeline/course.hpp
+++ b/src/timeline/course.hpp
@@ -98,8 +98,8 @@
   record::Book book;
   Micros wall{0}, mono{0};  // of the first header
   Micros first{0}, last{0};
-  bool ended = false;      // it says so itself
-  std::uint32_t open = 0;  // requests, as the last heartbeat told
+  bool ended = false;     // it says so itself
+  std::int64_t open = 0;  // requests that came and have not ended, as far as is recorded
   std::uint64_t records = 0, dropped = 0;
   std::vector<Change> changes;
   std::vector<Word> words;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -160,6 +160,7 @@
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
   }
+  int Descriptor() const { return fd_; }
   std::string Address() const { return "127.0.0.1:" + std::to_string(port); }
   int port = 0;
 
