Add tinspan console and the gateway's /-/records, from which it can look on

The operators want the fleet's state live. console reads folders of records as they grow, or running gateways over GET /-/records with the operator's token: bytes since an offset, kept in 1 MB of memory, with all that is needed to read them where the offset is not kept any more.

The report's sentences leave out what a purge wave says already.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "cli/command.hpp"
+#include "cli/console.hpp"
 #include "cli/init.hpp"
 #include "cli/keys.hpp"
 #include "cli/records.hpp"
@@ -60,6 +61,11 @@
             "tinspan report north/records south/records -o report.html\n"
             "tinspan report --around 2026-12-01T14:03:00Z --format json gateway/records\n",
             1, kMany, DescribeReport, RunReport},
+    Command{"console", "[DIR...]", "show a fleet live in the terminal, from records or from running gateways",
+            "tinspan console gateway/records\n"
+            "tinspan console --from http://127.0.0.1:8080 --token-file gateway/operator.token\n"
+            "tinspan console --once --at 2026-12-01T14:03:00Z gateway/records\n",
+            0, kMany, DescribeConsole, RunConsole},
     Command{"version", "", "print the version", "tinspan version\n", 0, 0, None, Version},
     Command{"help", "[COMMAND]", "explain a command", "tinspan help serve\ntinspan help keys link\n", 0, 2,
             None, Help},
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -57,6 +57,7 @@
   core::Gateway gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
   const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
   Front front(loop, config, gateway, events);
+  if constexpr (std::is_same_v<Front, http::HttpFront>) front.SetFeed(recorder.get());
   // The port as it is, since 0 asks for any free one.
   const std::string at = net::Endpoint{config.listen.address, front.Port()}.Text();
   log::Info("serve.listening", {{"name", config.name}, {"address", at}}, "{} serving at {}", config.name, at);
--- a/src/core/observer.hpp
+++ b/src/core/observer.hpp
@@ -2,7 +2,9 @@
 // nothing. It must not block and must not throw.
 #pragma once
 
+#include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "core/gateway.hpp"
@@ -23,4 +25,13 @@
   virtual Micros MostWait(Micros now) const = 0;
 };
 
+// What has been observed lately, as bytes for whoever looks on from afar (record/recorder.hpp).
+class RecordFeed {
+ public:
+  virtual ~RecordFeed() = default;
+  // All since `offset`, which becomes the offset to ask from next; where that much is not kept any more (or
+  // it was never given out), from the oldest that is, and with all that is needed to read it.
+  virtual std::string Since(std::uint64_t& offset) const = 0;
+};
+
 }  // namespace tinspan::core
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 #include "log/log.hpp"
@@ -149,7 +150,7 @@
   std::string fields;
   status = Handle(client, head, unread.substr(head.length, length), fields);
   client.connection->Consume(head.length + length);
-  if (status != 0) Reply(client, status, fields);
+  if (status != 0) Reply(client, status, fields, std::exchange(body_, {}));
   return true;
 }
 
@@ -225,11 +226,13 @@
 // /-/healthy for whoever watches the gateway; /-/purge for operators, with a token of their own.
 int Clients::Operator(const Head& head, const Target& target, std::string_view body, std::string& fields) {
   if (target.path == "/-/healthy") return ready_ && !Stopping(net::Now()) ? 200 : 503;
-  if (target.path != "/-/purge" || config_.operator_token.empty()) return 404;
+  const bool records = target.path == "/-/records" && feed_ != nullptr;
+  if ((target.path != "/-/purge" && !records) || config_.operator_token.empty()) return 404;
   if (!SameSecret(head.Field("Authorization"), "Bearer " + config_.operator_token)) {
     fields = "WWW-Authenticate: Bearer realm=\"operator\"\r\n";
     return 401;
   }
+  if (records) return Records(head, target, fields);
   if (head.method != "POST") {
     fields = "Allow: POST\r\n";
     return 405;
@@ -257,18 +260,39 @@
   return 204;
 }
 
+// What has been recorded since `offset`; Tinspan-Next is the one to ask from next.
+int Clients::Records(const Head& head, const Target& target, std::string& fields) {
+  if (head.method != "GET") {
+    fields = "Allow: GET\r\n";
+    return 405;
+  }
+  std::uint64_t offset = 0;
+  if (!target.query.empty()) {
+    constexpr std::string_view kName = "offset=";
+    const char* const end = target.query.data() + target.query.size();
+    if (!target.query.starts_with(kName) ||
+        std::from_chars(target.query.data() + kName.size(), end, offset).ptr != end) {
+      return 400;
+    }
+  }
+  body_ = feed_->Since(offset);
+  fields = "Content-Type: application/octet-stream\r\nCache-Control: no-store\r\nTinspan-Next: " +
+           std::to_string(offset) + "\r\n";
+  return 200;
+}
+
 Asked* Clients::Find(RequestId id) {
   const auto found = asked_.find(id);
   return found == asked_.end() ? nullptr : &found->second;
 }
 
-void Clients::Reply(Client& client, int status, std::string_view fields) {
+void Clients::Reply(Client& client, int status, std::string_view fields, std::string_view body) {
   client.last = client.last || Stopping(net::Now());
   std::string out = "HTTP/1.1 " + std::to_string(status) + " " + std::string(Reason(status)) + "\r\n";
   out.append(fields);
-  if (status != 204) out.append("Content-Length: 0\r\n");
+  if (status != 204) out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
   if (client.last) out.append("Connection: close\r\n");
-  client.connection->Write(out.append("\r\n"));
+  client.connection->Write(out.append("\r\n"), body, {});
   client.used = net::Now();
   if (client.last) client.connection->CloseWhenDrained();
 }
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -9,6 +9,7 @@
 
 #include "config/config.hpp"
 #include "core/gateway.hpp"
+#include "core/observer.hpp"
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
 #include "net/connection.hpp"
@@ -43,6 +44,8 @@
   void Answer(RequestId id, int status, std::string_view fields);
 
   void SetReady() { ready_ = true; }
+  // What /-/records gives out; none: there is no such endpoint.
+  void SetFeed(const core::RecordFeed* feed) { feed_ = feed; }
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
   bool Drained() const;
   void EndRound(Micros now);
@@ -68,9 +71,10 @@
   // 0: it goes to the core. Else the status that answers it; header lines go to `fields`.
   int Handle(Client& client, const Head& head, std::string_view body, std::string& fields);
   int Operator(const Head& head, const Target& target, std::string_view body, std::string& fields);
+  int Records(const Head& head, const Target& target, std::string& fields);
   int Judge(config::Carrier access, const Head& head, const Target& target, Micros now,
             std::string& fields) const;
-  void Reply(Client& client, int status, std::string_view fields);
+  void Reply(Client& client, int status, std::string_view fields, std::string_view body = {});
   void Leave(Client& client);
   bool Stopping(Micros now) const { return now >= accept_until_; }
 
@@ -85,6 +89,8 @@
   net::Visitors visitors_;
   std::uint64_t last_ = 0;
   bool ready_ = false;
+  const core::RecordFeed* feed_ = nullptr;
+  std::string body_;  // of the answer to an operator
   Micros accept_until_ = Micros::max();
   net::Listener listener_;
 };
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -23,6 +23,7 @@
   void Drain(net::Micros accept_until) override { clients_.Drain(accept_until); }
   bool Reload() override;  // the keys: how they are rotated
   bool Drained() const override { return clients_.Drained(); }
+  void SetFeed(const core::RecordFeed* feed) { clients_.SetFeed(feed); }
   std::uint16_t Port() const { return clients_.Port(); }
 
  private:
--- a/src/record/frame.cpp
+++ b/src/record/frame.cpp
@@ -30,6 +30,8 @@
   out.append(message);
 }
 
+std::size_t FrameSize(std::string_view bytes) { return kFrameHead + GetLittle(bytes.data(), 4); }
+
 void FrameReader::Feed(std::string_view bytes) {
   if (at_ > (64 << 10)) {
     buffer_.erase(0, at_);
--- a/src/record/frame.hpp
+++ b/src/record/frame.hpp
@@ -17,6 +17,8 @@
 inline constexpr std::size_t kMostMessage = 1 << 20;
 
 void AppendFrame(std::string& out, std::string_view message);
+// The whole size of the frame that `bytes` begin with; it must be one that AppendFrame made.
+std::size_t FrameSize(std::string_view bytes);
 
 // Splits the bytes of one segment into messages, as they come.
 class FrameReader {
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kMostWaiting = 4 << 20;  // bytes in memory for a disk that does not keep up
 constexpr std::size_t kBlock = 64 << 10;
 constexpr Micros kHandOver{100'000};
+constexpr std::size_t kMostRecent = 1 << 20;
 
 Micros Mono() {
   return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
@@ -128,6 +129,34 @@
   const std::size_t before = order_.bytes.size();
   AppendFrame(order_.bytes, scratch_);
   rotation_.Wrote(order_.bytes.size() - before);
+  Keep(std::string_view(order_.bytes).substr(before));
+}
+
+void Recorder::Keep(std::string_view frames) {
+  recent_.append(frames);
+  if (recent_.size() <= 2 * kMostRecent) return;
+  // Whole frames go: the rest begins with one.
+  std::size_t gone = 0;
+  while (recent_.size() - gone > kMostRecent) gone += FrameSize(std::string_view(recent_).substr(gone));
+  recent_.erase(0, gone);
+  recent_from_ += gone;
+}
+
+std::string Recorder::Since(std::uint64_t& offset) const {
+  if (off_) return {};
+  const std::uint64_t end = recent_from_ + recent_.size();
+  std::string out;
+  if (offset >= recent_from_ && offset <= end) {
+    out = recent_.substr(static_cast<std::size_t>(offset - recent_from_));
+  } else {
+    out.append(kMagic).append(first_);
+    std::vector<wire::Record> servers;
+    tracker_.Restate(servers);
+    for (const wire::Record& one : servers) AppendFrame(out, one.SerializeAsString());
+    out.append(recent_);
+  }
+  offset = end;
+  return out;
 }
 
 void Recorder::OpenSegment(Micros now) {
@@ -165,11 +194,16 @@
   for (const std::string& zone : options_.zones) header.add_zones(zone);
   for (const std::string& kind : options_.kinds) header.add_kinds(kind);
   order_.bytes.append(kMagic);
-  AppendFrame(order_.bytes, first.SerializeAsString());
+  first_.clear();
+  AppendFrame(first_, first.SerializeAsString());
+  // Times are set off from another moment now: who is behind begins anew. Offsets only ever grow.
+  recent_from_ += recent_.size() + 1;
+  recent_.clear();
+  order_.bytes.append(first_);
   std::vector<wire::Record> servers;
   tracker_.Restate(servers);
   for (const wire::Record& one : servers) AppendFrame(order_.bytes, one.SerializeAsString());
-  AppendFrame(order_.bytes, first.SerializeAsString());  // should the first be spoilt
+  order_.bytes.append(first_);  // should the one before be spoilt
   rotation_.Wrote(order_.bytes.size());
   const std::size_t room = std::min(options_.rotation.segment_bytes, options_.rotation.total_bytes / 2);
   if (order_.bytes.size() > room / 2) {
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -28,7 +28,7 @@
   std::uint64_t seed = 0;
 };
 
-class Recorder final : public core::Observer {
+class Recorder final : public core::Observer, public core::RecordFeed {
  public:
   // Throws std::runtime_error where the folder cannot be had.
   Recorder(const Settings& settings, RecorderOptions options, Micros now);
@@ -39,6 +39,9 @@
   void OnLife(Micros now, core::Life what, int signal, std::string_view text, std::size_t open) override;
   Micros MostWait(Micros now) const override;
 
+  // Of the open segment, the last 1 MB at most, as a segment's bytes.
+  std::string Since(std::uint64_t& offset) const override;
+
   bool IsOn() const { return !off_; }
   std::uint64_t Lost() const { return lost_; }  // records that were dropped
 
@@ -47,6 +50,7 @@
   void Encode(Micros now, wire::Record& record);
   void OpenSegment(Micros now);
   void HandOver();
+  void Keep(std::string_view frames);
   void TurnOff(const std::string& why);
 
   const RecorderOptions options_;
@@ -60,7 +64,10 @@
   std::vector<wire::Record> records_;
   Writer::Order order_;
   std::string scratch_;
-  Micros handed_{0};  // mono
+  Micros handed_{0};               // mono
+  std::string recent_;             // frames
+  std::uint64_t recent_from_ = 1;  // offset of its first byte
+  std::string first_;              // the open segment's header, as a frame
   wire::Gap gap_;
   std::uint64_t lost_ = 0;
   bool off_ = false;
--- a/src/timeline/course.cpp
+++ b/src/timeline/course.cpp
@@ -118,6 +118,9 @@
 }
 
 void Course::Take(Life& life, Micros at, const wire::Heartbeat& beat) {
+  life.beat = at;
+  life.out.clear();
+  for (int i = 0; i + 1 < beat.out_size(); i += 2) life.out[KeyOf(life, beat.out(i))] = beat.out(i + 1);
   const Micros moved = Micros{beat.wall_us()} - at;
   Micros before{0};
   for (const Life::Step& step : life.steps) before += step.by;
--- a/src/timeline/course.hpp
+++ b/src/timeline/course.hpp
@@ -98,8 +98,10 @@
   record::Book book;
   Micros wall{0}, mono{0};  // of the first header
   Micros first{0}, last{0};
-  bool ended = false;     // it says so itself
-  std::int64_t open = 0;  // requests that came and have not ended, as far as is recorded
+  bool ended = false;                      // it says so itself
+  std::int64_t open = 0;                   // requests that came and have not ended, as far as is recorded
+  std::map<ServerKey, std::uint32_t> out;  // attempts, as the last heartbeat told
+  Micros beat{0};                          // when that was
   std::uint64_t records = 0, dropped = 0;
   std::vector<Change> changes;
   std::vector<Word> words;
--- a/src/timeline/events.cpp
+++ b/src/timeline/events.cpp
@@ -90,7 +90,7 @@
           *merged.died[i], merged.uncertain[i] + Micros{1'000'000}, EventKind::kDied, life.name, "", {},
           Micros{0}};
       event.text = life.name + " died with " + std::to_string(life.open) +
-                   " requests open: its records end without a word";
+                   (life.open == 1 ? " request" : " requests") + " open: its records end without a word";
       for (const Instance& other : story.instances) {
         if (other.to > event.at + Micros{2'000'000} && other.from < event.at && other.name != life.name) {
           event.heard.push_back(other.name);
--- a/src/timeline/incidents.cpp
+++ b/src/timeline/incidents.cpp
@@ -38,7 +38,12 @@
 }
 
 void FromEvents(const Story& story, Incident& incident) {
-  std::vector<const Event*> drained, cold;
+  std::vector<const Event*> drained, cold, started;
+  const auto in_wave = [&](const Event& purge) {  // told as a whole
+    return std::any_of(story.events.begin(), story.events.end(), [&](const Event& event) {
+      return event.kind == EventKind::kPurgeWave && purge.at >= event.at && purge.at - event.at < kBefore;
+    });
+  };
   for (const Event& event : story.events) {
     if (event.at < incident.from - kBefore || event.at > incident.to) continue;
     const auto add = [&](const char* what) {
@@ -53,7 +58,7 @@
         add("instance stopped");
         break;
       case EventKind::kStarted:
-        add("instance started");
+        started.push_back(&event);
         break;
       case EventKind::kPurgeWave:
         add("purge wave");
@@ -72,7 +77,7 @@
         cold.push_back(&event);
         break;
       case EventKind::kPurge:
-        if (event.text.starts_with("group")) add("group purged");
+        if (event.text.starts_with("group") && !in_wave(event)) add("group purged");
         break;
       default:
         break;
@@ -97,6 +102,13 @@
   };
   together(drained, "servers drained or gone", "were told to be draining or gone");
   together(cold, "cold servers", "came, cold");
+  if (started.size() == 1)
+    incident.causes.push_back({started[0]->at, started[0]->uncertain, "instance started", started[0]->text});
+  if (started.size() > 1) {
+    incident.causes.push_back(
+        {started[0]->at, started[0]->uncertain, "instances started",
+         std::to_string(started.size()) + " instances started, the first of them " + started[0]->who});
+  }
 }
 
 // What the counts say: which servers failed, which classes were refused, who came back.
--- a/src/timeline/story.cpp
+++ b/src/timeline/story.cpp
@@ -33,6 +33,8 @@
                        " (the day's course: " + Percent(story.usual) + ").";
     if (incident.causes.empty()) text += " Nothing in the records comes before it.";
     for (const Cause& cause : incident.causes) {
+      if (cause.what.starts_with("instance") && cause.what.find("started") != std::string::npos)
+        continue;  // the table has it
       text += " " + Clock(cause.at) + PlusMinus(cause.uncertain) + ": " + cause.evidence + ".";
     }
     out.push_back(std::move(text));
--- a/tests/net/cli_test.cpp
+++ b/tests/net/cli_test.cpp
@@ -173,6 +173,32 @@
         life.out.find("\"serving\"") < life.out.find("\"signalled\""));
 }
 
+// A running gateway shown from afar; what cannot be had is said, and a stream that stalls ends in an error.
+void ConsoleAsksAGateway() {
+  Place place;
+  CHECK(place.Run("tinspan init gateway").status == 0);
+  place.FreePort();
+  Program program({"serve", "-f", place.folder + "/gateway/gateway.json"}, {});
+  const std::string url = " --from http://127.0.0.1:" + std::to_string(program.Port());
+  const std::string token = " --token-file gateway/operator.token";
+  const Ran frame = place.Run("tinspan console --once" + url + token);
+  CHECK(frame.status == 0 && Has(frame, "gateway-north") && Has(frame, " up ") &&
+        Has(frame, "gateway-north serving"));
+  const Ran wrong =
+      place.Run("echo another token of its size > wrong && tinspan console --once --token-file wrong" + url);
+  CHECK(wrong.status == 1 && Has(wrong, "the operator's token is not accepted"));
+  Server silent;
+  const Ran stalled = place.Run("tinspan console --once --from http://" + silent.Address() + token);
+  CHECK(stalled.status == 1 && Has(stalled, "no answer from " + silent.Address()));
+  CHECK(place.Run("tinspan console").status == 2 && place.Run("tinspan console --once nowhere").status == 1);
+  CHECK(place.Run("tinspan console --once" + url).status == 2);  // no token
+  CHECK(place.Run("mkdir empty && tinspan console --once empty").status == 1);
+  const Ran live = place.Run("tinspan console gateway/records < /dev/null");
+  CHECK(live.status == 1 && Has(live, "no terminal is here"));
+  for (const char* what : {"report nowhere", "report empty"})
+    CHECK(place.Run("tinspan " + std::string(what)).status == 1);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -180,6 +206,7 @@
                    {"init_writes_for_its_owner_alone", InitWritesForItsOwnerAlone},
                    {"names_what_is_wrong", NamesWhatIsWrong},
                    {"keys_sign_and_show", KeysSignAndShow},
-                   {"records_outlive_sigkill", RecordsOutliveSigkill}},
+                   {"records_outlive_sigkill", RecordsOutliveSigkill},
+                   {"console_asks_a_gateway", ConsoleAsksAGateway}},
                   argc, argv);
 }
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -11,8 +11,8 @@
 #include <random>
 
 #include "record/book.hpp"
-#include "record/frame.hpp"
 #include "record/folder.hpp"
+#include "record/frame.hpp"
 #include "record/json.hpp"
 #include "record/recorder.hpp"
 
