--- a/src/record/reader.cpp
+++ b/src/record/reader.cpp
@@ -18,6 +18,41 @@
   return value;
 }
 
+// Figures that no recorder writes would lead every sum behind them astray.
+bool IsPlausible(const wire::Record& record) {
+  constexpr std::int64_t kMostTime = 4'100'000'000'000'000;  // the year 2099, in microseconds
+  constexpr std::int64_t kMostSpan = 100'000'000'000'000;    // three years
+  constexpr std::uint64_t kMostCount = std::uint64_t{1} << 40;
+  constexpr int kMostClasses = 256;
+  const auto time = [](std::int64_t value) { return value >= 0 && value <= kMostTime; };
+  if (record.at_us() < -kMostSpan || record.at_us() > kMostSpan) return false;
+  if (record.has_header()) {
+    const wire::Header& header = record.header();
+    for (const wire::Class& of : header.classes()) {
+      for (const double worth : {of.worth(), of.late_worth(), of.stale_worth()}) {
+        if (!(worth >= 0 && worth <= 1e9)) return false;
+      }
+    }
+    return time(header.wall_us()) && time(header.mono_us()) && time(header.incarnation()) &&
+           header.classes_size() <= kMostClasses;
+  }
+  if (record.has_heartbeat()) return time(record.heartbeat().wall_us()) && time(record.heartbeat().mono_us());
+  if (record.has_purge()) return time(record.purge().made_us());
+  if (record.has_members()) {
+    for (const wire::Member& one : record.members().members()) {
+      if (!time(one.started_us())) return false;
+    }
+  }
+  if (record.has_window()) {
+    for (const auto* const counts : {&record.window().ended(), &record.window().attempts()}) {
+      for (int i = 1; i < counts->size(); i += 2) {
+        if (counts->Get(i) > kMostCount) return false;
+      }
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 // ---- One segment. ----
@@ -48,6 +83,7 @@
   if (!record_.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
     return Told(offset_, "a message that is whole and cannot be read, passed over");
   }
+  if (!IsPlausible(record_)) return Told(offset_, "a record with figures that cannot be, passed over");
   if (record_.has_header()) {
     base_ = record_.header().wall_us();
     header_ = base_;
--- a/src/timeline/incidents.cpp
+++ b/src/timeline/incidents.cpp
@@ -208,7 +208,8 @@
   const double bound = story.usual - std::max(kDrop, kSpreads * Median(off));
   for (std::size_t i = 0; i < story.points.size(); ++i) {
     double asked = 0, earned = 0;
-    const std::size_t from = i + 1 < kSmooth ? 0 : i + 1 - kSmooth;
+    std::size_t from = i + 1 < kSmooth ? 0 : i + 1 - kSmooth;
+    while (story.points[i].at - story.points[from].at >= static_cast<std::int64_t>(kSmooth) * kSecond) ++from;
     for (std::size_t j = from; j <= i; ++j) {
       asked += story.points[j].Asked();
       earned += story.points[j].Earned();
--- a/src/timeline/merge.cpp
+++ b/src/timeline/merge.cpp
@@ -143,6 +143,7 @@
     story.from = std::min(story.from, instance.from);
     story.to = std::max(story.to, instance.to);
   }
+  if (story.instances.empty()) story.from = story.to = Micros{0};
   if (rules.from) story.from = std::max(story.from, *rules.from);
   if (rules.to) story.to = std::min(story.to, *rules.to);
   if (story.from > story.to) story.from = story.to;
--- a/src/timeline/service.cpp
+++ b/src/timeline/service.cpp
@@ -115,28 +115,25 @@
     if (tally.asked > 0) story.worst_class = std::min(story.worst_class, tally.Share());
   }
   story.whole = story.all.Share();
-  // Seconds without any request are seconds too.
-  if (!points.empty()) {
-    for (std::int64_t s = points.begin()->first; s <= points.rbegin()->first; ++s) {
-      story.points.push_back(point(s * kSecond));
-    }
-  }
+  for (auto& [second, one] : points) story.points.push_back(std::move(one));
   double asked = 0, earned = 0;
   const double least =
       10 * story.all.asked / static_cast<double>(std::max<std::size_t>(story.points.size(), 1)) / 5;
   story.worst_ten = story.whole;
   story.worst_ten_at = story.from;
-  for (std::size_t i = 0; i < story.points.size(); ++i) {
+  for (std::size_t i = 0, first = 0; i < story.points.size(); ++i) {
     asked += story.points[i].Asked();
     earned += story.points[i].Earned();
-    if (i >= 10) {
-      asked -= story.points[i - 10].Asked();
-      earned -= story.points[i - 10].Earned();
+    const Micros from = story.points[i].at - 9 * kSecond;
+    for (; story.points[first].at < from; ++first) {
+      asked -= story.points[first].Asked();
+      earned -= story.points[first].Earned();
     }
-    // Ten seconds in which hardly anybody asked say nothing.
-    if (i < 9 || asked < std::max(least, 1e-9) || earned / asked >= story.worst_ten) continue;
+    // Ten seconds in which hardly anybody asked say nothing, nor does a beginning of less than ten.
+    if (from < story.points.front().at || asked < std::max(least, 1e-9) || earned / asked >= story.worst_ten)
+      continue;
     story.worst_ten = std::max(earned / asked, 0.0);
-    story.worst_ten_at = story.points[i - 9].at;
+    story.worst_ten_at = from;
   }
   std::map<std::pair<std::int64_t, std::uint32_t>, LatencyCounts> latency;
   for (std::size_t i = 0; i < merged.lives.size(); ++i) {
