Wait for a large message that is still being written, instead of calling it damage

Once more than 64 KB of a frame was there and the rest was not, its length was doubted and the search for the next good frame began a byte behind it; when the rest came, the frame itself was never looked at again (FrameReader::Next). The new test feeds messages of 300 KB in pieces of 10 KB; it fails before.

--- a/src/record/frame.cpp
+++ b/src/record/frame.cpp
@@ -81,7 +81,7 @@
       return State::kMessage;
     }
     lost_ = true;
-    probe_ = at_ + 1;
+    probe_ = size == kPartial && !ended_ ? at_ : at_ + 1;  // a doubted one may yet come whole
   }
   // A place whose frame is not all there yet stays in question while the file grows; one that holds behind it
   // settles it.
@@ -91,7 +91,9 @@
     if (size == kPartial) {
       open = std::min(open, at);
     } else if (size > 0) {
-      return Damaged(at);
+      if (at > at_) return Damaged(at);
+      lost_ = false;
+      return Next();
     }
   }
   probe_ = open;
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -90,6 +90,14 @@
   RC_ASSERT(found.damage.size() == 1u && found.damage[0].first == starts[hit]);
 }
 
+TEST(Frames, AMessageLargerThanWhatIsDoubtedIsWaitedFor) {
+  const std::vector<std::string> messages{"first", std::string(300'000, 'x'), std::string(90'000, 'y'),
+                                          "last"};
+  const Found found = ReadFrames(Segment(messages), 10'000);
+  EXPECT_EQ(found.messages, messages);
+  EXPECT_TRUE(found.damage.empty());
+}
+
 RC_GTEST_PROP(Frames, AnyBytesAreReadWithoutHarm, ()) {
   std::string bytes = *rc::gen::string<std::string>();
   if (*rc::gen::arbitrary<bool>()) bytes = std::string(kMagic) + bytes;
