Count what goes to a draining server without walking all servers; share one quantile

It now looks up the attempt's server and source. Records are no longer copied once before they are encoded.

--- a/src/console/screen.cpp
+++ b/src/console/screen.cpp
@@ -141,16 +141,8 @@
                       "repeat%", "p50 ms", "p99 ms"),
                  Style::kTitle});
   const auto quantile = [](const LatencyCounts& counts, double share) {
-    std::uint64_t sum = 0, passed = 0;
-    for (const std::uint32_t one : counts) sum += one;
-    if (sum == 0) return std::string("-");
-    for (std::uint32_t b = 0; b < counts.size(); ++b) {
-      passed += counts[b];
-      if (static_cast<double>(passed) >= share * static_cast<double>(sum)) {
-        return Text("%.1f", static_cast<double>(record::LatencyOf(b + 1).count()) / 1000);
-      }
-    }
-    return std::string("-");
+    const Micros at = Quantile(counts, share);
+    return at == Micros{0} ? std::string("-") : Text("%.1f", static_cast<double>(at.count()) / 1000);
   };
   std::size_t shown = 0;
   for (const auto& [name, sum] : classes) {
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -96,7 +96,7 @@
 }
 
 void Recorder::Take(Micros now) {
-  const std::vector<wire::Record> records = std::exchange(records_, {});
+  std::vector<wire::Record> records = std::exchange(records_, {});
   if (writer_.Waiting() > kMostWaiting) {
     for (const wire::Record& record : records) gap_.set_bytes(gap_.bytes() + record.ByteSizeLong());
     gap_.set_records(gap_.records() + records.size());
@@ -109,7 +109,7 @@
     *record.mutable_gap() = std::exchange(gap_, {});
     Encode(now, record);
   }
-  for (wire::Record record : records) Encode(now, record);
+  for (wire::Record& record : records) Encode(now, record);
 }
 
 void Recorder::Encode(Micros now, wire::Record& record) {
--- a/src/record/tracker.cpp
+++ b/src/record/tracker.cpp
@@ -235,12 +235,16 @@
 // An attempt has gone out now: to a server, or with one as its source, that is no longer up?
 void Tracker::Went(const Attempt& attempt) {
   if (leaving_ == 0) return;
-  for (auto& [id, known] : servers_) {
-    if (!known.leaving || (known.number != attempt.server && known.number != attempt.source)) continue;
+  const auto count = [&](ServerId id) {
+    const auto found = servers_.find(id);
+    if (found == servers_.end() || !found->second.leaving) return;
+    Known& known = found->second;
     // One that had to wait for its connection comes a second time.
     if (attempt.sent == now_ || attempt.sent < known.told) ++known.sent;
     known.last_sent = now_;
-  }
+  };
+  count(attempt.id);
+  if (attempt.source != 0) count(attempt.source_id);
 }
 
 // An answer that was passed on: by a copy from before a purge?
@@ -274,6 +278,7 @@
   request->attempts.push_back({.number = command.attempt,
                                .id = order.server,
                                .server = server.number,
+                               .source_id = order.source,
                                .source = fill ? Server(order.source).number : 0,
                                .sent = now_,
                                .give_up_at = order.give_up_at,
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -73,7 +73,8 @@
     std::uint32_t number = 0;
     ServerId id{};
     std::uint32_t server = 0;  // the number that it was given
-    std::uint32_t source = 0;
+    ServerId source_id{};
+    std::uint32_t source = 0;      // 0: no fill
     Micros sent{0};                // mono, like all here but where said
     Micros give_up_at{0};          // wall clock
     std::optional<Micros> issued;  // wall clock: when the origin gave out the copy
--- a/src/timeline/course.cpp
+++ b/src/timeline/course.cpp
@@ -29,6 +29,17 @@
 
 }  // namespace
 
+Micros Quantile(const LatencyCounts& counts, double share) {
+  std::uint64_t sum = 0, passed = 0;
+  for (const std::uint32_t count : counts) sum += count;
+  if (sum == 0) return Micros{0};
+  for (std::uint32_t bucket = 0; bucket < counts.size(); ++bucket) {
+    passed += counts[bucket];
+    if (static_cast<double>(passed) >= share * static_cast<double>(sum)) return record::LatencyOf(bucket + 1);
+  }
+  return Micros{0};
+}
+
 std::uint64_t ClassCell::Ended() const {
   return std::accumulate(ended.begin(), ended.end(), std::uint64_t{0});
 }
--- a/src/timeline/course.hpp
+++ b/src/timeline/course.hpp
@@ -30,6 +30,8 @@
 inline constexpr Micros kServerBin{5'000'000};
 inline constexpr Micros kLatencyBin{10'000'000};
 using LatencyCounts = std::array<std::uint32_t, 256>;
+// The upper edge of the bucket in which that share is reached; 0 where nothing was counted.
+Micros Quantile(const LatencyCounts& counts, double share);
 
 struct ServerFacts {
   std::string name, address, zone, kind;
--- a/src/timeline/service.cpp
+++ b/src/timeline/service.cpp
@@ -9,16 +9,6 @@
 
 constexpr Micros kSecond{1'000'000};
 
-Micros Quantile(const LatencyCounts& counts, double share) {
-  std::uint64_t sum = 0, passed = 0;
-  for (const std::uint32_t count : counts) sum += count;
-  for (std::uint32_t bucket = 0; bucket < counts.size(); ++bucket) {
-    passed += counts[bucket];
-    if (static_cast<double>(passed) >= share * static_cast<double>(sum)) return record::LatencyOf(bucket + 1);
-  }
-  return Micros{0};
-}
-
 }  // namespace
 
 double Point::Asked() const {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -177,6 +177,15 @@
     program->Line("nodes listed: " + service);
   }
   Peer Client() { return Peer::Connect(port); }
+  // Whether a new request goes to that server, and its answer to the client.
+  bool ServedBy(Server& server) {
+    Peer client = Client();
+    client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
+    Peer peer = server.Accept();
+    Message(peer);
+    peer.Send(Reply("200 OK", "page", "Connection: close\r\n"));
+    return Read(client).body == "page";
+  }
   int Status(const std::string& request) {
     Peer client = Client();
     client.Send(request);
@@ -445,14 +454,7 @@
 void FollowsConsul() {
   World world(true);
   CHECK(world.asked.find("?index=7&wait=30s") != std::string::npos);
-  const auto served_by = [&](Server& server) {
-    Peer client = world.Client();
-    client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-    Peer peer = server.Accept();
-    Message(peer);
-    peer.Send(Reply("200 OK", "page", "Connection: close\r\n"));
-    return Read(client).body == "page";
-  };
+  const auto served_by = [&](Server& server) { return world.ServedBy(server); };
   // In maintenance it drains, critical is gone; warning is up. Either way the other one serves.
   const std::string both = Entry("n1", world.cache) + "," + Entry("n2", world.second);
   world.Tell("shop-cache", 8,
@@ -478,14 +480,7 @@
 // next word of health is heard meanwhile; the catalogue's answer still counts when it comes.
 void HeedsHealthBeforeTheCatalog() {
   World world(true);
-  const auto served_by = [&](Server& server) {
-    Peer client = world.Client();
-    client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-    Peer peer = server.Accept();
-    Message(peer);
-    peer.Send(Reply("200 OK", "page", "Connection: close\r\n"));
-    return Read(client).body == "page";
-  };
+  const auto served_by = [&](Server& server) { return world.ServedBy(server); };
   const auto told = [&] { world.program->Line("shop-cache: 1 changes"); };
   world.TellHealth("shop-cache", 8, Health("n1", "critical") + "," + Health("n2", "passing"));
   told();
