Let fills that may have gone by the origin clear it of suspicion

What clears a suspicion is Observe(origin, good), which Judge called only for the note "filled via the origin". Counted across the 100 doormans: from 10 s to the end 35 to 42% of all attempts spared the origin, half of the direct ones came back as misses, and 15 to 25% of the requests were refused, with the origin idle and well. The parents' hit chance (parent_odds_) learnt from the same absent note that parents hold everything.

Change: in Judge, where notes do not tell the way, a served fill that was free to go by the origin speaks for it, on the same ground on which lateness speaks against it; parent_odds_ learns only where the way is told or was closed.

Ruled out: connections (opened in under 1 ms everywhere, none refused), the rooms of origin and parents (seldom full), lists told late (the refusals go on after the zone is back).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -663,8 +663,13 @@
         AddWork(servers_[attempt.source], cost);
         const bool far = note == FillNote::kFilledViaOrigin && attempt.origin != kNobody;
         Server& filler = servers_[far ? attempt.origin : attempt.source];
-        if (far) Observe(attempt.origin, false, kLight);
-        if (attempt.origin != kNobody) parent_odds_.Learn(!far);
+        // Where notes do not tell the way, a fill that was free to go by the origin speaks for it: lateness
+        // speaks against it on no better ground, and a suspicion that no answer clears would never end.
+        const bool told = settings_.detail == Detail::kAll;
+        if (attempt.origin != kNobody && (far || (!told && !attempt.spare))) {
+          Observe(attempt.origin, false, kLight);
+        }
+        if (attempt.origin != kNobody && (told || attempt.spare)) parent_odds_.Learn(!far);
         // Where sizes are not told, a large object looks slow: the wait for its first byte must be long too.
         const bool sized = request.event.size_kb > 0 || !event.fill_wait;
         const double wait = Sec(event.fill_wait.value_or(Micros{0}));
