Open the link in on its own reports; let what is late everywhere stay where it is

The caches' reports, unread until now, said the links ran at 0.2 to 0.4 of what fits (Send, HasRoom(inlet_)); a refused fill never earns the room that would let it grow. - After all copies go void, 100 to 330 attempts a second were called off at their aim and asked for once more elsewhere, since a doorman hears of a cache about once a second and takes a late fill for silence (Overdue, "silent"). - The clearing of the origin that went in before counted every fill, also those of what the parents hold.

Change: reports of the link in, not older than 3 s and under 0.8, open it whatever the own count says. Where a tenth of the attempts is late, silence moves none before its server is suspected. A fill clears the origin by the chance that it went by it; parents' hit chance is learnt from spared fills, hit or miss.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,12 +38,16 @@
 constexpr double kRoughPart = 0.7;          // part of a roughly told capacity that we count on
 constexpr double kMean = 0.05;              // weight of a new value in running means
 constexpr double kFirstRoom = 16;           // a cache bears so many of all its routers until it has shown
-constexpr double kSlack = 2;           // a router's part has so many standard deviations of chance on top
-constexpr double kLeastRoom = 20;      // of all its routers together, what a server's room never falls under
-constexpr double kJam = 0.05;          // share of late answers that tells a jam from answers lost on the way
-constexpr double kGhost = 0.6;         // of a fill cut off in a jam, what is counted as running on
-constexpr double kGhostMost = 0.4;     // of the room of the link in, what such fills hold at most
-constexpr double kInletPart = 0.15;    // of its caches' first rooms, what a location's link in bears at first
+constexpr double kSlack = 2;         // a router's part has so many standard deviations of chance on top
+constexpr double kLeastRoom = 20;    // of all its routers together, what a server's room never falls under
+constexpr double kJam = 0.05;        // share of late answers that tells a jam from answers lost on the way
+constexpr double kGhost = 0.6;       // of a fill cut off in a jam, what is counted as running on
+constexpr double kGhostMost = 0.4;   // of the room of the link in, what such fills hold at most
+constexpr double kInletPart = 0.15;  // of its caches' first rooms, what a location's link in bears at first
+constexpr Micros kReportLasts{3'000'000};  // after which a report of the link in says nothing any more
+constexpr double kReportWeight = 0.3;      // of a new report among those before it
+constexpr double kLinkOpen = 0.8;          // of what fits at full pace: below it the link in shuts out nobody
+constexpr double kTardy = 0.1;         // share of late attempts from which lateness accuses no single server
 constexpr double kSlow = 0.7;          // of the aim: answers later than this say that room runs out
 constexpr double kSlowFill = 1.0;      // the same for fills, which are slower without any trouble
 constexpr double kRoomCut = 0.95;      // what a slow answer leaves of the room...
@@ -201,7 +205,7 @@
   void Observe(int place, bool bad, double weight) {
     Server& server = servers_[place];
     server.failing += weight * ((bad ? 1.0 : 0.0) - server.failing);
-    if (!bad) server.heard = now_;
+    if (!bad && weight >= kLight) server.heard = now_;  // a lighter sign may have been another's
     if (!server.suspect && server.failing > std::min(kAlikeMost, kSuspectAt + PeersFailing(place))) {
       server.suspect = true;
       server.gap = std::max(1, static_cast<int>(Routers(server.role == Role::kCache) / kTrialRouters));
@@ -240,6 +244,9 @@
     return server.out + server.fills + more < open &&
            (open >= 1 || static_cast<double>(lot) * 0x1p-53 < open);
   }
+  // Caches that report how full the location's link in is speak for all its routers, of whose fills each sees
+  // only its own few: while it is far from full no count of those shuts it.
+  bool LinkInOpen() const { return now_ - link_told_ < kReportLasts && link_use_ < kLinkOpen; }
   // What a server of a role, or the link in of some caches, bears of us until it has shown: our part of it,
   // and the slack of chance, since the peaks of many routers seldom meet; one request of any kind at least.
   double FirstRoom(double caches, bool own_zone) const {
@@ -427,7 +434,8 @@
     // Departure: the location's link in has a room of its own. With many parents theirs add up to far more
     // than it carries, and fills that crawl hold all places for fills (incidents at full size).
     attempt.inlet_chance = direct ? 1.0 : source.role == Role::kCache ? 0.0 : attempt.fill_chance;
-    if (attempt.inlet_chance > kLikely && !HasRoom(inlet_, request, WorkOf(inlet_))) return false;
+    if (attempt.inlet_chance > kLikely && !LinkInOpen() && !HasRoom(inlet_, request, WorkOf(inlet_)))
+      return false;
     // An origin in trouble, or without room, is spared: parents give only what they hold, misses are
     // given up at once, copies past fresh time serve; single requests try the origin. Guards against
     // slow, failing and overrun origins alike; harms if the origin is blamed for what a parent does.
@@ -511,7 +519,7 @@
     // An attempt speaks once, and against a source only by the chance that it was asked at all: a router
     // among many hears of a source seldom, so its silence alone says little.
     if (std::exchange(attempt.judged, true)) {
-    } else if (silent) {
+    } else if (tardy_ += kMean * (1 - tardy_); silent) {
       Observe(attempt.server, true, kStrong);
     } else if (attempt.source != attempt.server && servers_[attempt.source].heard < attempt.sent) {
       Observe(attempt.source, true, kLight * attempt.fill_chance);
@@ -519,7 +527,10 @@
                servers_[attempt.origin].heard < attempt.sent) {
       Observe(attempt.origin, true, kLight);  // the parent lives, what is behind it does not
     }
-    const bool move = silent || servers_[attempt.server].suspect || servers_[attempt.source].suspect;
+    // Where much is late, what all wait for is slow (a flush, a jam): moved, an attempt would only be asked
+    // for once more. Then silence must first make its server suspected.
+    const bool move =
+        (silent && tardy_ < kTardy) || servers_[attempt.server].suspect || servers_[attempt.source].suspect;
     if (move && ClassOf(request).effect != Effect::kOnce && settings_.can_cancel && further_ >= 1) {
       attempt.cancelled = true;
       Emit(CancelAttempt{request.event.id, static_cast<std::uint32_t>(index)});
@@ -629,6 +640,11 @@
       AddWork(inlet_, kGhost * attempt.inlet_chance);
     }
     Unload(attempt);
+    if (event.load.link_use && servers_[attempt.server].role == Role::kCache) {
+      link_use_ +=
+          (now_ - link_told_ < kReportLasts ? kReportWeight : 1) * (*event.load.link_use - link_use_);
+      link_told_ = now_;
+    }
     Judge(request, attempt, event);
     attempt.erred = event.outcome == Outcome::kError && event.note == FillNote::kNone;
     request.served = event.outcome == Outcome::kServed;
@@ -657,17 +673,19 @@
       Observe(attempt.server, false, kLight);
       if (has_source && filled) Observe(attempt.source, false, kLight);
       const double ratio = Sec(event.elapsed) / std::max(Aim(request), 1e-3);
+      if (!attempt.judged) tardy_ -= kMean * tardy_;
       const double cost = OwnSend(request);
       AddWork(server, cost);
       if (has_source && filled) {
         AddWork(servers_[attempt.source], cost);
         const bool far = note == FillNote::kFilledViaOrigin && attempt.origin != kNobody;
+        if (far) Observe(attempt.origin, false, kLight);
         Server& filler = servers_[far ? attempt.origin : attempt.source];
-        // Where notes do not tell the way, a fill that was free to go by the origin speaks for it: lateness
-        // speaks against it on no better ground, and a suspicion that no answer clears would never end.
+        // Where notes do not tell the way, a fill that was free to go by the origin speaks for it by the
+        // chance that it did: else a suspicion of the origin would never end.
         const bool told = settings_.detail == Detail::kAll;
-        if (attempt.origin != kNobody && (far || (!told && !attempt.spare))) {
-          Observe(attempt.origin, false, kLight);
+        if (!told && !far && attempt.origin != kNobody && !attempt.spare) {
+          Observe(attempt.origin, false, kLight * (1 - parent_odds_.Share()));
         }
         if (attempt.origin != kNobody && (told || attempt.spare)) parent_odds_.Learn(!far);
         // Where sizes are not told, a large object looks slow: the wait for its first byte must be long too.
@@ -712,6 +730,7 @@
       if (inlet_.late > kJam && attempt.inlet_chance > kLikely) Narrow(inlet_, kFillCut);
     } else if (event.outcome == Outcome::kMiss) {
       Observe(attempt.server, false, kLight);
+      if (attempt.spare && settings_.detail != Detail::kAll) parent_odds_.Learn(false);
     }
     if (attempt.sibling_value > 0) {
       Odds& odds = At(odds_, attempt.sibling_value);
@@ -881,6 +900,8 @@
   std::vector<Server> servers_;
   std::unordered_map<std::uint64_t, int> places_;  // looked up only
   std::array<std::vector<int>, kRoles> listed_;
+  double link_use_ = 0;  // of the link in, as reports tell
+  Micros link_told_ = Micros{-1'000'000'000};
   Server inlet_;                              // the location's link in: fills and room only
   std::vector<double> sends_;                 // by class: mean sending time, seconds
   std::array<Odds, kOddsValues> odds_{};      // Pfreq: sibling fills that found the object, by value
@@ -897,6 +918,7 @@
   std::deque<PurgeEntry> purge_queue_;
   std::array<double, kRoles> borne_{};
   double further_ = kFurtherMost;
+  double tardy_ = 0;  // share of own attempts lately that were out past their aim
 };
 
 // The seed is not needed: no decision is drawn by lot.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -36,5 +36,99 @@
   EXPECT_GE(pressed, 20);
 }
 
+// Guards against an origin that has stopped and looks well, since fills of what the parents hold go on.
+TEST(FleetOrigin, FillsThatParentsMayHaveHeldDoNotHideThatItIsDown) {
+  HitNotes script;
+  script.settings.can_cancel = false;
+  script.members = {Script::Cache(1),
+                    {.id = ServerId{11}, .kind = kParentKind, .zone = ZoneId{1}},
+                    {.id = ServerId{21}, .kind = kOriginKind, .zone = ZoneId{1}}};
+  script.Start();
+  int spared = 0;
+  for (std::uint64_t object = 1; object < 60 && spared == 0; ++object) {
+    RequestEvent lost = script.Request(object);
+    lost.time_left = 1500ms;
+    const SendAttempt late = script.Ask(lost);
+    spared += late.source_holds;
+    const SendAttempt held = script.Ask(script.Request(object + 1000));
+    script.Wait(100ms);
+    script.Answer(held.id, 0, Outcome::kServed, FillNote::kFilled);
+    script.Wait(1500ms);
+    script.Answer(late.id, 0, Outcome::kTimedOut, FillNote::kNone, 1500ms);
+  }
+  EXPECT_GT(spared, 0);
+}
+
+// A location of many routers, each of which sends little.
+struct ManyRouters : HitNotes {
+  ManyRouters() {
+    settings.routers = 100;
+    settings.zone_routers = {10, 1};
+    for (std::uint64_t id = 100; id < 140; ++id) {
+      members.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
+    }
+    Start();
+    for (std::uint64_t object = 1000; object < 1020; ++object) {  // objects not seen before are filled
+      Answer(Ask(object).id, 0, Outcome::kServed, FillNote::kFilled, 60ms);
+    }
+  }
+  // One answer whose report says how full the location's link in is.
+  void Report(double link_use) {
+    const SendAttempt one = Ask(next_id + 100'000);
+    Pass(OutcomeEvent{.id = one.id,
+                      .outcome = Outcome::kServed,
+                      .elapsed = 60ms,
+                      .finished = true,
+                      .note = FillNote::kFilled,
+                      .load = {.in_flight = 3, .link_use = link_use}});
+  }
+  std::size_t FillsAtOnce() {
+    std::size_t sent = 0;
+    for (std::uint64_t i = 0; i < 12; ++i) {
+      Pass(Request(next_id + 200'000));
+      sent += All<SendAttempt>().size();
+    }
+    return sent;
+  }
+};
+
+// Guards against a hundred routers that each shut out their own few fills while the link in that they share
+// is idle.
+TEST(FleetLinkIn, IsOpenWhileReportsTellThatItIsFarFromFull) {
+  ManyRouters untold, idle, full, old;
+  const std::size_t own = untold.FillsAtOnce();
+  idle.Report(0.2);
+  const std::size_t open = idle.FillsAtOnce();
+  EXPECT_GT(open, own);
+  EXPECT_GE(open, 9u);
+  full.Report(1.5);
+  EXPECT_LE(full.FillsAtOnce(), own);
+  old.Report(0.2);
+  old.Wait(5s);  // what a report told seconds ago says nothing of now
+  EXPECT_LE(old.FillsAtOnce(), own);
+}
+
+// Guards against a fleet that, when all its copies have gone void, calls off what is late everywhere and asks
+// for it once more elsewhere: the second fill waits behind the first.
+TEST(FleetHealth, WhereMuchIsLateALateAttemptStaysWhereItIs) {
+  for (const bool much : {false, true}) {
+    HitNotes script;
+    script.Start();
+    for (std::uint64_t object = 1; much && object <= 8; ++object) {
+      const SendAttempt late = script.Ask(object);
+      // Its cache is heard, so it is not silent and not accused; its answer comes late all the same.
+      script.Wait(20ms);
+      const RequestEvent same = script.Request(object);
+      script.Pass(same);
+      script.Answer(same.id, 0, Outcome::kServed, FillNote::kHit, 20ms);
+      script.Wait(600ms);
+      script.Answer(late.id, 0, Outcome::kServed, FillNote::kFilled, 620ms);
+    }
+    script.Ask(100);
+    script.Wait(600ms);
+    EXPECT_EQ(script.All<CancelAttempt>().size(), much ? 0u : 1u);
+  }
+}
+
 }  // namespace
 }  // namespace tinspan
