Send a request once that was called off and asked again while its connection comes up

Cause: a request placed on a connection that is not up waits in link.state.waiting. Called off there (CacheSide::Carry(Stop)), it left its id in that list; asked for again, it was placed on the same connection, which still came up, and waited twice. OnLinkOpen then wrote it twice.

Change: what is called off before its connection is up leaves the list too. Ruled out: answers moved to a second connection (only what never went out whole moves), STOP behind a backlog, closes that come late (close is at once).

Test: sends_once_on_a_slow_connection plays a full accept queue; it fails without the change, each time.

--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -170,6 +170,9 @@
   if (open->second.written > 0) {
     link.connection.Write("STOP " + open->first + "\r\n");
     Burn(link, open->first);
+  } else {
+    // Asked again on this connection before it is up, it would wait there twice and go out twice.
+    std::erase(link.state.waiting, open->first);
   }
   link.state.open.erase(open);
   pool_.Release(link, now);
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -38,14 +38,14 @@
   int port = 0;
 
   explicit World(rlim_t descriptors = 0, bool two = true, const std::string& sockets = "1024",
-                 const std::string& memory = "192") {
+                 const std::string& memory = "192", const std::string& settings = kSettings) {
     std::string members = Member("s-a", cache_a.Address());
     if (two) members += "," + Member("s-b", cache_b.Address());
     members += "," + Member("p-1", parent.Address(), "up") + "," + Member("o-1", origin.Address(), "store");
     config = R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":)"
              R"({"cores":1.0,"memory_mb":)" +
              memory + R"(,"sockets":)" + sockets + R"(},"changelog":")" + changelog.Address() +
-             R"(","known":{"seq":1,"results":[)" + Fleet(1, true, members) + R"(]},"settings":)" + kSettings +
+             R"(","known":{"seq":1,"results":[)" + Fleet(1, true, members) + R"(]},"settings":)" + settings +
              "}";
     file = std::make_unique<TempFile>(config);
     program = std::make_unique<Program>(
@@ -539,6 +539,28 @@
 
 }  // namespace
 
+// Called off while its connection was not up and asked for again there, a request waited on it twice and went
+// out twice: a second copy.
+void SendsOnceOnASlowConnection() {
+  std::string settings = kSettings;
+  for (const auto& [from, to] : {std::pair{R"("promiseMs":2000.0,"aimStretch":2.0)", R"("promiseMs":250.0)"},
+                                 std::pair{R"("connectTimeoutMs":400.0)", R"("connectTimeoutMs":5000.0)"},
+                                 std::pair{R"("passThroughOk":true)", R"("passThroughOk":false)"}}) {
+    settings.replace(settings.find(from), std::string_view(from).size(), to);
+  }
+  World world(0, false, "1024", "192", settings);
+  CHECK(::listen(world.cache_a.Descriptor(), 0) == 0);
+  Peer first =
+      Peer::Connect(world.cache_a.port);  // fills the queue: the next one's SYN is dropped, and sent again
+  Peer client = world.Client();
+  client.Send(Call("1", "", 10'000));
+  CHECK(client.Silent(600));  // past the aim: called off and asked for again
+  world.cache_a.Accept();
+  Peer cache = world.cache_a.Accept();
+  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  CHECK(cache.Silent(100));
+}
+
 int main(int argc, char** argv) {
   const Cases cases{
       {"serves", Serves},
@@ -575,6 +597,7 @@
       {"stops_cleanly", StopsCleanly},
       {"outlives_its_descriptors", OutlivesItsDescriptors},
       {"bears_a_slow_client", BearsASlowClient},
+      {"sends_once_on_a_slow_connection", SendsOnceOnASlowConnection},
       {"lets_no_client_hold_up_all", LetsNoClientHoldUpAll},
   };
   return RunCases(cases, argc, argv);
