Doubt connections after what answers take lately, and send STOP before closing one

Change: net::Patience follows what answers take, with their spread (RFC 6298), within 0.2 and 2 s. Lose writes STOP for what is open before it closes, as before any next attempt.

--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -17,8 +17,10 @@
 constexpr Micros kWatch{25'000};
 // Without a byte in the middle of an answer. A packet lost once comes again after 200 ms.
 constexpr Micros kStall{250'000};
-// For an answer, its own sending time apart, where its server speaks on another connection.
+// For an answer, its own sending time apart, where its server speaks on another connection: what answers take
+// lately, within these bounds.
 constexpr Micros kPatience{200'000};
+constexpr Micros kMostPatience{2'000'000};
 constexpr std::int64_t kMostMillis = 4'000'000'000'000;  // of a Unix time
 constexpr std::size_t kMalformed = std::string_view::npos;
 
@@ -89,6 +91,7 @@
       clients_(clients),
       events_(events),
       loop_(loop),
+      patience_(kPatience, kMostPatience),
       pool_(loop, Rules(config), *this) {}
 
 void CacheSide::Know(ServerId id, Address address) { addresses_[id] = std::move(address); }
@@ -120,7 +123,7 @@
   out.link = &link;
   const double pace = config_.site.settings.pace_kb_per_s;
   const auto sending = Micros{static_cast<std::int64_t>(pace > 0 ? asked.size_kb / pace * 1e6 : 0)};
-  link.state.open[asked.ref] = {id, out.send.attempt, 0, now, kPatience + 2 * sending};
+  link.state.open[asked.ref] = {id, out.send.attempt, 0, now, 2 * sending};
   const core::Send send = out.send;
   out_[id] = std::move(out);
   if (link.connection.IsOpen()) {
@@ -199,6 +202,10 @@
   const std::string at = link.to.Text();
   log::Warn("server.connection_closed", {{"server", link.server}, {"address", at}, {"reason", why}},
             "server {} at {}: {}, connection closed", link.server, at, why);
+  // What is open may be asked for again at once, and may overtake the close: it is given up in so many words.
+  for (const auto& [ref, exchange] : link.state.open) {
+    if (exchange.written > 0) link.connection.Write("STOP " + ref + "\r\n");
+  }
   link.connection.Close();
   link.retired = true;
   OnLinkLost(link);
@@ -253,8 +260,9 @@
     bool long_overdue = false;
     for (const auto& [ref, exchange] : link.state.open) {
       const Micros waits = now - std::max(exchange.at, silent);
-      overdue += waits > exchange.patience ? 1 : 0;
-      long_overdue = long_overdue || waits > 4 * exchange.patience;
+      const Micros patience = patience_.Now() + exchange.sending;
+      overdue += waits > patience ? 1 : 0;
+      long_overdue = long_overdue || waits > 4 * patience;
     }
     if (overdue >= 2 || long_overdue) Lose(link, "silent while others of it are not");
   }
@@ -308,6 +316,7 @@
   // It has not been asked yet.
   if (found->second.written == 0 || link.connection.Sent() < found->second.written) return kMalformed;
   const RequestId id = found->second.id;
+  const Micros took = net::Now() - found->second.at - found->second.sending;
   core::AttemptEnded ended;
   const auto word = std::find_if(kWords.begin(), kWords.end(), [&](auto& w) { return w.text == words[1]; });
   if (word == kWords.end()) return kMalformed;
@@ -330,6 +339,7 @@
   } catch (const tinspan::Malformed&) {
     return kMalformed;
   }
+  patience_.Took(took);
   if (word->outcome == Outcome::kServed) {
     served_[id] = Served{word->text == "SAME", unread.substr(end + 2, *length)};
   } else {
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -10,6 +10,7 @@
 #include "config/config.hpp"
 #include "core/gateway.hpp"
 #include "front/platform/client_side.hpp"
+#include "net/patience.hpp"
 #include "net/pool.hpp"
 
 namespace tinspan::platform {
@@ -26,7 +27,7 @@
     std::uint32_t attempt = 0;
     std::uint64_t written = 0;  // the connection's count of queued bytes when the request was in; 0: not yet
     Micros at{0};
-    Micros patience{0};  // how long its answer may take on a connection on which nothing is heard
+    Micros sending{0};  // what its answer's own bytes may take
   };
   std::unordered_map<std::string, Exchange> open;  // by the request's id on the wire
   // Ids that do not go out on this connection again: given up or failed on it, or answered unasked. A late or
@@ -90,6 +91,7 @@
   std::unordered_map<RequestId, Served> served_;
   bool held_ = false;
   net::EventLoop& loop_;
+  net::Patience patience_;
   std::optional<Micros> watch_;  // when Watch looks again
   Pool pool_;
 };
