Let fills into a link told to be many times full only by their part

Each of 8 to 14 doormans keeps to its own room of about 3 fills (Send, HasRoom(inlet_)), which slow answers narrow by 3% each.

Change: LinkInFull: over twice what fits, as reports not older than 3 s tell, a likely fill is let in with the chance 2 over what is told, by a lot of the request's id.

Ruled out: parents and origin (6 to 12 fetches out, no queue), suspicions (few).

The test fails without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -47,6 +47,7 @@
 constexpr Micros kReportLasts{3'000'000};  // after which a report of the link in says nothing any more
 constexpr double kReportWeight = 0.3;      // of a new report among those before it
 constexpr double kLinkOpen = 0.8;          // of what fits at full pace: below it the link in shuts out nobody
+constexpr double kLinkFull = 2;        // of what fits: over it fills are let in by its part of what is told
 constexpr double kTardy = 0.1;         // share of late attempts from which lateness accuses no single server
 constexpr double kSlow = 0.7;          // of the aim: answers later than this say that room runs out
 constexpr double kSlowFill = 1.0;      // the same for fills, which are slower without any trouble
@@ -247,6 +248,12 @@
   // Caches that report how full the location's link in is speak for all its routers, of whose fills each sees
   // only its own few: while it is far from full no count of those shuts it.
   bool LinkInOpen() const { return now_ - link_told_ < kReportLasts && link_use_ < kLinkOpen; }
+  // Told to hold many times what fits, it takes that part of the fills less: the rooms of all its routers
+  // together never narrow far enough.
+  bool LinkInFull(const Request& request) const {
+    const double lot = static_cast<double>(Mix(Number(request.event.id), 0) >> 11) * 0x1p-53;
+    return now_ - link_told_ < kReportLasts && lot * link_use_ > kLinkFull;
+  }
   // What a server of a role, or the link in of some caches, bears of us until it has shown: our part of it,
   // and the slack of chance, since the peaks of many routers seldom meet; one request of any kind at least.
   double FirstRoom(double caches, bool own_zone) const {
@@ -434,7 +441,8 @@
     // Departure: the location's link in has a room of its own. With many parents theirs add up to far more
     // than it carries, and fills that crawl hold all places for fills (incidents at full size).
     attempt.inlet_chance = direct ? 1.0 : source.role == Role::kCache ? 0.0 : attempt.fill_chance;
-    if (attempt.inlet_chance > kLikely && !LinkInOpen() && !HasRoom(inlet_, request, WorkOf(inlet_)))
+    if (attempt.inlet_chance > kLikely && !LinkInOpen() &&
+        (LinkInFull(request) || !HasRoom(inlet_, request, WorkOf(inlet_))))
       return false;
     // An origin in trouble, or without room, is spared: parents give only what they hold, misses are
     // given up at once, copies past fresh time serve; single requests try the origin. Guards against
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -109,6 +109,22 @@
   EXPECT_LE(old.FillsAtOnce(), own);
 }
 
+// Guards against a link in that holds forty times what fits while each of its routers keeps to its own small
+// room.
+TEST(FleetLinkIn, TakesFewFillsWhileReportsTellThatItIsManyTimesFull) {
+  std::size_t busy = 0, jammed = 0;
+  for (int i = 0; i < 20; ++i) {
+    ManyRouters one, other;
+    other.next_id = one.next_id += static_cast<std::uint64_t>(i) * 1000;
+    one.Report(1.5);
+    busy += one.FillsAtOnce();
+    other.Report(40);
+    jammed += other.FillsAtOnce();
+  }
+  EXPECT_GT(busy, 20u);
+  EXPECT_LT(jammed, busy / 2);
+}
+
 // Guards against a fleet that, when all its copies have gone void, calls off what is late everywhere and asks
 // for it once more elsewhere: the second fill waits behind the first.
 TEST(FleetHealth, WhereMuchIsLateALateAttemptStaysWhereItIs) {
