Add the operators' door (status, stats, standby, active) and SO_REUSEPORT

`stats` answers `done`, Prometheus lines under `proxy_`, and `end`. maint-on/maint-off are standby/active. Standby keeps the listener open, answers RPC.HEALTH `closing`, and closes each client connection once nothing is open on it (a newcomer gets 50 ms for its first request). Not taken: a thread for the door (it would need locks on the figures and nothing in the loop blocks), closing the listener in standby (active must bring clients back without a restart).

Ruled out: platform_test.sends_once_on_a_slow_connection fails 1 in 6 also without this change.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -61,6 +61,12 @@
   // The port as it is, since 0 asks for any free one.
   const std::string at = net::Endpoint{config.listen.address, front.Port()}.Text();
   log::Info("serve.listening", {{"name", config.name}, {"address", at}}, "{} serving at {}", config.name, at);
+  if constexpr (std::is_same_v<Front, platform::PlatformFront>) {
+    if (const auto ops = front.OpsPort()) {
+      const std::string door = net::Endpoint{config.ops->address, *ops}.Text();
+      log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
+    }
+  }
   if (recorder) recorder->OnLife(net::Now(), core::Life::kServing, 0, at, 0);
   front::Run(loop, gateway, front, events, Stop(config), recorder.get());
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -345,6 +345,11 @@
   for (const element one : List(Need(known, "results", "known.results"), "known.results"))
     out.known.push_back(simdjson::minify(one));
   ReadSettings(Need(root, "settings", "settings"), out);
+  if (const char* const told = std::getenv("PROXY_OPS"); told != nullptr && *told != '\0') {
+    out.ops = Address(told, "PROXY_OPS");
+  } else if (element ops; root["ops"].get(ops) == simdjson::SUCCESS) {
+    out.ops = Address(Text(ops, "ops"), "ops");
+  }
   return out;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -39,6 +40,9 @@
   net::Endpoint changelog;
   std::uint64_t known_seq = 0;
   std::vector<std::string> known;  // the change log's events up to the start, each one JSON object
+  // The operators' door: $PROXY_OPS, else `ops` of the file (a second process of an upgrade is told a new
+  // one in the variable, with the file unchanged); absent: there is none.
+  std::optional<net::Endpoint> ops;
 };
 
 // The gateway between sites: an operator's file.
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/change_log.cpp
@@ -148,6 +148,7 @@
     told.source = "changelog";
     told.version = GetOr<std::uint64_t>(part, "version", 0);
     told.kind = GetOr(part, "full", false) ? MembersEvent::Kind::kFull : MembersEvent::Kind::kPatch;
+    if (told.kind == MembersEvent::Kind::kFull) draining_.clear();
     for (const element one : Get<simdjson::dom::array>(part, "servers")) {
       // By the id: a new server may take the address of one that has gone.
       const auto name = Get<std::string_view>(one, "id");
@@ -169,6 +170,8 @@
         throw Malformed{"addr", "an address and port"};
       }
       if (member.availability == Availability::kGone) caches_.Forsake(member.id);
+      member.availability == Availability::kDraining ? static_cast<void>(draining_.insert(member.id))
+                                                     : static_cast<void>(draining_.erase(member.id));
       told.members.push_back(member);
       told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
     }
--- a/src/front/platform/change_log.hpp
+++ b/src/front/platform/change_log.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 
 #include "config/config.hpp"
 #include "core/gateway.hpp"
@@ -27,6 +28,7 @@
   // From now on the events come from here; their numbers go on.
   void Follow(const net::Endpoint& at);
   void EndRound();
+  std::size_t Draining() const { return draining_.size(); }  // servers told to drain, not yet gone
 
   void OnOpen(net::Connection& connection) override;
   void OnBytes(net::Connection& connection) override;
@@ -47,6 +49,7 @@
   std::vector<core::Event>& events_;
   std::unique_ptr<simdjson::dom::parser> parser_;
   std::uint64_t seq_ = 0;
+  std::unordered_set<ServerId> draining_;
   std::optional<std::uint64_t> stuck_;  // the event after this one could not be used: asked for anew once
   std::unique_ptr<net::Connection> connection_;
   std::unique_ptr<net::Connection> old_;  // closed in this round
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -25,6 +25,7 @@
 // it will ask. Newcomers are owed a close within 3 s.
 constexpr Micros kIdle{6'000'000};
 constexpr Micros kFirst{2'400'000};
+constexpr Micros kNewcomer{50'000};
 
 // Clients hold a third of the descriptors at most; twice that would starve the servers' side. Half-read
 // messages of all may take a quarter of the memory.
@@ -50,7 +51,8 @@
       gateway_(gateway),
       events_(events),
       visitors_(Rules(config)),
-      listener_(loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
+      listener_(
+          loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }, /*shared=*/true) {}
 
 void ClientSide::Accept(net::Fd fd) {
   if (visitors_.IsFull()) {
@@ -102,7 +104,7 @@
   if (verb == "RPC.CANCEL") {
     Cancel(client, tag);
   } else if (verb == "RPC.HEALTH") {
-    Reply(client, tag, accept_until_ == Micros::max() ? "healthy" : "closing", {}, {});
+    Reply(client, tag, accept_until_ == Micros::max() && !away_ ? "healthy" : "closing", {}, {});
   } else if (verb != "RPC.CALL" || !Call(client, message)) {
     log::Debug("client.unusable", {{"client", client.connection->id}},
                "client {}: a request that cannot be used", client.connection->id);
@@ -226,6 +228,7 @@
 void ClientSide::Reply(Client& client, std::string_view tag, std::string_view word, std::string_view fields,
                        std::string_view body) {
   if (client.connection->IsClosed()) return;
+  client.answered = true;
   std::string head = "*4\r\n";
   AppendBulk(head, tag);
   AppendBulk(head, word);
@@ -280,9 +283,17 @@
     listener_.Close();
   }
   for (auto& [id, client] : clients_) {  // walked at the end only: none that is idle stays
-    if (now < accept_until_) break;
-    if (!client.connection->IsClosed() && client.open.empty() && client.connection->Backlog() == 0) {
+    if (now < accept_until_ && !away_) break;
+    net::Connection& connection = *client.connection;
+    if (connection.IsClosed() || !client.open.empty() || connection.Backlog() > 0) continue;
+    // In standby a newcomer is given the moment in which its first request comes; closed before it, the
+    // request would cross the close.
+    const Micros due = std::max(connection.Since(), connection.LastBytes()) + kNewcomer;
+    if (now >= accept_until_ || now >= due || client.answered) {
       Close(client);
+    } else if (!away_wake_ || *away_wake_ > due) {
+      away_wake_ = due;
+      loop_.Timers().Set(due, [this](Micros) { away_wake_.reset(); });
     }
   }
   // Bodies of all requests together could hold more than the memory limit: over a share of it they wait in
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -44,9 +44,14 @@
   void Fail(RequestId id);
 
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
+  // Standby: newcomers are still taken, and every connection is closed once nothing is open on it.
+  void SendAway(bool away) { away_ = away; }
   bool Drained() const;
   std::uint16_t Port() const { return listener_.Port(); }
-  std::size_t Backlog() const;  // bytes that clients have yet to take, all together
+  std::size_t Backlog() const;
+  std::size_t Open() const {
+    return asked_.size();
+  }  // requests without their final answer  // bytes that clients have yet to take, all together
   void EndRound(Micros now);
 
   void OnBytes(net::Connection& connection) override;
@@ -59,6 +64,7 @@
     std::size_t consume = 0;                          // handled, still in the buffer
     std::uint64_t sent = 0;                           // as seen last...
     Micros moved{0};                                  // ...and when it changed
+    bool answered = false;                            // some answer was written to it
   };
 
   void Accept(net::Fd fd);
@@ -87,8 +93,10 @@
   std::unordered_set<std::uint64_t> backed_;   // with answers not yet taken
   std::vector<std::uint64_t> closed_;
   std::optional<Micros> wake_;
+  std::optional<Micros> away_wake_;
   std::uint64_t last_ = 0;
   Micros accept_until_ = Micros::max();
+  bool away_ = false;
   net::Listener listener_;
 };
 
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -4,13 +4,27 @@
 
 namespace tinspan::platform {
 
+ops::Figures PlatformFront::Figures() const {
+  ops::Figures figures = counted_;
+  figures.pending = clients_.Open();
+  figures.members = caches_.Members();
+  figures.members_unavailable = changes_.Draining();
+  return figures;
+}
+
 void PlatformFront::Carry(Micros now, const core::Command& command) {
-  if (const auto* send = std::get_if<core::Send>(&command)) return caches_.Carry(now, *send);
+  if (const auto* send = std::get_if<core::Send>(&command)) {
+    ++counted_.upstream;
+    return caches_.Carry(now, *send);
+  }
   if (const auto* stop = std::get_if<core::Stop>(&command)) return caches_.Carry(now, *stop);
   if (const auto* line = std::get_if<core::Log>(&command))
     return log::Info("router.line", {}, "router: {}", line->text);
   const auto* const answer = std::get_if<core::Answer>(&command);
   if (answer == nullptr) return;  // Relay: answers come whole here
+  ++(answer->verdict == core::Verdict::kServed    ? counted_.completed
+     : answer->verdict == core::Verdict::kRefused ? counted_.rejected
+                                                  : counted_.failed);
   if (answer->verdict == core::Verdict::kServed) {
     const CacheSide::Served* const served = caches_.Answer(answer->id);
     if (served != nullptr) return clients_.Serve(answer->id, served->same, served->body);
@@ -27,10 +41,12 @@
   try {
     const config::Platform told = config::ReadPlatform();
     changes_.Follow(told.changelog);
+    ++counted_.config_reloads;
     log::Info("config.reloaded", {},
               "configuration read anew; only changelog is taken from it without a restart");
     return true;
   } catch (const config::Error& error) {
+    ++counted_.config_reload_errors;
     log::Error("config.refused", {{"reason", error.what()}},
                "configuration not read anew, the old one holds: {}", error.what());
     return false;
@@ -38,6 +54,8 @@
 }
 
 void PlatformFront::EndRound(Micros now) {
+  service_.Serving();  // the first round has applied what was known at the start
+  clients_.SendAway(service_.Now() == ops::Life::kStandby);
   // Clients that are slow to take their answers hold up the servers' answers, not the memory.
   caches_.HoldReading(clients_.Backlog() > most_backlog_);
   clients_.EndRound(now);
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -1,10 +1,12 @@
 // The platform's front: clients, servers and the change log round the core. It decides nothing.
 #pragma once
 
+#include "front/ops/door.hpp"
 #include "front/platform/cache_side.hpp"
 #include "front/platform/change_log.hpp"
 #include "front/platform/client_side.hpp"
 #include "front/runner.hpp"
+#include "ops/ops.hpp"
 
 namespace tinspan::platform {
 
@@ -15,20 +17,33 @@
       : most_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
         clients_(loop, config, gateway, events),
         caches_(loop, config, gateway, clients_, events),
-        changes_(loop, config, caches_, events) {}
+        changes_(loop, config, caches_, events) {
+    if (config.ops) door_.emplace(loop, *config.ops, service_, [this] { return Figures(); });
+  }
 
   void Carry(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
-  void Drain(Micros accept_until) override { clients_.Drain(accept_until); }
+  void Drain(Micros accept_until) override {
+    service_.Stopping();
+    clients_.Drain(accept_until);
+  }
   bool Reload() override;
   bool Drained() const override { return clients_.Drained(); }
   std::uint16_t Port() const { return clients_.Port(); }
+  std::optional<std::uint16_t> OpsPort() const {
+    return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
+  }
 
  private:
+  ops::Figures Figures() const;
+
   const std::size_t most_backlog_;
   ClientSide clients_;
   CacheSide caches_;
   ChangeLog changes_;
+  ops::Service service_;
+  ops::Figures counted_;  // what is counted as it happens; the rest is looked up when asked
+  std::optional<front::OpsDoor> door_;
 };
 
 }  // namespace tinspan::platform
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,13 +12,14 @@
 Fd Reserve() { return Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC)); }
 }  // namespace
 
-Listener::Listener(EventLoop& loop, const Endpoint& at, Taker taker)
+Listener::Listener(EventLoop& loop, const Endpoint& at, Taker taker, bool shared)
     : loop_(loop), taker_(std::move(taker)), reserve_(Reserve()) {
   fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int one = 1;
   const sockaddr_in address = at.Socket();
   // SO_REUSEADDR: a doorman that comes back takes its address while old connections still linger.
   if (!fd_ || ::setsockopt(fd_.Get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
+      (shared && ::setsockopt(fd_.Get(), SOL_SOCKET, SO_REUSEPORT, &one, sizeof one) != 0) ||
       ::bind(fd_.Get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
       ::listen(fd_.Get(), SOMAXCONN) != 0) {
     throw std::system_error(errno, std::generic_category(), "listening at " + at.Text());
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -11,7 +11,8 @@
  public:
   using Taker = std::function<void(Fd)>;
   // Throws std::system_error where the address cannot be had.
-  Listener(EventLoop& loop, const Endpoint& at, Taker taker);
+  // `shared`: SO_REUSEPORT, so that a second process of a zero-downtime upgrade listens at the same address.
+  Listener(EventLoop& loop, const Endpoint& at, Taker taker, bool shared = false);
   ~Listener() { Close(); }
   void Close();
   bool IsOpen() const { return static_cast<bool>(fd_); }
--- /dev/null
+++ b/src/ops/ops.cpp
@@ -0,0 +1,119 @@
+#include "ops/ops.hpp"
+
+#include <array>
+#include <utility>
+
+namespace tinspan::ops {
+namespace {
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r'))
+    text.remove_suffix(1);
+  return text;
+}
+
+constexpr std::array<std::pair<std::string_view, Call>, 6> kCalls{{{"status", Call::kStatus},
+                                                                   {"stats", Call::kStats},
+                                                                   {"standby", Call::kStandby},
+                                                                   {"maint-on", Call::kStandby},
+                                                                   {"active", Call::kActive},
+                                                                   {"maint-off", Call::kActive}}};
+
+}  // namespace
+
+Parsed ParseCall(std::string_view line) {
+  if (line.size() > kMostLine) return {.call = {}, .error = "line longer than 1024 bytes"};
+  line = Trim(line);
+  if (line.empty()) return {.call = {}, .error = "empty line, no call"};
+  const std::size_t space = line.find_first_of(" \t");
+  const std::string_view name = line.substr(0, space);
+  // What follows the name must be name=value words; anything else is no call of ours.
+  for (std::string_view rest = space == std::string_view::npos ? std::string_view() : line.substr(space);;) {
+    rest = Trim(rest);
+    if (rest.empty()) break;
+    const std::size_t end = rest.find_first_of(" \t");
+    const std::string_view word = rest.substr(0, end);
+    if (word.find('=') == std::string_view::npos || word.front() == '=') {
+      return {.call = {}, .error = "arguments are name=value words"};
+    }
+    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end);
+  }
+  for (const auto& [known, call] : kCalls) {
+    if (name == known) return {.call = call, .error = {}};
+  }
+  for (const char c : name) {  // the name goes into the answer only where it is plain
+    if (!((c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_') || name.size() > 32) {
+      return {.call = {}, .error = "unknown call"};
+    }
+  }
+  return {.call = {}, .error = "unknown call " + std::string(name)};
+}
+
+bool Service::Standby() {
+  if (life_ == Life::kStopping || life_ == Life::kStandby) return false;
+  life_ = Life::kStandby;
+  return true;
+}
+
+bool Service::Active() {
+  if (life_ != Life::kStandby) return false;
+  life_ = Life::kServing;
+  return true;
+}
+
+std::string Prom(const Figures& f, std::string_view prefix) {
+  struct Line {
+    std::string_view name;
+    std::string_view type;
+    std::uint64_t value;
+  };
+  const std::array<Line, 9> lines{{{"completed_total", "counter", f.completed},
+                                   {"rejected_total", "counter", f.rejected},
+                                   {"failed_total", "counter", f.failed},
+                                   {"upstream_requests_total", "counter", f.upstream},
+                                   {"pending", "gauge", f.pending},
+                                   {"members", "gauge", f.members},
+                                   {"members_unavailable", "gauge", f.members_unavailable},
+                                   {"config_reloads_total", "counter", f.config_reloads},
+                                   {"config_reload_errors_total", "counter", f.config_reload_errors}}};
+  std::string out;
+  for (const Line& line : lines) {
+    const std::string name = std::string(prefix) + "_" + std::string(line.name);
+    out += "# TYPE " + name + " " + std::string(line.type) + "\n";
+    out += name + " " + std::to_string(line.value) + "\n";
+  }
+  return out;
+}
+
+std::string Answer(std::string_view line, Service& service, const Figures& figures) {
+  const Parsed parsed = ParseCall(line);
+  if (!parsed.call) return "error " + parsed.error + "\n";
+  switch (*parsed.call) {
+    case Call::kStatus:
+      switch (service.Now()) {
+        case Life::kServing:
+          return "done serving\n";
+        case Life::kStarting:
+          return "error starting\n";
+        case Life::kStandby:
+          return "error standby\n";
+        case Life::kStopping:
+          return "error stopping\n";
+      }
+      break;
+    case Call::kStats:
+      return "done\n" + Prom(figures, "proxy") + "end\n";
+    case Call::kStandby:
+      if (service.Now() == Life::kStopping) return "error stopping, standby has no meaning now\n";
+      service.Standby();
+      return "done standby\n";
+    case Call::kActive:
+      if (service.Now() == Life::kStopping) return "error stopping, cannot take clients again\n";
+      service.Active();
+      return "done active\n";
+  }
+  return "error unknown call\n";
+}
+
+}  // namespace tinspan::ops
--- /dev/null
+++ b/src/ops/ops.hpp
@@ -0,0 +1,71 @@
+// The operators' door, without I/O: what a call line says, what the doorman's service state is, and the
+// one-line answer to each call. It decides nothing of routing; it only tells whether clients are taken.
+//
+// A call is one line of at most kMostLine bytes, ended by LF (a CR before it is dropped): the call's name,
+// then words of the form name=value that are accepted and not used (`who=` names the caller). Every answer
+// begins with `done` or `error`; `stats` alone answers with more lines, in the Prometheus text form, and
+// ends them with a line `end`.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tinspan::ops {
+
+using Micros = std::chrono::microseconds;
+
+constexpr std::size_t kMostLine = 1024;
+
+enum class Call { kStatus, kStats, kStandby, kActive };
+
+struct Parsed {
+  std::optional<Call> call;
+  std::string error;  // where there is no call: why, without the line itself
+};
+// `line` without its LF.
+Parsed ParseCall(std::string_view line);
+
+// Where the process stands. Starting: not yet serving; serving; standby: clients are sent away; stopping:
+// SIGTERM came, nothing brings it back.
+enum class Life { kStarting, kServing, kStandby, kStopping };
+
+class Service {
+ public:
+  void Serving() {
+    if (life_ == Life::kStarting) life_ = Life::kServing;
+  }
+  // False where nothing changed (stopping cannot be left, a second standby is no new one).
+  bool Standby();
+  bool Active();
+  void Stopping() { life_ = Life::kStopping; }
+  Life Now() const { return life_; }
+  bool Ready() const { return life_ == Life::kServing; }
+  // Clients are being sent away: connections with nothing open are closed.
+  bool SendingAway() const { return life_ == Life::kStandby || life_ == Life::kStopping; }
+
+ private:
+  Life life_ = Life::kStarting;
+};
+
+// The figures of `stats`, as counted since the start.
+struct Figures {
+  std::uint64_t completed = 0;  // served
+  std::uint64_t rejected = 0;   // refused, with a time to come back
+  std::uint64_t failed = 0;
+  std::uint64_t upstream = 0;  // attempts sent to servers
+  std::uint64_t pending = 0;   // requests open now
+  std::uint64_t members = 0;   // servers on the list
+  std::uint64_t members_unavailable = 0;
+  std::uint64_t config_reloads = 0;
+  std::uint64_t config_reload_errors = 0;
+};
+// Prometheus' text form, names under `prefix`_, each line ended by LF.
+std::string Prom(const Figures& figures, std::string_view prefix);
+
+// The whole answer to one line, and what it did to `service`.
+std::string Answer(std::string_view line, Service& service, const Figures& figures);
+
+}  // namespace tinspan::ops
--- /dev/null
+++ b/tests/net/platform_world.hpp
@@ -0,0 +1,108 @@
+// One real doorman on the platform with two caches, a parent, the origin and a change log played here, and
+// the words of its wires; shared by the platform's process tests.
+#pragma once
+
+#include "harness.hpp"
+
+namespace {
+
+std::string Member(const std::string& id, const std::string& address, const std::string& kind = "box",
+                   const std::string& state = "up") {
+  return R"({"id":")" + id + R"(","addr":")" + address + R"(","zone":")" + (kind == "box" ? "edge" : "core") +
+         R"(","kind":")" + kind + R"(","cell":0,"state":")" + state + R"(","weight":1,"started_ms":0})";
+}
+std::string Fleet(int seq, bool full, const std::string& members) {
+  return R"({"seq":)" + std::to_string(seq) + R"(,"fleet":{"version":1,"full":)" + (full ? "true" : "false") +
+         R"(,"servers":[)" + members + "]}}";
+}
+
+constexpr const char* kSettings = R"({"areas":["core","edge"],"kinds":["box","up","store"],"zone":"edge",
+"instances":1,"me":0,"tickMs":2.0,"lanes":[
+{"name":"pages","effect":"repeatable","keyScope":"all","promiseMs":2000.0,"aimStretch":2.0,"giveUpMs":2500.0,
+ "lateShare":0.2,"credit":1.0,"streaming":false,"windowMs":5000.0},
+{"name":"orders","effect":"by_key","keyScope":"all","promiseMs":2000.0,"giveUpMs":3000.0,"lateShare":0.0,
+ "credit":3.0,"streaming":false,"windowMs":6000.0}],
+"familyInfo":{"midKind":1,"sourceKind":2,"siblings":"location","detail":"hit","paceKbPerS":5000.0,
+"passThroughOk":true,"canJoin":true,"classWrite":[false,true],"maxAgeMs":[12000.0,0.0],"classGraceMs":[0.0,0.0],
+"instancesByZone":[0,1],"purgeSlackMs":1000.0,"goneEverywhereMs":6000.0,"parentColdFrom":0.1,
+"upperColdMs":20000.0,"upperFallMultiple":2.0},
+"limits":{"maxAttempts":8,"cancel":true,"connectTimeoutMs":400.0,"retryAfter":true,"maxRetryAfterMs":2000.0,
+"idleCloseMs":30000.0,"streamsPerConn":100},
+"rules":{"coldShare":0.2,"warmAfterMs":16000.0,"fallMultiple":2.5,"tipAfterMs":3000.0,"drainGraceMs":500.0,
+"graceToAnswerMs":8.0},"weights":"off","registryMode":"automatic"})";
+
+// One doorman with two caches, a parent and the origin.
+struct World {
+  Server cache_a, cache_b, parent, origin, changelog;
+  std::unique_ptr<TempFile> file;
+  std::unique_ptr<Program> program;
+  Peer log;  // the change log's connection
+  std::string config;
+  int port = 0;
+
+  explicit World(rlim_t descriptors = 0, bool two = true, const std::string& sockets = "1024",
+                 const std::string& memory = "192", const std::string& settings = kSettings,
+                 const std::map<std::string, std::string>& more = {}) {
+    std::string members = Member("s-a", cache_a.Address());
+    if (two) members += "," + Member("s-b", cache_b.Address());
+    members += "," + Member("p-1", parent.Address(), "up") + "," + Member("o-1", origin.Address(), "store");
+    config = R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":)"
+             R"({"cores":1.0,"memory_mb":)" +
+             memory + R"(,"sockets":)" + sockets + R"(},"changelog":")" + changelog.Address() +
+             R"(","known":{"seq":1,"results":[)" + Fleet(1, true, members) + R"(]},"settings":)" + settings +
+             "}";
+    file = std::make_unique<TempFile>(config);
+    std::map<std::string, std::string> environment{
+        {"PROXY_NAME", "n0"}, {"PROXY_LISTEN", "127.0.0.1:0"}, {"PROXY_CONFIG", file->path}};
+    environment.insert(more.begin(), more.end());
+    program = std::make_unique<Program>(std::vector<std::string>{"serve", "--log-level", "debug"},
+                                        std::move(environment), descriptors);
+    port = program->Port();
+    log = changelog.Accept();
+    CHECK(log.Until("\n") == "since 1");
+  }
+  Peer Client() { return Peer::Connect(port); }
+};
+
+std::string Bulk(const std::vector<std::string>& words) {
+  std::string out = "*" + std::to_string(words.size()) + "\r\n";
+  for (const auto& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+  return out;
+}
+std::vector<std::string> Answer(Peer& client) {
+  CHECK(client.Until("\r\n") == "*4");
+  std::vector<std::string> words;
+  for (int i = 0; i < 4; ++i) {
+    CHECK(client.Exactly(1) == "$");
+    const auto length = std::stoul(client.Until("\r\n"));
+    words.push_back(client.Exactly(length));
+    CHECK(client.Exactly(2) == "\r\n");
+  }
+  return words;
+}
+constexpr const char* kRef = "9b1f03aa5c7e2d41";
+constexpr const char* kOther = "9b1f03aa5c7e2d42";
+std::string Call(const std::string& tag, const std::string& more = "", int allow = 2500,
+                 const std::string& object = "7f3a9c21e0b4d655", const std::string& ref = kRef) {
+  return Bulk({"RPC.CALL", tag, "pages",
+               "ref=" + ref + ",allow=" + std::to_string(allow) + ",lookup=" + object +
+                   ",block=3,family=17,room=412.5" + more,
+               ""});
+}
+// Whichever of the two caches the hash chose.
+Peer Chosen(World& world, bool* first = nullptr) {
+  for (const auto end = UnixMs() + kLimitMs; UnixMs() < end;) {
+    if (!world.cache_a.Quiet(5))
+      return first ? (*first = true, world.cache_a.Accept()) : world.cache_a.Accept();
+    if (!world.cache_b.Quiet(5))
+      return first ? (*first = false, world.cache_b.Accept()) : world.cache_b.Accept();
+  }
+  CHECK(false);
+  return Peer();
+}
+std::string Ok(const std::string& body, const std::string& fields = "", const std::string& ref = kRef) {
+  return ref + " OK entity=e1,issued=" + std::to_string(UnixMs()) + fields + " " +
+         std::to_string(body.size()) + "\r\n" + body + "\r\n";
+}
+
+}  // namespace
