Turn down a whole file whose deadline or attempts are absent or not above 0

The settings' reader takes an absent or 0 deadline or attempt count as "none" (src/setup/setup.hpp, Millis and Whole), so the file passed and its change log address, which never speaks, was followed; every drain and purge after it went unheard.

Not taken: checking only on reload (a file that may not be reloaded should not start either).

Tests: tinspan_config_tests, with properties for every cut and any changed byte.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -129,6 +129,15 @@
   } catch (const Malformed& wrong) {
     Wrong("settings." + wrong.field, wrong.expected);
   }
+  // A deadline or a number of attempts that is absent or not above 0 would pass for "none" further on: the
+  // whole file is turned down instead (a reload keeps the old one).
+  for (std::size_t i = 0; i < out.site.settings.classes.size(); ++i) {
+    const std::string path = "lanes." + std::to_string(i) + ".giveUpMs";
+    if (out.site.settings.classes[i].deadline <= Micros{0}) {
+      Wrong("settings." + path, "a number of milliseconds above 0 (class " + out.site.classes[i] + ")");
+    }
+  }
+  if (out.site.settings.max_attempts == 0) Wrong("settings.limits.maxAttempts", "a whole number above 0");
   out.longest = Micros{0};
   for (const ClassSettings& one : out.site.settings.classes)
     out.longest = std::max(out.longest, one.deadline);
@@ -314,6 +323,34 @@
   }
 }
 
+// "KEY: expected ..." becomes "KEY (line N): expected ...", N the line where the key's last part is first
+// named in `text`; where it is not named (it is missing), the message stays as it is.
+std::string WithLine(std::string_view text, const std::string& message) {
+  const std::size_t colon = message.find(':');
+  if (colon == std::string::npos) return message;
+  const std::string key = message.substr(0, colon);
+  std::string last = key.substr(key.rfind('.') == std::string::npos ? 0 : key.rfind('.') + 1);
+  std::size_t at = std::string::npos;
+  if (!last.empty() && std::all_of(last.begin(), last.end(), [](char c) { return c >= '0' && c <= '9'; })) {
+    return message;  // a place in a list has no name of its own
+  }
+  // Of a class's key, the one after as many of the same name as the class's place.
+  std::size_t nth = 0;
+  if (const std::size_t lanes = key.find("lanes."); lanes != std::string::npos) {
+    nth = std::strtoul(key.c_str() + lanes + 6, nullptr, 10);
+  }
+  const std::string quoted = "\"" + last + "\"";
+  for (std::size_t from = 0, seen = 0; (from = text.find(quoted, from)) != std::string_view::npos; ++from) {
+    if (seen++ == nth) {
+      at = from;
+      break;
+    }
+  }
+  if (at == std::string::npos) return message;
+  const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n');
+  return key + " (line " + std::to_string(line) + ")" + message.substr(colon);
+}
+
 Platform ReadPlatform() {
   const std::string path = Variable("PROXY_CONFIG");
   const std::string name = Variable("PROXY_NAME");
@@ -325,7 +362,19 @@
   }
 }
 
+Platform ParsePlatformText(std::string_view json, const std::string& name, const std::string& listen);
+
 Platform ParsePlatform(std::string_view json, const std::string& name, const std::string& listen) {
+  try {
+    return ParsePlatformText(json, name, listen);
+  } catch (const Error& error) {
+    throw Error(WithLine(json, error.what()));
+  }
+}
+
+Platform ParsePlatformText(std::string_view json, const std::string& name, const std::string& listen) {
+  if (json.find_first_not_of(" \t\r\n") == std::string_view::npos)
+    Wrong("configuration", "a JSON object, not an empty file");
   simdjson::dom::parser parser;
   element root_element;
   if (const auto error = parser.parse(simdjson::padded_string(json)).get(root_element)) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -88,5 +88,7 @@
 std::string ReadFile(const std::string& key, const std::string& path);
 Platform ReadPlatform();
 Platform ParsePlatform(std::string_view json, const std::string& name, const std::string& listen);
+// For an error of the form "KEY: ...": the same with the line of `text` on which KEY stands.
+std::string WithLine(std::string_view text, const std::string& message);
 
 }  // namespace tinspan::config
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,110 @@
+// The check of a platform configuration, as at the start and on every SIGHUP: a file that is empty, cut
+// short, missing a key, or with a deadline or number of attempts not above 0 is turned down whole, and the
+// error names the key (and its line where it stands in the file).
+#include "config/config.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace {
+
+const std::string kGood = R"({"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"changelog":"127.0.0.1:9092","known":{"seq":0,"results":[]},
+"settings":{"areas":["core","edge"],"kinds":["box","up","store"],"zone":"edge","instances":1,"me":0,
+"tickMs":2.0,"lanes":[
+{"name":"pages","effect":"repeatable","keyScope":"all","promiseMs":2000.0,"giveUpMs":2500.0,
+ "lateShare":0.2,"credit":1.0,"streaming":false,"windowMs":5000.0},
+{"name":"orders","effect":"by_key","keyScope":"all","promiseMs":2000.0,"giveUpMs":3000.0,
+ "lateShare":0.0,"credit":3.0,"streaming":false,"windowMs":6000.0}],
+"familyInfo":{"midKind":1,"sourceKind":2,"siblings":"location","detail":"hit","paceKbPerS":5000.0,
+"passThroughOk":true,"canJoin":true,"classWrite":[false,true],"maxAgeMs":[12000.0,0.0],
+"classGraceMs":[0.0,0.0],"instancesByZone":[0,1],"purgeSlackMs":1000.0,"goneEverywhereMs":6000.0},
+"limits":{"maxAttempts":8,"cancel":true,"connectTimeoutMs":400.0,"retryAfter":true,
+"maxRetryAfterMs":2000.0,"idleCloseMs":30000.0,"streamsPerConn":100},
+"rules":{"coldShare":0.2,"warmAfterMs":16000.0,"drainGraceMs":500.0,"graceToAnswerMs":8.0}}})";
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to, int nth = 0) {
+  std::size_t at = text.find(from);
+  while (nth-- > 0) at = text.find(from, at + 1);
+  return text.replace(at, from.size(), to);
+}
+std::string Refusal(const std::string& text) {
+  try {
+    tinspan::config::ParsePlatform(text, "n0", "127.0.0.1:7001");
+  } catch (const tinspan::config::Error& error) {
+    return error.what();
+  }
+  return {};
+}
+
+TEST(ConfigCheck, TakesAGoodFile) {
+  const auto config = tinspan::config::ParsePlatform(kGood, "n0", "127.0.0.1:7001");
+  EXPECT_EQ(config.site.classes.size(), 2u);
+  EXPECT_EQ(config.longest.count(), 3'000'000);
+  EXPECT_FALSE(config.ops);
+  const auto with_door = tinspan::config::ParsePlatform(
+      Replaced(kGood, R"("seed")", R"("ops":"127.0.0.1:9100","seed")"), "n0", "127.0.0.1:7001");
+  ASSERT_TRUE(with_door.ops);
+  EXPECT_EQ(with_door.ops->Text(), "127.0.0.1:9100");
+}
+
+TEST(ConfigCheck, TurnsDownAnEmptyFile) {
+  EXPECT_NE(Refusal(""), "");
+  EXPECT_NE(Refusal(" \n"), "");
+}
+
+TEST(ConfigCheck, NamesTheDeadlineAndItsLine) {
+  for (const char* bad : {"0.0", "-5", "\"soon\"", "null"}) {
+    const std::string why =
+        Refusal(Replaced(kGood, "\"giveUpMs\":3000.0", std::string("\"giveUpMs\":") + bad));
+    EXPECT_NE(why.find("settings.lanes.1.giveUpMs"), std::string::npos) << bad << ": " << why;
+  }
+  EXPECT_NE(Refusal(Replaced(kGood, "\"giveUpMs\":3000.0", "\"giveUpMs\":0")).find("(line 7)"),
+            std::string::npos);
+  // Left out, it is no deadline either.
+  EXPECT_NE(Refusal(Replaced(kGood, "\"giveUpMs\":2500.0,", "")).find("settings.lanes.0.giveUpMs"),
+            std::string::npos);
+}
+
+TEST(ConfigCheck, NamesTheAttempts) {
+  for (const char* bad : {"0", "-1", "2.5", "\"many\""}) {
+    const std::string why =
+        Refusal(Replaced(kGood, "\"maxAttempts\":8", std::string("\"maxAttempts\":") + bad));
+    EXPECT_NE(why.find("settings.limits.maxAttempts"), std::string::npos) << bad << ": " << why;
+  }
+  EXPECT_NE(Refusal(Replaced(kGood, "\"maxAttempts\":8,", "")).find("settings.limits.maxAttempts"),
+            std::string::npos);
+}
+
+TEST(ConfigCheck, NamesAMissingKey) {
+  for (const char* key : {"seed", "changelog", "known", "settings"}) {
+    const std::string text = Replaced(kGood, std::string("\"") + key + "\"", "\"x_unused\"");
+    EXPECT_NE(Refusal(text).find(key), std::string::npos) << key;
+  }
+}
+
+// Whatever the cut, a file cut short is turned down with an error, never taken and never a crash.
+TEST(ConfigCheck, TurnsDownEveryFileCutShort) {
+  EXPECT_TRUE(rc::check([](void) {
+    const auto cut = *rc::gen::inRange<std::size_t>(0, kGood.size() - 1);
+    RC_ASSERT(!Refusal(kGood.substr(0, cut)).empty());
+  }));
+}
+
+// Any byte changed anywhere: taken or turned down with a reason, never a crash.
+TEST(ConfigCheck, BearsAnyChangedByte) {
+  EXPECT_TRUE(rc::check([](void) {
+    std::string text = kGood;
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    try {
+      tinspan::config::ParsePlatform(text, "n0", "127.0.0.1:7001");
+    } catch (const tinspan::config::Error& error) {
+      RC_ASSERT(std::string(error.what()).size() > 0);
+    }
+  }));
+}
+
+}  // namespace
