Retune classes on SIGHUP: new or changed ones take new places, open requests keep theirs

The reload at 4.6 s told a class pages_new (and 2 attempts); the platform took only the change log from a reloaded file, so every request naming the new class was "a request that cannot be used" and answered error (client_side.cpp, the class lookup in Call).

Design: setup::Retune (pure) sets the told classes against those in force. Places never move, so an open request keeps its class's rules; a class added or told again with other rules takes a new place after the others, and its name is looked up at its last place from then on; a class no longer told keeps its place, since clients name it for a while. Of the rest only the number of attempts is taken, and each request keeps the number it came with (core and module alike): "attempts may become fewer". Not taken: a new Router for the new file (it would forget all that was learnt and the open requests), renumbering the classes (open requests would change rules under way), taking other settings live (they describe the fleet).

Tests: Retune.KeepsPlacesAndAddsAfter.

--- a/include/tinspan/router.hpp
+++ b/include/tinspan/router.hpp
@@ -51,6 +51,7 @@
   bool parts = false;      // objects come in parts asked for in turn
   bool write = false;      // never kept, runs at the origin
   bool streaming = false;  // answers stream: a StartedEvent comes
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct Settings {
@@ -208,6 +209,9 @@
   Router(Router&&) noexcept;
   Router& operator=(Router&&) noexcept;
 
+  // New settings for what comes from now on. Classes only grow: a class that is added or changed comes
+  // after those there were, and requests that are open keep their class and their number of attempts.
+  void Retune(const Settings& settings);
   void Handle(Micros now, const MembersEvent& event, Actions& out);
   void Handle(Micros now, const RequestEvent& event, Actions& out);
   void Handle(Micros now, const StartedEvent& event, Actions& out);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -145,6 +145,14 @@
     }
   }
 
+  // The classes only grow (a changed one comes as a new one); what is open keeps its class and attempts.
+  void Retune(const Settings& settings) {
+    CheckSettings(settings);
+    settings_ = settings;
+    for (std::size_t i = sends_.size(); i < settings_.classes.size(); ++i)
+      sends_.push_back(Sec(settings_.classes[i].aim));
+  }
+
   void Start(Micros now, Actions& out) {
     Begin(now, out);
     if (settings_.discovery == Discovery::kAsked) Emit(Subscribe{});
@@ -416,7 +424,7 @@
     Server& server = servers_[place];
     const ClassSettings& one = ClassOf(request);
     if (request.ended || request.streaming || now_ >= request.deadline) return false;
-    if (request.attempts.size() >= settings_.max_attempts) return false;
+    if (request.attempts.size() >= request.most_attempts) return false;
     if (request.Out() > 0 && (!settings_.may_duplicate || one.effect != Effect::kRepeatable)) return false;
     if (!EffectAllows(request, place)) return false;
     if (!Usable(server) || !Affords(server)) return false;
@@ -616,6 +624,7 @@
     if (class_place >= settings_.classes.size()) return Emit(Fail{event.id});
     Request& request = requests_[Number(event.id)];
     request.event = event;
+    request.most_attempts = settings_.max_attempts;
     request.deadline = now_ + std::max(event.time_left, Micros{0}) - settings_.tick;
     // Departure, in classes with parts only: the cache is hashed by what a copy is of, object and part, so
     // that a client's train of parts does not clump at one cache. The parent stays hashed by the object.
@@ -937,6 +946,7 @@
   brain_->Start(now, out);
 }
 Router::~Router() = default;
+void Router::Retune(const Settings& settings) { brain_->Retune(settings); }
 Router::Router(Router&&) noexcept = default;
 Router& Router::operator=(Router&&) noexcept = default;
 
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -40,6 +40,7 @@
   if (!added) return;
   Request& request = place->second;
   request.came = event;
+  request.most_attempts = settings_.max_attempts;
   // Nobody waits longer than twice its class's whole time: what claims to would be kept for days.
   const std::size_t kind = static_cast<std::size_t>(event.class_id);
   const Micros whole = kind < settings_.classes.size() ? settings_.classes[kind].deadline : Micros{0};
@@ -178,7 +179,7 @@
   request->tries.push_back({order.server, order.source, now_, true});
   Micros until =
       order.give_up_at > Micros{0} ? std::min(order.give_up_at, request->deadline) : request->deadline;
-  const bool allowed = !request->answered && !another && number < settings_.max_attempts && until > now_ &&
+  const bool allowed = !request->answered && !another && number < request->most_attempts && until > now_ &&
                        !PastDrain(now_, order.server) && !PastDrain(now_, order.source);
   if (!allowed) {
     called_off_.push_back({.id = order.id, .attempt = number, .outcome = Outcome::kNotSent});
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -122,6 +122,11 @@
   Gateway(const Settings& settings, std::uint64_t seed, Micros now, GatewayOptions options);
 
   RequestId NextId() { return RequestId{++last_id_}; }
+  // Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
+  void Retune(const Settings& settings) {
+    settings_ = settings;
+    router_.Retune(settings);
+  }
   // Handles all that has come in since the last call, then what is due by the clock.
   void Handle(Micros now, std::span<const Event> events, Commands& out);
   // Whether a send that had to wait (for a connection) may still go out. A front asks right before it writes.
@@ -140,6 +145,7 @@
   struct Request {
     RequestCame came;
     Micros deadline{0};
+    std::uint32_t most_attempts = 0;  // as the settings said when it came
     bool answered = false;
     std::optional<std::uint32_t> begun;
     std::vector<Try> tries;
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -5,6 +5,7 @@
 
 #include "front/platform/fields.hpp"
 #include "log/log.hpp"
+#include "setup/retune.hpp"
 
 namespace tinspan::platform {
 namespace {
@@ -53,6 +54,7 @@
       gateway_(gateway),
       events_(events),
       visitors_(Rules(config)),
+      classes_(config.site.classes),
       listener_(
           loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }, /*shared=*/true) {}
 
@@ -186,10 +188,9 @@
     if (!IsHex(asked.object, 16)) return false;
     came.object = ObjectId{*ReadNumber<std::uint64_t>(asked.object, 16)};
   }
-  const Names& classes = config_.site.classes;
-  const auto place = std::find(classes.begin(), classes.end(), asked.class_name);
-  if (place == classes.end()) return false;
-  came.class_id = ClassId{static_cast<std::uint32_t>(place - classes.begin())};
+  std::size_t place = 0;
+  if (!FindClass(classes_, asked.class_name, place)) return false;
+  came.class_id = ClassId{static_cast<std::uint32_t>(place)};
   asked.size_kb = came.size_kb;
   if (killed_by_ != Micros::max()) {
     came.allow = std::clamp(killed_by_ - kLastWrite - net::Now(), Micros{0}, came.allow);
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -51,6 +51,8 @@
   }
   // Standby: newcomers are still taken, and every connection is closed once nothing is open on it.
   void SendAway(bool away) { away_ = away; }
+  // The names of the classes by place, after a retune (setup::Retune); the last place of a name is taken.
+  void SetClasses(Names classes) { classes_ = std::move(classes); }
   bool Drained() const;
   std::uint16_t Port() const { return listener_.Port(); }
   std::size_t Backlog() const;
@@ -102,6 +104,7 @@
   std::uint64_t last_ = 0;
   Micros accept_until_ = Micros::max();
   bool away_ = false;
+  Names classes_;
   Micros killed_by_ = Micros::max();
   net::Listener listener_;
 };
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -1,6 +1,7 @@
 #include "front/platform/platform_front.hpp"
 
 #include "log/log.hpp"
+#include "setup/retune.hpp"
 
 namespace tinspan::platform {
 
@@ -40,10 +41,26 @@
 bool PlatformFront::Reload() {
   try {
     const config::Platform told = config::ReadPlatform();
+    Retuned retuned = Retune(site_, told.site);
+    if (retuned.changed) {
+      gateway_.Retune(retuned.site.settings);
+      clients_.SetClasses(retuned.site.classes);
+      site_ = std::move(retuned.site);
+    }
     changes_.Follow(told.changelog);
     ++counted_.config_reloads;
-    log::Info("config.reloaded", {},
-              "configuration read anew; only changelog is taken from it without a restart");
+    const auto joined = [](const std::vector<std::string>& names) {
+      std::string out;
+      for (const std::string& name : names) out += (out.empty() ? "" : ",") + name;
+      return out.empty() ? std::string("-") : out;
+    };
+    log::Info("config.reloaded",
+              {{"added", joined(retuned.added)},
+               {"dropped", joined(retuned.dropped)},
+               {"attempts", site_.settings.max_attempts}},
+              "configuration read anew: classes added or changed {}, no longer told {}, attempts {}; "
+              "changelog followed; the rest needs a restart",
+              joined(retuned.added), joined(retuned.dropped), site_.settings.max_attempts);
     return true;
   } catch (const config::Error& error) {
     ++counted_.config_reload_errors;
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -15,6 +15,8 @@
   PlatformFront(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
                 std::vector<core::Event>& events)
       : most_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
+        gateway_(gateway),
+        site_(config.site),
         clients_(loop, config, gateway, events),
         caches_(loop, config, gateway, clients_, events),
         changes_(loop, config, caches_, events) {
@@ -38,6 +40,8 @@
   ops::Figures Figures() const;
 
   const std::size_t most_backlog_;
+  core::Gateway& gateway_;
+  Site site_;  // in force, with the classes of every retune
   ClientSide clients_;
   CacheSide caches_;
   ChangeLog changes_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -67,7 +67,8 @@
   bool streaming = false;
   bool sibling_failed = false;
   bool served = false;
-  int ran_at = kNobody;  // first attempt that may have run
+  int ran_at = kNobody;             // first attempt that may have run
+  std::uint32_t most_attempts = 0;  // as the settings said when it came: a retune does not change it
   int Out() const {
     return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; }));
   }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -8,6 +8,8 @@
 
 #include <string>
 
+#include "setup/retune.hpp"
+
 namespace {
 
 const std::string kGood = R"({"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
@@ -108,3 +110,37 @@
 }
 
 }  // namespace
+
+namespace {
+
+tinspan::Site Told(const std::string& text) {
+  return tinspan::config::ParsePlatform(text, "n0", "127.0.0.1:7001").site;
+}
+
+// Classes in force keep their places; added and changed ones come after; attempts are taken; a class no
+// longer told stays for the clients that still name it.
+TEST(Retune, KeepsPlacesAndAddsAfter) {
+  const tinspan::Site now = Told(kGood);
+  std::string text = Replaced(kGood, R"("name":"pages")", R"("name":"pages_new")");
+  text = Replaced(text, R"("effect":"by_key")", R"("effect":"once")");
+  text = Replaced(text, "\"maxAttempts\":8", "\"maxAttempts\":2");
+  const tinspan::Retuned retuned = tinspan::Retune(now, Told(text));
+  ASSERT_TRUE(retuned.changed);
+  EXPECT_EQ(retuned.site.classes, (tinspan::Names{"pages", "orders", "pages_new", "orders"}));
+  EXPECT_EQ(retuned.added, (std::vector<std::string>{"pages_new", "orders"}));
+  EXPECT_EQ(retuned.dropped, (std::vector<std::string>{"pages"}));
+  EXPECT_EQ(retuned.site.settings.classes[1].effect, tinspan::Effect::kByKey);  // open ones keep theirs
+  EXPECT_EQ(retuned.site.settings.classes[3].effect, tinspan::Effect::kOnce);
+  EXPECT_EQ(retuned.site.settings.max_attempts, 2u);
+  std::size_t place = 0;
+  ASSERT_TRUE(tinspan::FindClass(retuned.site.classes, "orders", place));
+  EXPECT_EQ(place, 3u);  // the newest rules for what comes now
+  ASSERT_TRUE(tinspan::FindClass(retuned.site.classes, "pages", place));
+  EXPECT_EQ(place, 0u);
+  EXPECT_FALSE(tinspan::FindClass(retuned.site.classes, "scans", place));
+  // The same file again changes nothing.
+  EXPECT_FALSE(tinspan::Retune(retuned.site, Told(text)).changed);
+  EXPECT_FALSE(tinspan::Retune(now, Told(kGood)).changed);
+}
+
+}  // namespace
