--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,4 +1,6 @@
 // The operators' door and what it does to the doorman: the real program, callers played here.
+#include <fstream>
+
 #include "platform_world.hpp"
 
 namespace {
@@ -151,6 +153,72 @@
   CHECK(Answer(fresh)[1] == "healthy");
 }
 
+// SIGHUP with files that must be turned down whole (the old one holds, the error names the key, the
+// figures count it), then a good one that renames a class and allows one attempt: the new name is served
+// under it, while a request open from before keeps its eight attempts and moves on after a BUSY.
+void RetunesOnSighup() {
+  OpsWorld world;
+  Peer client = world.Client();
+  client.Send(Call("1"));
+  bool first = false;
+  Peer cache = Chosen(world, &first);
+  cache.Until("\r\n\r\n");
+  const auto reload = [&](const std::string& text) {
+    std::ofstream(world.file->path) << text;
+    world.program->Signal(SIGHUP);
+  };
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = world.config;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  const std::vector<std::pair<std::string, std::string>> bad{
+      {"", "configuration"},
+      {world.config.substr(0, world.config.size() / 2), "JSON"},
+      {with(R"("settings":)", R"("unused":)"), "settings"},
+      {with(R"("giveUpMs":2500.0)", R"("giveUpMs":0)"), "settings.lanes.0.giveUpMs"},
+      {with(R"("maxAttempts":8)", R"("maxAttempts":-1)"), "settings.limits.maxAttempts"}};
+  for (const auto& [text, key] : bad) {
+    reload(text);
+    CHECK(world.program->Line("old one holds").find(key) != std::string::npos);
+  }
+  Peer caller = Peer::Connect(world.ops);
+  caller.Send("stats\n");
+  const std::string figures = caller.ToEnd();
+  CHECK(figures.find("\nproxy_config_reload_errors_total 5\n") != std::string::npos);
+  CHECK(figures.find("\nproxy_config_reloads_total 0\n") != std::string::npos);
+  reload(with(R"("maxAttempts":8)", R"("maxAttempts":1)")
+             .replace(world.config.find(R"("name":"pages")"), 14, R"("name":"fresh")"));
+  CHECK(world.program->Line("configuration read anew").find("added or changed fresh") != std::string::npos);
+  // The open one came under eight attempts: after BUSY it goes to the other cache.
+  cache.Send(std::string(kRef) + " BUSY - 0\r\n\r\n");
+  Peer next = (first ? world.cache_b : world.cache_a).Accept();
+  CHECK(next.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  next.Send(Ok("abc"));
+  CHECK(Answer(client)[3] == "abc");
+  // The new class is served, under its one attempt: after BUSY the client is answered, not another cache.
+  client.Send(
+      Bulk({"RPC.CALL", "2", "fresh",
+            std::string("ref=") + kOther + ",allow=2500,lookup=7f3a9c21e0b4d655,block=3,family=17", ""}));
+  Peer& again = first ? cache : next;  // the hash chooses as before
+  Peer& other = first ? next : cache;
+  std::string line;
+  Peer* asked = nullptr;
+  for (const auto end = UnixMs() + kLimitMs; line.empty() && UnixMs() < end;) {
+    for (Peer* one : {&again, &other}) {
+      if (line.empty() && !one->Silent(5)) {
+        line = one->Until("\r\n\r\n");
+        asked = one;
+      }
+    }
+  }
+  CHECK(asked != nullptr && line.starts_with(std::string("REQ ") + kOther + " queue=fresh,"));
+  const long long busy = UnixMs();
+  asked->Send(std::string(kOther) + " BUSY - 0\r\n\r\n");
+  const std::vector<std::string> answer = Answer(client);
+  CHECK(answer[0] == "2" && answer[1] != "done");
+  CHECK(UnixMs() - busy < 1000);  // at once, not at the deadline: no second attempt was allowed
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -159,6 +227,7 @@
       {"outlasts_silent_callers", OutlastsSilentCallers},
       {"stands_by_and_comes_back", StandsByAndComesBack},
       {"upgrades_without_a_loss", UpgradesWithoutALoss},
+      {"retunes_on_sighup", RetunesOnSighup},
   };
   return RunCases(cases, argc, argv);
 }
