Keep the bound on requests after SIGTERM in the core, not the platform's front

Need: reading the whole change again, the bound that allows requests taken after SIGTERM only until 150 ms before SIGKILL was decided in ClientSide, a part that does I/O; fronts decide nothing, and the gateway's front lacked it. Also dead: ops::Service::SendingAway and ops::Micros, unused since standby was taken from the service state directly.

Change: core::Gateway::EndsBy(at), called by the runner on SIGTERM, clamps the allow of every request that comes from then on; Front::Drain is back to one argument; the dead code is gone.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -44,7 +44,10 @@
   // Nobody waits longer than twice its class's whole time: what claims to would be kept for days.
   const std::size_t kind = static_cast<std::size_t>(event.class_id);
   const Micros whole = kind < settings_.classes.size() ? settings_.classes[kind].deadline : Micros{0};
-  const Micros allow = whole > Micros{0} ? std::min(event.allow, 2 * whole) : event.allow;
+  Micros allow = whole > Micros{0} ? std::min(event.allow, 2 * whole) : event.allow;
+  // The time an answer takes to be written after its deadline here, before SIGKILL.
+  constexpr Micros kLastWrite{150'000};
+  if (ends_by_) allow = std::clamp(*ends_by_ - kLastWrite - now_, Micros{0}, allow);
   const Micros left = std::max(allow - options_.slack, Micros{0});
   request.deadline = now_ + left;
   ++open_;
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -122,6 +122,9 @@
   Gateway(const Settings& settings, std::uint64_t seed, Micros now, GatewayOptions options);
 
   RequestId NextId() { return RequestId{++last_id_}; }
+  // SIGKILL may come at `at`: every request that comes from now on is allowed at most until shortly
+  // before, so that none is found unanswered (clients go on using kept connections in an upgrade).
+  void EndsBy(Micros at) { ends_by_ = at; }
   // Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
   void Retune(const Settings& settings) {
     settings_ = settings;
@@ -197,6 +200,7 @@
   bool Purged(const Request& request, Micros sent, Micros issued) const;
 
   Settings settings_;
+  std::optional<Micros> ends_by_;
   GatewayOptions options_;
   Micros now_{0};
   Commands* out_ = nullptr;
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -20,7 +20,7 @@
 
   void Carry(net::Micros now, const core::Command& command) override;
   void EndRound(net::Micros now) override;
-  void Drain(net::Micros accept_until, net::Micros) override { clients_.Drain(accept_until); }
+  void Drain(net::Micros accept_until) override { clients_.Drain(accept_until); }
   bool Reload() override;  // the keys: how they are rotated
   bool Drained() const override { return clients_.Drained(); }
   void SetFeed(const core::RecordFeed* feed) { clients_.SetFeed(feed); }
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -27,8 +27,6 @@
 constexpr Micros kIdle{6'000'000};
 constexpr Micros kFirst{2'400'000};
 constexpr Micros kNewcomer{50'000};
-// Before SIGKILL, the time that an answer takes to be written after its deadline in the core.
-constexpr Micros kLastWrite{150'000};
 
 // Clients hold a third of the descriptors at most; twice that would starve the servers' side. Half-read
 // messages of all may take a quarter of the memory.
@@ -192,9 +190,6 @@
   if (!FindClass(classes_, asked.class_name, place)) return false;
   came.class_id = ClassId{static_cast<std::uint32_t>(place)};
   asked.size_kb = came.size_kb;
-  if (killed_by_ != Micros::max()) {
-    came.allow = std::clamp(killed_by_ - kLastWrite - net::Now(), Micros{0}, came.allow);
-  }
   came.id = gateway_.NextId();
   client.open.emplace(asked.tag, came.id);
   refs_.insert(asked.ref);
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -43,12 +43,7 @@
   void Refuse(RequestId id, Micros retry_after);
   void Fail(RequestId id);
 
-  // From now on every request is allowed at most until shortly before `killed_by`, so that SIGKILL finds
-  // none of them unanswered: clients go on using kept connections in an upgrade.
-  void Drain(Micros accept_until, Micros killed_by) {
-    accept_until_ = accept_until;
-    killed_by_ = killed_by;
-  }
+  void Drain(Micros accept_until) { accept_until_ = accept_until; }
   // Standby: newcomers are still taken, and every connection is closed once nothing is open on it.
   void SendAway(bool away) { away_ = away; }
   // The names of the classes by place, after a retune (setup::Retune); the last place of a name is taken.
@@ -105,7 +100,6 @@
   Micros accept_until_ = Micros::max();
   bool away_ = false;
   Names classes_;
-  Micros killed_by_ = Micros::max();
   net::Listener listener_;
 };
 
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -25,9 +25,9 @@
 
   void Carry(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
-  void Drain(Micros accept_until, Micros killed_by) override {
+  void Drain(Micros accept_until) override {
     service_.Stopping();
-    clients_.Drain(accept_until, killed_by);
+    clients_.Drain(accept_until);
   }
   bool Reload() override;
   bool Drained() const override { return clients_.Drained(); }
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -87,7 +87,8 @@
       log::Info("stop.begun", {{"open", gateway.OpenRequests()}}, "stopping: {} requests open",
                 gateway.OpenRequests());
       tell(now, core::Life::kStopping);
-      front.Drain(now + times.accept, now + times.killed);
+      gateway.EndsBy(now + times.killed);
+      front.Drain(now + times.accept);
     }
     if (stopping && now - *stopping >= times.accept && gateway.OpenRequests() == 0 && events.empty() &&
         front.Drained()) {
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -17,9 +17,8 @@
   virtual void Carry(net::Micros now, const core::Command& command) = 0;
   // Once a round, after all commands: slices handed out in it end here.
   virtual void EndRound(net::Micros now) = 0;
-  // The stop has begun: go on accepting until `accept_until`, then close what is idle. SIGKILL may come at
-  // `killed_by`: a request taken from now on is owed its final answer before then.
-  virtual void Drain(net::Micros accept_until, net::Micros killed_by) = 0;
+  // The stop has begun: go on accepting until `accept_until`, then close what is idle.
+  virtual void Drain(net::Micros accept_until) = 0;
   virtual bool Reload() { return true; }  // SIGHUP; false: what holds stays as it was, and the log says why
   virtual bool Drained() const = 0;       // nothing taken is left unanswered or unwritten
 };
--- a/src/ops/ops.hpp
+++ b/src/ops/ops.hpp
@@ -7,7 +7,6 @@
 // ends them with a line `end`.
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,8 +14,6 @@
 
 namespace tinspan::ops {
 
-using Micros = std::chrono::microseconds;
-
 constexpr std::size_t kMostLine = 1024;
 
 enum class Call { kStatus, kStats, kStandby, kActive };
@@ -43,8 +40,6 @@
   void Stopping() { life_ = Life::kStopping; }
   Life Now() const { return life_; }
   bool Ready() const { return life_ == Life::kServing; }
-  // Clients are being sent away: connections with nothing open are closed.
-  bool SendingAway() const { return life_ == Life::kStandby || life_ == Life::kStopping; }
 
  private:
   Life life_ = Life::kStarting;
