Test a 1 MB/s reader and a change log that stalls mid-line beside a served client

None played the two together with a client served meanwhile.

Change: platform_test.serves_beside_a_slow_reader_and_a_stalled_change_log: eight answers of 240 KB (1.9 MB) to a client that reads them at 1 MB/s with a 64 KB receive buffer; the change log sends 20 bytes of an event and stops; a second client asks every 100 ms. Asserted: cache answer to client answer under 100 ms each time, the change log connected anew within 3 s and followed (since 2), the slow one takes >= 1.5 s and gets every byte in order.

--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -107,6 +108,25 @@
     }
     return std::exchange(in_, {});
   }
+  // `total` bytes, read no faster than `bytes_per_s` (in reads of at most 16 KB), as a client on a thin line
+  // does.
+  std::string Paced(std::size_t total, double bytes_per_s) {
+    const auto start = std::chrono::steady_clock::now();
+    std::size_t taken = 0;
+    while (in_.size() < total) {
+      const auto due =
+          start + std::chrono::microseconds(static_cast<std::int64_t>(1e6 * taken / bytes_per_s));
+      std::this_thread::sleep_until(due);
+      pollfd one{fd_, POLLIN, 0};
+      CHECK(::poll(&one, 1, kLimitMs) == 1);
+      char block[16384];
+      const ssize_t n = ::recv(fd_, block, std::min(sizeof block, total - in_.size()), 0);
+      CHECK(n > 0);
+      in_.append(block, static_cast<std::size_t>(n));
+      taken += static_cast<std::size_t>(n);
+    }
+    return std::exchange(in_, {});
+  }
   // All that comes within so many milliseconds, the connection left open.
   std::string During(int ms) {
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
@@ -124,6 +144,7 @@
     return std::exchange(in_, {});
   }
   // Whether nothing comes within so many milliseconds. Only for proving silence.
+  int Descriptor() const { return fd_; }
   bool Silent(int ms) {
     pollfd one{fd_, POLLIN, 0};
     return in_.empty() && ::poll(&one, 1, ms) == 0;
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -1,4 +1,6 @@
 // The platform's front: the real program between clients, shop caches and a change log played here.
+#include <thread>
+
 #include "platform_world.hpp"
 
 namespace {
@@ -442,6 +444,58 @@
   world.program->Line("takes no answers, connection closed");
 }
 
+// A client that reads 1 MB a second and a change log that breaks off in the middle of a line and stalls,
+// beside a client that is served meanwhile: neither may hold it up, the slow one gets every byte unchanged,
+// and the change log is connected anew and followed. Guards against answers queued behind a thin line and a
+// loop that waits on a half line.
+void ServesBesideASlowReaderAndAStalledChangeLog() {
+  World world(0, false);
+  Peer slow = world.Client(), client = world.Client(), cache;
+  const int kept =
+      64 * 1024;  // so that the slow one's kernel buffer holds little and the doorman holds the rest
+  CHECK(::setsockopt(slow.Descriptor(), SOL_SOCKET, SO_RCVBUF, &kept, sizeof kept) == 0);
+  std::string body(240'000, 'x');
+  for (std::size_t i = 0; i < body.size(); ++i) body[i] = static_cast<char>('a' + i % 26);
+  std::vector<std::string> expected;
+  for (int i = 10; i < 18; ++i) {  // 1.9 MB in all, for the slow one to read at 1 MB a second
+    const std::string ref = "9b1f03aa5c7e2d" + std::to_string(i);
+    slow.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
+    if (i == 10) cache = world.cache_a.Accept();
+    CHECK(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    cache.Send(Ok(body, "", ref));
+    expected.push_back(Bulk({std::to_string(i), "done", "", body}));
+  }
+  std::string all;
+  for (const auto& one : expected) all += one;
+  const auto start = UnixMs();
+  std::string read;
+  std::thread reader([&] { read = slow.Paced(all.size(), 1e6); });
+  // The change log breaks off in the middle of an event and says nothing more.
+  const std::string event = Fleet(2, false, Member("p-1", world.parent.Address(), "up", "removed"));
+  world.log.Send(event.substr(0, 20));
+  std::int64_t worst = 0;
+  for (int i = 0; i < 15; ++i) {  // one request each 100 ms while the slow one reads
+    client.Send(Call(std::to_string(100 + i), "", 2500, "7f3a9c21e0b4d655", kOther));
+    CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    const auto answered = UnixMs();
+    cache.Send(Ok("abc", "", kOther));
+    CHECK(Answer(client)[3] == "abc");
+    worst = std::max(worst, UnixMs() - answered);
+    ::usleep(100'000);
+  }
+  CHECK(worst <
+        100);  // from the cache's answer to the client's, while a slow one and a stalled log are there
+  Peer log = world.changelog.Accept();  // a change log without a whole line for 1.8 s is connected anew
+  CHECK(log.Until("\n") == "since 1");
+  CHECK(UnixMs() - start < 3'000);
+  log.Send(event + "\n");
+  log.Close();
+  CHECK(world.changelog.Accept().Until("\n") == "since 2");  // and followed
+  reader.join();
+  CHECK(UnixMs() - start >= 1'500);  // it was read slowly...
+  CHECK(read == all);                // ...and every byte is there, in order
+}
+
 // Called off while its connection was not up and asked for again there, a request waited on it twice and went
 // out twice: a second copy. Where the connection comes up just as the attempt's time runs out (it is called
 // off each aim, 250 ms, and the SYN is sent again after 1 s), STOP follows at once, and a next attempt may
@@ -517,6 +571,7 @@
       {"bears_a_slow_client", BearsASlowClient},
       {"sends_once_on_a_slow_connection", SendsOnceOnASlowConnection},
       {"lets_no_client_hold_up_all", LetsNoClientHoldUpAll},
+      {"serves_beside_a_slow_reader_and_a_stalled_change_log", ServesBesideASlowReaderAndAStalledChangeLog},
   };
   return RunCases(cases, argc, argv);
 }
