Test an upgrade whose new process cannot start: the old one serves on and says yes

Change: ops_test.a_failed_upgrade_leaves_the_old_serving starts a second process at the clients' address with the old one's door address taken; it must end with 1 naming the address, and the old one must answer status yes, serve a kept connection and a new one.

--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -153,6 +153,28 @@
   CHECK(Answer(fresh)[1] == "healthy");
 }
 
+// An upgrade whose new process cannot start (its door's address is taken, as by the old one's): it says why
+// and ends with 1, and the old one goes on serving, on its kept connections and on new ones, and says yes.
+void AFailedUpgradeLeavesTheOldServing() {
+  OpsWorld old;
+  Peer kept = old.Client();
+  Program next({"serve"}, {{"PROXY_NAME", "n0"},
+                           {"PROXY_LISTEN", "127.0.0.1:" + std::to_string(old.port)},
+                           {"PROXY_CONFIG", old.file->path},
+                           {"PROXY_OPS", "127.0.0.1:" + std::to_string(old.ops)}});
+  CHECK(next.Wait() == 1);
+  CHECK(next.log.find("address") != std::string::npos || next.log.find("in use") != std::string::npos);
+  CHECK(old.Ask("status") == "done serving");
+  kept.Send(Call("1"));
+  Peer cache = Chosen(old);
+  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  cache.Send(Ok("abc"));
+  CHECK((Answer(kept) == std::vector<std::string>{"1", "done", "", "abc"}));
+  Peer fresh = old.Client();
+  fresh.Send(Bulk({"RPC.HEALTH", "1", ""}));
+  CHECK(Answer(fresh)[1] == "healthy");
+}
+
 // SIGHUP with files that must be turned down whole (the old one holds, the error names the key, the
 // figures count it), then a good one that renames a class and allows one attempt: the new name is served
 // under it, while a request open from before keeps its eight attempts and moves on after a BUSY.
@@ -227,6 +249,7 @@
       {"outlasts_silent_callers", OutlastsSilentCallers},
       {"stands_by_and_comes_back", StandsByAndComesBack},
       {"upgrades_without_a_loss", UpgradesWithoutALoss},
+      {"a_failed_upgrade_leaves_the_old_serving", AFailedUpgradeLeavesTheOldServing},
       {"retunes_on_sighup", RetunesOnSighup},
   };
   return RunCases(cases, argc, argv);
