Take signals from the start: SIGTERM on the word 'serving at' ended the program with 143

Ruled out: the port (the line had come) and the gateway's files (check-config passed).

front::Signals is made first in Serve and handed to Run.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -55,6 +55,7 @@
 template <class Front, class Config>
 void Serve(const Config& config) {
   net::EventLoop loop;
+  front::Signals signals(loop);
   std::vector<core::Event> events;
   core::Gateway gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
   const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
@@ -70,7 +71,7 @@
     }
   }
   if (recorder) recorder->OnLife(net::Now(), core::Life::kServing, 0, at, 0);
-  front::Run(loop, gateway, front, events, Stop(config), recorder.get());
+  front::Run(loop, signals, gateway, front, events, Stop(config), recorder.get());
 }
 
 config::Http ReadGateway(const Values& values) {
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -13,46 +13,31 @@
 #include "log/log.hpp"
 
 namespace tinspan::front {
-namespace {
-
 using net::Micros;
 
-class Signals final : public net::EventLoop::Sink {
- public:
-  explicit Signals(net::EventLoop& loop) : loop_(loop) {
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigaddset(&set, SIGHUP);
-    ::sigprocmask(SIG_BLOCK, &set, nullptr);
-    fd_ = net::Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-    if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
-    handle_ = loop_.Add(fd_.Get(), EPOLLIN, *this);
-  }
-  ~Signals() { loop_.Remove(handle_, fd_.Get()); }
-  void OnReady(std::uint32_t) override {
-    signalfd_siginfo info;
-    while (::read(fd_.Get(), &info, sizeof info) == sizeof info) {
-      (info.ssi_signo == SIGHUP ? reload : stop) = true;
-      last = static_cast<int>(info.ssi_signo);
-    }
-  }
-  bool stop = false;
-  bool reload = false;
-  int last = 0;  // the number of the signal that came last
-
- private:
-  net::EventLoop& loop_;
-  net::Fd fd_;
-  net::EventLoop::Handle handle_ = 0;
-};
+Signals::Signals(net::EventLoop& loop) : loop_(loop) {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
+  ::sigprocmask(SIG_BLOCK, &set, nullptr);
+  fd_ = net::Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
+  handle_ = loop_.Add(fd_.Get(), EPOLLIN, *this);
+}
+Signals::~Signals() { loop_.Remove(handle_, fd_.Get()); }
 
-}  // namespace
+void Signals::OnReady(std::uint32_t) {
+  signalfd_siginfo info;
+  while (::read(fd_.Get(), &info, sizeof info) == sizeof info) {
+    (info.ssi_signo == SIGHUP ? reload : stop) = true;
+    last = static_cast<int>(info.ssi_signo);
+  }
+}
 
-void Run(net::EventLoop& loop, core::Gateway& gateway, Front& front, std::vector<core::Event>& events,
-         StopTimes times, core::Observer* observer) {
-  Signals signals(loop);
+void Run(net::EventLoop& loop, Signals& signals, core::Gateway& gateway, Front& front,
+         std::vector<core::Event>& events, StopTimes times, core::Observer* observer) {
   const auto tell = [&](Micros now, core::Life what, int signal = 0) {
     if (observer != nullptr) observer->OnLife(now, what, signal, {}, gateway.OpenRequests());
   };
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -8,9 +8,29 @@
 #include "core/gateway.hpp"
 #include "core/observer.hpp"
 #include "net/event_loop.hpp"
+#include "net/fd.hpp"
 
 namespace tinspan::front {
 
+// SIGTERM, SIGINT and SIGHUP as events of the loop. Made before the program says that it serves: a signal
+// sent on that word must not meet the default action, which ends the process. Throws std::system_error.
+class Signals final : public net::EventLoop::Sink {
+ public:
+  explicit Signals(net::EventLoop& loop);
+  ~Signals();
+  Signals(const Signals&) = delete;
+  Signals& operator=(const Signals&) = delete;
+  void OnReady(std::uint32_t events) override;
+  bool stop = false;
+  bool reload = false;
+  int last = 0;  // the number of the signal that came last
+
+ private:
+  net::EventLoop& loop_;
+  net::Fd fd_;
+  net::EventLoop::Handle handle_ = 0;
+};
+
 class Front {
  public:
   virtual ~Front() = default;
@@ -31,7 +51,7 @@
 
 // Runs until SIGTERM or SIGINT and what was taken is finished. `events` is where the front's parts put what
 // they gather; `observer` may be none.
-void Run(net::EventLoop& loop, core::Gateway& gateway, Front& front, std::vector<core::Event>& events,
-         StopTimes times, core::Observer* observer);
+void Run(net::EventLoop& loop, Signals& signals, core::Gateway& gateway, Front& front,
+         std::vector<core::Event>& events, StopTimes times, core::Observer* observer);
 
 }  // namespace tinspan::front
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/resource.h>
@@ -221,10 +222,16 @@
 
 class Program {
  public:
+  // With `full_log` nothing that it logs fits until the log is read: it stops in its first line.
   Program(std::vector<std::string> arguments, std::map<std::string, std::string> environment,
-          rlim_t descriptors = 0) {
+          rlim_t descriptors = 0, bool full_log = false) {
     int pipes[2];
     CHECK(::pipe(pipes) == 0);
+    if (full_log) {
+      const std::string block(4096, '\n');
+      CHECK(::fcntl(pipes[1], F_SETPIPE_SZ, 4096) == 4096);
+      CHECK(::write(pipes[1], block.data(), block.size()) == static_cast<ssize_t>(block.size()));
+    }
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(pipes[1], 1);
@@ -278,6 +285,18 @@
     return std::stoi(line.substr(line.rfind(':') + 1));
   }
   pid_t Pid() const { return pid_; }
+  // Returns once the process sleeps (looked at over 50 ms): in a program that has not served yet, on its log.
+  void Asleep() const {
+    const long long end = UnixMs() + kLimitMs;
+    for (int asleep = 0; asleep < 5;) {
+      CHECK(UnixMs() < end);
+      std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
+      std::string stat;
+      std::getline(in, stat);
+      asleep = stat.substr(stat.rfind(')') + 1).starts_with(" S") ? asleep + 1 : 0;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
   void Signal(int number) { ::kill(pid_, number); }
   int Wait() {  // the exit status; the rest of the log is read
     while (More()) {
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -241,6 +241,26 @@
   CHECK(UnixMs() - busy < 1000);  // at once, not at the deadline: no second attempt was allowed
 }
 
+// A signal that comes as the program says that it serves, before its loop runs, is heeded like any other:
+// SIGHUP does not end it, SIGTERM ends it with 0. The full log holds the program at that very word.
+void HeedsSignalsFromItsFirstWord() {
+  Server cache, changelog;
+  const TempFile file(
+      R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,)"
+      R"("sockets":1024},"changelog":")" +
+      changelog.Address() + R"(","known":{"seq":1,"results":[)" +
+      Fleet(1, true, Member("s-a", cache.Address())) + R"(]},"settings":)" + kSettings + "}");
+  Program program({"serve"},
+                  {{"PROXY_NAME", "n0"}, {"PROXY_LISTEN", "127.0.0.1:0"}, {"PROXY_CONFIG", file.path}}, 0,
+                  true);
+  program.Asleep();
+  program.Signal(SIGHUP);
+  program.Signal(SIGTERM);
+  CHECK(program.Wait() == 0);
+  CHECK(program.log.find("serving at ") != std::string::npos);
+  CHECK(program.log.find("stopped, all that was taken is answered") != std::string::npos);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -251,6 +271,7 @@
       {"upgrades_without_a_loss", UpgradesWithoutALoss},
       {"a_failed_upgrade_leaves_the_old_serving", AFailedUpgradeLeavesTheOldServing},
       {"retunes_on_sighup", RetunesOnSighup},
+      {"heeds_signals_from_its_first_word", HeedsSignalsFromItsFirstWord},
   };
   return RunCases(cases, argc, argv);
 }
