--- a/bench/record_cost.cpp
+++ b/bench/record_cost.cpp
@@ -45,6 +45,8 @@
     Json file = Json::parse(in);
     file["name"] = name;
     file["listen"] = "127.0.0.1:0";
+    file.erase("ops");  // measured without them
+    file.erase("members");
     file["keys_file"] = "keys.json";
     file["signing_key_file"] = "own.json";
     file.erase("operator_token_file");
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -6,6 +6,7 @@
 
 #include "cli/command.hpp"
 #include "cli/console.hpp"
+#include "cli/door.hpp"
 #include "cli/init.hpp"
 #include "cli/keys.hpp"
 #include "cli/records.hpp"
@@ -66,6 +67,9 @@
             "tinspan console --from http://127.0.0.1:8080 --token-file gateway/operator.token\n"
             "tinspan console --once --at 2026-12-01T14:03:00Z gateway/records\n",
             0, kMany, DescribeConsole, RunConsole},
+    Command{"members", "", "show the fleet view of a running doorman, through its operators' door",
+            "tinspan members --door 127.0.0.1:9100\ntinspan members --door 127.0.0.1:9100 --raw\n", 0, 0,
+            DescribeDoor, RunMembers},
     Command{"version", "", "print the version", "tinspan version\n", 0, 0, None, Version},
     Command{"help", "[COMMAND]", "explain a command", "tinspan help serve\ntinspan help keys link\n", 0, 2,
             None, Help},
--- /dev/null
+++ b/src/cli/door.hpp
@@ -0,0 +1,11 @@
+// Commands that ask a running doorman through its operators' door: `members`.
+#pragma once
+
+#include "cli/command.hpp"
+
+namespace tinspan::cli {
+
+void DescribeDoor(Options& options);
+int RunMembers(const Values& values, const std::vector<std::string>& arguments);
+
+}  // namespace tinspan::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -9,6 +9,7 @@
 #include "front/platform/platform_front.hpp"
 #include "front/runner.hpp"
 #include "log/log.hpp"
+#include "members/node.hpp"
 #include "record/recorder.hpp"
 
 namespace tinspan::cli {
@@ -52,6 +53,62 @@
 // The platform gives no disk that lasts: nothing is recorded there.
 std::unique_ptr<record::Recorder> MakeRecorder(const config::Platform&) { return nullptr; }
 
+// The fleet view where the file asks for it (absent on the platform's days: its instances share nothing).
+std::unique_ptr<members::Node> MakeMembers(net::EventLoop& loop, const config::Common& config) {
+  if (!config.members) return nullptr;
+  const config::Members& told = *config.members;
+  members::NodeOptions options;
+  options.fleet = told.fleet;
+  options.name = config.name;
+  options.zone = told.zone;
+  options.listen = told.listen;
+  options.advertise = told.advertise;
+  options.seeds = told.seeds;
+  options.view.interval = told.probe;
+  options.view.timeout = told.probe_timeout;
+  options.view.indirect = told.indirect;
+  options.view.alpha = told.alpha;
+  options.view.beta = told.beta;
+  options.view.retransmit = told.retransmit;
+  options.view.sync = told.sync;
+  options.view.dead_keep = told.dead_keep;
+  options.seed = config.seed ^ 0x6d656d62657273ull;  // its own stream of the told seed
+  return std::make_unique<members::Node>(loop, std::move(options));
+}
+
+front::Beside BesideOf(members::Node* node) {
+  front::Beside beside;
+  if (node == nullptr) return beside;
+  beside.views.members = [node] { return node->Lines(); };
+  beside.figures = [node](ops::Figures& figures) {
+    const members::View& view = node->Seen();
+    const members::Figures& counted = view.Counted();
+    const members::Wire& wire = node->Counted();
+    using members::State;
+    figures.more.push_back({"fleet_members_alive", "gauge", view.Count(State::kAlive)});
+    figures.more.push_back({"fleet_members_suspect", "gauge", view.Count(State::kSuspect)});
+    figures.more.push_back(
+        {"fleet_members_dead", "gauge", view.Count(State::kDead) + view.Count(State::kLeft)});
+    figures.more.push_back({"fleet_local_health", "gauge", static_cast<std::uint64_t>(view.Health())});
+    figures.more.push_back({"fleet_probes_total", "counter", counted.probes});
+    figures.more.push_back({"fleet_indirect_probes_total", "counter", counted.indirect});
+    figures.more.push_back({"fleet_suspicions_total", "counter", counted.suspected});
+    figures.more.push_back({"fleet_declared_dead_total", "counter", counted.declared_dead});
+    figures.more.push_back({"fleet_refutations_total", "counter", counted.refuted});
+    figures.more.push_back({"fleet_syncs_total", "counter", counted.syncs});
+    figures.more.push_back({"fleet_datagrams_in_total", "counter", wire.datagrams_in});
+    figures.more.push_back({"fleet_datagrams_out_total", "counter", wire.datagrams_out});
+    figures.more.push_back({"fleet_bytes_in_total", "counter", wire.bytes_in});
+    figures.more.push_back({"fleet_bytes_out_total", "counter", wire.bytes_out});
+    std::uint64_t refused = 0;
+    for (const std::uint64_t one : wire.refused) refused += one;
+    figures.more.push_back({"fleet_datagrams_refused_total", "counter", refused});
+  };
+  beside.on_drain = [node] { node->Leave(); };
+  beside.failing = [node](std::vector<std::uint64_t> failing) { node->Report(std::move(failing)); };
+  return beside;
+}
+
 template <class Front, class Config>
 void Serve(const Config& config) {
   net::EventLoop loop;
@@ -59,16 +116,16 @@
   std::vector<core::Event> events;
   core::Gateway gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
   const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
+  const std::unique_ptr<members::Node> fleet = MakeMembers(loop, config);  // outlives the front that asks it
   Front front(loop, config, gateway, events);
   if constexpr (std::is_same_v<Front, http::HttpFront>) front.SetFeed(recorder.get());
+  front.SetBeside(BesideOf(fleet.get()));
   // The port as it is, since 0 asks for any free one.
   const std::string at = net::Endpoint{config.listen.address, front.Port()}.Text();
   log::Info("serve.listening", {{"name", config.name}, {"address", at}}, "{} serving at {}", config.name, at);
-  if constexpr (std::is_same_v<Front, platform::PlatformFront>) {
-    if (const auto ops = front.OpsPort()) {
-      const std::string door = net::Endpoint{config.ops->address, *ops}.Text();
-      log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
-    }
+  if (const auto ops = front.OpsPort()) {
+    const std::string door = net::Endpoint{config.ops->address, *ops}.Text();
+    log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
   }
   if (recorder) recorder->OnLife(net::Now(), core::Life::kServing, 0, at, 0);
   front::Run(loop, signals, gateway, front, events, Stop(config), recorder.get());
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -265,6 +265,67 @@
   }
 }
 
+double NumberOr(const object& in, std::string_view key, const std::string& path, double absent) {
+  element value;
+  if (in[key].get(value) != simdjson::SUCCESS) return absent;
+  double number = 0;
+  if (value.get(number) != simdjson::SUCCESS) Wrong(path, "a number");
+  return number;
+}
+
+bool Word(const std::string& text) {
+  return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+  });
+}
+
+// All checked here, so that a file that could not make a fleet view is turned down whole.
+void ReadMembers(const object& root, Common& out) {
+  element value;
+  if (root["members"].get(value) != simdjson::SUCCESS) return;
+  const object members = Object(value, "members");
+  // It names this doorman in the fleet; what others would refuse is refused here.
+  if (!Word(out.name)) Wrong("name", "1 to 64 letters, digits, '-', '_' or '.', for the fleet view");
+  Members told;
+  told.fleet = Text(Need(members, "fleet", "members.fleet"), "members.fleet");
+  if (!Word(told.fleet)) Wrong("members.fleet", "1 to 64 letters, digits, '-', '_' or '.'");
+  told.listen = Address(Text(Need(members, "listen", "members.listen"), "members.listen"), "members.listen");
+  if (element advertise; members["advertise"].get(advertise) == simdjson::SUCCESS) {
+    told.advertise = Address(Text(advertise, "members.advertise"), "members.advertise");
+    if (told.advertise->port == 0) Wrong("members.advertise", "an address with a port above 0");
+  }
+  told.zone = TextOr(members, "zone", "members.zone", "");
+  if (!told.zone.empty() && !Word(told.zone))
+    Wrong("members.zone", "1 to 64 letters, digits, '-', '_' or '.'");
+  if (element seeds; members["seeds"].get(seeds) == simdjson::SUCCESS) {
+    std::size_t place = 0;
+    for (const element one : List(seeds, "members.seeds")) {
+      const std::string path = "members.seeds." + std::to_string(place++);
+      told.seeds.push_back(Address(Text(one, path), path));
+    }
+  }
+  told.probe = MillisOr(members, "probe_ms", "members.probe_ms", told.probe);
+  if (told.probe < Micros{50'000} || told.probe > Micros{60'000'000})
+    Wrong("members.probe_ms", "50 to 60000");
+  told.probe_timeout = MillisOr(members, "probe_timeout_ms", "members.probe_timeout_ms", told.probe / 2);
+  if (told.probe_timeout <= Micros{0} || told.probe_timeout >= told.probe) {
+    Wrong("members.probe_timeout_ms", "above 0 and under members.probe_ms");
+  }
+  told.indirect = static_cast<int>(WholeOr(members, "indirect", "members.indirect", 3));
+  if (told.indirect < 1 || told.indirect > 8) Wrong("members.indirect", "1 to 8");
+  told.alpha = NumberOr(members, "suspicion_alpha", "members.suspicion_alpha", told.alpha);
+  if (!(told.alpha > 0 && told.alpha <= 100)) Wrong("members.suspicion_alpha", "above 0, 100 at most");
+  told.beta = NumberOr(members, "suspicion_beta", "members.suspicion_beta", told.beta);
+  if (!(told.beta >= 1 && told.beta <= 100)) Wrong("members.suspicion_beta", "1 to 100");
+  told.retransmit = static_cast<int>(WholeOr(members, "retransmit", "members.retransmit", 4));
+  if (told.retransmit < 1 || told.retransmit > 16) Wrong("members.retransmit", "1 to 16");
+  told.sync = MillisOr(members, "sync_ms", "members.sync_ms", told.sync);
+  if (told.sync < told.probe) Wrong("members.sync_ms", "members.probe_ms at least");
+  told.dead_keep = MillisOr(members, "dead_keep_ms", "members.dead_keep_ms", told.dead_keep);
+  if (told.dead_keep < told.probe * 10) Wrong("members.dead_keep_ms", "ten times members.probe_ms at least");
+  out.members = std::move(told);
+}
+
 }  // namespace
 
 std::string ReadFile(const std::string& key, const std::string& path) {
@@ -317,6 +378,8 @@
     ReadRoutes(root, out);
     ReadConsul(root, folder, out);
     ReadRecord(root, folder, out.record);
+    if (element ops; root["ops"].get(ops) == simdjson::SUCCESS) out.ops = Address(Text(ops, "ops"), "ops");
+    ReadMembers(root, out);
     return out;
   } catch (const Error& error) {
     throw Error(path + ": " + error.what());
@@ -399,6 +462,7 @@
   } else if (element ops; root["ops"].get(ops) == simdjson::SUCCESS) {
     out.ops = Address(Text(ops, "ops"), "ops");
   }
+  ReadMembers(root, out);
   return out;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -21,6 +21,23 @@
   std::size_t sockets = 1024;
 };
 
+// The fleet view (docs/design/members.md); absent from the file: off.
+struct Members {
+  std::string fleet;  // letters, digits, '-', '_', '.'; datagrams of another fleet are refused
+  net::Endpoint listen;
+  std::optional<net::Endpoint> advertise;
+  std::string zone;
+  std::vector<net::Endpoint> seeds;
+  Micros probe{1'000'000};        // the period of probes, 50 ms to 60 s
+  Micros probe_timeout{500'000};  // under the period
+  int indirect = 3;               // 1 to 8
+  double alpha = 4;               // above 0
+  double beta = 6;                // 1 at least
+  int retransmit = 4;             // 1 to 16
+  Micros sync{10'000'000};        // the probe's period at least
+  Micros dead_keep{60'000'000};   // ten periods at least
+};
+
 // What holds for either front.
 struct Common {
   std::string name = "tinspan";
@@ -33,6 +50,11 @@
   std::size_t exchanges = 100;  // at once on one connection to a server
   Micros longest{6'000'000};    // the longest deadline of a class
   Micros slack{2'000};          // taken off what a client allows
+  // The operators' door: on the platform $PROXY_OPS, else `ops` of the file (a second process of an upgrade
+  // is told a new one in the variable, with the file unchanged); at the gateway `ops` of its file. Absent:
+  // there is none.
+  std::optional<net::Endpoint> ops;
+  std::optional<Members> members;
 };
 
 // The platform: PROXY_NAME, PROXY_LISTEN and PROXY_CONFIG.
@@ -40,9 +62,6 @@
   net::Endpoint changelog;
   std::uint64_t known_seq = 0;
   std::vector<std::string> known;  // the change log's events up to the start, each one JSON object
-  // The operators' door: $PROXY_OPS, else `ops` of the file (a second process of an upgrade is told a new
-  // one in the variable, with the file unchanged); absent: there is none.
-  std::optional<net::Endpoint> ops;
 };
 
 // The gateway between sites: an operator's file.
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -53,10 +53,23 @@
       log::Info("consul.changed", {{"service", service.name}, {"changes", changes.size()}},
                 "Consul, service {}: {} changes", service.name, changes.size());
       events.push_back(std::move(told));
-      if (std::exchange(first, false) && --unlisted_ == 0) clients_.SetReady();
+      if (std::exchange(first, false) && --unlisted_ == 0) {
+        clients_.SetReady();
+        service_.Serving();
+      }
     };
     watches_.push_back(std::make_unique<ConsulWatch>(loop, config, service, std::move(changed)));
   }
+  if (config.ops) {
+    door_.emplace(
+        loop, *config.ops, service_,
+        [this] {
+          ops::Figures figures;
+          if (beside_.figures) beside_.figures(figures);
+          return figures;
+        },
+        views_);
+  }
 }
 
 void HttpFront::Carry(net::Micros now, const core::Command& command) {
@@ -86,6 +99,7 @@
 
 void HttpFront::EndRound(net::Micros now) {
   upstream_.EndRound(now);
+  upstream_.Failing().EndRound(now);
   clients_.EndRound(now);
   for (const auto& watch : watches_) watch->EndRound();
 }
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -8,6 +8,7 @@
 #include "front/http/clients.hpp"
 #include "front/http/consul.hpp"
 #include "front/http/upstream.hpp"
+#include "front/ops/door.hpp"
 #include "front/runner.hpp"
 
 namespace tinspan::http {
@@ -20,11 +21,23 @@
 
   void Carry(net::Micros now, const core::Command& command) override;
   void EndRound(net::Micros now) override;
-  void Drain(net::Micros accept_until) override { clients_.Drain(accept_until); }
+  void Drain(net::Micros accept_until) override {
+    if (beside_.on_drain) beside_.on_drain();
+    service_.Stopping();
+    clients_.Drain(accept_until);
+  }
   bool Reload() override;  // the keys: how they are rotated
   bool Drained() const override { return clients_.Drained(); }
   void SetFeed(const core::RecordFeed* feed) { clients_.SetFeed(feed); }
   std::uint16_t Port() const { return clients_.Port(); }
+  std::optional<std::uint16_t> OpsPort() const {
+    return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
+  }
+  void SetBeside(front::Beside beside) {
+    views_ = beside.views;
+    upstream_.Failing().ReportTo(beside.failing);
+    beside_ = std::move(beside);
+  }
 
  private:
   void Answer(const core::Answer& answer);
@@ -35,7 +48,11 @@
   Clients clients_;
   Upstream upstream_;
   std::vector<std::unique_ptr<ConsulWatch>> watches_;
-  std::size_t unlisted_;  // services that Consul has not listed yet
+  std::size_t unlisted_;         // services that Consul has not listed yet
+  ops::Service service_{false};  // serving once Consul has listed every service; no standby here
+  ops::Views views_;
+  front::Beside beside_;
+  std::optional<front::OpsDoor> door_;
 };
 
 // Throws config::Error.
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -150,6 +150,7 @@
 
 void Upstream::Break(Link& link, Outcome outcome) {
   if (!link.state.busy) return;
+  failing_.Note(net::Now(), link.server);
   Tell(link, {.outcome = outcome});
   link.state.keep = false;
   Free(link);
--- a/src/front/http/upstream.hpp
+++ b/src/front/http/upstream.hpp
@@ -14,6 +14,7 @@
 #include "front/http/access.hpp"
 #include "front/http/clients.hpp"
 #include "front/http/http1.hpp"
+#include "front/seen_failing.hpp"
 #include "net/pool.hpp"
 
 namespace tinspan::http {
@@ -57,6 +58,7 @@
   void Carry(Micros now, const core::Stop& command);
   void Carry(Micros now, const core::Relay& command);
   void EndRound(Micros now);
+  front::SeenFailing& Failing() { return failing_; }
 
   void OnLinkOpen(Link& link) override;
   void OnLinkBytes(Link& link) override { Pump(link); }
@@ -81,6 +83,7 @@
   std::vector<core::Event>& events_;
   std::unordered_map<ServerId, Address> addresses_;
   std::unordered_map<RequestId, Out> out_;
+  front::SeenFailing failing_;
   Pool pool_;
 };
 
--- a/src/front/ops/door.cpp
+++ b/src/front/ops/door.cpp
@@ -7,14 +7,16 @@
 
 namespace tinspan::front {
 namespace {
-// A line and its answer; the answer of `stats` is the longest, well under this.
-constexpr net::Connection::Limits kLimits{.read = ops::kMostLine + 2, .write = 64 << 10};
+// A line and its answer; the longest is `members` of a large fleet, some 100 bytes a member.
+constexpr net::Connection::Limits kLimits{.read = ops::kMostLine + 2, .write = 4 << 20};
 }  // namespace
 
-OpsDoor::OpsDoor(net::EventLoop& loop, const net::Endpoint& at, ops::Service& service, FiguresNow figures)
+OpsDoor::OpsDoor(net::EventLoop& loop, const net::Endpoint& at, ops::Service& service, FiguresNow figures,
+                 const ops::Views& views)
     : loop_(loop),
       service_(service),
       figures_(std::move(figures)),
+      views_(views),
       listener_(loop, at, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
 
 void OpsDoor::Accept(net::Fd fd) {
@@ -39,7 +41,7 @@
   const std::size_t end = unread.find('\n');
   std::string answer;
   if (end != std::string_view::npos) {
-    answer = ops::Answer(unread.substr(0, end), service_, figures_());
+    answer = ops::Answer(unread.substr(0, end), service_, figures_(), views_);
   } else if (unread.size() > ops::kMostLine + 1) {
     answer = "error line longer than 1024 bytes\n";
   } else {
--- a/src/front/ops/door.hpp
+++ b/src/front/ops/door.hpp
@@ -24,7 +24,9 @@
   static constexpr net::Micros kMostSilence{10'000'000};
 
   // Throws std::system_error where the address cannot be had.
-  OpsDoor(net::EventLoop& loop, const net::Endpoint& at, ops::Service& service, FiguresNow figures);
+  // `views` is read at each call and must outlive the door.
+  OpsDoor(net::EventLoop& loop, const net::Endpoint& at, ops::Service& service, FiguresNow figures,
+          const ops::Views& views);
   std::uint16_t Port() const { return listener_.Port(); }
   std::uint64_t Answered() const { return answered_; }
 
@@ -38,6 +40,7 @@
   net::EventLoop& loop_;
   ops::Service& service_;
   FiguresNow figures_;
+  const ops::Views& views_;
   std::unordered_map<std::uint64_t, std::unique_ptr<net::Connection>> callers_;
   std::vector<std::uint64_t> closed_;
   std::uint64_t last_ = 0;
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -220,6 +220,7 @@
     events_.emplace_back(core::ConnectionLost{ServerId{link.server}, open.size()});
   }
   const Micros now = net::Now();
+  if (!open.empty()) failing_.Note(now, link.server);
   for (const auto& [ref, exchange] : open) {
     // Not all bytes taken by the socket, or never connected: it cannot have reached the server whole.
     const bool whole = exchange.written > 0 && link.connection.Sent() >= exchange.written;
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -10,6 +10,7 @@
 #include "config/config.hpp"
 #include "core/gateway.hpp"
 #include "front/platform/client_side.hpp"
+#include "front/seen_failing.hpp"
 #include "net/patience.hpp"
 #include "net/pool.hpp"
 
@@ -61,6 +62,7 @@
 
   void HoldReading(bool hold);
   void EndRound(Micros now);
+  front::SeenFailing& Failing() { return failing_; }
 
   void OnLinkOpen(Link& link) override;
   void OnLinkBytes(Link& link) override;
@@ -94,6 +96,7 @@
   net::EventLoop& loop_;
   net::Patience patience_;
   std::optional<Micros> watch_;  // when Watch looks again
+  front::SeenFailing failing_;
   Pool pool_;
 };
 
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -10,6 +10,7 @@
   figures.pending = clients_.Open();
   figures.members = caches_.Members();
   figures.members_unavailable = changes_.Draining();
+  if (beside_.figures) beside_.figures(figures);
   return figures;
 }
 
@@ -78,6 +79,7 @@
   clients_.EndRound(now);
   caches_.EndRound(now);
   changes_.EndRound();
+  caches_.Failing().EndRound(now);
 }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -20,12 +20,20 @@
         clients_(loop, config, gateway, events),
         caches_(loop, config, gateway, clients_, events),
         changes_(loop, config, caches_, events) {
-    if (config.ops) door_.emplace(loop, *config.ops, service_, [this] { return Figures(); });
+    if (config.ops)
+      door_.emplace(
+          loop, *config.ops, service_, [this] { return Figures(); }, views_);
+  }
+  void SetBeside(front::Beside beside) {
+    views_ = beside.views;
+    caches_.Failing().ReportTo(beside.failing);
+    beside_ = std::move(beside);
   }
 
   void Carry(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
   void Drain(Micros accept_until) override {
+    if (beside_.on_drain) beside_.on_drain();
     service_.Stopping();
     clients_.Drain(accept_until);
   }
@@ -47,6 +55,8 @@
   ChangeLog changes_;
   ops::Service service_;
   ops::Figures counted_;  // what is counted as it happens; the rest is looked up when asked
+  ops::Views views_;
+  front::Beside beside_;
   std::optional<front::OpsDoor> door_;
 };
 
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <vector>
 
 #include "core/gateway.hpp"
 #include "core/observer.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
+#include "ops/ops.hpp"
 
 namespace tinspan::front {
 
@@ -43,6 +45,15 @@
   virtual bool Drained() const = 0;       // nothing taken is left unanswered or unwritten
 };
 
+// Parts that run beside a front (the fleet view, leases): what the operators' door shows of them, their
+// figures in `stats`, and what they are told by the front. Each may be empty.
+struct Beside {
+  ops::Views views;
+  std::function<void(ops::Figures&)> figures;
+  std::function<void()> on_drain;                           // SIGTERM came
+  std::function<void(std::vector<std::uint64_t>)> failing;  // servers seen fail lately, once a second
+};
+
 struct StopTimes {
   net::Micros accept{700'000};    // how long clients may still come after SIGTERM
   net::Micros most{6'600'000};    // after which the program ends whatever is left
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -126,6 +126,7 @@
   }
   if (Gone(state)) {
     dead_.insert(member.name);
+    next_reap_ = std::min(next_reap_, member.since + options_.dead_keep);
   } else {
     dead_.erase(member.name);
   }
@@ -454,6 +455,8 @@
 }
 
 void View::Reap(Micros now) {
+  if (now < next_reap_) return;
+  next_reap_ = Micros::max();
   for (auto it = dead_.begin(); it != dead_.end();) {
     const auto member = members_.find(*it);
     if (*it == self_) {
@@ -466,6 +469,7 @@
       members_.erase(member);
       it = dead_.erase(it);
     } else {
+      next_reap_ = std::min(next_reap_, member->second.since + options_.dead_keep);
       ++it;
     }
   }
@@ -563,12 +567,7 @@
   for (const auto& [seq, relay] : relays_) {
     due = std::min(due, relay.nack_at > Micros{0} ? relay.nack_at : relay.end);
   }
-  for (const std::string& name : dead_) {
-    const auto member = members_.find(name);
-    if (member != members_.end() && name != self_)
-      due = std::min(due, member->second.since + options_.dead_keep);
-  }
-  return due;
+  return std::min(due, next_reap_);
 }
 
 void View::Report(std::vector<std::uint64_t> failing) {
--- a/src/members/view.hpp
+++ b/src/members/view.hpp
@@ -195,6 +195,7 @@
   int sync_rounds_ = 0;
   std::map<std::string, Micros> suspects_;  // name: deadline
   std::set<std::string> dead_;              // dead or left, to be reaped
+  Micros next_reap_ = Micros::max();        // no later than the first of them is due
   std::array<std::size_t, 4> counts_{};     // by state, with us
   bool leaving_ = false;
   std::vector<Datagram> out_;
--- a/src/ops/ops.cpp
+++ b/src/ops/ops.cpp
@@ -13,12 +13,14 @@
   return text;
 }
 
-constexpr std::array<std::pair<std::string_view, Call>, 6> kCalls{{{"status", Call::kStatus},
+constexpr std::array<std::pair<std::string_view, Call>, 8> kCalls{{{"status", Call::kStatus},
                                                                    {"stats", Call::kStats},
                                                                    {"standby", Call::kStandby},
                                                                    {"maint-on", Call::kStandby},
                                                                    {"active", Call::kActive},
-                                                                   {"maint-off", Call::kActive}}};
+                                                                   {"maint-off", Call::kActive},
+                                                                   {"members", Call::kMembers},
+                                                                   {"leases", Call::kLeases}}};
 
 }  // namespace
 
@@ -78,15 +80,17 @@
                                    {"config_reloads_total", "counter", f.config_reloads},
                                    {"config_reload_errors_total", "counter", f.config_reload_errors}}};
   std::string out;
-  for (const Line& line : lines) {
-    const std::string name = std::string(prefix) + "_" + std::string(line.name);
-    out += "# TYPE " + name + " " + std::string(line.type) + "\n";
-    out += name + " " + std::to_string(line.value) + "\n";
-  }
+  const auto add = [&](std::string_view name_part, std::string_view type, std::uint64_t value) {
+    const std::string name = std::string(prefix) + "_" + std::string(name_part);
+    out += "# TYPE " + name + " " + std::string(type) + "\n";
+    out += name + " " + std::to_string(value) + "\n";
+  };
+  for (const Line& line : lines) add(line.name, line.type, line.value);
+  for (const Figures::More& line : f.more) add(line.name, line.type, line.value);
   return out;
 }
 
-std::string Answer(std::string_view line, Service& service, const Figures& figures) {
+std::string Answer(std::string_view line, Service& service, const Figures& figures, const Views& views) {
   const Parsed parsed = ParseCall(line);
   if (!parsed.call) return "error " + parsed.error + "\n";
   switch (*parsed.call) {
@@ -104,11 +108,19 @@
       break;
     case Call::kStats:
       return "done\n" + Prom(figures, "proxy") + "end\n";
+    case Call::kMembers:
+      if (!views.members) return "error members are off here\n";
+      return "done\n" + views.members() + "end\n";
+    case Call::kLeases:
+      if (!views.leases) return "error leases are off here\n";
+      return "done\n" + views.leases() + "end\n";
     case Call::kStandby:
+      if (!service.CanStandBy()) return "error the gateway takes no standby\n";
       if (service.Now() == Life::kStopping) return "error stopping, standby has no meaning now\n";
       service.Standby();
       return "done standby\n";
     case Call::kActive:
+      if (!service.CanStandBy()) return "error the gateway takes no standby\n";
       if (service.Now() == Life::kStopping) return "error stopping, cannot take clients again\n";
       service.Active();
       return "done active\n";
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -52,6 +52,38 @@
   EXPECT_EQ(with_door.ops->Text(), "127.0.0.1:9100");
 }
 
+TEST(ConfigCheck, ChecksTheFleetView) {
+  const auto with = [](const std::string& members) {
+    return Replaced(kGood, R"("seed")", R"("members":{)" + members + R"(},"seed")");
+  };
+  EXPECT_FALSE(tinspan::config::ParsePlatform(kGood, "n0", "127.0.0.1:7001").members);  // off where not told
+  const auto good = tinspan::config::ParsePlatform(
+      with(R"("fleet":"shop","listen":"127.0.0.1:7946","seeds":["127.0.0.1:7947"],"probe_ms":200)"), "n0",
+      "127.0.0.1:7001");
+  ASSERT_TRUE(good.members);
+  EXPECT_EQ(good.members->probe_timeout.count(), 100'000);
+  EXPECT_EQ(good.members->seeds.size(), 1u);
+  const std::string base = R"("fleet":"shop","listen":"127.0.0.1:7946")";
+  for (const auto& [members, named] : std::vector<std::pair<std::string, std::string>>{
+           {R"("listen":"127.0.0.1:7946")", "members.fleet"},
+           {R"("fleet":"two words","listen":"127.0.0.1:7946")", "members.fleet"},
+           {R"("fleet":"shop")", "members.listen"},
+           {R"("fleet":"shop","listen":"here")", "members.listen"},
+           {base + R"(,"advertise":"127.0.0.1:0")", "members.advertise"},
+           {base + R"(,"seeds":["127.0.0.1:7947","x"])", "members.seeds.1"},
+           {base + R"(,"probe_ms":1)", "members.probe_ms"},
+           {base + R"(,"probe_ms":200,"probe_timeout_ms":200)", "members.probe_timeout_ms"},
+           {base + R"(,"indirect":9)", "members.indirect"},
+           {base + R"(,"suspicion_beta":0.5)", "members.suspicion_beta"},
+           {base + R"(,"sync_ms":10)", "members.sync_ms"},
+           {base + R"(,"dead_keep_ms":1000)", "members.dead_keep_ms"}}) {
+    EXPECT_NE(Refusal(with(members)).find(named), std::string::npos)
+        << members << ": " << Refusal(with(members));
+  }
+  EXPECT_THROW(tinspan::config::ParsePlatform(with(base), "a name of words", "127.0.0.1:7001"),
+               tinspan::config::Error);
+}
+
 TEST(ConfigCheck, TurnsDownAnEmptyFile) {
   EXPECT_NE(Refusal(""), "");
   EXPECT_NE(Refusal(" \n"), "");
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -208,3 +208,93 @@
 
 }  // namespace
 }  // namespace tinspan::members
+
+#include "members/codec.hpp"
+
+namespace tinspan::members {
+namespace {
+
+Message Full() {
+  Message message;
+  message.kind = Kind::kSyncReply;
+  message.from = "n-3";
+  message.from_address = {0x7f000001, 7946};
+  message.seq = 99;
+  message.target = "n-4";
+  message.digest = Digest{};
+  (*message.digest)[5] = 0xfeedull;
+  message.more = true;
+  Update one;
+  one.name = "n-9";
+  one.address = {0x0a000004, 7000};
+  one.zone = "north";
+  one.incarnation = 1'764'000'000'123;
+  one.state = State::kDead;
+  one.age = std::chrono::milliseconds(4'500);
+  one.report = 3;
+  one.failing = {11, 12};
+  message.updates = {one};
+  return message;
+}
+
+TEST(MembersCodec, RoundTrip) {
+  const Decoded back = Decode(Encode(Full(), "shop"), "shop");
+  ASSERT_TRUE(back.message) << back.detail;
+  const Message& m = *back.message;
+  EXPECT_EQ(m.kind, Kind::kSyncReply);
+  EXPECT_EQ(m.from, "n-3");
+  EXPECT_EQ(m.from_address, (Address{0x7f000001, 7946}));
+  EXPECT_EQ(m.seq, 99u);
+  EXPECT_TRUE(m.more);
+  EXPECT_EQ((*m.digest)[5], 0xfeedull);
+  ASSERT_EQ(m.updates.size(), 1u);
+  EXPECT_EQ(m.updates[0].name, "n-9");
+  EXPECT_EQ(m.updates[0].state, State::kDead);
+  EXPECT_EQ(m.updates[0].age, std::chrono::milliseconds(4'500));
+  EXPECT_EQ(m.updates[0].failing, (std::vector<std::uint64_t>{11, 12}));
+}
+
+TEST(MembersCodec, NamesWhatItRefuses) {
+  const std::string good = Encode(Full(), "shop");
+  EXPECT_EQ(Decode(good, "other").refusal, Refusal::kForeign);
+  EXPECT_EQ(Decode("GET / HTTP/1.1\r\n", "shop").refusal, Refusal::kForeign);
+  EXPECT_EQ(Decode(std::string(2'000, 'x'), "shop").refusal, Refusal::kOversized);
+  std::string later = good;
+  later[3] = 2;
+  EXPECT_EQ(Decode(later, "shop").refusal, Refusal::kVersion);
+  EXPECT_EQ(Decode(good.substr(0, good.size() / 2), "shop").refusal, Refusal::kMalformed);
+  Message nameless = Full();
+  nameless.from.clear();
+  EXPECT_EQ(Decode(Encode(nameless, "shop"), "shop").refusal, Refusal::kMalformed);
+}
+
+TEST(MembersCodec, LeavesOutWhatDoesNotFit) {
+  Message many = Full();
+  many.updates.assign(60, many.updates[0]);
+  const std::string bytes = Encode(many, "shop", 1'000);
+  EXPECT_LE(bytes.size(), 1'000u);
+  const Decoded back = Decode(bytes, "shop", 1'000);
+  ASSERT_TRUE(back.message);
+  EXPECT_GT(back.message->updates.size(), 0u);
+  EXPECT_LT(back.message->updates.size(), 60u);
+}
+
+// Whatever bytes come, Decode names a refusal or gives a message whose fields are in range; it never ends the
+// process. Bytes of good datagrams changed here and there, and bytes at random.
+RC_GTEST_PROP(MembersCodec, AnyBytesAreReadOrRefused, ()) {
+  std::string bytes = Encode(Full(), "shop");
+  const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+      rc::gen::pair(rc::gen::inRange<std::size_t>(0, 2'000), rc::gen::arbitrary<char>()));
+  for (const auto& [at, value] : changes) bytes[at % bytes.size()] = value;
+  if (*rc::gen::arbitrary<bool>()) bytes = *rc::gen::arbitrary<std::string>();
+  const Decoded decoded = Decode(bytes, "shop");
+  RC_ASSERT(decoded.message.has_value() == (decoded.refusal == Refusal::kNone));
+  if (decoded.message) {
+    RC_ASSERT(!decoded.message->from.empty());
+    RC_ASSERT(decoded.message->updates.size() <= kMostUpdates);
+    for (const Update& update : decoded.message->updates) RC_ASSERT(update.failing.size() <= kMostFailing);
+  }
+}
+
+}  // namespace
+}  // namespace tinspan::members
--- a/tests/net/cli_test.cpp
+++ b/tests/net/cli_test.cpp
@@ -43,6 +43,8 @@
     std::ifstream in(path);
     Json file = Json::parse(in);
     file["listen"] = "127.0.0.1:0";
+    file["ops"] = "127.0.0.1:0";
+    file["members"]["listen"] = "127.0.0.1:0";
     file["record"] = {{"folder", "records"}};
     std::ofstream(path) << file.dump(2);
   }
--- /dev/null
+++ b/tests/net/fleet_view_test.cpp
@@ -0,0 +1,381 @@
+// The fleet view of real doormans: eight processes and more, a relay of ours between them, and faults put
+// there by the test. Every live member's view must agree with what is so within a bound after each fault, and
+// no live, reachable member may be held dead for longer than the bound.
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include "platform_world.hpp"
+#include "relay.hpp"
+
+namespace {
+
+constexpr int kBoundMs = 12'000;  // to agree after a fault, at periods of 200 ms, sanitizers included
+
+int PortOf(const std::string& line) { return std::stoi(line.substr(line.rfind(':') + 1)); }
+
+struct Doorman {
+  std::string name;
+  std::unique_ptr<TempFile> file;
+  std::unique_ptr<Program> program;  // none: down
+  int seat = 0, ops = 0, port = 0;   // its port in the relay, its door, its own datagrams
+};
+
+struct Entry {
+  std::string state;
+  std::uint64_t incarnation = 0;
+  std::string failing;
+};
+using Seen = std::map<std::string, Entry>;
+
+class ViewFleet {
+ public:
+  explicit ViewFleet(int count) {
+    for (int i = 0; i < count; ++i) Add();
+    CHECK(Settled(kBoundMs) >= 0);
+  }
+  int Add() {
+    const int member = static_cast<int>(all.size());
+    all.emplace_back();
+    all[member].name = "n" + std::to_string(member);
+    all[member].seat = relay.Add();
+    std::string seeds;
+    for (int i = 0; i < std::min(member, 3); ++i) {
+      seeds += (i > 0 ? "," : "") + std::string("\"127.0.0.1:") + std::to_string(all[i].seat) + "\"";
+    }
+    all[member].file = std::make_unique<TempFile>(
+        R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,)"
+        R"("sockets":256},"changelog":")" +
+        changelog.Address() + R"(","known":{"seq":1,"results":[)" +
+        ::Fleet(1, true, ::Member("s-a", cache.Address())) +
+        R"(]},"members":{"fleet":"shop","listen":"127.0.0.1:0","zone":"edge","advertise":"127.0.0.1:)" +
+        std::to_string(all[member].seat) + R"(","seeds":[)" + seeds +
+        R"(],"probe_ms":200,"probe_timeout_ms":100,"sync_ms":1000,"dead_keep_ms":30000},"settings":)" +
+        kSettings + "}");
+    Begin(member);
+    Ready(member);
+    return member;
+  }
+  void Begin(int member, std::map<std::string, std::string> environment = {}) {
+    Doorman& one = all[member];
+    environment.insert({{"PROXY_NAME", one.name},
+                        {"PROXY_LISTEN", "127.0.0.1:0"},
+                        {"PROXY_CONFIG", one.file->path},
+                        {"PROXY_OPS", "127.0.0.1:0"}});
+    one.program = std::make_unique<Program>(std::vector<std::string>{"serve"}, std::move(environment));
+  }
+  void Ready(int member) {
+    Doorman& one = all[member];
+    const std::string line = one.program->Line("members at ");
+    one.port = PortOf(line.substr(0, line.find(" advertised")));
+    relay.Seated(member, one.port);
+    one.ops = PortOf(one.program->Line("operators' door at "));
+  }
+  void Kill(int member) { all[member].program.reset(); }  // SIGKILL
+
+  Seen View(int member) const {
+    Peer caller = Peer::Connect(all[member].ops);
+    caller.Send("members\n");
+    std::istringstream in(caller.ToEnd());
+    std::string line;
+    CHECK(std::getline(in, line) && line == "done");
+    Seen seen;
+    while (std::getline(in, line) && line != "end") {
+      std::istringstream words(line);
+      std::string name, address, zone, age;
+      Entry entry;
+      CHECK(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >> entry.failing);
+      seen[name] = entry;
+    }
+    CHECK(seen.size() <= all.size());
+    return seen;
+  }
+  // What is so: which of them live (and, with `side`, are on that side), as `member` should see it.
+  bool Agrees(int member, const std::set<int>& live) const {
+    const Seen seen = View(member);
+    for (int other = 0; other < static_cast<int>(all.size()); ++other) {
+      const auto found = seen.find(all[other].name);
+      const bool alive = found != seen.end() && found->second.state == "alive";
+      const bool gone = found == seen.end() || found->second.state == "dead" || found->second.state == "left";
+      if (live.contains(other) ? !alive : !gone) return false;
+    }
+    return true;
+  }
+  std::set<int> Live() const {
+    std::set<int> live;
+    for (int i = 0; i < static_cast<int>(all.size()); ++i) {
+      if (all[i].program) live.insert(i);
+    }
+    return live;
+  }
+  // Milliseconds until every view of `live` agrees that they alone are alive; -1: not within `most`.
+  long long Settled(long long most, std::optional<std::set<int>> of = std::nullopt) const {
+    const std::set<int> live = of ? *of : Live();
+    const long long start = UnixMs();
+    for (;;) {
+      bool agreed = true;
+      for (const int member : live) agreed = agreed && Agrees(member, live);
+      if (agreed) return UnixMs() - start;
+      if (UnixMs() - start > most) return -1;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  }
+  // Watches for so long; the longest time that some live member was held dead by some view, in milliseconds.
+  long long LongestWronglyDead(long long watch) const {
+    std::map<std::pair<int, int>, long long> since;
+    long long longest = 0;
+    for (const long long start = UnixMs(); UnixMs() - start < watch;) {
+      for (const int member : Live()) {
+        const Seen seen = View(member);
+        for (const int other : Live()) {
+          const auto found = seen.find(all[other].name);
+          const std::pair<int, int> key{member, other};
+          if (found != seen.end() && found->second.state == "dead") {
+            longest = std::max(longest, UnixMs() - since.emplace(key, UnixMs()).first->second);
+          } else {
+            since.erase(key);
+          }
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return longest;
+  }
+  std::uint64_t Figure(int member, const std::string& name) const {
+    Peer caller = Peer::Connect(all[member].ops);
+    caller.Send("stats\n");
+    const std::string answer = caller.ToEnd();
+    const std::size_t at = answer.find("\nproxy_" + name + " ");
+    CHECK(at != std::string::npos);
+    return std::stoull(answer.substr(at + name.size() + 8));
+  }
+
+  Server cache, changelog;
+  Relay relay;
+  std::vector<Doorman> all;
+};
+
+void Report(const char* what, long long ms) { std::printf("%s: %lld ms\n", what, ms); }
+
+// A member killed is dead in every view; started again under its name, it is a newer incarnation, alive.
+void AKilledMemberIsFoundAndComesBack() {
+  ViewFleet fleet(8);
+  const std::uint64_t before = fleet.View(5)["n5"].incarnation;
+  fleet.Kill(5);
+  const long long found = fleet.Settled(kBoundMs);
+  CHECK(found >= 0);
+  Report("a crash dead in seven views", found);
+  fleet.Begin(5);
+  fleet.Ready(5);
+  const long long back = fleet.Settled(kBoundMs);
+  CHECK(back >= 0);
+  Report("its restart alive in eight", back);
+  for (int i = 0; i < 8; ++i) CHECK(fleet.View(i)["n5"].incarnation > before);
+  // One that is told to stop says that it leaves: nobody has to find out.
+  fleet.all[6].program->Signal(SIGTERM);
+  CHECK(fleet.all[6].program->Wait() == 0);
+  fleet.all[6].program.reset();
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+  CHECK(fleet.View(0)["n6"].state == "left");
+}
+
+// SIGSTOP for 3 s, long enough to be declared dead; it must refute and not be flapped out for good.
+void APausedMemberRefutes() {
+  ViewFleet fleet(8);
+  const std::uint64_t before = fleet.View(3)["n3"].incarnation;
+  fleet.all[3].program->Signal(SIGSTOP);
+  const long long until = UnixMs() + 3'000;
+  std::set<int> others = fleet.Live();
+  others.erase(3);
+  bool suspected = false;
+  while (UnixMs() < until) {
+    suspected = suspected || fleet.View(0)["n3"].state != "alive";
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  fleet.all[3].program->Signal(SIGCONT);
+  CHECK(suspected);
+  const long long took = fleet.Settled(kBoundMs);
+  CHECK(took >= 0);
+  Report("a 3 s pause refuted everywhere", took);
+  CHECK(fleet.View(0)["n3"].incarnation > before);
+  CHECK(fleet.LongestWronglyDead(3'000) == 0);  // and stays alive, and accuses nobody
+}
+
+// The fleet in two for 10 s: each side agrees on itself; healed, all agree again, also one that slept through
+// it with its view from before.
+void AHealedPartitionConverges() {
+  ViewFleet fleet(8);
+  const long long start = UnixMs();
+  fleet.relay.Split(4);
+  CHECK(fleet.Settled(kBoundMs, std::set<int>{0, 1, 2, 3}) >= 0);
+  CHECK(fleet.Settled(kBoundMs, std::set<int>{4, 5, 6, 7}) >= 0);
+  fleet.all[7].program->Signal(SIGSTOP);
+  while (UnixMs() - start < 10'000) std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  fleet.relay.Heal();
+  fleet.all[7].program->Signal(SIGCONT);
+  const long long took = fleet.Settled(kBoundMs);
+  CHECK(took >= 0);
+  Report("a 10 s partition healed", took);
+  CHECK(fleet.LongestWronglyDead(2'000) == 0);
+}
+
+// A link cut one way, and a tenth of all datagrams lost: nobody alive is held dead for longer than the bound.
+void OneWayAndLossAccuseNobody() {
+  ViewFleet fleet(8);
+  fleet.relay.Cut(1, 2);
+  const long long one_way = fleet.LongestWronglyDead(8'000);
+  Report("held dead behind a one-way link", one_way);
+  CHECK(one_way < 2'000);
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+  fleet.relay.Heal();
+  fleet.relay.Lose(0.1);
+  const long long lossy = fleet.LongestWronglyDead(12'000);
+  Report("held dead at a tenth lost", lossy);
+  CHECK(fleet.relay.Dropped() > 50);
+  CHECK(lossy < 2'000);
+  fleet.relay.Lose(0);
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+}
+
+void ThirtyJoinAtOnce() {
+  ViewFleet fleet(8);
+  for (int i = 0; i < 30; ++i) fleet.Add();
+  const long long took = fleet.Settled(2 * kBoundMs);
+  CHECK(took >= 0);
+  Report("thirty joins in 38 views", took);
+}
+
+// Its clock an hour back at a restart, so that its incarnation is older than what is known of it; and a jump
+// by an hour while it runs.
+void AClockThatJumps() {
+  TempFile offset(std::string(8, '\0'));
+  const auto shift = [&](std::int64_t micros) {
+    std::fstream out(offset.path, std::ios::in | std::ios::out | std::ios::binary);
+    out.write(reinterpret_cast<const char*>(&micros), sizeof micros);
+  };
+  ViewFleet fleet(8);
+  const std::uint64_t before = fleet.View(2)["n2"].incarnation;
+  fleet.Kill(2);
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+  shift(-3'600'000'000);
+  fleet.Begin(2, {{"LD_PRELOAD", TINSPAN_CLOCK},
+                  {"TINSPAN_TEST_CLOCK", offset.path},
+                  {"ASAN_OPTIONS", "verify_asan_link_order=0"}});
+  fleet.Ready(2);
+  const long long back = fleet.Settled(kBoundMs);
+  CHECK(back >= 0);
+  Report("a restart an hour back alive everywhere", back);
+  CHECK(fleet.View(0)["n2"].incarnation > before);
+  shift(3'600'000'000);
+  CHECK(fleet.LongestWronglyDead(2'000) == 0);
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+}
+
+// Datagrams that are bad, foreign, of another version or too large: counted, dropped, nothing else changes.
+void BadDatagramsAreCounted() {
+  ViewFleet fleet(8);
+  const int fd = ::socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(static_cast<std::uint16_t>(fleet.all[0].port));
+  const std::vector<std::string> bad{"",
+                                     "GET / HTTP/1.1\r\n\r\n",
+                                     std::string("TSM\x01", 4) + std::string(60, '\xff'),
+                                     std::string("TSM\x09", 4) + "later",
+                                     std::string(1'401, 'x'),
+                                     std::string(60'000, 'x')};
+  // One of each at a time, so that the socket's buffer holds them.
+  for (std::uint64_t round = 1; round <= 100; ++round) {
+    for (const std::string& one : bad) {
+      CHECK(::sendto(fd, one.data(), one.size(), 0, reinterpret_cast<sockaddr*>(&at), sizeof at) ==
+            static_cast<ssize_t>(one.size()));
+    }
+    const long long end = UnixMs() + kLimitMs;
+    while (fleet.Figure(0, "fleet_datagrams_refused_total") < round * bad.size()) CHECK(UnixMs() < end);
+  }
+  ::close(fd);
+  CHECK(fleet.Figure(0, "fleet_datagrams_refused_total") == 100 * bad.size());
+  CHECK(fleet.Figure(0, "fleet_members_alive") == 8);
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+}
+
+// What one doorman sees fail, all know; the command shows it; a second process waits for the port of the
+// first.
+void TellsWhatFails() {
+  ViewFleet fleet(8);
+  Doorman& one = fleet.all[1];
+  const std::string client = one.program->log.substr(one.program->log.find("serving at "));
+  Peer caller = Peer::Connect(PortOf(client.substr(0, client.find('\n'))));
+  caller.Send(Call("1"));
+  Peer asked = fleet.cache.Accept();
+  asked.Until("\r\n\r\n");
+  asked.Reset();
+  const long long start = UnixMs();
+  for (int i = 0; i < 8;) {
+    if (fleet.View(i)["n1"].failing != "failing=") {
+      ++i;
+      continue;
+    }
+    CHECK(UnixMs() - start < kBoundMs);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  Report("a failing shop cache known to eight", UnixMs() - start);
+  Program shown({"members", "--door", "127.0.0.1:" + std::to_string(fleet.all[0].ops)}, {});
+  CHECK(shown.Wait() == 0);
+  for (int i = 0; i < 8; ++i) CHECK(shown.log.find("n" + std::to_string(i) + " ") != std::string::npos);
+  Program none({"members", "--door", "127.0.0.1:1"}, {});
+  CHECK(none.Wait() == 1 && none.log.find("no operators' door at 127.0.0.1:1") != std::string::npos);
+}
+
+// Off where the file names no members, as on the platform; an upgrade's second process waits for the port.
+void OffWithoutMembersAndWaitsForItsPort() {
+  World off(0, true, "1024", "192", kSettings, {{"PROXY_OPS", "127.0.0.1:0"}});
+  Peer caller = Peer::Connect(PortOf(off.program->Line("operators' door at ")));
+  caller.Send("members\n");
+  CHECK(caller.Until("\n") == "error members are off here");
+  CHECK(off.program->log.find("members") == std::string::npos);
+  ViewFleet fleet(8);
+  std::string text;
+  std::ifstream in(fleet.all[4].file->path);
+  std::getline(in, text, '\0');
+  const std::string any = R"("members":{"fleet":"shop","listen":"127.0.0.1:0")";
+  CHECK(text.find(any) != std::string::npos);
+  text.replace(
+      text.find(any), any.size(),
+      R"("members":{"fleet":"shop","listen":"127.0.0.1:)" + std::to_string(fleet.all[4].port) + "\"");
+  const TempFile fixed(text);
+  Program next({"serve"}, {{"PROXY_NAME", "n4"},
+                           {"PROXY_LISTEN", "127.0.0.1:0"},
+                           {"PROXY_CONFIG", fixed.path},
+                           {"PROXY_OPS", "127.0.0.1:0"}});
+  next.Line("is in use");
+  const int door = PortOf(next.Line("operators' door at "));
+  Peer status = Peer::Connect(door);
+  status.Send("status\n");
+  CHECK(status.Until("\n") == "done serving");
+  const std::uint64_t before = fleet.View(4)["n4"].incarnation;
+  fleet.all[4].program->Signal(SIGTERM);
+  CHECK(fleet.all[4].program->Wait() == 0);
+  next.Line("members at ");
+  fleet.all[4].ops = door;
+  CHECK(fleet.Settled(kBoundMs) >= 0);
+  CHECK(fleet.View(0)["n4"].incarnation > before);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const Cases cases{
+      {"a_killed_member_is_found_and_comes_back", AKilledMemberIsFoundAndComesBack},
+      {"a_paused_member_refutes", APausedMemberRefutes},
+      {"a_healed_partition_converges", AHealedPartitionConverges},
+      {"one_way_and_loss_accuse_nobody", OneWayAndLossAccuseNobody},
+      {"thirty_join_at_once", ThirtyJoinAtOnce},
+      {"a_clock_that_jumps", AClockThatJumps},
+      {"bad_datagrams_are_counted", BadDatagramsAreCounted},
+      {"tells_what_fails", TellsWhatFails},
+      {"off_without_members_and_waits_for_its_port", OffWithoutMembersAndWaitsForItsPort},
+  };
+  return RunCases(cases, argc, argv);
+}
--- a/tests/net/platform_world.hpp
+++ b/tests/net/platform_world.hpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-std::string Member(const std::string& id, const std::string& address, const std::string& kind = "box",
-                   const std::string& state = "up") {
+inline std::string Member(const std::string& id, const std::string& address, const std::string& kind = "box",
+                          const std::string& state = "up") {
   return R"({"id":")" + id + R"(","addr":")" + address + R"(","zone":")" + (kind == "box" ? "edge" : "core") +
          R"(","kind":")" + kind + R"(","cell":0,"state":")" + state + R"(","weight":1,"started_ms":0})";
 }
-std::string Fleet(int seq, bool full, const std::string& members) {
+inline std::string Fleet(int seq, bool full, const std::string& members) {
   return R"({"seq":)" + std::to_string(seq) + R"(,"fleet":{"version":1,"full":)" + (full ? "true" : "false") +
          R"(,"servers":[)" + members + "]}}";
 }
@@ -64,12 +64,12 @@
   Peer Client() { return Peer::Connect(port); }
 };
 
-std::string Bulk(const std::vector<std::string>& words) {
+inline std::string Bulk(const std::vector<std::string>& words) {
   std::string out = "*" + std::to_string(words.size()) + "\r\n";
   for (const auto& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
   return out;
 }
-std::vector<std::string> Answer(Peer& client) {
+inline std::vector<std::string> Answer(Peer& client) {
   CHECK(client.Until("\r\n") == "*4");
   std::vector<std::string> words;
   for (int i = 0; i < 4; ++i) {
@@ -82,15 +82,15 @@
 }
 constexpr const char* kRef = "9b1f03aa5c7e2d41";
 constexpr const char* kOther = "9b1f03aa5c7e2d42";
-std::string Call(const std::string& tag, const std::string& more = "", int allow = 2500,
-                 const std::string& object = "7f3a9c21e0b4d655", const std::string& ref = kRef) {
+inline std::string Call(const std::string& tag, const std::string& more = "", int allow = 2500,
+                        const std::string& object = "7f3a9c21e0b4d655", const std::string& ref = kRef) {
   return Bulk({"RPC.CALL", tag, "pages",
                "ref=" + ref + ",allow=" + std::to_string(allow) + ",lookup=" + object +
                    ",block=3,family=17,room=412.5" + more,
                ""});
 }
 // Whichever of the two caches the hash chose.
-Peer Chosen(World& world, bool* first = nullptr) {
+inline Peer Chosen(World& world, bool* first = nullptr) {
   for (const auto end = UnixMs() + kLimitMs; UnixMs() < end;) {
     if (!world.cache_a.Quiet(5))
       return first ? (*first = true, world.cache_a.Accept()) : world.cache_a.Accept();
@@ -100,7 +100,8 @@
   CHECK(false);
   return Peer();
 }
-std::string Ok(const std::string& body, const std::string& fields = "", const std::string& ref = kRef) {
+inline std::string Ok(const std::string& body, const std::string& fields = "",
+                      const std::string& ref = kRef) {
   return ref + " OK entity=e1,issued=" + std::to_string(UnixMs()) + fields + " " +
          std::to_string(body.size()) + "\r\n" + body + "\r\n";
 }
