Keep suspects by deadline and changes by times sent, so that a large heal costs no walks

Cause: sampled at 2,000 members after a partition, the simulation's time went to View::NextDue (a walk over a thousand suspects a datagram) and View::Piggyback (a sort of all pending changes a datagram). Both are ordered sets now; what is sent and when is the same. Members tests green in Release and under the sanitizers.

--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -90,12 +90,23 @@
 void View::Know(Micros now, const Update& update) {
   if (update.name == self_ || members_.contains(update.name)) return Merge(now, update);
   Merge(now, update);
-  gossip_.erase(update.name);
+  Sent(update.name, std::nullopt);
   changes_.clear();
 }
 
+void View::Sent(const std::string& name, std::optional<int> times) {
+  const auto found = gossip_.find(name);
+  if (found != gossip_.end()) fewest_.erase({found->second, name});
+  if (times) {
+    gossip_[name] = *times;
+    fewest_.insert({*times, name});
+  } else if (found != gossip_.end()) {
+    gossip_.erase(found);
+  }
+}
+
 void View::Queue(const std::string& name) {
-  gossip_[name] = 0;
+  Sent(name, 0);
   Member& member = members_.at(name);
   if (member.hashed == 0) buckets_[Bucket(member.key)].push_back(&member);
   const std::uint64_t now = Hash(member) | 1;  // never 0: that is a member not in the digest yet
@@ -129,7 +140,7 @@
   }
   if (state != State::kSuspect) {
     member.accusers.clear();
-    suspects_.erase(member.name);
+    Acquit(member.name);
   }
   if (Gone(state)) {
     dead_.insert(member.name);
@@ -139,9 +150,18 @@
   }
 }
 
+void View::Acquit(const std::string& name) {
+  const auto found = suspects_.find(name);
+  if (found == suspects_.end()) return;
+  deadlines_.erase({found->second, name});
+  suspects_.erase(found);
+}
+
 void View::Refresh(Member& member) {
+  Acquit(member.name);
   member.deadline = member.since + Suspicion(member.accusers.empty() ? 0 : member.accusers.size() - 1);
   suspects_[member.name] = member.deadline;
+  deadlines_.insert({member.deadline, member.name});
 }
 
 void View::Suspect(Micros now, Member& member, const std::string& by) {
@@ -260,23 +280,18 @@
   if (gossip_.empty()) return out;
   const int limit =
       options_.retransmit * static_cast<int>(std::ceil(std::log10(static_cast<double>(Live()) + 1)));
-  std::vector<std::pair<int, std::string>> order;
-  order.reserve(gossip_.size());
-  for (const auto& [name, sent] : gossip_) order.emplace_back(sent, name);
-  const std::size_t most = std::min(order.size(), kMostUpdates);
-  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(most), order.end());
+  std::vector<std::pair<int, std::string>> taken;
   std::size_t bytes = 0;
-  for (std::size_t i = 0; i < most; ++i) {
-    const auto member = members_.find(order[i].second);
-    if (member == members_.end()) {
-      gossip_.erase(order[i].second);
-      continue;
-    }
-    Update said = Said(member->second, now);
+  for (const auto& one : fewest_) {
+    if (taken.size() >= kMostUpdates) break;
+    Update said = Said(members_.at(one.second), now);
     if (bytes + Weight(said) > options_.budget) break;
     bytes += Weight(said);
     out.push_back(std::move(said));
-    if (++gossip_[order[i].second] >= std::max(limit, 1)) gossip_.erase(order[i].second);
+    taken.push_back(one);
+  }
+  for (const auto& [sent, name] : taken) {
+    Sent(name, sent + 1 >= std::max(limit, 1) ? std::nullopt : std::optional(sent + 1));
   }
   figures_.updates_sent += out.size();
   return out;
@@ -460,7 +475,7 @@
       it = dead_.erase(it);
     } else if (now - member->second.since >= options_.dead_keep) {
       --counts_[static_cast<std::size_t>(member->second.state)];
-      gossip_.erase(*it);
+      Sent(*it, std::nullopt);
       digest_[Bucket(member->second.key)] ^= member->second.hashed;
       std::erase(buckets_[Bucket(member->second.key)], &member->second);
       members_.erase(member);
@@ -479,7 +494,9 @@
     Heal(2);
     probe_.reset();
     relays_.clear();
-    for (auto& [name, deadline] : suspects_) {
+    std::vector<std::string> names;
+    for (const auto& [name, deadline] : suspects_) names.push_back(name);
+    for (const std::string& name : names) {
       Member& member = members_.at(name);
       member.since = now;
       Refresh(member);
@@ -487,9 +504,8 @@
     next_probe_ = now + Period();
   }
   last_tick_ = now;
-  for (auto it = suspects_.begin(); it != suspects_.end();) {
-    const auto [name, deadline] = *it++;
-    if (deadline > now) continue;
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const std::string name = deadlines_.begin()->second;
     Member& member = members_.at(name);
     SetState(now, member, State::kDead, member.incarnation);
     Queue(name);
@@ -560,7 +576,7 @@
       due = std::min(due, next_probe_);
     }
   }
-  for (const auto& [name, deadline] : suspects_) due = std::min(due, deadline);
+  if (!deadlines_.empty()) due = std::min(due, deadlines_.begin()->first);
   for (const auto& [seq, relay] : relays_) {
     due = std::min(due, relay.nack_at > Micros{0} ? relay.nack_at : relay.end);
   }
--- a/src/members/view.hpp
+++ b/src/members/view.hpp
@@ -167,7 +167,9 @@
   void MergeSelf(Micros now, const Update& update);
   void SetState(Micros now, Member& member, State state, std::uint64_t incarnation, Micros age = Micros{0});
   void Suspect(Micros now, Member& member, const std::string& by);
-  void Refresh(Member& member);  // its deadline, from its accusers
+  void Refresh(Member& member);                                  // its deadline, from its accusers
+  void Acquit(const std::string& name);                          // no longer suspect: it has no deadline
+  void Sent(const std::string& name, std::optional<int> times);  // none: it is spread no more
   // After each change of a member: it is spread, and the digest follows.
   void Queue(const std::string& name);
   Update Said(const Member& member, Micros now) const;
@@ -187,8 +189,9 @@
   std::map<std::string, Member> members_;
   Digest digest_{};  // of members_, kept with each change: a walk over 2,000 a sync was most of a heal's cost
   std::array<std::vector<const Member*>, kBuckets> buckets_;
-  std::map<std::string, int> gossip_;  // name: times its latest state went out
-  std::vector<std::string> round_;     // probe order
+  std::map<std::string, int> gossip_;             // name: times its latest state went out
+  std::set<std::pair<int, std::string>> fewest_;  // the same, those sent fewest times first
+  std::vector<std::string> round_;                // probe order
   std::size_t next_ = 0;
   std::optional<Probe> probe_;
   std::map<std::uint64_t, Relay> relays_;  // by our seq
@@ -200,10 +203,11 @@
   std::optional<Address> sync_again_;
   std::uint64_t syncs_started_ = 0;
   int sync_rounds_ = 0;
-  std::map<std::string, Micros> suspects_;  // name: deadline
-  std::set<std::string> dead_;              // dead or left, to be reaped
-  Micros next_reap_ = Micros::max();        // no later than the first of them is due
-  std::array<std::size_t, 4> counts_{};     // by state, with us
+  std::map<std::string, Micros> suspects_;              // name: deadline
+  std::set<std::pair<Micros, std::string>> deadlines_;  // the same, by deadline
+  std::set<std::string> dead_;                          // dead or left, to be reaped
+  Micros next_reap_ = Micros::max();                    // no later than the first of them is due
+  std::array<std::size_t, 4> counts_{};                 // by state, with us
   bool leaving_ = false;
   std::vector<Datagram> out_;
   std::vector<Change> changes_;
