--- a/bench/members_scale.cpp
+++ b/bench/members_scale.cpp
@@ -61,8 +61,8 @@
 
 std::size_t Wire(const Message& message) { return Encode(message, "shop").size(); }
 
-sim::Fleet Started(int count, std::uint64_t seed, sim::Link link = {}) {
-  sim::Fleet fleet(Options{}, seed, link, Wire);
+sim::Fleet Started(int count, std::uint64_t seed, sim::Fleet::Sizer size = {}) {
+  sim::Fleet fleet(Options{}, seed, {}, std::move(size));
   for (int i = 0; i < count; ++i) fleet.Add("", {0, 1, 2}, true);
   fleet.RunFor(30s);
   return fleet;
@@ -86,7 +86,7 @@
   const auto began = std::chrono::steady_clock::now();
   double bytes = 0, datagrams = 0, detect = 0, everywhere = 0;
   {
-    sim::Fleet fleet = Started(count, seed);
+    sim::Fleet fleet = Started(count, seed, Wire);  // bytes are counted here alone: encoding all is slow
     Matrix matrix(fleet, count);
     const std::uint64_t before = fleet.Bytes(), sent = fleet.Datagrams();
     fleet.RunFor(60s);
@@ -100,14 +100,18 @@
     detect = Seconds(matrix.first_dead - killed);
     everywhere = matrix.dead_of_watched < count - 1 ? -1 : Seconds(matrix.last_dead - killed);
   }
+  std::fprintf(stderr, "%d: dead %.1f, everywhere %.1f s, %.0f bytes/s\n", count, detect, everywhere, bytes);
   long long dead10 = 0, dead60 = 0;
   const double heal10 = Partition(count, seed + 1, 10s, dead10);
+  std::fprintf(stderr, "%d: healed %.1f s (%lld)\n", count, heal10, dead10);
   const double heal60 = Partition(count, seed + 2, 60s, dead60);
+  std::fprintf(stderr, "%d: healed %.1f s (%lld)\n", count, heal60, dead60);
   double wrong = 0;
   std::uint64_t suspicions = 0;
   const Micros span = count > 1000 ? 300s : 3600s;
   {
-    sim::Fleet fleet = Started(count, seed + 3, sim::Link{0.1, Micros{100}, Micros{2'000}});
+    sim::Fleet fleet = Started(count, seed + 3);
+    fleet.SetLink({0.1, Micros{100}, Micros{2'000}});
     Matrix matrix(fleet, count);
     fleet.RunFor(span);
     std::uint64_t declared = 0;
