Write every STOP of a round before its requests: a second copy could be read first

In one round: REQ X on C (it had waited for C to come up), STOP Y on B, REQ Y on C, 9 us later. C became ready before B, so a server that reads in that order reads both requests on C before the STOP on B. Ruled out: a STOP that was held back (the queue was empty), a request that was called off in the round it went out (tried before, changed nothing), a lost connection (the reset was told 1.3 s earlier).

Change: CacheSide writes requests at the round's end (WriteDue); STOPs go as they are carried.

--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -124,15 +124,29 @@
   const double pace = config_.site.settings.pace_kb_per_s;
   const auto sending = Micros{static_cast<std::int64_t>(pace > 0 ? asked.size_kb / pace * 1e6 : 0)};
   link.state.open[asked.ref] = {id, out.send.attempt, 0, now, 2 * sending};
-  const core::Send send = out.send;
   out_[id] = std::move(out);
   if (link.connection.IsOpen()) {
-    Put(now, link, asked.ref, send);
+    due_.push_back({&link, asked.ref, false});
   } else {
     link.state.waiting.push_back(asked.ref);
   }
 }
 
+void CacheSide::WriteDue(Micros now) {
+  for (std::size_t i = 0; i < due_.size(); ++i) {  // one that takes nothing in may add to them
+    const Due due = due_[i];
+    const auto found = due.link->state.open.find(due.ref);
+    if (found == due.link->state.open.end() || found->second.written > 0)
+      continue;  // stopped, or out already
+    const auto out = out_.find(found->second.id);
+    if (out == out_.end()) continue;
+    const core::Send send = out->second.send;
+    Put(now, *due.link, due.ref, send);
+    if (due.waited) events_.emplace_back(core::AttemptWritten{send.order.id, send.attempt});
+  }
+  due_.clear();
+}
+
 // Writes a request, unless what has happened since the decision forbids it.
 void CacheSide::Put(Micros now, Link& link, const std::string& ref, const core::Send& send) {
   const RequestId id = send.order.id;
@@ -149,17 +163,9 @@
 }
 
 void CacheSide::OnLinkOpen(Link& link) {
-  const Micros now = net::Now();
   link.state.up = true;
-  for (const std::string& ref : std::exchange(link.state.waiting, {})) {
-    const auto found = link.state.open.find(ref);
-    if (found == link.state.open.end()) continue;
-    const auto out = out_.find(found->second.id);
-    if (out == out_.end()) continue;
-    const core::Send send = out->second.send;
-    Put(now, link, ref, send);
-    events_.emplace_back(core::AttemptWritten{send.order.id, send.attempt});
-  }
+  for (std::string& ref : std::exchange(link.state.waiting, {}))
+    due_.push_back({&link, std::move(ref), true});
 }
 
 void CacheSide::Carry(Micros now, const core::Stop& command) {
@@ -367,6 +373,7 @@
     if (link.state.consume > 0) link.connection.Consume(std::exchange(link.state.consume, 0));
   }
   if (!out_.empty()) Watch(now);
+  WriteDue(now);
   pool_.Sweep(now);
 }
 
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -76,6 +76,10 @@
   };
 
   void Place(Micros now, const Asked& asked, Out out);
+  // What is to be written, at the round's end: every STOP of a round goes before every request of it. A
+  // server reads its connections in the order in which they became ready: with a request written first, the
+  // next copy of another, behind it, would be read before the STOP that came between on another connection.
+  void WriteDue(Micros now);
   void Put(Micros now, Link& link, const std::string& ref, const core::Send& send);
   void End(RequestId id, Link& link, core::AttemptEnded ended);
   void Burn(Link& link, const std::string& ref);
@@ -96,6 +100,12 @@
   net::EventLoop& loop_;
   net::Patience patience_;
   std::optional<Micros> watch_;  // when Watch looks again
+  struct Due {
+    Link* link;  // valid until the sweep at the round's end
+    std::string ref;
+    bool waited;  // for the connection to come up: the core is told that it is out
+  };
+  std::vector<Due> due_;
   front::SeenFailing failing_;
   Pool pool_;
 };
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -1,4 +1,7 @@
 // The platform's front: the real program between clients, shop caches and a change log played here.
+#include <sys/epoll.h>
+
+#include <sstream>
 #include <thread>
 
 #include "platform_world.hpp"
@@ -531,11 +534,79 @@
   }
 }
 
+// What a server sees that reads its connections in the order in which they became ready (as epoll lists
+// them): no copy of a request while another is out. Four requests wait on one connection and their time runs
+// out while the program is held; a fifth client's request and the four's next attempts go to a second
+// connection to the same server in the very round in which the four are stopped on the first.
+void StopsGoBeforeAllRequestsOfARound() {
+  std::string settings = kSettings;
+  for (const auto& [from, to] : {std::pair{R"("promiseMs":2000.0,"aimStretch":2.0)", R"("promiseMs":800.0)"},
+                                 std::pair{R"("passThroughOk":true)", R"("passThroughOk":false)"}}) {
+    settings.replace(settings.find(from), std::string_view(from).size(), to);
+  }
+  World world(0, false, "1024", "192", settings);
+  Peer client = world.Client();
+  const auto call = [&](int number) {
+    client.Send(Call(std::to_string(number), "", 10'000, "7f3a9c21e0b4d655",
+                     "9b1f03aa5c7e2d4" + std::to_string(number)));
+  };
+  call(1);
+  Peer first = world.cache_a.Accept();
+  for (int i = 2; i <= 4; ++i) call(i);
+  for (int i = 1; i <= 4; ++i) first.Until("\r\n\r\n");
+  call(5);  // four at most on a connection while another can be opened
+  Peer second = world.cache_a.Accept();
+  second.Until("\r\n\r\n");
+  second.Send(Ok("abc", "", "9b1f03aa5c7e2d45"));
+  CHECK(Answer(client)[0] == "5");
+  world.program->Signal(SIGSTOP);
+  call(6);
+  CHECK(first.Silent(1'000));  // past the four's aim
+  const int ready = ::epoll_create1(0);
+  const std::map<int, Peer*> peers{{first.Descriptor(), &first}, {second.Descriptor(), &second}};
+  for (const auto& [fd, peer] : peers) {
+    epoll_event event{EPOLLIN, {.fd = fd}};
+    CHECK(::epoll_ctl(ready, EPOLL_CTL_ADD, fd, &event) == 0);
+  }
+  world.program->Signal(SIGCONT);
+  std::map<std::string, int> out;
+  for (int i = 1; i <= 4; ++i) out["9b1f03aa5c7e2d4" + std::to_string(i)] = first.Descriptor();
+  int stops = 0, again = 0;
+  while (again == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));  // all of the round is in
+    epoll_event events[2];
+    const int count = ::epoll_wait(ready, events, 2, kLimitMs);
+    CHECK(count > 0);
+    for (int i = 0; i < count; ++i) {
+      const int fd = events[i].data.fd;
+      char block[65536];
+      const ssize_t n = ::recv(fd, block, sizeof block, 0);
+      CHECK(n > 0);
+      std::istringstream lines(std::string(block, static_cast<std::size_t>(n)));
+      for (std::string line; std::getline(lines, line);) {
+        std::istringstream words(line);
+        std::string word, ref;
+        words >> word >> ref;
+        if (word == "STOP") {
+          CHECK(out.erase(ref) == 1);
+          ++stops;
+        } else if (word == "REQ") {
+          CHECK(out.emplace(ref, fd).second);  // a second copy while the first is out
+          again += ref != "9b1f03aa5c7e2d46";
+        }
+      }
+    }
+  }
+  CHECK(stops > 0);
+  ::close(ready);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   const Cases cases{
       {"serves", Serves},
+      {"stops_go_before_all_requests_of_a_round", StopsGoBeforeAllRequestsOfARound},
       {"passes_a_write_unchanged", PassesAWriteUnchanged},
       {"moves_on_after_busy",
        [] { MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " BUSY - 0\r\n\r\n"); }); }},
