Take a restarted member's word on servers and duties anew; carry other parts' messages

Cause: a member counts its reports from 0 in each life, but View::Merge took a report only where its count was higher than the one known (view.cpp, 'update.report > known.report'), also for a newer incarnation. A doorman that was started again was held to the old life's list of failing servers until its count had passed it, and views that knew the old life never had one digest with those that did not, so that each sync moved entries for ever. Found reading the code for the leases.

Change: a newer incarnation's word is taken as it is.

Measured: Members.ARestartedMembersWordIsTakenAnew fails before (four expectations) and passes after; the 17 tests of the view (2,000 random schedules) and the 9 process tests of the fleet view pass.

--- a/src/members/codec.cpp
+++ b/src/members/codec.cpp
@@ -46,6 +46,7 @@
   envelope.set_target_ip(message.target_address.ip);
   envelope.set_target_port(message.target_address.port);
   envelope.set_more(message.more);
+  envelope.set_carried(message.carried);
   if (message.digest) {
     for (const std::uint64_t bucket : *message.digest) envelope.add_digest(bucket);
   }
@@ -61,6 +62,11 @@
     one.set_by(update.by);
     one.set_report(update.report);
     for (const std::uint64_t server : update.failing) one.add_failing(server);
+    for (const Claim& claim : update.duties) {
+      wire::Claim& said = *one.add_duties();
+      said.set_duty(claim.duty);
+      said.set_token(claim.token);
+    }
   }
   // Too large: updates from the end stay out; they are said again in later datagrams.
   while (envelope.ByteSizeLong() + sizeof kHeader + 1 > most && envelope.updates_size() > 0) {
@@ -85,7 +91,7 @@
     return Refused(Refusal::kMalformed, "not an envelope");
   }
   if (envelope.fleet() != fleet) return Refused(Refusal::kForeign, "another fleet");
-  if (envelope.kind() > static_cast<std::uint32_t>(Kind::kSyncPush)) {
+  if (envelope.kind() > static_cast<std::uint32_t>(Kind::kCarried)) {
     return Refused(Refusal::kMalformed, "kind " + std::to_string(envelope.kind()));
   }
   if (!Named(envelope.from())) return Refused(Refusal::kMalformed, "from: a name of 1 to 64 bytes");
@@ -98,6 +104,8 @@
   }
   if (envelope.updates_size() > static_cast<int>(kMostUpdates))
     return Refused(Refusal::kMalformed, "updates: 64 at most");
+  if (envelope.carried().size() > kMostCarried)
+    return Refused(Refusal::kMalformed, "carried: 1000 bytes at most");
   Message message;
   message.kind = static_cast<Kind>(envelope.kind());
   message.from = envelope.from();
@@ -106,6 +114,7 @@
   message.target = envelope.target();
   message.target_address = {envelope.target_ip(), static_cast<std::uint16_t>(envelope.target_port())};
   message.more = envelope.more();
+  message.carried = envelope.carried();
   if (envelope.digest_size() == static_cast<int>(kBuckets)) {
     Digest digest{};
     for (std::size_t b = 0; b < kBuckets; ++b) digest[b] = envelope.digest(static_cast<int>(b));
@@ -118,6 +127,11 @@
       return Refused(Refusal::kMalformed, "update: state");
     if (one.failing_size() > static_cast<int>(kMostFailing))
       return Refused(Refusal::kMalformed, "update: 32 servers at most");
+    if (one.duties_size() > static_cast<int>(kMostDuties))
+      return Refused(Refusal::kMalformed, "update: 8 duties at most");
+    for (const wire::Claim& claim : one.duties()) {
+      if (!Named(claim.duty())) return Refused(Refusal::kMalformed, "update: a duty of 1 to 64 bytes");
+    }
     if (one.zone().size() > kMostName || one.by().size() > kMostName) {
       return Refused(Refusal::kMalformed, "update: zone or accuser over 64 bytes");
     }
@@ -135,6 +149,7 @@
     update.by = one.by();
     update.report = one.report();
     update.failing.assign(one.failing().begin(), one.failing().end());
+    for (const wire::Claim& claim : one.duties()) update.duties.push_back({claim.duty(), claim.token()});
     message.updates.push_back(std::move(update));
   }
   Decoded out;
--- a/src/members/node.cpp
+++ b/src/members/node.cpp
@@ -128,6 +128,10 @@
       }
       continue;
     }
+    if (decoded.message->kind == Kind::kCarried) {
+      if (carried_) carried_(decoded.message->from, decoded.message->carried);
+      continue;
+    }
     view_.Receive(now, *decoded.message);
   }
   if (taken == kMostRound) loop_.Again(handle_);  // the rest in the next round: the loop is not held
@@ -143,18 +147,33 @@
 
 void Node::Flush() {
   for (const Change& change : view_.TakeChanges()) Log(change);
-  for (const Datagram& datagram : view_.TakeOut()) {
-    const std::string bytes = Encode(datagram.message, options_.fleet, options_.most_datagram);
-    const sockaddr_in to = ToEndpoint(datagram.to).Socket();
-    const ssize_t n = ::sendto(fd_.Get(), bytes.data(), bytes.size(), MSG_DONTWAIT,
-                               reinterpret_cast<const sockaddr*>(&to), sizeof to);
-    if (n < 0) {
-      ++wire_.send_errors;  // a full buffer or an unreachable port: as a datagram lost on the way
-      continue;
-    }
-    ++wire_.datagrams_out;
-    wire_.bytes_out += bytes.size();
+  for (const Datagram& datagram : view_.TakeOut()) Send(datagram);
+}
+
+void Node::Send(const Datagram& datagram) {
+  const std::string bytes = Encode(datagram.message, options_.fleet, options_.most_datagram);
+  const sockaddr_in to = ToEndpoint(datagram.to).Socket();
+  const ssize_t n = ::sendto(fd_.Get(), bytes.data(), bytes.size(), MSG_DONTWAIT,
+                             reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  if (n < 0) {
+    ++wire_.send_errors;  // a full buffer or an unreachable port: as a datagram lost on the way
+    return;
   }
+  ++wire_.datagrams_out;
+  wire_.bytes_out += bytes.size();
+}
+
+bool Node::Carry(const std::string& to, std::string message) {
+  const auto found = view_.Members().find(to);
+  if (!fd_ || found == view_.Members().end() || message.size() > kMostCarried) return false;
+  Datagram datagram;
+  datagram.to = found->second.address;
+  datagram.message.kind = Kind::kCarried;
+  datagram.message.from = view_.Self().name;
+  datagram.message.from_address = view_.Self().address;
+  datagram.message.carried = std::move(message);
+  Send(datagram);
+  return true;
 }
 
 void Node::Arm() {
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -54,6 +55,15 @@
   void Report(std::vector<std::uint64_t> failing);
   void Leave();
 
+  // For a part that stands on the view (leases): its messages go in datagrams of their own. False: no member
+  // of that name is known, or the port is still another's.
+  bool Carry(const std::string& to, std::string message);
+  // Told each message that was carried here, with its sender's name as that one says it.
+  void SetCarried(std::function<void(const std::string& from, const std::string& message)> carried) {
+    carried_ = std::move(carried);
+  }
+  void Claims(std::vector<Claim> duties) { view_.Claims(std::move(duties)); }
+
   const View& Seen() const { return view_; }
   const Wire& Counted() const { return wire_; }
   // One line a member: name address zone incarnation state age_ms failing=a,b; ours first.
@@ -66,6 +76,7 @@
   void Wait();
   void Round();
   void Flush();
+  void Send(const Datagram& datagram);
   void Arm();
   void Log(const Change& change);
 
@@ -78,6 +89,7 @@
   View view_;
   Wire wire_;
   std::optional<net::TimerQueue::Id> timer_;
+  std::function<void(const std::string&, const std::string&)> carried_;
 };
 
 }  // namespace tinspan::members
--- a/src/members/sim.cpp
+++ b/src/members/sim.cpp
@@ -84,6 +84,13 @@
   Flush(member);
 }
 
+void Fleet::Report(int member, std::vector<std::uint64_t> failing) {
+  members_[member].view->Report(std::move(failing));
+}
+void Fleet::Claims(int member, std::vector<Claim> duties) {
+  members_[member].view->Claims(std::move(duties));
+}
+
 void Fleet::Schedule(int member) {
   Node& node = members_[member];
   if (!node.running) return;
--- a/src/members/sim.hpp
+++ b/src/members/sim.hpp
@@ -37,6 +37,8 @@
   void Heal();                                  // every cut mended
   void SetLink(Link link) { link_ = link; }
   void Leave(int member);
+  void Report(int member, std::vector<std::uint64_t> failing);
+  void Claims(int member, std::vector<Claim> duties);
 
   void RunFor(Micros span);
   Micros Now() const { return now_; }
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -49,7 +49,8 @@
 }
 
 std::size_t Weight(const Update& update) {
-  return 24 + update.name.size() + update.zone.size() + update.by.size() + 9 * update.failing.size();
+  return 24 + update.name.size() + update.zone.size() + update.by.size() + 9 * update.failing.size() +
+         24 * update.duties.size();
 }
 
 View::View(Options options, const Update& self, std::uint64_t seed, Micros now)
@@ -126,6 +127,7 @@
   if (member.state == State::kSuspect) out.by = member.latest;
   out.report = member.report;
   out.failing = member.failing;
+  out.duties = member.duties;
   return out;
 }
 
@@ -211,6 +213,7 @@
     member.since = now;
     member.report = update.report;
     member.failing = update.failing;
+    member.duties = update.duties;
     ++counts_[0];
     changes_.push_back(Change{member.name, std::nullopt, State::kAlive, member.incarnation, false});
     if (update.state == State::kSuspect) {
@@ -241,6 +244,7 @@
     if (update.report > known.report) {
       known.report = update.report;
       known.failing = update.failing;
+      known.duties = update.duties;
       changed = true;
     }
     if (changed) {
@@ -254,9 +258,11 @@
     known.address = update.address;
     known.zone = update.zone;
   }
-  if (update.report > known.report) {
+  // A member that was started again counts its reports from 0: what its new life says is taken as it is.
+  if (update.report > known.report || update.incarnation > known.incarnation) {
     known.report = update.report;
     known.failing = update.failing;
+    known.duties = update.duties;
   }
   if (update.state == State::kSuspect) {
     const bool fresh = known.state != State::kSuspect || update.incarnation > known.incarnation;
@@ -461,6 +467,8 @@
       if (message.more || more) sync_again_ = message.from_address;
       return;
     }
+    case Kind::kCarried:  // for another part: whoever runs the view hands it on
+      return;
     case Kind::kSyncPush:
       return;
   }
@@ -596,6 +604,16 @@
   Queue(self_);
 }
 
+void View::Claims(std::vector<Claim> duties) {
+  std::sort(duties.begin(), duties.end());
+  if (duties.size() > kMostDuties) duties.resize(kMostDuties);
+  Member& me = members_.at(self_);
+  if (duties == me.duties) return;
+  me.duties = std::move(duties);
+  ++me.report;
+  Queue(self_);
+}
+
 void View::Leave(Micros now) {
   if (leaving_) return;
   Member& me = members_.at(self_);
--- a/src/members/view.hpp
+++ b/src/members/view.hpp
@@ -34,6 +34,14 @@
 enum class State : std::uint8_t { kAlive = 0, kSuspect = 1, kDead = 2, kLeft = 3 };
 const char* Name(State state);
 
+// A duty that a member says it holds, and its fencing token (src/lease): of two words the higher token is
+// newer.
+struct Claim {
+  std::string duty;
+  std::uint64_t token = 0;
+  auto operator<=>(const Claim&) const = default;
+};
+
 // What is said of one member: on the wire, and in the view.
 struct Update {
   std::string name;  // 1 to kMostName bytes, the member's own, unique in the fleet
@@ -43,15 +51,18 @@
   State state = State::kAlive;
   Micros age{0};                       // dead or left: for how long by now
   std::string by;                      // suspect: who suspects it
-  std::uint64_t report = 0;            // rises with each new list of servers it has seen fail
-  std::vector<std::uint64_t> failing;  // those servers, at most kMostFailing
+  std::uint64_t report = 0;            // rises with each new list of servers or duties, from 0 at each start
+  std::vector<std::uint64_t> failing;  // servers it has seen fail, at most kMostFailing
+  std::vector<Claim> duties;           // duties it holds, at most kMostDuties
 };
 
-enum class Kind : std::uint8_t { kPing, kPingReq, kAck, kNack, kSync, kSyncReply, kSyncPush };
+enum class Kind : std::uint8_t { kPing, kPingReq, kAck, kNack, kSync, kSyncReply, kSyncPush, kCarried };
 constexpr std::size_t kBuckets = 64;
 using Digest = std::array<std::uint64_t, kBuckets>;
 constexpr std::size_t kMostName = 64;
 constexpr std::size_t kMostFailing = 32;
+constexpr std::size_t kMostDuties = 8;
+constexpr std::size_t kMostCarried = 1'000;  // bytes of another part's message in a datagram
 constexpr std::size_t kMostUpdates = 64;
 constexpr std::uint64_t kMostIncarnation = std::uint64_t{1} << 62;
 // Bounds on what datagrams can make a view hold: anyone who reaches the port can send names and ping-reqs.
@@ -69,6 +80,7 @@
   std::vector<Update> updates;
   std::optional<Digest> digest;  // sync, sync-reply
   bool more = false;             // sync-reply: not all that differs fitted
+  std::string carried;           // carried: a message of a part that stands on the view (leases)
 };
 struct Datagram {
   Address to;
@@ -101,6 +113,7 @@
   Micros since{0};  // of the state
   std::uint64_t report = 0;
   std::vector<std::uint64_t> failing;
+  std::vector<Claim> duties;
   std::set<std::string> accusers;  // suspect: who suspect it, for Lifeguard's confirmations
   std::string latest;              // of them, the one heard last: the word that is spread on
   Micros deadline{0};              // suspect: when it is declared dead
@@ -135,6 +148,8 @@
   void Tick(Micros now);
   // The servers this member now sees fail; spread when they change.
   void Report(std::vector<std::uint64_t> failing);
+  // The duties this member holds now; spread when they change.
+  void Claims(std::vector<Claim> duties);
   // Says `left` to some members; the view goes on answering until the process ends.
   void Leave(Micros now);
 
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -119,6 +119,31 @@
   EXPECT_LT(Settle(fleet, 10s), 5s);
 }
 
+// What a member says of servers and duties is counted from 0 in each of its lives: the new life's word holds,
+// and all views have one digest again (they did not while the old life's higher count stood).
+TEST(Members, ARestartedMembersWordIsTakenAnew) {
+  sim::Fleet fleet = Started(8);
+  ASSERT_LT(Settle(fleet, 10s), 10s);
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    fleet.Report(4, {i});
+    fleet.RunFor(200ms);
+  }
+  fleet.Claims(4, {{"health", 77}});
+  fleet.RunFor(3s);
+  EXPECT_EQ(fleet.ViewOf(1).Members().at("m4").failing, (std::vector<std::uint64_t>{5}));
+  EXPECT_EQ(fleet.ViewOf(1).Members().at("m4").duties, (std::vector<Claim>{{"health", 77}}));
+  fleet.Kill(4);
+  fleet.RunFor(500ms);
+  fleet.Restart(4);
+  fleet.Report(4, {9});
+  fleet.RunFor(10s);
+  for (const int i : {0, 1, 2, 3, 5, 6, 7}) {
+    EXPECT_EQ(fleet.ViewOf(i).Members().at("m4").failing, (std::vector<std::uint64_t>{9}));
+    EXPECT_TRUE(fleet.ViewOf(i).Members().at("m4").duties.empty());
+    EXPECT_EQ(fleet.ViewOf(i).DigestNow(), fleet.ViewOf(4).DigestNow());
+  }
+}
+
 TEST(Members, AFloodOfJoins) {
   sim::Fleet fleet = Started(2);
   ASSERT_LT(Settle(fleet, 10s), 10s);
@@ -253,6 +278,7 @@
   one.age = std::chrono::milliseconds(4'500);
   one.report = 3;
   one.failing = {11, 12};
+  one.duties = {{"health", 5}};
   message.updates = {one};
   return message;
 }
@@ -272,6 +298,7 @@
   EXPECT_EQ(m.updates[0].state, State::kDead);
   EXPECT_EQ(m.updates[0].age, std::chrono::milliseconds(4'500));
   EXPECT_EQ(m.updates[0].failing, (std::vector<std::uint64_t>{11, 12}));
+  EXPECT_EQ(m.updates[0].duties, (std::vector<Claim>{{"health", 5}}));
 }
 
 TEST(MembersCodec, NamesWhatItRefuses) {
