--- /dev/null
+++ b/tests/net/leases_test.cpp
@@ -0,0 +1,323 @@
+// Leases among real doormans: five voters, a relay between them, a store of ours that they write to, and
+// faults put there by the test. Whatever happens, no two hold the duty at once, what the store took is in
+// order, and the duty is taken up again within a bound of the lease's length.
+#include <cmath>
+
+#include "kv_standin.hpp"
+#include "view_fleet.hpp"
+
+namespace {
+
+using tinspan::lease::History;
+using tinspan::lease::Micros;
+using tinspan::lease::Token;
+
+constexpr int kLengthMs = 1'500;
+// To be taken up again: the lease runs out, then a ballot or two; sanitizers included.
+constexpr int kTakenUpMs = 2 * kLengthMs + 3'000;
+
+Micros Steady() {
+  return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+struct Held {
+  std::string holder, role;
+  std::uint64_t token = 0;
+  long long left = 0;
+};
+
+class LeaseFleet {
+ public:
+  explicit LeaseFleet(int count = 5)
+      : fleet(count, R"("leases":{"voters":["n0","n1","n2","n3","n4"],"length_ms":)" +
+                         std::to_string(kLengthMs) + R"(,"publish":{"store":")" + store.Address() +
+                         R"(","every_ms":100}},)") {}
+
+  // What its door says; none: it does not answer (stopped).
+  Held Ask(int member) {
+    const Micros before = Steady();
+    ::Peer caller = ::Peer::Connect(fleet.all[member].ops);
+    caller.Send("leases\n");
+    std::istringstream in(caller.ToEnd());
+    std::string line, duty, left;
+    CHECK(std::getline(in, line) && line == "done" && std::getline(in, line));
+    std::istringstream words(line);
+    Held held;
+    CHECK(words >> duty >> held.holder >> held.token >> held.left >> held.role && duty == "health");
+    // It held at some moment from `before` to now, and for `left` from then: so from now to before + left at
+    // least, with the slowest true time that its clock allows.
+    if (held.role == "holder") {
+      const Micros from = Steady(), to = before + Micros{held.left * 900};
+      if (from < to) history.Held(Token{held.token}, fleet.all[member].name, from, to);
+    }
+    return held;
+  }
+  // Who says that it holds; -1: nobody. Stopped ones are not asked.
+  int Holder(const std::set<int>& without = {}) {
+    int holder = -1;
+    for (int i = 0; i < static_cast<int>(fleet.all.size()); ++i) {
+      if (!fleet.all[i].program || without.contains(i)) continue;
+      if (Ask(i).role == "holder") holder = i;
+    }
+    return holder;
+  }
+  // Milliseconds until one holds that is not in `but`.
+  long long Taken(int& holder, const std::set<int>& but = {}, const std::set<int>& unasked = {}) {
+    const long long start = UnixMs();
+    for (;;) {
+      holder = Holder(unasked);
+      if (holder >= 0 && !but.contains(holder)) return UnixMs() - start;
+      CHECK(UnixMs() - start < kBoundMs);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+  // The store takes records under a token above `token`, so many of them.
+  void Writes(std::uint64_t token, std::uint64_t count) {
+    const long long start = UnixMs();
+    std::uint64_t first = 0;
+    for (;;) {
+      const auto stored = store.Stored();
+      if (stored.flags > token && first == 0) first = stored.number;
+      if (stored.flags > token && stored.number >= first + count) return;
+      Holder();
+      CHECK(UnixMs() - start < kBoundMs);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+  void Unbroken() {
+    for (const auto& broken : {history.Broken(), store.Broken()}) {
+      if (broken) std::fprintf(stderr, "history: %s\n", broken->c_str());
+      CHECK(!broken);
+    }
+  }
+  std::uint64_t Token_(int member) { return Ask(member).token; }
+
+  KvStandin store;
+  ViewFleet fleet;
+  History history;
+};
+
+// All at once ask for it, one gets it, and it stays with that one; every door and the command name it.
+void OneHoldsAndPublishes() {
+  LeaseFleet five;
+  int holder = -1;
+  five.Taken(holder);
+  const std::uint64_t token = five.Token_(holder);
+  five.Writes(0, 20);
+  CHECK(five.Holder() == holder && five.Token_(holder) == token);
+  const auto stored = five.store.Stored();
+  CHECK(stored.flags == token);
+  CHECK(stored.text.find("\"holder\":\"" + five.fleet.all[holder].name + "\"") != std::string::npos);
+  CHECK(stored.text.find("\"alive\":5") != std::string::npos);
+  for (int i = 0; i < 5; ++i) {
+    const Held held = five.Ask(i);
+    CHECK(held.holder == five.fleet.all[holder].name && held.token == token);
+  }
+  Program shown({"leases", "--door", "127.0.0.1:" + std::to_string(five.fleet.all[0].ops)}, {});
+  CHECK(shown.Wait() == 0);
+  CHECK(shown.log.find("health") != std::string::npos &&
+        shown.log.find(std::to_string(token)) != std::string::npos);
+  // A write that was taken and whose answer was lost is not done twice; a store that is gone ends no lease.
+  five.store.DropNextAnswer();
+  five.Writes(token - 1, 10);
+  CHECK(five.fleet.Figure(holder, "lease_store_failures_total") >= 1);
+  CHECK(five.Holder() == holder);
+  five.Unbroken();
+}
+
+// Stopped past its lease and resumed: another holds meanwhile, and nothing is taken under the old token. It
+// was stopped with a write on its way, which arrives after the other's first.
+void AStoppedHolderIsFenced() {
+  LeaseFleet five;
+  int first = -1, second = -1;
+  five.Taken(first);
+  const std::uint64_t old = five.Token_(first);
+  five.Writes(old - 1, 3);
+  five.store.HoldNextWrite();
+  for (const long long end = UnixMs() + kLimitMs; !five.store.Holding();) CHECK(UnixMs() < end);
+  five.fleet.all[first].program->Signal(SIGSTOP);
+  const long long took = five.Taken(second, {first}, {first});
+  Report("a stopped holder's duty taken up", took);
+  CHECK(took < kTakenUpMs);
+  const std::uint64_t next = five.Token_(second);
+  CHECK(next > old);
+  for (const long long end = UnixMs() + kLimitMs; five.store.Stored().flags < next;) CHECK(UnixMs() < end);
+  five.store.Release();  // the old write arrives
+  five.fleet.all[first].program->Signal(SIGCONT);
+  five.Writes(old, 10);
+  CHECK(five.store.Refused() >= 1);
+  CHECK(five.Ask(first).role != "holder");
+  CHECK(five.fleet.Figure(first, "lease_lapsed_total") == 1);
+  CHECK(five.Holder() == second);
+  five.Unbroken();
+}
+
+// Cut off from all others but not from the store it writes to: it stops, another goes on from its number.
+void ACutOffHolderStops() {
+  LeaseFleet five;
+  int first = -1, second = -1;
+  five.Taken(first);
+  const std::uint64_t old = five.Token_(first);
+  five.Writes(old - 1, 3);
+  for (int other = 0; other < 5; ++other) {
+    if (other == first) continue;
+    five.fleet.relay.Cut(first, other);
+    five.fleet.relay.Cut(other, first);
+  }
+  const long long took = five.Taken(second, {first});
+  Report("a cut-off holder's duty taken up", took);
+  CHECK(took < kTakenUpMs);
+  five.Writes(old, 5);
+  CHECK(five.Ask(first).role != "holder");
+  five.fleet.relay.Heal();
+  CHECK(five.fleet.Settled(kBoundMs) >= 0);
+  five.Writes(old, 5);
+  CHECK(five.Holder() == second);
+  five.Unbroken();
+}
+
+// Killed in the middle of its duty: the next goes on from the record that stands, none left out, none twice.
+// The one that comes back has forgotten what it promised and is silent first.
+void AKilledHolderIsFollowed() {
+  LeaseFleet five;
+  int first = -1, second = -1;
+  five.Taken(first);
+  const std::uint64_t old = five.Token_(first);
+  five.Writes(old - 1, 3);
+  five.history.Ended(Token{old}, Steady());
+  five.fleet.Kill(first);
+  const std::uint64_t number = five.store.Stored().number;
+  const long long took = five.Taken(second);
+  Report("a killed holder's duty taken up", took);
+  CHECK(took < kTakenUpMs);
+  five.Writes(old, 3);
+  CHECK(five.store.Stored().number > number);
+  five.fleet.Begin(first);
+  five.fleet.Ready(first);
+  CHECK(five.Ask(first).role == "voter-silent");
+  for (const long long end = UnixMs() + kBoundMs; five.Ask(first).role != "voter";) CHECK(UnixMs() < end);
+  five.Writes(old, 3);
+  CHECK(five.Holder() == second);
+  five.Unbroken();
+}
+
+// Two on one side, three on the other: the two hold nothing, whoever held before.
+void AMinorityHoldsNothing() {
+  LeaseFleet five;
+  int first = -1, second = -1;
+  five.Taken(first);
+  const std::uint64_t old = five.Token_(first);
+  const int with = first == 0 ? 1 : 0;
+  for (int a = 0; a < 5; ++a) {
+    for (int b = 0; b < 5; ++b) {
+      if ((a == first || a == with) != (b == first || b == with)) five.fleet.relay.Cut(a, b);
+    }
+  }
+  const long long took = five.Taken(second, {first});
+  Report("taken up by the majority", took);
+  CHECK(took < kTakenUpMs && second != with);
+  five.Writes(old, 3);
+  for (const long long end = UnixMs() + 2 * kLengthMs; UnixMs() < end;) {
+    CHECK(five.Ask(first).role != "holder" && five.Ask(with).role != "holder");
+    CHECK(five.Holder() == second);
+  }
+  five.fleet.relay.Heal();
+  CHECK(five.fleet.Settled(kBoundMs) >= 0);
+  five.Unbroken();
+}
+
+// One clock a tenth fast, and the holder stopped again and again: never two.
+void AFastClockHoldsAlone() {
+  LeaseFleet five;
+  five.fleet.Kill(2);
+  five.fleet.Begin(2, {{"LD_PRELOAD", TINSPAN_CLOCK},
+                       {"TINSPAN_TEST_RATE", "1.1"},
+                       {"ASAN_OPTIONS", "verify_asan_link_order=0"}});
+  five.fleet.Ready(2);
+  int holder = -1;
+  std::uint64_t last = 0;
+  for (int round = 0; round < 4; ++round) {
+    five.Taken(holder);
+    five.Writes(last, 3);
+    last = five.store.Stored().flags;
+    five.fleet.all[holder].program->Signal(SIGSTOP);
+    int next = -1;
+    CHECK(five.Taken(next, {holder}, {holder}) < kTakenUpMs);
+    five.fleet.all[holder].program->Signal(SIGCONT);
+    five.Unbroken();
+  }
+  five.Writes(last, 3);
+  five.Unbroken();
+}
+
+// Told to stop, it lets the duty go: it is handed on without waiting for the lease to run out.
+void AStoppingHolderHandsOver() {
+  LeaseFleet five;
+  int first = -1, second = -1;
+  five.Taken(first);
+  const std::uint64_t old = five.Token_(first);
+  // The other candidates have asked and were refused: the voters know whom to tell.
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLengthMs));
+  five.Writes(old - 1, 3);
+  five.fleet.all[first].program->Signal(SIGTERM);
+  five.history.Ended(Token{old}, Steady());
+  CHECK(five.fleet.all[first].program->Wait() == 0);
+  CHECK(five.fleet.all[first].program->log.find("let go") != std::string::npos);
+  five.fleet.all[first].program.reset();
+  const long long took = five.Taken(second);
+  Report("a stopping holder's duty handed on", took);
+  CHECK(second != first);
+  five.Writes(old, 3);
+  five.Unbroken();
+}
+
+// Off where the file has no leases; a file that could grant a duty twice is turned down, naming the key.
+void OffWithoutLeases() {
+  ViewFleet off(1);
+  ::Peer caller = ::Peer::Connect(off.all[0].ops);
+  caller.Send("leases\n");
+  CHECK(caller.Until("\n") == "error leases are off here");
+  std::string text;
+  std::ifstream in(off.all[0].file->path);
+  std::getline(in, text, '\0');
+  const std::string good =
+      R"("leases":{"voters":["a","b","c"],"publish":{"store":"127.0.0.1:8500"}},"settings")";
+  const auto checked = [&](const std::string& from, const std::string& to) {
+    std::string leases = good, file = text;
+    leases.replace(leases.find(from), from.size(), to);
+    file.replace(file.find("\"settings\""), 10, leases);
+    const TempFile written(file);
+    Program check({"check-config"},
+                  {{"PROXY_NAME", "n0"}, {"PROXY_LISTEN", "127.0.0.1:0"}, {"PROXY_CONFIG", written.path}});
+    const int status = check.Wait();
+    return std::pair{status, check.log};
+  };
+  CHECK(checked("a", "a").first == 0);
+  for (const auto& [from, to, key] : std::vector<std::tuple<std::string, std::string, std::string>>{
+           {R"("a","b","c")", R"("a","b")", "leases.voters"},
+           {R"("a","b","c")", R"("a","b","a")", "leases.voters.2"},
+           {R"("publish")", R"("length_ms":100,"publish")", "leases.length_ms"},
+           {R"("publish")", R"("drift":0.9,"publish")", "leases.drift"},
+           {R"("store":"127.0.0.1:8500")", R"("store":"nowhere")", "leases.publish.store"},
+           {R"("store":"127.0.0.1:8500")", R"("store":"127.0.0.1:8500","key":"a b")",
+            "leases.publish.key"}}) {
+    const auto [status, log] = checked(from, to);
+    CHECK(status != 0);
+    CHECK(log.find(": " + key + " (line ") != std::string::npos ||
+          log.find(": " + key + ": ") != std::string::npos);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return RunCases({{"one_holds_and_publishes", OneHoldsAndPublishes},
+                   {"a_stopped_holder_is_fenced", AStoppedHolderIsFenced},
+                   {"a_cut_off_holder_stops", ACutOffHolderStops},
+                   {"a_killed_holder_is_followed", AKilledHolderIsFollowed},
+                   {"a_minority_holds_nothing", AMinorityHoldsNothing},
+                   {"a_fast_clock_holds_alone", AFastClockHoldsAlone},
+                   {"a_stopping_holder_hands_over", AStoppingHolderHandsOver},
+                   {"off_without_leases", OffWithoutLeases}},
+                  argc, argv);
+}
