--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -88,9 +88,8 @@
   options.lease.drift = told.drift;
   options.lease.attempt = told.length / 8;
   options.candidates = told.candidates;
-  options.store = told.store;
-  options.key = told.key;
-  options.every = told.every;
+  if (told.publish) options.publish.emplace(told.publish->store, told.publish->key, told.publish->every);
+  options.purge = told.purge;
   options.seed = config.seed ^ 0x6c6561736573ull ^ XXH3_64bits(config.name.data(), config.name.size());
   return std::make_unique<lease::Agent>(loop, *node, std::move(options));
 }
@@ -107,9 +106,13 @@
   add("lease_granted_total", counted.granted);
   add("lease_renewed_total", counted.renewed);
   add("lease_lapsed_total", counted.lapsed);
-  add("lease_published_total", agent.Published().Published());
-  add("lease_fenced_total", agent.Published().Fenced());
-  add("lease_store_failures_total", agent.Published().Failures());
+  if (agent.Published()) {
+    add("lease_published_total", agent.Published()->Published());
+    add("lease_fenced_total", agent.Published()->Fenced());
+    add("lease_store_failures_total", agent.Published()->Failures());
+  }
+  add("purges_passed_on_total", agent.Spread().Applied());
+  add("purges_refused_total", agent.Spread().Refused());
 }
 
 front::Beside BesideOf(members::Node* node, lease::Agent* agent) {
@@ -147,6 +150,17 @@
     if (agent != nullptr) agent->Leave();  // first: voters are told while the view still speaks
     node->Leave();
   };
+  if (agent != nullptr) {
+    beside.purged = [agent](const core::PurgeTold& told) {
+      lease::Job job;
+      job.group = static_cast<std::uint64_t>(told.group);
+      if (told.object) job.object = static_cast<std::uint64_t>(*told.object);
+      if (!agent->Purged(std::move(job))) {
+        log::Warn("purge.not_passed_on", {},
+                  "a purge is not passed on: the duty is off or too many are under way");
+      }
+    };
+  }
   beside.failing = [node](std::vector<std::uint64_t> failing) { node->Report(std::move(failing)); };
   return beside;
 }
@@ -160,6 +174,15 @@
   const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
   const std::unique_ptr<members::Node> fleet = MakeMembers(loop, config);  // outlives the front that asks it
   const std::unique_ptr<lease::Agent> leases = MakeLeases(loop, config, fleet.get());
+  if (leases) {
+    leases->SetApply([&events](const lease::Job& job) {
+      core::PurgeTold told;
+      told.at = net::Now() - job.age;
+      told.group = GroupId{job.group};
+      if (job.object) told.object = ObjectId{*job.object};
+      events.push_back(told);
+    });
+  }
   Front front(loop, config, gateway, events);
   if constexpr (std::is_same_v<Front, http::HttpFront>) front.SetFeed(recorder.get());
   front.SetBeside(BesideOf(fleet.get(), leases.get()));
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -354,21 +354,28 @@
   if (!(told.drift >= 0 && told.drift <= 0.4)) Wrong("leases.drift", "0 to 0.4");
   told.candidates = WholeOr(leases, "candidates", "leases.candidates", told.candidates);
   if (told.candidates < 1 || told.candidates > 16) Wrong("leases.candidates", "1 to 16");
-  const object publish = Object(Need(leases, "publish", "leases.publish"), "leases.publish");
-  told.store = Address(Text(Need(publish, "store", "leases.publish.store"), "leases.publish.store"),
-                       "leases.publish.store");
-  if (told.store.port == 0) Wrong("leases.publish.store", "an address with a port above 0");
-  told.key = TextOr(publish, "key", "leases.publish.key", "tinspan/" + out.members->fleet + "/health");
-  const bool plain = std::all_of(told.key.begin(), told.key.end(), [](unsigned char c) {
-    return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/';
-  });
-  if (told.key.empty() || told.key.size() > 256 || told.key.front() == '/' || !plain) {
-    Wrong("leases.publish.key", "1 to 256 letters, digits, '-', '_', '.' or '/', not '/' first");
+  if (leases["purge"].get(value) == simdjson::SUCCESS && value.get(told.purge) != simdjson::SUCCESS) {
+    Wrong("leases.purge", "true or false");
   }
-  told.every = MillisOr(publish, "every_ms", "leases.publish.every_ms", told.every);
-  if (told.every < Micros{100'000} || told.every > Micros{3'600'000'000}) {
-    Wrong("leases.publish.every_ms", "100 to 3600000");
+  if (leases["publish"].get(value) == simdjson::SUCCESS) {
+    const object publish = Object(value, "leases.publish");
+    Leases::Publish& to = told.publish.emplace();
+    to.store = Address(Text(Need(publish, "store", "leases.publish.store"), "leases.publish.store"),
+                       "leases.publish.store");
+    if (to.store.port == 0) Wrong("leases.publish.store", "an address with a port above 0");
+    to.key = TextOr(publish, "key", "leases.publish.key", "tinspan/" + out.members->fleet + "/health");
+    const bool plain = std::all_of(to.key.begin(), to.key.end(), [](unsigned char c) {
+      return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/';
+    });
+    if (to.key.empty() || to.key.size() > 256 || to.key.front() == '/' || !plain) {
+      Wrong("leases.publish.key", "1 to 256 letters, digits, '-', '_', '.' or '/', not '/' first");
+    }
+    to.every = MillisOr(publish, "every_ms", "leases.publish.every_ms", to.every);
+    if (to.every < Micros{100'000} || to.every > Micros{3'600'000'000}) {
+      Wrong("leases.publish.every_ms", "100 to 3600000");
+    }
   }
+  if (!told.publish && !told.purge) Wrong("leases", "a duty: `publish` or `purge`");
   out.leases = std::move(told);
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -45,9 +45,13 @@
   Micros length{10'000'000};        // 500 ms to 10 minutes
   double drift = 0.1;               // 0 to 0.4: how far clocks may run from true time
   std::size_t candidates = 3;       // 1 to 16
-  net::Endpoint store;              // where the duty `health` writes its record
-  std::string key;                  // letters, digits, '-', '_', '.' and '/'
-  Micros every{5'000'000};          // 100 ms to an hour
+  struct Publish {                  // the duty `health`: where it writes its record
+    net::Endpoint store;
+    std::string key;          // letters, digits, '-', '_', '.' and '/'
+    Micros every{5'000'000};  // 100 ms to an hour
+  };
+  std::optional<Publish> publish;
+  bool purge = false;  // the duty `purge`: operators' purges reach every doorman. At the gateway
 };
 
 // What holds for either front.
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -257,6 +257,7 @@
   const std::string_view shown = text.substr(0, text.find('?'));
   log::Info("purge.told", {{"what", what}, {"name", shown}}, "operator purges {} {}", what, shown);
   events_.push_back(told);
+  if (purged_) purged_(told);
   return 204;
 }
 
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -46,6 +46,8 @@
   void SetReady() { ready_ = true; }
   // What /-/records gives out; none: there is no such endpoint.
   void SetFeed(const core::RecordFeed* feed) { feed_ = feed; }
+  // Told each operator's purge that is taken here.
+  void SetPurged(std::function<void(const core::PurgeTold&)> purged) { purged_ = std::move(purged); }
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
   bool Drained() const;
   void EndRound(Micros now);
@@ -90,6 +92,7 @@
   std::uint64_t last_ = 0;
   bool ready_ = false;
   const core::RecordFeed* feed_ = nullptr;
+  std::function<void(const core::PurgeTold&)> purged_;
   std::string body_;  // of the answer to an operator
   Micros accept_until_ = Micros::max();
   net::Listener listener_;
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -36,6 +36,7 @@
   void SetBeside(front::Beside beside) {
     views_ = beside.views;
     upstream_.Failing().ReportTo(beside.failing);
+    clients_.SetPurged(beside.purged);
     beside_ = std::move(beside);
   }
 
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -52,6 +52,7 @@
   std::function<void(ops::Figures&)> figures;
   std::function<void()> on_drain;                           // SIGTERM came
   std::function<void(std::vector<std::uint64_t>)> failing;  // servers seen fail lately, once a second
+  std::function<void(const core::PurgeTold&)> purged;       // an operator's purge was taken here
 };
 
 struct StopTimes {
--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -11,8 +11,11 @@
 namespace tinspan::lease {
 namespace {
 
-Options WithDuties(Options options) {
-  options.duties = {kHealth};
+Options WithDuties(const AgentOptions& told) {
+  Options options = told.lease;
+  options.duties.clear();
+  if (told.publish) options.duties.push_back(kHealth);
+  if (told.purge) options.duties.push_back(kPurge);
   return options;
 }
 
@@ -32,10 +35,13 @@
     : loop_(loop),
       node_(node),
       options_(std::move(options)),
-      peer_(WithDuties(options_.lease), node_.Seen().Self().name, options_.seed, Now()),
-      publisher_(options_.every),
-      store_(loop, options_.store, options_.key, kStoreLimit,
-             [this](const KvStore::Answer& answer) { OnStore(answer); }) {
+      peer_(WithDuties(options_), node_.Seen().Self().name, options_.seed, Now()),
+      fanout_(node_.Seen().Self().name, WallMs(), options_.purge_keep) {
+  if (options_.publish) {
+    publisher_.emplace(options_.publish->every);
+    store_.emplace(loop, options_.publish->store, options_.publish->key, kStoreLimit,
+                   [this](const KvStore::Answer& answer) { OnStore(answer); });
+  }
   node_.SetCarried([this](const std::string& from, const std::string& bytes) { OnCarried(from, bytes); });
   log::Info("lease.started", {{"voter", peer_.IsVoter()}, {"voters", options_.lease.voters.size()}},
             "leases: {} of {} voters", peer_.IsVoter() ? "one" : "none", options_.lease.voters.size());
@@ -57,29 +63,39 @@
     }
     return;
   }
-  peer_.Receive(Now(), *message);
+  const Micros now = Now();
+  if (const auto* fan = std::get_if<FanMessage>(&*message)) {
+    if (options_.purge) fanout_.Receive(now, *fan, peer_.Holds(kPurge, now), fence_);
+  } else {
+    peer_.Receive(now, std::get<Message>(*message));
+  }
   Flush();
 }
 
+bool Agent::Purged(Job job) {
+  if (!options_.purge || !fanout_.Begin(Now(), std::move(job))) return false;
+  Flush();
+  return true;
+}
+
 // Who tries for a duty is told by the view; what others say they hold puts our next ballot above it.
 void Agent::Look(Micros now) {
   next_look_ = now + kLook;
-  std::vector<std::string> alive;
-  Token best = fence_.Highest(kHealth);
+  alive_.clear();
   for (const auto& [name, member] : node_.Seen().Members()) {
     if (member.state == members::State::kDead || member.state == members::State::kLeft) continue;
-    if (member.state == members::State::kAlive) alive.push_back(name);
+    if (member.state == members::State::kAlive) alive_.push_back(name);
     for (const members::Claim& claim : member.duties) {
-      if (claim.duty != kHealth || claim.token > Number(kMostToken)) continue;
-      if (!fence_.Admit(kHealth, Token{claim.token})) continue;  // an older grant's word
-      best = Token{claim.token};
-      claimed_by_ = name;
+      if (claim.token > Number(kMostToken) || !fence_.Admit(claim.duty, Token{claim.token})) continue;
+      claimed_by_[claim.duty] = name;  // an older grant's word is not believed
     }
   }
-  peer_.Heard(kHealth, best);
-  const std::vector<std::string> chosen = Candidates(kHealth, alive, options_.candidates);
   const std::string& self = node_.Seen().Self().name;
-  peer_.Want(kHealth, !leaving_ && std::find(chosen.begin(), chosen.end(), self) != chosen.end(), now);
+  for (const std::string& duty : peer_.Told().duties) {
+    peer_.Heard(duty, fence_.Highest(duty));
+    const std::vector<std::string> chosen = Candidates(duty, alive_, options_.candidates);
+    peer_.Want(duty, !leaving_ && std::find(chosen.begin(), chosen.end(), self) != chosen.end(), now);
+  }
 }
 
 void Agent::Round() {
@@ -112,24 +128,47 @@
   }
   if (changed) {
     std::vector<members::Claim> claims;
-    if (const auto token = peer_.Holds(kHealth, Now())) claims.push_back({kHealth, Number(*token)});
+    for (const std::string& duty : peer_.Told().duties) {
+      if (const auto token = peer_.Holds(duty, Now())) claims.push_back({duty, Number(*token)});
+    }
     node_.Claims(std::move(claims));
   }
   Act();
+  if (options_.purge) Spreading();
   Arm();
 }
 
+void Agent::Spreading() {
+  const Micros now = Now();
+  const Known known = KnownOf(kPurge);
+  fanout_.Tick(now, known.holder, peer_.Holds(kPurge, now), alive_);
+  for (const FanOut& out : fanout_.TakeOut()) node_.Carry(out.to, Encode(out.message));
+  for (const Job& job : fanout_.TakeApplied()) {
+    const std::uint64_t token = Number(fence_.Highest(kPurge));
+    log::Info("purge.passed_on", {{"job", job.id}, {"token", token}}, "a purge from {} applied, token {}",
+              job.id, token);
+    if (apply_) apply_(job);
+  }
+  if (const auto held = peer_.Holds(kPurge, now); held && fanout_.Newer() > *held) {
+    log::Warn("lease.fenced", {{"duty", kPurge}, {"token", Number(fanout_.Newer())}},
+              "leases: {} is done under a newer token, {}", kPurge, Number(fanout_.Newer()));
+    peer_.Heard(kPurge, fanout_.Newer());
+    peer_.Drop(kPurge, now);
+  }
+}
+
 void Agent::Act() {
+  if (!publisher_) return;
   const Micros now = Now();
-  const auto ask = publisher_.Next(now, peer_.Holds(kHealth, now));
+  const auto ask = publisher_->Next(now, peer_.Holds(kHealth, now));
   if (!ask) return;
-  store_.Call(*ask, ask->what == Ask::What::kWrite ? Record(*ask) : std::string());
+  store_->Call(*ask, ask->what == Ask::What::kWrite ? Record(*ask) : std::string());
 }
 
 void Agent::OnStore(const KvStore::Answer& answer) {
   const Micros now = Now();
   if (!answer.failed.empty()) {
-    publisher_.OnFailed(now);
+    publisher_->OnFailed(now);
     if (answer.failed != last_failure_) {  // each failure's first
       log::Warn("lease.store_failed", {{"reason", answer.failed}}, "leases: the store: {}; asked again later",
                 answer.failed);
@@ -139,8 +178,8 @@
   }
   last_failure_.clear();
   if (answer.taken) {
-    publisher_.OnWrite(*answer.taken);
-  } else if (answer.stood && publisher_.OnRead(now, *answer.stood) == Publisher::Verdict::kNewer) {
+    publisher_->OnWrite(*answer.taken);
+  } else if (answer.stood && publisher_->OnRead(now, *answer.stood) == Publisher::Verdict::kNewer) {
     const std::uint64_t theirs = Number(answer.stood->token);
     log::Warn("lease.fenced", {{"duty", kHealth}, {"token", theirs}},
               "leases: {} is written under a newer token, {}", kHealth, theirs);
@@ -178,7 +217,8 @@
   if (timer_) loop_.Timers().Cancel(*timer_);
   const Micros now = Now();
   Micros due = std::min(peer_.NextDue(), next_look_);
-  if (peer_.Holds(kHealth, now)) due = std::min(due, publisher_.NextDue());
+  if (publisher_ && peer_.Holds(kHealth, now)) due = std::min(due, publisher_->NextDue());
+  if (options_.purge) due = std::min(due, fanout_.NextDue());
   const Micros wait = std::clamp(due - now, Micros{0}, kLook);
   timer_ = loop_.Timers().Set(net::Now() + wait + Micros{500}, [this](Micros) {
     timer_.reset();
@@ -192,27 +232,42 @@
   Flush();
 }
 
+// As the peer knows it, or else as the fleet says.
+Known Agent::KnownOf(const std::string& duty) const {
+  Known known = peer_.KnownOf(duty, Now());
+  const Token highest = fence_.Highest(duty);
+  const auto by = claimed_by_.find(duty);
+  if (!known.holder.empty() || by == claimed_by_.end() || highest < known.token) return known;
+  const auto member = node_.Seen().Members().find(by->second);
+  if (member == node_.Seen().Members().end()) return known;
+  for (const members::Claim& claim : member->second.duties) {
+    if (claim.duty != duty || Token{claim.token} != highest) continue;
+    known.holder = by->second;
+    known.token = highest;
+  }
+  return known;
+}
+
 std::string Agent::Lines() const {
-  const Micros now = Now();
-  Known known = peer_.KnownOf(kHealth, now);
-  if (known.holder.empty() && fence_.Highest(kHealth) >= known.token) {  // as the fleet says
-    const auto found = node_.Seen().Members().find(claimed_by_);
-    if (found != node_.Seen().Members().end() &&
-        std::any_of(found->second.duties.begin(), found->second.duties.end(),
-                    [&](const members::Claim& claim) {
-                      return claim.duty == kHealth && Token{claim.token} == fence_.Highest(kHealth);
-                    })) {
-      known.holder = claimed_by_;
-      known.token = fence_.Highest(kHealth);
+  std::string out;
+  for (const std::string& duty : peer_.Told().duties) {
+    const Known known = KnownOf(duty);
+    const char* const here = known.ours            ? "holder"
+                             : !peer_.IsVoter()    ? "member"
+                             : peer_.Serving(duty) ? "voter"
+                                                   : "voter-silent";
+    out += duty + " " + (known.holder.empty() ? "-" : known.holder) + " " +
+           std::to_string(Number(known.token)) + " " + std::to_string(known.left.count() / 1000) + " " + here;
+    if (duty == kHealth) {
+      out += " number=" + std::to_string(publisher_->Position()) +
+             " store=" + (last_failure_.empty() ? "well" : "failing");
+    } else {
+      out += " open=" + std::to_string(fanout_.Open()) + " applied=" + std::to_string(fanout_.Applied()) +
+             " refused=" + std::to_string(fanout_.Refused());
     }
+    out += "\n";
   }
-  const std::string role = known.ours        ? "holder"
-                           : peer_.IsVoter() ? (peer_.Serving(kHealth) ? "voter" : "voter-silent")
-                                             : "member";
-  return std::string(kHealth) + " " + (known.holder.empty() ? "-" : known.holder) + " " +
-         std::to_string(Number(known.token)) + " " + std::to_string(known.left.count() / 1000) + " " + role +
-         " number=" + std::to_string(publisher_.Position()) +
-         " store=" + (last_failure_.empty() ? "well" : "failing") + "\n";
+  return out;
 }
 
 }  // namespace tinspan::lease
--- a/src/lease/agent.hpp
+++ b/src/lease/agent.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "lease/codec.hpp"
+#include "lease/fanout.hpp"
 #include "lease/history.hpp"
 #include "lease/kv_store.hpp"
 #include "lease/lease.hpp"
@@ -22,14 +23,17 @@
 
 namespace tinspan::lease {
 
-constexpr const char* kHealth = "health";  // the duty that publishes the fleet's health
-
 struct AgentOptions {
   Options lease;               // its duties are set here
   std::size_t candidates = 3;  // members that try for a duty at a time
-  net::Endpoint store;
-  std::string key;
-  Micros every{5'000'000};  // between two records
+  struct Publish {             // the duty `health`
+    net::Endpoint store;
+    std::string key;
+    Micros every{5'000'000};  // between two records
+  };
+  std::optional<Publish> publish;
+  bool purge = false;             // the duty `purge`
+  Micros purge_keep{60'000'000};  // how long a purge is passed on
   std::uint64_t seed = 0;
 };
 
@@ -37,17 +41,24 @@
  public:
   static constexpr Micros kLook{250'000};  // how often the view is asked who is a candidate
   static constexpr Micros kStoreLimit{1'000'000};
+  using Apply = std::function<void(const Job&)>;
   Agent(net::EventLoop& loop, members::Node& node, AgentOptions options);
   ~Agent();
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
 
   void Leave();  // lets go of all; no candidate from here on
+  // Told each purge that came from another doorman, to be applied here.
+  void SetApply(Apply apply) { apply_ = std::move(apply); }
+  // An operator's purge, taken and applied here; false: too many are under way, or the duty is off.
+  bool Purged(Job job);
 
   const Peer& Seen() const { return peer_; }
-  const Publisher& Published() const { return publisher_; }
+  const std::optional<Publisher>& Published() const { return publisher_; }
+  const Fanout& Spread() const { return fanout_; }
   std::uint64_t Refused() const { return refused_; }  // messages
-  // A line a duty: DUTY HOLDER TOKEN LEFT_MS ROLE number=N store=well or failing; unknown parts are - or 0.
+  // A line a duty: DUTY HOLDER TOKEN LEFT_MS ROLE, then for health number=N store=well or failing, for purge
+  // open=N applied=N refused=N; unknown parts are - or 0.
   std::string Lines() const;
 
  private:
@@ -58,6 +69,8 @@
   void Round();
   void Flush();
   void Act();
+  void Spreading();
+  Known KnownOf(const std::string& duty) const;
   void OnStore(const KvStore::Answer& answer);
   void Arm();
   std::string Record(const Ask& ask) const;
@@ -66,10 +79,13 @@
   members::Node& node_;
   AgentOptions options_;
   Peer peer_;
-  Publisher publisher_;
-  KvStore store_;
-  Fence fence_;  // of claims that the fleet makes
-  std::string claimed_by_;
+  std::optional<Publisher> publisher_;
+  std::optional<KvStore> store_;
+  Fanout fanout_;
+  Apply apply_;
+  Fence fence_;                                    // of what the fleet claims and what is applied here
+  std::map<std::string, std::string> claimed_by_;  // by duty
+  std::vector<std::string> alive_;                 // in the view, when it was looked at last
   std::string last_failure_;
   Micros next_look_{0};
   bool leaving_ = false;
--- a/src/lease/codec.cpp
+++ b/src/lease/codec.cpp
@@ -5,6 +5,12 @@
 #include "lease/lease.pb.h"
 
 namespace tinspan::lease {
+namespace {
+
+constexpr std::uint32_t kFirstFan = 16;
+constexpr std::uint64_t kMostSpan = 86'400'000'000;  // a day
+
+}  // namespace
 
 std::string Encode(const Message& message) {
   wire::Word word;
@@ -19,7 +25,20 @@
   return word.SerializeAsString();
 }
 
-std::optional<Message> Decode(std::string_view bytes, const std::string& from, std::string& refused) {
+std::string Encode(const FanMessage& message) {
+  wire::Word word;
+  word.set_version(kVersion);
+  word.set_kind(kFirstFan + static_cast<std::uint32_t>(message.kind));
+  word.set_duty(kPurge);
+  word.set_ballot(Number(message.token));
+  word.set_job(message.job.id);
+  word.set_group(message.job.group);
+  if (message.job.object) word.set_object(*message.job.object);
+  word.set_age_us(static_cast<std::uint64_t>(std::max<std::int64_t>(message.job.age.count(), 0)));
+  return word.SerializeAsString();
+}
+
+std::optional<AnyMessage> Decode(std::string_view bytes, const std::string& from, std::string& refused) {
   const auto no = [&](std::string why) {
     refused = std::move(why);
     return std::nullopt;
@@ -27,11 +46,26 @@
   wire::Word word;
   if (!word.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return no("not a word");
   if (word.version() != kVersion) return no("version " + std::to_string(word.version()));
-  if (word.kind() > static_cast<std::uint32_t>(Kind::kMark)) return no("kind " + std::to_string(word.kind()));
+  const bool fan = word.kind() >= kFirstFan;
+  const std::uint32_t last =
+      fan ? kFirstFan + static_cast<std::uint32_t>(FanKind::kOlder) : static_cast<std::uint32_t>(Kind::kMark);
+  if (word.kind() > last) return no("kind " + std::to_string(word.kind()));
   if (word.duty().empty() || word.duty().size() > kMostName) return no("duty: a name of 1 to 64 bytes");
   if (word.holder().size() > kMostName) return no("holder: 64 bytes at most");
   if (word.ballot() > Number(kMostToken)) return no("ballot: 2^62 at most");
-  if (word.left_us() > 86'400'000'000ull) return no("left_us: a day at most");
+  if (fan) {
+    if (word.job().empty() || word.job().size() > Fanout::kMostJobId)
+      return no("job: an id of 1 to 96 bytes");
+    if (word.age_us() > kMostSpan) return no("age_us: a day at most");
+    FanMessage message;
+    message.kind = static_cast<FanKind>(word.kind() - kFirstFan);
+    message.from = from;
+    message.token = Token{word.ballot()};
+    message.job = {word.job(), word.group(), std::nullopt, Micros{static_cast<std::int64_t>(word.age_us())}};
+    if (word.has_object()) message.job.object = word.object();
+    return message;
+  }
+  if (word.left_us() > kMostSpan) return no("left_us: a day at most");
   Message message;
   message.kind = static_cast<Kind>(word.kind());
   message.duty = word.duty();
--- a/src/lease/codec.hpp
+++ b/src/lease/codec.hpp
@@ -6,7 +6,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
+#include "lease/fanout.hpp"
 #include "lease/lease.hpp"
 
 namespace tinspan::lease {
@@ -15,7 +17,9 @@
 
 // Who sent it is told by what carries it.
 std::string Encode(const Message& message);
+std::string Encode(const FanMessage& message);
 // Nothing, and why in `refused`, where it cannot be used.
-std::optional<Message> Decode(std::string_view bytes, const std::string& from, std::string& refused);
+using AnyMessage = std::variant<Message, FanMessage>;
+std::optional<AnyMessage> Decode(std::string_view bytes, const std::string& from, std::string& refused);
 
 }  // namespace tinspan::lease
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -32,6 +32,9 @@
 // Far above any clock's milliseconds: one more of it must not run over.
 constexpr Token kMostToken{std::uint64_t{1} << 62};
 
+constexpr const char* kHealth = "health";  // the duty that publishes the fleet's health
+constexpr const char* kPurge = "purge";    // the duty that spreads operators' purges
+
 constexpr std::size_t kMostName = 64;  // bytes of a member's or a duty's name
 constexpr std::size_t kMostVoters = 9;
 constexpr std::size_t kMostDuties = 8;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -305,8 +305,10 @@
 TEST(LeaseCodec, RoundTripAndRefusals) {
   Message message{Kind::kRefuse, "health", "n1", Token{77}, 9, "n2", 1'500ms, true};
   std::string why;
-  const auto back = Decode(Encode(message), "n1", why);
-  ASSERT_TRUE(back) << why;
+  const auto any = Decode(Encode(message), "n1", why);
+  ASSERT_TRUE(any) << why;
+  const Message* const back = std::get_if<Message>(&*any);
+  ASSERT_NE(back, nullptr);
   EXPECT_EQ(back->kind, Kind::kRefuse);
   EXPECT_EQ(back->duty, "health");
   EXPECT_EQ(back->from, "n1");
@@ -322,6 +324,21 @@
   message.duty.clear();
   EXPECT_FALSE(Decode(Encode(message), "n1", why));
   EXPECT_FALSE(Decode("\xff\xff", "n1", why));
+  FanMessage fan{FanKind::kApply, "n1", Token{7}, {"n1/5.1", 3, 9, 250ms}};
+  const auto spread = Decode(Encode(fan), "n1", why);
+  ASSERT_TRUE(spread) << why;
+  const FanMessage* const read = std::get_if<FanMessage>(&*spread);
+  ASSERT_NE(read, nullptr);
+  EXPECT_EQ(read->kind, FanKind::kApply);
+  EXPECT_EQ(read->token, Token{7});
+  EXPECT_EQ(read->job.id, "n1/5.1");
+  EXPECT_EQ(read->job.group, 3u);
+  EXPECT_EQ(read->job.object, 9u);
+  EXPECT_EQ(read->job.age, Micros{250ms});
+  fan.job.object.reset();
+  EXPECT_FALSE(std::get<FanMessage>(*Decode(Encode(fan), "n1", why)).job.object);
+  fan.job.id.clear();
+  EXPECT_FALSE(Decode(Encode(fan), "n1", why));
 }
 
 RC_GTEST_PROP(LeaseCodec, AnyBytesAreReadOrRefused, ()) {
@@ -329,7 +346,110 @@
   std::string why;
   const auto message = Decode(bytes, "n1", why);
   RC_ASSERT(message.has_value() == why.empty());
-  if (message) RC_ASSERT(message->ballot <= kMostToken);
+  if (!message) return;
+  if (const auto* lease = std::get_if<Message>(&*message)) RC_ASSERT(lease->ballot <= kMostToken);
+  if (const auto* fan = std::get_if<FanMessage>(&*message)) RC_ASSERT(!fan->job.id.empty());
+}
+
+// Doormans that spread purges, without a network: what goes out arrives at once unless `lost` says otherwise.
+struct Spreaders {
+  explicit Spreaders(int count) : fences(count), applied(count) {
+    for (int i = 0; i < count; ++i) {
+      names.push_back("m" + std::to_string(i));
+      all.emplace_back(names.back(), 1, 60s);
+    }
+  }
+  // So long, in steps; `holder` holds under `token`.
+  void Run(Micros span, int holder, Token token) {
+    for (const Micros end = now + span; now < end; now += 50ms) {
+      for (int i = 0; i < static_cast<int>(all.size()); ++i) {
+        const auto held = i == holder ? std::optional(token) : std::nullopt;
+        if (down.contains(i)) continue;
+        all[i].Tick(now, holder < 0 ? "" : names[holder], held, names);
+        Deliver(i, holder, token);
+      }
+    }
+  }
+  void Deliver(int from, int holder, Token token) {
+    for (const FanOut& out : all[from].TakeOut()) {
+      const int to = std::stoi(out.to.substr(1));
+      ++sent;
+      if (down.contains(to) || lost(from, to)) continue;
+      all[to].Receive(now, out.message, to == holder ? std::optional(token) : std::nullopt, fences[to]);
+      Deliver(to, holder, token);
+    }
+    for (const Job& job : all[from].TakeApplied()) applied[from].push_back(job.id);
+  }
+  Micros now{0};
+  std::vector<std::string> names;
+  std::vector<Fanout> all;
+  std::vector<Fence> fences;
+  std::vector<std::vector<std::string>> applied;
+  std::set<int> down;
+  std::function<bool(int, int)> lost = [](int, int) { return false; };
+  std::size_t sent = 0;
+};
+
+TEST(Fanout, APurgeReachesAllOnce) {
+  Spreaders five(5);
+  ASSERT_TRUE(five.all[3].Begin(five.now, {"", 7, 9, {}}));
+  five.Run(50ms, -1, kNoToken);  // nobody holds yet
+  for (const auto& one : five.applied) EXPECT_TRUE(one.empty());
+  five.Run(5s, 1, Token{5});
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(five.applied[i].size(), i == 3 ? 0u : 1u) << i;  // there it was at once
+  const std::size_t sent = five.sent;
+  five.Run(10s, 1, Token{5});
+  EXPECT_LE(five.sent - sent, 24u);  // handed on each second and answered, nothing more
+  five.Run(60s, 1, Token{5});
+  for (const Fanout& one : five.all) EXPECT_EQ(one.Open(), 0u);
+}
+
+// The holder dies when two of five have it; one is cut off until later. The next finishes, nobody twice.
+TEST(Fanout, TheNextHolderFinishes) {
+  Spreaders five(5);
+  five.lost = [](int from, int to) { return from == 1 && to >= 3; };
+  five.all[0].Begin(five.now, {"", 7, {}, {}});
+  five.Run(1s, 1, Token{5});
+  EXPECT_EQ(five.applied[2].size(), 1u);
+  EXPECT_TRUE(five.applied[3].empty());
+  five.down = {1, 4};
+  five.lost = [](int, int) { return false; };
+  five.Run(3s, 2, Token{6});
+  EXPECT_EQ(five.applied[3].size(), 1u);
+  five.down = {1};
+  five.Run(3s, 2, Token{6});
+  EXPECT_EQ(five.applied[4].size(), 1u);
+  EXPECT_EQ(five.applied[2].size(), 1u);
+}
+
+// A holder that was stopped and goes on under its old token: refused, and told.
+TEST(Fanout, AnOlderTokenIsRefused) {
+  Spreaders three(3);
+  three.all[0].Begin(three.now, {"", 7, {}, {}});
+  three.Run(1s, 1, Token{6});
+  EXPECT_EQ(three.applied[2].size(), 1u);
+  three.all[0].Begin(three.now, {"", 8, {}, {}});
+  three.Run(200ms, 0, Token{5});
+  EXPECT_EQ(three.applied[2].size(), 1u);
+  EXPECT_GE(three.all[2].Refused(), 1u);
+  EXPECT_EQ(three.all[0].Newer(), Token{6});
+  three.Run(1s, 1, Token{7});
+  EXPECT_EQ(three.applied[2].size(), 2u);
+}
+
+TEST(Fanout, WhatIsHeldIsBounded) {
+  Spreaders two(2);
+  std::size_t begun = 0;
+  for (int i = 0; i < 1'000; ++i) begun += two.all[0].Begin(two.now, {"", 1, {}, {}});
+  EXPECT_EQ(begun, Fanout::kMostJobs);
+  for (int i = 0; i < 10'000; ++i) {
+    two.all[1].Receive(two.now, {FanKind::kHand, "x", kNoToken, {"x/" + std::to_string(i), 1, {}, {}}},
+                       Token{4}, two.fences[1]);
+    two.all[1].Receive(two.now, {FanKind::kApply, "x", Token{4}, {"y/" + std::to_string(i), 1, {}, {}}}, {},
+                       two.fences[1]);
+  }
+  EXPECT_LE(two.all[1].Open(), Fanout::kMostJobs);
 }
 
 struct Fault {
--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -1,7 +1,8 @@
 // Leases among real doormans: five voters, a relay between them, a store of ours that they write to, and
 // faults put there by the test. Whatever happens, no two hold the duty at once, what the store took is in
 // order, and the duty is taken up again within a bound of the lease's length.
-#include <cmath>
+#include <filesystem>
+#include <nlohmann/json.hpp>
 
 #include "kv_standin.hpp"
 #include "view_fleet.hpp"
@@ -271,6 +272,139 @@
   five.Unbroken();
 }
 
+// Five gateways whose operator's files were written by `tinspan init`, with leases on.
+struct Gateways {
+  struct One {
+    std::unique_ptr<Program> program;
+    std::string file, token;
+    int http = 0, ops = 0;
+  };
+  Gateways() {
+    char name[] = "/tmp/tinspan-test-XXXXXX";
+    CHECK(::mkdtemp(name) != nullptr);
+    folder = name;
+    for (int i = 0; i < 5; ++i) relay.Add();
+    for (int i = 0; i < 5; ++i) {
+      const std::string at = folder + "/g" + std::to_string(i);
+      Program init({"init", at}, {});
+      CHECK(init.Wait() == 0);
+      One& one = all.emplace_back();
+      one.file = at + "/gateway.json";
+      std::ifstream token(at + "/operator.token");
+      CHECK(std::getline(token, one.token));
+      std::ifstream in(one.file);
+      nlohmann::json told = nlohmann::json::parse(in);
+      told["name"] = "n" + std::to_string(i);
+      told["listen"] = told["ops"] = "127.0.0.1:0";
+      told["consul"]["address"] = "127.0.0.1:1";
+      told["members"] = {
+          {"fleet", "shop"},
+          {"listen", "127.0.0.1:0"},
+          {"advertise", "127.0.0.1:" + std::to_string(relay.PortOf(i))},
+          {"seeds",
+           {"127.0.0.1:" + std::to_string(relay.PortOf(0)), "127.0.0.1:" + std::to_string(relay.PortOf(1))}},
+          {"probe_ms", 200},
+          {"probe_timeout_ms", 100},
+          {"sync_ms", 1000},
+          {"dead_keep_ms", 30000}};
+      told["leases"] = {
+          {"voters", {"n0", "n1", "n2", "n3", "n4"}}, {"length_ms", kLengthMs}, {"purge", true}};
+      std::ofstream(one.file) << told.dump();
+      Begin(i);
+    }
+  }
+  ~Gateways() { std::filesystem::remove_all(folder); }
+  void Begin(int i) {
+    One& one = all[i];
+    one.program = std::make_unique<Program>(std::vector<std::string>{"serve", "-f", one.file},
+                                            std::map<std::string, std::string>{});
+    const std::string line = one.program->Line("members at ");
+    relay.Seated(i, PortOf(line.substr(0, line.find(" advertised"))));
+    one.http = one.program->Port();
+    one.ops = PortOf(one.program->Line("operators' door at "));
+  }
+  // What its door says of `purge`: a word named so, or the role.
+  std::string Word(int i, const std::string& name) {
+    ::Peer caller = ::Peer::Connect(all[i].ops);
+    caller.Send("leases\n");
+    std::istringstream in(caller.ToEnd());
+    std::string line, duty, holder, token, left, role, word;
+    CHECK(std::getline(in, line) && line == "done" && std::getline(in, line));
+    std::istringstream words(line);
+    CHECK(words >> duty >> holder >> token >> left >> role && duty == "purge");
+    if (name == "role") return role;
+    while (words >> word) {
+      if (word.starts_with(name + "=")) return word.substr(name.size() + 1);
+    }
+    CHECK(false);
+    return {};
+  }
+  int Holder() {
+    for (const long long end = UnixMs() + kBoundMs;;) {
+      for (int i = 0; i < 5; ++i) {
+        if (all[i].program && Word(i, "role") == "holder") return i;
+      }
+      CHECK(UnixMs() < end);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+  void Purge(int at, const std::string& path) {
+    const std::string body = R"({"object":")" + path + R"("})";
+    ::Peer caller = ::Peer::Connect(all[at].http);
+    caller.Send("POST /-/purge HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + all[at].token +
+                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    CHECK(caller.Until("\r\n").starts_with("HTTP/1.1 204"));
+  }
+  // Milliseconds until each of `members` has applied so many that came from others.
+  long long Applied(const std::map<int, int>& members) {
+    const long long start = UnixMs();
+    for (const auto& [i, count] : members) {
+      while (Word(i, "applied") != std::to_string(count)) {
+        CHECK(UnixMs() - start < kBoundMs);
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    }
+    return UnixMs() - start;
+  }
+  Relay relay;
+  std::string folder;
+  std::vector<One> all;
+};
+
+// An operator's purge at any gateway is applied at every other; the holder is killed when it has reached
+// some, and the next one finishes: every gateway has applied it once.
+void APurgeReachesTheFleet() {
+  Gateways five;
+  const int holder = five.Holder();
+  const int origin = (holder + 1) % 5;
+  std::map<int, int> once;
+  for (int i = 0; i < 5; ++i) once[i] = i == origin ? 0 : 1;
+  five.Purge(origin, "/scans/estate/book.jpg?page=3");
+  const long long took = five.Applied(once);
+  Report("a purge applied by the fleet", took);
+  CHECK(took < 1'000);
+  // The holder reaches the origin alone, and then dies.
+  for (int i = 0; i < 5; ++i) {
+    if (i != origin && i != holder) five.relay.Cut(holder, i);
+  }
+  five.Purge(origin, "/scans/estate/other.jpg");
+  once[holder] = 2;
+  five.Applied({{holder, 2}});
+  for (int i = 0; i < 5; ++i) {
+    if (i != holder) CHECK(five.Word(i, "applied") == (i == origin ? "0" : "1"));
+  }
+  five.all[holder].program.reset();
+  five.relay.Heal();
+  for (int i = 0; i < 5; ++i) once[i] = i == origin ? 0 : 2;
+  once.erase(holder);
+  const long long finished = five.Applied(once);
+  Report("a killed holder's purge finished", finished);
+  CHECK(finished < kTakenUpMs);
+  CHECK(five.Holder() != holder);
+  five.Purge((origin + 1) % 5 == holder ? (origin + 2) % 5 : (origin + 1) % 5, "/pages/third");
+  five.Applied({{origin, 1}});
+}
+
 // Off where the file has no leases; a file that could grant a duty twice is turned down, naming the key.
 void OffWithoutLeases() {
   ViewFleet off(1);
@@ -297,6 +431,8 @@
            {R"("a","b","c")", R"("a","b")", "leases.voters"},
            {R"("a","b","c")", R"("a","b","a")", "leases.voters.2"},
            {R"("publish")", R"("length_ms":100,"publish")", "leases.length_ms"},
+           {R"(,"publish":{"store":"127.0.0.1:8500"})", "", "leases"},
+           {R"("publish")", R"("purge":1,"publish")", "leases.purge"},
            {R"("publish")", R"("drift":0.9,"publish")", "leases.drift"},
            {R"("store":"127.0.0.1:8500")", R"("store":"nowhere")", "leases.publish.store"},
            {R"("store":"127.0.0.1:8500")", R"("store":"127.0.0.1:8500","key":"a b")",
@@ -318,6 +454,7 @@
                    {"a_minority_holds_nothing", AMinorityHoldsNothing},
                    {"a_fast_clock_holds_alone", AFastClockHoldsAlone},
                    {"a_stopping_holder_hands_over", AStoppingHolderHandsOver},
+                   {"a_purge_reaches_the_fleet", APurgeReachesTheFleet},
                    {"off_without_leases", OffWithoutLeases}},
                   argc, argv);
 }
--- a/tests/net/relay.hpp
+++ b/tests/net/relay.hpp
@@ -30,6 +30,10 @@
     seats_.push_back({fd, ntohs(at.sin_port), 0});
     return seats_.back().port;
   }
+  int PortOf(int member) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return seats_[static_cast<std::size_t>(member)].port;
+  }
   // The member of that seat takes datagrams at `port`; again after a restart.
   void Seated(int member, int port) {
     const std::lock_guard<std::mutex> lock(mutex_);
