Begin a lease voter's silence when its port is its own, not while the old process votes

Cause: found reading the change over. In an upgrade the second process of a doorman waits for the fleet view's port, while the first goes on voting under the same name. Agent made its Peer at the process's start (agent.cpp, constructor), so the silence of a voter that has forgotten (1.25 leases), and the wait alone after it, ran out while the first was still granting; with the port it voted at once, not knowing what was granted a moment before: two holders at once were possible.

Change: Node::Started says whether the port is ours; the agent begins its peer's life then, and does nothing before.

--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -100,6 +100,11 @@
 
 void Agent::Round() {
   const Micros now = Now();
+  if (!begun_) {
+    if (!node_.Started()) return Arm();
+    begun_ = true;
+    peer_ = Peer(WithDuties(options_), node_.Seen().Self().name, options_.seed, now);
+  }
   if (now >= next_look_) Look(now);
   peer_.Tick(now, WallMs());
   Flush();
@@ -216,7 +221,7 @@
 void Agent::Arm() {
   if (timer_) loop_.Timers().Cancel(*timer_);
   const Micros now = Now();
-  Micros due = std::min(peer_.NextDue(), next_look_);
+  Micros due = begun_ ? std::min(peer_.NextDue(), next_look_) : Micros::max();
   if (publisher_ && peer_.Holds(kHealth, now)) due = std::min(due, publisher_->NextDue());
   if (options_.purge) due = std::min(due, fanout_.NextDue());
   const Micros wait = std::clamp(due - now, Micros{0}, kLook);
@@ -228,6 +233,7 @@
 
 void Agent::Leave() {
   leaving_ = true;
+  if (!begun_) return;
   peer_.ReleaseAll(Now());
   Flush();
 }
--- a/src/lease/agent.hpp
+++ b/src/lease/agent.hpp
@@ -5,7 +5,8 @@
 // Guarded against: a machine that was suspended (the clock is CLOCK_BOOTTIME, which counts that time), a
 // process that was stopped (the lease is looked at anew right before each call goes out), messages that are
 // bad or in another's name (counted and dropped), a store that is down (the lease is kept, the figures say
-// so).
+// so), and an upgrade: while the process before this one has the port it still votes under our name, so the
+// peer's life, and with it a voter's silence, begins when the port is ours.
 #pragma once
 
 #include <memory>
@@ -78,6 +79,7 @@
   net::EventLoop& loop_;
   members::Node& node_;
   AgentOptions options_;
+  bool begun_ = false;  // the port is ours
   Peer peer_;
   std::optional<Publisher> publisher_;
   std::optional<KvStore> store_;
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -57,6 +57,9 @@
 
   // For a part that stands on the view (leases): its messages go in datagrams of their own. False: no member
   // of that name is known, or the port is still another's.
+  // Whether the port is ours. Before that another process of this name (the one that is upgraded) speaks for
+  // it.
+  bool Started() const { return static_cast<bool>(fd_); }
   bool Carry(const std::string& to, std::string message);
   // Told each message that was carried here, with its sender's name as that one says it.
   void SetCarried(std::function<void(const std::string& from, const std::string& message)> carried) {
--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -408,6 +408,47 @@
   five.Applied({{origin, 1}});
 }
 
+// An upgrade: the second process of a voter waits for the port longer than a voter is silent, while the first
+// goes on granting under the same name. Its silence begins when the port is its own, or it would grant a duty
+// twice.
+void AnUpgradedVoterIsSilentFromItsPortOn() {
+  LeaseFleet five;
+  int holder = -1;
+  five.Taken(holder);
+  const int voter = holder == 4 ? 3 : 4;
+  Doorman& one = five.fleet.all[voter];
+  std::string text;
+  std::ifstream in(one.file->path);
+  std::getline(in, text, '\0');
+  const std::string any = R"("members":{"fleet":"shop","listen":"127.0.0.1:0")";
+  CHECK(text.find(any) != std::string::npos);
+  text.replace(text.find(any), any.size(),
+               R"("members":{"fleet":"shop","listen":"127.0.0.1:)" + std::to_string(one.port) + "\"");
+  one.file = std::make_unique<TempFile>(text);
+  const std::unique_ptr<Program> old = std::move(one.program);
+  five.fleet.Begin(voter);
+  one.program->Line("is in use");
+  const int door = PortOf(one.program->Line("operators' door at "));
+  // Twice a voter's silence and what it would wait alone, before the port is free.
+  for (const long long end = UnixMs() + 4 * kLengthMs; UnixMs() < end;) {
+    ::Peer caller = ::Peer::Connect(door);
+    caller.Send("leases\n");
+    CHECK(caller.ToEnd().find("voter-silent") != std::string::npos);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  old->Signal(SIGTERM);
+  CHECK(old->Wait() == 0);
+  one.program->Line("members at ");
+  one.ops = door;
+  const long long began = UnixMs();
+  while (five.Ask(voter).role == "voter-silent") CHECK(UnixMs() - began < kBoundMs);
+  const long long silent = UnixMs() - began;
+  Report("an upgraded voter silent", silent);
+  CHECK(silent > kLengthMs);
+  CHECK(five.Holder() == holder);
+  five.Unbroken();
+}
+
 // Off where the file has no leases; a file that could grant a duty twice is turned down, naming the key.
 void OffWithoutLeases() {
   ViewFleet off(1);
@@ -458,6 +499,7 @@
                    {"a_fast_clock_holds_alone", AFastClockHoldsAlone},
                    {"a_stopping_holder_hands_over", AStoppingHolderHandsOver},
                    {"a_purge_reaches_the_fleet", APurgeReachesTheFleet},
+                   {"an_upgraded_voter_is_silent_from_its_port_on", AnUpgradedVoterIsSilentFromItsPortOn},
                    {"off_without_leases", OffWithoutLeases}},
                   argc, argv);
 }
