Refuse names in datagrams that no line, log or record could hold

A member of such a name, from anybody who reaches the port, would have ended the doorman that holds 'health': nlohmann's dump() throws on it (Agent::Record), as would the log in JSON. A line feed in a name, refused by nobody before either, broke the door's lines.

Change: members::IsName (letters, digits, '-', '_', '.', 1 to 64, as the configuration has it) is asked of every name, zone, accuser and duty in both codecs; a purge's id is ORIGIN/NUMBER of such words.

Measured: MembersCodec.NamesWhatItRefuses and LeaseCodec.RoundTripAndRefusals take these names; the latter failed on the ids before. Process tests of the view and of the leases pass.

--- a/src/lease/codec.cpp
+++ b/src/lease/codec.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "lease/lease.pb.h"
+#include "members/view.hpp"
 
 namespace tinspan::lease {
 namespace {
@@ -50,12 +51,17 @@
   const std::uint32_t last =
       fan ? kFirstFan + static_cast<std::uint32_t>(FanKind::kOlder) : static_cast<std::uint32_t>(Kind::kMark);
   if (word.kind() > last) return no("kind " + std::to_string(word.kind()));
-  if (word.duty().empty() || word.duty().size() > kMostName) return no("duty: a name of 1 to 64 bytes");
-  if (word.holder().size() > kMostName) return no("holder: 64 bytes at most");
+  if (!members::IsName(word.duty())) return no("duty: 1 to 64 letters, digits, '-', '_' or '.'");
+  if (!word.holder().empty() && !members::IsName(word.holder()))
+    return no("holder: 1 to 64 letters, digits, '-', '_' or '.'");
   if (word.ballot() > Number(kMostToken)) return no("ballot: 2^62 at most");
   if (fan) {
-    if (word.job().empty() || word.job().size() > Fanout::kMostJobId)
-      return no("job: an id of 1 to 96 bytes");
+    const std::size_t slash = word.job().find('/');
+    const std::string_view id(word.job());
+    if (id.size() > Fanout::kMostJobId || slash == std::string::npos ||
+        !members::IsName(id.substr(0, slash)) || !members::IsName(id.substr(slash + 1))) {
+      return no("job: an id ORIGIN/NUMBER of 96 bytes at most");
+    }
     if (word.age_us() > kMostSpan) return no("age_us: a day at most");
     FanMessage message;
     message.kind = static_cast<FanKind>(word.kind() - kFirstFan);
--- a/src/members/codec.cpp
+++ b/src/members/codec.cpp
@@ -14,7 +14,7 @@
   return out;
 }
 
-bool Named(const std::string& name) { return !name.empty() && name.size() <= kMostName; }
+constexpr const char* kNames = "1 to 64 letters, digits, '-', '_' or '.'";
 
 }  // namespace
 
@@ -94,8 +94,9 @@
   if (envelope.kind() > static_cast<std::uint32_t>(Kind::kCarried)) {
     return Refused(Refusal::kMalformed, "kind " + std::to_string(envelope.kind()));
   }
-  if (!Named(envelope.from())) return Refused(Refusal::kMalformed, "from: a name of 1 to 64 bytes");
-  if (envelope.target().size() > kMostName) return Refused(Refusal::kMalformed, "target: 64 bytes at most");
+  if (!IsName(envelope.from())) return Refused(Refusal::kMalformed, std::string("from: ") + kNames);
+  if (!envelope.target().empty() && !IsName(envelope.target()))
+    return Refused(Refusal::kMalformed, std::string("target: ") + kNames);
   if (envelope.from_port() > 65535 || envelope.target_port() > 65535) {
     return Refused(Refusal::kMalformed, "a port above 65535");
   }
@@ -121,7 +122,7 @@
     message.digest = digest;
   }
   for (const wire::Update& one : envelope.updates()) {
-    if (!Named(one.name())) return Refused(Refusal::kMalformed, "update: a name of 1 to 64 bytes");
+    if (!IsName(one.name())) return Refused(Refusal::kMalformed, std::string("update: name: ") + kNames);
     if (one.port() > 65535) return Refused(Refusal::kMalformed, "update: a port above 65535");
     if (one.state() > static_cast<std::uint32_t>(State::kLeft))
       return Refused(Refusal::kMalformed, "update: state");
@@ -130,10 +131,11 @@
     if (one.duties_size() > static_cast<int>(kMostDuties))
       return Refused(Refusal::kMalformed, "update: 8 duties at most");
     for (const wire::Claim& claim : one.duties()) {
-      if (!Named(claim.duty())) return Refused(Refusal::kMalformed, "update: a duty of 1 to 64 bytes");
+      if (!IsName(claim.duty())) return Refused(Refusal::kMalformed, std::string("update: duty: ") + kNames);
     }
-    if (one.zone().size() > kMostName || one.by().size() > kMostName) {
-      return Refused(Refusal::kMalformed, "update: zone or accuser over 64 bytes");
+    for (const std::string* text : {&one.zone(), &one.by()}) {
+      if (!text->empty() && !IsName(*text))
+        return Refused(Refusal::kMalformed, std::string("update: zone or accuser: ") + kNames);
     }
     // Far above any clock: one more of it, said in refutation, must not run over to 0.
     if (one.incarnation() > kMostIncarnation)
--- a/src/members/codec.hpp
+++ b/src/members/codec.hpp
@@ -3,7 +3,7 @@
 // A datagram is at most `most` bytes: Encode leaves out updates from the end until it fits (they go again
 // later), Decode refuses a longer one unread. Refused, and named: oversized, foreign (no header of ours, or
 // another fleet's name), version (a header of ours with another version), malformed (protobuf that does not
-// parse, or fields out of range: names of 1 to 64 bytes, 64 updates, 32 servers, a digest of 0 or 64, 8
+// parse, or fields out of range: names that IsName refuses, 64 updates, 32 servers, a digest of 0 or 64, 8
 // duties, 1,000 bytes carried).
 #pragma once
 
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -34,6 +34,14 @@
 
 }  // namespace
 
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMostName &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+                  c == '_' || c == '.';
+         });
+}
+
 const char* Name(State state) {
   switch (state) {
     case State::kAlive:
--- a/src/members/view.hpp
+++ b/src/members/view.hpp
@@ -17,6 +17,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,9 @@
 constexpr std::size_t kBuckets = 64;
 using Digest = std::array<std::uint64_t, kBuckets>;
 constexpr std::size_t kMostName = 64;
+// What names a member, a zone or a duty: 1 to kMostName letters, digits, '-', '_' or '.'. Anything else would
+// not stand in a door's line, a log line or a record.
+bool IsName(std::string_view text);
 constexpr std::size_t kMostFailing = 32;
 constexpr std::size_t kMostDuties = 8;
 constexpr std::size_t kMostCarried = 1'000;  // bytes of another part's message in a datagram
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -340,8 +340,13 @@
   EXPECT_EQ(read->job.age, Micros{250ms});
   fan.job.object.reset();
   EXPECT_FALSE(std::get<FanMessage>(*Decode(Encode(fan), "n1", why)).job.object);
-  fan.job.id.clear();
-  EXPECT_FALSE(Decode(Encode(fan), "n1", why));
+  for (const char* const id : {"", "n1", "n1/", "/5", "n 1/5", "n1/5\n"}) {
+    fan.job.id = id;
+    EXPECT_FALSE(Decode(Encode(fan), "n1", why)) << id;
+  }
+  message.duty = "health";
+  message.holder = "n\xff";
+  EXPECT_FALSE(Decode(Encode(message), "n1", why));
 }
 
 RC_GTEST_PROP(LeaseCodec, AnyBytesAreReadOrRefused, ()) {
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -310,6 +310,21 @@
   later[3] = 2;
   EXPECT_EQ(Decode(later, "shop").refusal, Refusal::kVersion);
   EXPECT_EQ(Decode(good.substr(0, good.size() / 2), "shop").refusal, Refusal::kMalformed);
+  // Neither a line, nor a log, nor a record in JSON could hold these.
+  for (const char* const name : {"a b", "a\nend", "\xff\xfe", "h\xc3\xa6"}) {
+    Message odd = Full();
+    odd.from = name;
+    EXPECT_EQ(Decode(Encode(odd, "shop"), "shop").refusal, Refusal::kMalformed) << name;
+    odd = Full();
+    odd.updates[0].name = name;
+    EXPECT_EQ(Decode(Encode(odd, "shop"), "shop").refusal, Refusal::kMalformed) << name;
+    odd = Full();
+    odd.updates[0].zone = name;
+    EXPECT_EQ(Decode(Encode(odd, "shop"), "shop").refusal, Refusal::kMalformed) << name;
+    odd = Full();
+    odd.updates[0].duties[0].duty = name;
+    EXPECT_EQ(Decode(Encode(odd, "shop"), "shop").refusal, Refusal::kMalformed) << name;
+  }
   Message nameless = Full();
   Message endless = Full();
   endless.updates[0].incarnation = ~std::uint64_t{0};  // one more would be 0
