--- a/src/front/http/consul_query.cpp
+++ b/src/front/http/consul_query.cpp
@@ -1,7 +1,6 @@
 #include "front/http/consul_query.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "log/log.hpp"
@@ -42,34 +41,20 @@
 
 void ConsulQuery::OnBytes(net::Connection& connection) {
   if (IsIdle()) return LetGo();  // it speaks unasked
-  const std::string_view unread = connection.Unread();
-  Head head;
-  const int status = ReadResponse(unread, head);
-  if (status < 0) return;
-  std::uint64_t length = 0;
-  const auto framing = status == 0 ? ResponseFraming(head, false, length) : std::nullopt;
-  if (!framing) return Failed("an answer that cannot be read");
-  body_.Start(*framing, length);
-  const auto taken = body_.Take(unread.substr(head.length));
-  if (!taken) return Failed("an answer that cannot be read");
-  if (!body_.IsWhole()) {
-    if (*framing == BodyReader::Framing::kLength) connection.Expect(head.length + length);
-    return;
-  }
-  const std::string_view raw = unread.substr(head.length, *taken);
-  const std::string body = *framing == BodyReader::Framing::kChunked ? Dechunked(raw) : std::string(raw);
+  Response response;
+  std::size_t expect = 0;
+  const Taken taken = TakeResponse(connection.Unread(), response, expect);
+  if (expect > 0) connection.Expect(expect);
+  if (taken == Taken::kMore) return;
+  if (taken == Taken::kUnreadable) return Failed("an answer that cannot be read");
   loop_.Timers().Cancel(timer_);
   const std::string path = std::exchange(path_, {});
   try {
-    if (head.status != 200) throw Malformed{"status", "200, not " + std::to_string(head.status)};
-    const bool keep = !HasToken(head.Field("Connection"), "close");
-    const std::string_view told = head.Field("X-Consul-Index");
-    std::uint64_t index = 0;
-    std::from_chars(told.data(), told.data() + told.size(), index);
+    if (response.status != 200) throw Malformed{"status", "200, not " + std::to_string(response.status)};
     // Whoever asks on from within must find the connection free.
-    connection.Consume(head.length + *taken);
-    if (!keep) LetGo();
-    answered_(index, body);
+    connection.Consume(response.length);
+    if (!response.keep) LetGo();
+    answered_(response.index, response.body);
     failures_ = 0;
   } catch (const Malformed& wrong) {
     if (path_.empty()) path_ = path;
--- a/src/front/http/consul_query.hpp
+++ b/src/front/http/consul_query.hpp
@@ -46,7 +46,6 @@
   net::TimerQueue::Id timer_{};
   std::string path_;  // empty: nothing is asked
   Micros limit_{0};
-  BodyReader body_;
   unsigned failures_ = 0;
 };
 
--- a/src/front/http/http1.cpp
+++ b/src/front/http/http1.cpp
@@ -233,4 +233,31 @@
   }
 }
 
+Taken TakeResponse(std::string_view buffer, Response& out, std::size_t& expect) {
+  expect = 0;
+  Head head;
+  const int refused = ReadResponse(buffer, head);
+  if (refused < 0) return Taken::kMore;
+  std::uint64_t length = 0;
+  const auto framing = refused == 0 ? ResponseFraming(head, false, length) : std::nullopt;
+  if (!framing) return Taken::kUnreadable;
+  BodyReader reader;
+  reader.Start(*framing, length);
+  const auto taken = reader.Take(buffer.substr(head.length));
+  if (!taken) return Taken::kUnreadable;
+  if (!reader.IsWhole()) {
+    if (*framing == BodyReader::Framing::kLength) expect = head.length + length;
+    return Taken::kMore;
+  }
+  const std::string_view raw = buffer.substr(head.length, *taken);
+  out.status = head.status;
+  out.body = *framing == BodyReader::Framing::kChunked ? Dechunked(raw) : std::string(raw);
+  out.keep = !HasToken(head.Field("Connection"), "close");
+  out.length = head.length + *taken;
+  const std::string_view index = head.Field("X-Consul-Index");
+  out.index = 0;
+  std::from_chars(index.data(), index.data() + index.size(), out.index);
+  return Taken::kWhole;
+}
+
 }  // namespace tinspan::http
--- a/src/front/http/http1.hpp
+++ b/src/front/http/http1.hpp
@@ -65,4 +65,16 @@
 // The data of a whole chunked body.
 std::string Dechunked(std::string_view body);
 
+// A response with its whole body, as one that asks and waits takes it.
+struct Response {
+  int status = 0;
+  std::uint64_t index = 0;  // X-Consul-Index; 0: none
+  std::string body;         // without its framing
+  bool keep = false;        // the connection may be used again
+  std::size_t length = 0;   // of it all in the buffer
+};
+enum class Taken { kMore, kWhole, kUnreadable };
+// `expect`: bytes that the buffer has to hold for the whole of it, where that is known already; else 0.
+Taken TakeResponse(std::string_view buffer, Response& out, std::size_t& expect);
+
 }  // namespace tinspan::http
--- a/src/lease/kv_store.cpp
+++ b/src/lease/kv_store.cpp
@@ -87,25 +87,15 @@
 
 void KvStore::OnBytes(net::Connection& connection) {
   if (request_.empty()) return LetGo();  // it speaks unasked
-  const std::string_view unread = connection.Unread();
-  http::Head head;
-  const int status = http::ReadResponse(unread, head);
-  if (status < 0) return;
-  std::uint64_t length = 0;
-  const auto framing = status == 0 ? http::ResponseFraming(head, false, length) : std::nullopt;
-  if (!framing) return Failed("an answer that cannot be read");
-  http::BodyReader reader;
-  reader.Start(*framing, length);
-  const auto taken = reader.Take(unread.substr(head.length));
-  if (!taken) return Failed("an answer that cannot be read");
-  if (!reader.IsWhole()) return;
-  const std::string_view raw = unread.substr(head.length, *taken);
-  const std::string body =
-      *framing == http::BodyReader::Framing::kChunked ? http::Dechunked(raw) : std::string(raw);
-  const bool keep = !http::HasToken(head.Field("Connection"), "close");
-  const int code = head.status;
-  connection.Consume(head.length + *taken);
-  if (!keep) LetGo();
+  http::Response response;
+  std::size_t expect = 0;
+  const http::Taken taken = http::TakeResponse(connection.Unread(), response, expect);
+  if (taken == http::Taken::kMore) return;
+  if (taken == http::Taken::kUnreadable) return Failed("an answer that cannot be read");
+  connection.Consume(response.length);
+  if (!response.keep) LetGo();
+  const int code = response.status;
+  const std::string& body = response.body;
   Answer answer;
   try {
     if (write_ && code == 200 && (body == "true" || body == "false")) {
