Ask for a keyed repeat's window again when it is written, not only when it is decided

Ruled out: the group (scope is 'all' there) and the Router (EffectAllows looks at the window when it decides). At fault: Gateway::MaySend, asked right before the write, which looked at deadline, drain and purge but not at the rule on effects, so a repeat decided inside the window went out up to a connect timeout later, or on a second connection (CacheSide::OnLinkLost).

Change: each try remembers whether it may have run; MaySend refuses a repeat of a keyed class past its window, and any repeat of a 'once' class. GatewayTest.ARepeatWaitsForItsConnectionOnlyWithinItsWindow fails without it (run so), passes with it.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -10,6 +10,10 @@
 std::uint64_t Number(Strong id) {
   return static_cast<std::uint64_t>(id);
 }
+bool ProvesNotRun(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent ||
+         outcome == Outcome::kMiss;
+}
 Actions& StartActions() {
   static thread_local Actions actions;  // scratch for the Router's constructor; emptied by Gateway's
   actions.clear();
@@ -237,6 +241,7 @@
   Try& one = request.tries[attempt];
   if (!one.out) return;
   one.out = false;
+  one.may_have_run = !ProvesNotRun(how.outcome);
   bool served = how.outcome == Outcome::kServed;
   const bool begun = request.begun == attempt;
   // Whatever a server says of a purge, no copy older than one that had to be heeded goes out.
@@ -279,6 +284,7 @@
   const Try& one = request.tries[attempt];
   if (!one.out || now >= request.deadline) return false;
   if (PastDrain(now, one.server) || PastDrain(now, one.source)) return false;
+  if (!MayRepeat(now, request, attempt)) return false;
   // A purge told since the decision: the age that was asked for does not heed it.
   const auto told_since = [&](const auto& table, std::uint64_t key) {
     const auto purge = table.find(key);
@@ -289,6 +295,19 @@
          !told_since(purged_groups_, Number(request.came.group));
 }
 
+// Guards against a key that lapses while the connection for a repeat comes up: the Router looked at the window
+// when it decided, and the server would run the request a second time.
+bool Gateway::MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const {
+  const std::size_t kind = static_cast<std::size_t>(request.came.class_id);
+  if (kind >= settings_.classes.size()) return true;
+  const ClassSettings& one = settings_.classes[kind];
+  if (one.effect == Effect::kRepeatable) return true;
+  const auto end = request.tries.begin() + attempt;
+  const auto first = std::find_if(request.tries.begin(), end, [](const Try& t) { return t.may_have_run; });
+  if (first == end) return true;
+  return one.effect == Effect::kByKey && now - first->sent < one.key_window;
+}
+
 bool Gateway::PastDrain(Micros now, ServerId server) const {
   const auto found = standings_.find(Number(server));
   if (found == standings_.end()) return true;  // never listed
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -144,6 +144,7 @@
     ServerId source{};
     Micros sent{0};
     bool out = true;
+    bool may_have_run = false;  // ended, by an outcome that does not prove the opposite
   };
   struct Request {
     RequestCame came;
@@ -196,6 +197,9 @@
   void Forget(RequestId id);
   void At(Micros at, Due::What what, std::uint64_t token, std::uint32_t attempt = 0);
   bool PastDrain(Micros now, ServerId server) const;
+  // The rule on effects at the moment of writing: an earlier attempt may have run, and the class allows no
+  // further one any more.
+  bool MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const;
   // Whether a copy given out at `issued` is older than a purge that an attempt sent at `sent` had to heed.
   bool Purged(const Request& request, Micros sent, Micros issued) const;
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -76,6 +76,15 @@
   Commands commands_;
 };
 
+Settings WithClass(Effect effect, Micros window) {
+  Settings settings = MakeSettings();
+  ClassSettings& one = settings.classes[0];
+  one.effect = effect;
+  one.key_group = KeyGroup::kAll;
+  one.key_window = window;
+  return settings;
+}
+
 // Guards against clients that claim to wait for days: what is kept for a request ends with its class's time.
 TEST_F(GatewayTest, AllowIsBoundByTheClass) {
   const RequestId id = Ask(Micros{900'000'000'000});
@@ -187,5 +196,29 @@
   EXPECT_FALSE(All<Answer>()[0].overdue);
 }
 
+// Guards against a repeat whose key lapses while the connection for it comes up: it would run once more.
+TEST_F(GatewayTest, ARepeatWaitsForItsConnectionOnlyWithinItsWindow) {
+  gateway_ = Gateway(WithClass(Effect::kByKey, Micros{300'000}), 1, now_, {});
+  Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  const RequestId id = Ask();
+  const Micros first = now_;
+  ASSERT_EQ(All<Send>().size(), 1u);
+  EXPECT_TRUE(gateway_.MaySend(first + Micros{350'000}, id, 0)) << "the first attempt starts the window";
+  Tell({End(id, 0, Outcome::kReset)}, Micros{200'000});
+  ASSERT_EQ(All<Send>().size(), 1u);
+  EXPECT_TRUE(gateway_.MaySend(first + Micros{299'999}, id, 1));
+  EXPECT_FALSE(gateway_.MaySend(first + Micros{300'000}, id, 1));
+}
+
+// What proves that nothing ran starts no window.
+TEST_F(GatewayTest, AnAttemptThatNeverRanStartsNoWindow) {
+  gateway_ = Gateway(WithClass(Effect::kByKey, Micros{300'000}), 1, now_, {});
+  Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  const RequestId id = Ask();
+  Tell({End(id, 0, Outcome::kFull)}, Micros{200'000});
+  ASSERT_EQ(All<Send>().size(), 1u);
+  EXPECT_TRUE(gateway_.MaySend(now_ + Micros{900'000}, id, 1));
+}
+
 }  // namespace
 }  // namespace tinspan::core
