--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -48,7 +48,7 @@
   rules.idle_close = config.idle_close * 3 / 4;  // before the server does
   rules.exchanges = config.exchanges;
   rules.spread = kSpread;
-  rules.most = config.limits.sockets / 4;
+  rules.most = config.limits.ServerSockets();
   rules.limits = {.read = 64 << 10, .write = std::min<std::size_t>(4 << 20, config.limits.memory_mb << 17)};
   return rules;
 }
@@ -101,6 +101,14 @@
   addresses_.erase(id);  // over a long day many come and go
 }
 
+void CacheSide::ForsakeAllBut(const std::unordered_set<ServerId>& named) {
+  std::vector<ServerId> gone;
+  for (const auto& [id, address] : addresses_) {
+    if (!named.contains(id)) gone.push_back(id);
+  }
+  for (const ServerId id : gone) Forsake(id);
+}
+
 void CacheSide::Carry(Micros now, const core::Send& command) {
   const RequestId id = command.order.id;
   const Asked* const asked = clients_.Find(id);
@@ -230,13 +238,15 @@
 void CacheSide::OnLinkLost(Link& link) {
   const auto open = std::exchange(link.state.open, {});
   link.state.waiting.clear();
-  if (!open.empty()) {
+  if (!open.empty() && !link.connection.WasUnmade()) {
     log::Debug("server.connection_lost", {{"server", link.server}, {"open", open.size()}},
                "server {} at {}: connection lost with {} open", link.server, link.to.Text(), open.size());
     events_.emplace_back(core::ConnectionLost{ServerId{link.server}, open.size()});
   }
   const Micros now = net::Now();
-  if (!open.empty()) failing_.Note(now, link.server);
+  // No descriptor was left: that is ours to answer for, and says nothing of the server.
+  const bool unmade = link.connection.WasUnmade();
+  if (!open.empty() && !unmade) failing_.Note(now, link.server);
   for (const auto& [ref, exchange] : open) {
     // Not all bytes taken by the socket, or never connected: it cannot have reached the server whole.
     const bool whole = exchange.written > 0 && link.connection.Sent() >= exchange.written;
@@ -250,7 +260,10 @@
       pool_.Release(link, now);
       Place(now, *asked, std::move(again));
     } else {
-      End(exchange.id, link, {.outcome = whole ? Outcome::kReset : Outcome::kConnectFailed});
+      End(exchange.id, link,
+          {.outcome = whole    ? Outcome::kReset
+                      : unmade ? Outcome::kNotSent
+                               : Outcome::kConnectFailed});
     }
   }
 }
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -52,8 +52,9 @@
             const ClientSide& clients, std::vector<core::Event>& events);
 
   void Know(ServerId id, Address address);
-  void Forsake(ServerId id);
-  std::size_t Members() const { return addresses_.size(); }  // gone: nothing new on its connections
+  void Forsake(ServerId id);  // gone: nothing new on its connections
+  void ForsakeAllBut(const std::unordered_set<ServerId>& named);
+  std::size_t Members() const { return addresses_.size(); }
 
   void Carry(Micros now, const core::Send& command);
   void Carry(Micros now, const core::Stop& command);
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/change_log.cpp
@@ -17,7 +17,11 @@
 // log has to tell counts as told 4 s after it stopped, whether it was heard or not.
 constexpr Micros kSilence{1'800'000};
 constexpr Micros kConnect{400'000};
-constexpr Micros kAgain{100'000};
+// Before the next try: discovery that comes back is not called by all doormans in one moment.
+constexpr Micros kAgainLeast{50'000};
+constexpr Micros kAgainMost{150'000};
+// A reload that names the same address asks whether the watch still lives: a line comes each second.
+constexpr Micros kQuiet{1'200'000};
 
 template <class Value>
 Value Get(const element& in, std::string_view key) {
@@ -40,7 +44,8 @@
       at_(config.changelog),
       caches_(caches),
       events_(events),
-      parser_(std::make_unique<simdjson::dom::parser>()) {
+      parser_(std::make_unique<simdjson::dom::parser>()),
+      random_(config.seed ^ 0x6368616e6765ull) {  // its own stream of the told seed
   for (const std::string& one : config.known) {
     try {
       Apply(one);
@@ -55,22 +60,39 @@
 ChangeLog::~ChangeLog() { loop_.Timers().Cancel(timer_); }
 
 void ChangeLog::Follow(const net::Endpoint& at) {
-  if (at == at_) return;
+  if (at == at_) {
+    if (connection_ && connection_->IsOpen() &&
+        net::Now() - std::max(line_at_, connection_->Since()) > kQuiet)
+      Reconnect();
+    return;
+  }
   at_ = at;
   const std::string to = at_.Text();
   log::Info("changelog.following", {{"address", to}, {"seq", seq_}},
             "change log: following {} after event {}", to, seq_);
   loop_.Timers().Cancel(timer_);
-  if (connection_) connection_->Close();
-  old_ = std::move(connection_);
+  if (spoke_ && connection_ && connection_->IsOpen()) {
+    Drop(leaving_);
+    leaving_ = std::move(connection_);
+  } else {
+    Drop(connection_);
+  }
   Connect();
 }
 
 void ChangeLog::Connect() {
+  spoke_ = false;
   connection_ = std::make_unique<net::Connection>(loop_, at_, *this, kLimits);
   Watch();
 }
 
+// Freed at the round's end: it may be the one that is being heard.
+void ChangeLog::Drop(std::unique_ptr<net::Connection>& watch) {
+  if (!watch) return;
+  watch->Close();
+  closed_.push_back(std::move(watch));
+}
+
 // One timer at a time: the connect's limit, the silence, or the wait before the next try.
 void ChangeLog::Watch() {
   loop_.Timers().Cancel(timer_);
@@ -84,9 +106,9 @@
 
 void ChangeLog::Reconnect() {
   loop_.Timers().Cancel(timer_);
-  if (connection_) connection_->Close();
-  old_ = std::move(connection_);
-  timer_ = loop_.Timers().Set(net::Now() + kAgain, [this](Micros) { Connect(); });
+  Drop(connection_);
+  std::uniform_int_distribution<Micros::rep> wait(kAgainLeast.count(), kAgainMost.count());
+  timer_ = loop_.Timers().Set(net::Now() + Micros{wait(random_)}, [this](Micros) { Connect(); });
 }
 
 void ChangeLog::OnOpen(net::Connection& connection) {
@@ -94,22 +116,30 @@
   Watch();
 }
 
-void ChangeLog::OnClosed(net::Connection&) { Reconnect(); }
+void ChangeLog::OnClosed(net::Connection& connection) {
+  &connection == leaving_.get() ? Drop(leaving_) : Reconnect();
+}
 
 void ChangeLog::OnBytes(net::Connection& connection) {
+  const bool leaving = &connection == leaving_.get();
   const std::string_view unread = connection.Unread();
   std::size_t at = 0;
   for (std::size_t end; (end = unread.find('\n', at)) != std::string_view::npos; at = end + 1) {
     std::string_view line = unread.substr(at, end - at);
     if (line.ends_with('\r')) line.remove_suffix(1);
     try {
-      Line(line);
+      Line(line, leaving);
     } catch (const Malformed& wrong) {
+      if (leaving) return Drop(leaving_);  // the new watch is told of it whole
       return Unusable(wrong, line.starts_with('{'));
     }
   }
   if (at == 0) return;     // half a line is no sign of life: what stops in the middle of an event has stopped
   connection.Consume(at);  // nothing of it outlives this call
+  if (leaving) return;
+  spoke_ = true;
+  line_at_ = net::Now();
+  Drop(leaving_);
   Watch();
 }
 
@@ -126,9 +156,10 @@
   Reconnect();
 }
 
-void ChangeLog::Line(std::string_view line) {
+void ChangeLog::Line(std::string_view line, bool leaving) {
   if (line.empty()) return;
   if (line.front() == '{') return Apply(line);
+  if (leaving) return;  // how far it has got is for the new one to say
   const auto last = ReadNumber<std::uint64_t>(line);
   if (!last) throw Malformed{"line", "an event or the last number"};
   // Events before that number would have come by now: something was lost.
@@ -148,7 +179,9 @@
     told.source = "changelog";
     told.version = GetOr<std::uint64_t>(part, "version", 0);
     told.kind = GetOr(part, "full", false) ? MembersEvent::Kind::kFull : MembersEvent::Kind::kPatch;
-    if (told.kind == MembersEvent::Kind::kFull) draining_.clear();
+    std::vector<std::optional<net::Endpoint>> endpoints;
+    // Read whole before any of it holds: an event that breaks in the middle is asked for anew, and until then
+    // nothing of it has been heard.
     for (const element one : Get<simdjson::dom::array>(part, "servers")) {
       // By the id: a new server may take the address of one that has gone.
       const auto name = Get<std::string_view>(one, "id");
@@ -164,16 +197,24 @@
                                                   {"draining", Availability::kDraining},
                                                   {"removed", Availability::kGone}});
       const auto endpoint = net::Endpoint::Parse(GetOr<std::string_view>(one, "addr", ""));
-      if (endpoint) {
-        caches_.Know(member.id, {std::string(name), *endpoint});
-      } else if (member.availability == Availability::kUp) {
+      if (!endpoint && member.availability == Availability::kUp)
         throw Malformed{"addr", "an address and port"};
-      }
+      told.members.push_back(member);
+      told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
+      endpoints.push_back(endpoint);
+    }
+    if (told.kind == MembersEvent::Kind::kFull) {  // who is not named in a whole list has gone
+      draining_.clear();
+      std::unordered_set<ServerId> named;
+      for (const Member& member : told.members) named.insert(member.id);
+      caches_.ForsakeAllBut(named);
+    }
+    for (std::size_t i = 0; i < told.members.size(); ++i) {
+      const Member& member = told.members[i];
+      if (endpoints[i]) caches_.Know(member.id, {told.names[i].name, *endpoints[i]});
       if (member.availability == Availability::kGone) caches_.Forsake(member.id);
       member.availability == Availability::kDraining ? static_cast<void>(draining_.insert(member.id))
                                                      : static_cast<void>(draining_.erase(member.id));
-      told.members.push_back(member);
-      told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
     }
     events_.push_back(std::move(told));
   } else if (event["invalidate"].get(part) == simdjson::SUCCESS) {
@@ -190,6 +231,6 @@
   seq_ = seq;
 }
 
-void ChangeLog::EndRound() { old_.reset(); }
+void ChangeLog::EndRound() { closed_.clear(); }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/change_log.hpp
+++ b/src/front/platform/change_log.hpp
@@ -5,8 +5,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "config/config.hpp"
 #include "core/gateway.hpp"
@@ -25,7 +27,8 @@
   ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
             std::vector<core::Event>& events);
   ~ChangeLog();
-  // From now on the events come from here; their numbers go on.
+  // From now on the events come from here; their numbers go on. The old watch is heard until the new one has
+  // spoken: what it tells meanwhile is told.
   void Follow(const net::Endpoint& at);
   void EndRound();
   std::size_t Draining() const { return draining_.size(); }  // servers told to drain, not yet gone
@@ -38,7 +41,8 @@
   void Connect();
   void Reconnect();
   void Watch();
-  void Line(std::string_view line);  // throws Malformed
+  void Drop(std::unique_ptr<net::Connection>& watch);
+  void Line(std::string_view line, bool leaving);  // throws Malformed
   void Unusable(const Malformed& wrong, bool event);
   void Apply(std::string_view json);  // throws Malformed
 
@@ -52,8 +56,12 @@
   std::unordered_set<ServerId> draining_;
   std::optional<std::uint64_t> stuck_;  // the event after this one could not be used: asked for anew once
   std::unique_ptr<net::Connection> connection_;
-  std::unique_ptr<net::Connection> old_;  // closed in this round
+  bool spoke_ = false;                                    // a whole line has come on it
+  Micros line_at_{0};                                     // when the last one came
+  std::unique_ptr<net::Connection> leaving_;              // the watch before, until the new one has spoken
+  std::vector<std::unique_ptr<net::Connection>> closed_;  // in this round
   net::TimerQueue::Id timer_{};
+  std::mt19937_64 random_;
 };
 
 }  // namespace tinspan::platform
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -35,11 +35,11 @@
 constexpr Micros kMostRest{600'000};
 constexpr std::size_t kMostPassedOver = 8;  // idle ones looked at for a newcomer's place
 
-// Clients hold a third of the descriptors at most; twice that would starve the servers' side. Half-read
-// messages of all may take a quarter of the memory.
+// Clients hold a third of the descriptors at most; bad ones hold what they get. Half-read messages of all may
+// take a quarter of the memory.
 net::VisitorRules Rules(const config::Platform& config) {
   const std::size_t memory = config.limits.memory_mb << 20;
-  return {.most = std::min(config.limits.sockets * 2 / 3, memory / 4 / kMostMessage),
+  return {.most = std::min(config.limits.ClientSockets(), memory / 4 / kMostMessage),
           .first = kFirst,
           .idle = kIdle};
 }
@@ -337,7 +337,7 @@
 // Those that have closed their side as well, or had their time. Not too many at once: each still holds its
 // descriptor.
 void ClientSide::Depart(Micros now) {
-  const std::size_t most = std::max<std::size_t>(4, config_.limits.sockets / 16);
+  const std::size_t most = config_.limits.PartingSockets();
   std::size_t over = parting_.size() > most ? parting_.size() - most : 0;
   std::erase_if(parting_, [&](const Parting& one) {
     const auto found = clients_.find(one.id);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -26,6 +26,7 @@
 Connection::Connection(EventLoop& loop, const Endpoint& to, Owner& owner, Limits limits)
     : loop_(loop), owner_(owner), limits_(limits), state_(State::kConnecting) {
   fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  unmade_ = !fd_ && (errno == EMFILE || errno == ENFILE);
   since_ = heard_ = Now();
   const sockaddr_in address = to.Socket();
   const bool begun =
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -39,6 +39,8 @@
 
   bool IsOpen() const { return state_ == State::kOpen; }
   bool IsClosed() const { return state_ == State::kClosed; }
+  // It never came to be, since this process or machine had no descriptor left: no word of the peer.
+  bool WasUnmade() const { return unmade_; }
   // What came in and was not consumed. The slice stays valid until the next Consume() or event round.
   std::string_view Unread() const { return std::string_view(buffer_).substr(start_, filled_ - start_); }
   void Consume(std::size_t bytes);
@@ -97,6 +99,7 @@
   bool more_ = false;  // the socket may hold more than was read
   bool closing_ = false;
   bool lingering_ = false;
+  bool unmade_ = false;
   bool ended_ = false;  // the peer has ended its side
   std::string queue_;   // [queue_start_, end) waits for the socket
   std::size_t queue_start_ = 0;
