Hold thirty doormans to one cold server's budget when they hear late or start at once

Seen: tests/fleet_test (FleetCold) steps thirty real modules against one cold server, uneven traffic, three times what warm caches bear, and counts each span of a tipping time against N + 2 root N + 2. At fault: Brain::Routers took 0 for 1; Brain::Affords counted from the server's start instead of from when it was known. A copy renewed behind a hit at a cold source is a fill that no note tells of and that was refunded: none is asked.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -299,7 +299,8 @@
   // Routers that send to a server: its own location's to a cache, all to the rest.
   double Routers(bool own_zone) const {
     const std::size_t zone = Number(settings_.zone);
-    const bool told = own_zone && zone < settings_.zone_routers.size();
+    // Told that none serves our own location, we know better: then all may.
+    const bool told = own_zone && zone < settings_.zone_routers.size() && settings_.zone_routers[zone] > 0;
     return std::max(1u, told ? settings_.zone_routers[zone] : settings_.routers);
   }
   // This router's part of a warm server's capacity, in sending time a second: the told size over the
@@ -325,11 +326,12 @@
     if (!IsCold(server)) return true;
     // Many routers hear of a start at once: each begins in debt by its own place among them, up to one
     // request, so that their first requests come as evenly as their budgets allow, summed over all.
-    if (server.budget_at < server.member.started) {
+    // What was not sent before we heard of it is not made up for: all that start or hear late would at once.
+    if (server.budget_at < server.known_since) {
       const double golden = 0.6180339887498949 * (settings_.router + 1.0);
       const double place = golden + static_cast<double>(Mix(Id(server), 0) >> 11) * 0x1p-53;
       server.budget = -(place - std::floor(place)) * *std::max_element(sends_.begin(), sends_.end());
-      server.budget_at = server.member.started;
+      server.budget_at = server.known_since;
     }
     const bool parent = server.role == Role::kParent;
     const double multiple = parent ? settings_.parent_fall_multiple : settings_.fall_multiple;
@@ -494,7 +496,8 @@
     if (!one.write) {
       action.keep = direct ? 0 : static_cast<std::uint8_t>(summary > 0 ? 2 : 1);
       action.join = settings_.can_join && !purge;  // a fill under way may have begun before the purge
-      action.renew = one.fresh > Micros{0} && !purge && !attempt.spare;
+      // A copy renewed behind a hit is a fill that nothing tells of: none at a source that is cold.
+      action.renew = one.fresh > Micros{0} && !purge && !attempt.spare && !IsCold(source);
       action.source_holds = attempt.spare;
       if (action.keep > 0 && server.counter) server.counter->Count(key);
     }
@@ -869,7 +872,7 @@
       server.fills = old.fills;
       server.room = old.room;
     }
-    server.known = true;
+    if (!std::exchange(server.known, true)) server.known_since = now_;
     server.member = member;
     server.role = member.kind == settings_.parent_kind   ? Role::kParent
                   : member.kind == settings_.origin_kind ? Role::kOrigin
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,6 +1,8 @@
 // What a doorman among many must do that one among few need not: it hears of each server seldom, and what is
 // fine for one is harmful when a hundred do it.
+#include <algorithm>
 #include <cmath>
+#include <random>
 
 #include "fixture.hpp"
 #include "net/patience.hpp"
@@ -50,6 +52,133 @@
   EXPECT_TRUE(script.LateFillsSpareTheOrigin());
 }
 
+// Thirty doormans and one cold server that all of them send to, each in steps of its own. What they send in
+// any span of a tipping time, summed, must stay within N + 2 x root of N + 2 requests, N being what the
+// settings allow the server then: what is within one doorman's part is not within the sum.
+struct ColdFleet {
+  static constexpr std::uint32_t kRouters = 30;
+  static constexpr Micros kStep = 10ms;
+  static constexpr double kWork = 0.3;  // seconds of sending a request
+
+  bool parent = false;            // the cold one is a parent, which fills come to
+  double weight = 20;             // of each server, told; 0: sizes are not told
+  std::uint32_t here = kRouters;  // as told of our location
+  Micros told_late{0};            // after the start
+  Micros restart{0};              // all doormans anew so long after the start; 0: never
+  Micros roll{0};                 // one doorman after the other anew, in such steps; 0: never
+  double load = 3;                // of what three warm caches bear: more is wanted than may be sent
+
+  std::uint64_t seed = 7;
+
+  std::unique_ptr<Script> Make(std::uint32_t number, Micros now, bool told) const {
+    auto script = std::make_unique<Script>();
+    script->now = now;
+    script->next_id = 1 + 1'000'000ull * number + static_cast<std::uint64_t>(now.count() % 1'000'000);
+    script->settings.routers = kRouters;
+    script->settings.zone_routers = {here, here};
+    script->settings.router = number;
+    script->settings.weights = weight > 0 ? WeightMeaning::kSize : WeightMeaning::kOff;
+    for (Member& member : script->members) member.weight = weight;
+    if (told) script->members[parent ? 3 : 0].started = kStart;
+    script->Start();
+    return script;
+  }
+  // The most by which a span went over its budget, in requests; below 0: none did.
+  double Over(std::size_t* sent = nullptr) const {
+    std::vector<std::unique_ptr<Script>> fleet;
+    for (std::uint32_t i = 0; i < kRouters; ++i) fleet.push_back(Make(i, kStart - 20s, false));
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> chance(0, 1);
+    const double capacity = weight > 0 ? weight : 20;
+    const double rate = load * 3 * capacity / kWork;  // requests a second at all doormans
+    std::vector<Micros> times;
+    const ServerId cold = fleet[0]->members[parent ? 3 : 0].id;
+    std::uint64_t object = 1;
+    for (Micros now = kStart - 20s; now < kStart + 14s; now += kStep) {
+      if (restart > 0s && now == kStart + restart) {
+        for (std::uint32_t i = 0; i < kRouters; ++i) fleet[i] = Make(i, now, true);
+      }
+      for (std::uint32_t i = 0; i < kRouters; ++i) {
+        Script& script = *fleet[i];
+        script.Wait(now - script.now);
+        if (now == kStart + told_late) {
+          Member member = script.members[parent ? 3 : 0];
+          member.started = kStart;
+          script.Tell({member});
+        }
+        if (roll > 0s && now > kStart + told_late && now % (roll * kRouters) == roll * i) {
+          fleet[i] = Make(i, now, true);
+        }
+        // Uneven: the busiest sees four times the mean.
+        const double part = (0.25 + 3.75 * i / (kRouters - 1)) / (2.125 * kRouters);
+        if (chance(random) >= rate * part * std::chrono::duration<double>(kStep).count()) continue;
+        Script& at = *fleet[i];
+        at.Pass(at.Request(++object, 1000 * kWork));
+        for (const SendAttempt& one : at.All<SendAttempt>()) {
+          if ((one.server == cold || one.source == cold) && now >= kStart + told_late) times.push_back(now);
+          at.Answer(one.id, 0, Outcome::kServed, parent ? FillNote::kFilled : FillNote::kHit);
+        }
+      }
+    }
+    if (sent != nullptr) *sent = times.size();
+    const Settings& settings = fleet[0]->settings;
+    const double span = std::chrono::duration<double>(settings.tip_after).count();
+    double over = -1e9;
+    for (std::size_t first = 0; first < times.size(); ++first) {
+      const double from = parent ? settings.parent_cold_share : settings.cold_share;
+      const double warm =
+          std::chrono::duration<double>(parent ? settings.parent_warm_after : settings.warm_after).count();
+      const double share = std::min(
+          1.0, from + (1 - from) * std::chrono::duration<double>(times[first] - kStart).count() / warm);
+      const double multiple = parent ? settings.parent_fall_multiple : settings.fall_multiple;
+      const double n = multiple * share * capacity * span / kWork;
+      const auto end = std::upper_bound(times.begin(), times.end(), times[first] + settings.tip_after);
+      over = std::max(over, static_cast<double>(end - times.begin()) - static_cast<double>(first) -
+                                (n + 2 * std::sqrt(n) + 2));
+    }
+    return over;
+  }
+  static constexpr Micros kStart = 200s;
+};
+
+// By the size of N: one request or less for each doorman up to many.
+TEST(FleetCold, TheSumOfAllStaysWithinTheBudget) {
+  for (const bool parent : {false, true}) {
+    for (const double weight : {1.0, 4.0, 20.0, 0.0}) {
+      // Where sizes are not told, what warm ones are seen to bear is all that is known.
+      const ColdFleet fleet{.parent = parent, .weight = weight, .load = weight > 0 ? 3 : 0.5};
+      EXPECT_LE(fleet.Over(), 0) << "parent " << parent << ", weight " << weight;
+    }
+  }
+  std::size_t sent = 0;
+  ColdFleet{}.Over(&sent);
+  EXPECT_GT(sent, 100u);  // and it is used
+}
+
+// Guards against making up, in one moment and at all doormans, for what nobody could send before they were
+// told, or before they were there.
+TEST(FleetCold, NewsThatComeLateAndDoormansThatStartLateMakeUpForNothing) {
+  for (const bool parent : {false, true}) {
+    for (const double weight : {1.0, 4.0, 20.0}) {
+      for (const std::uint64_t seed : {7, 8, 9, 10}) {
+        const Micros late{7s};
+        EXPECT_LE((ColdFleet{.parent = parent, .weight = weight, .told_late = late, .seed = seed}.Over()), 0)
+            << "told " << late.count() << " us late, parent " << parent << ", weight " << weight;
+        EXPECT_LE((ColdFleet{.parent = parent, .weight = weight, .restart = late, .seed = seed}.Over()), 0)
+            << "all restarted " << late.count() << " us after, parent " << parent << ", weight " << weight;
+      }
+      EXPECT_LE((ColdFleet{.parent = parent, .weight = weight, .roll = 200ms}.Over()), 0)
+          << "rolling, parent " << parent << ", weight " << weight;
+    }
+  }
+}
+
+// Guards against settings that tell no doorman in our own location, though we are one: each would take itself
+// for the only one.
+TEST(FleetCold, ALocationToldToHaveNoneCountsAll) {
+  EXPECT_LE((ColdFleet{.weight = 4, .here = 0}.Over()), 0);
+}
+
 // A location of many routers, each of which sends little.
 struct ManyRouters : HitNotes {
   ManyRouters() {
