--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -155,6 +155,7 @@
 
   void Start(Micros now, Actions& out) {
     Begin(now, out);
+    began_ = now_;
     if (settings_.discovery == Discovery::kAsked) Emit(Subscribe{});
   }
 
@@ -326,12 +327,13 @@
     if (!IsCold(server)) return true;
     // Many routers hear of a start at once: each begins in debt by its own place among them, up to one
     // request, so that their first requests come as evenly as their budgets allow, summed over all.
-    // What was not sent before we heard of it is not made up for: all that start or hear late would at once.
-    if (server.budget_at < server.known_since) {
+    // What was not sent before we ourselves started is not made up for: all that start late would at once.
+    const Micros since = std::max(server.member.started, began_);
+    if (server.budget_at < since) {
       const double golden = 0.6180339887498949 * (settings_.router + 1.0);
       const double place = golden + static_cast<double>(Mix(Id(server), 0) >> 11) * 0x1p-53;
       server.budget = -(place - std::floor(place)) * *std::max_element(sends_.begin(), sends_.end());
-      server.budget_at = server.known_since;
+      server.budget_at = since;
     }
     const bool parent = server.role == Role::kParent;
     const double multiple = parent ? settings_.parent_fall_multiple : settings_.fall_multiple;
@@ -872,7 +874,7 @@
       server.fills = old.fills;
       server.room = old.room;
     }
-    if (!std::exchange(server.known, true)) server.known_since = now_;
+    server.known = true;
     server.member = member;
     server.role = member.kind == settings_.parent_kind   ? Role::kParent
                   : member.kind == settings_.origin_kind ? Role::kOrigin
@@ -918,6 +920,7 @@
 
   Settings settings_;
   Micros now_{0};
+  Micros began_{0};
   Actions* out_ = nullptr;
   std::vector<Server> servers_;
   std::unordered_map<std::uint64_t, int> places_;  // looked up only
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -20,7 +20,6 @@
   Member member;
   Role role = Role::kForeign;
   bool known = false;  // false: the slot is free
-  Micros known_since{0};
   int out = 0;         // own attempts outstanding there
   double fills = 0;    // fills expected of it by own attempts outstanding
   double late = 0;     // share of its answers that came late
