--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -220,5 +220,17 @@
   EXPECT_TRUE(gateway_.MaySend(now_ + Micros{900'000}, id, 1));
 }
 
+// A class that may run once: after a connection that broke with the request written whole there is no other.
+TEST_F(GatewayTest, OnceMeansOnceAfterAReset) {
+  gateway_ = Gateway(WithClass(Effect::kOnce, Micros{0}), 1, now_, {});
+  Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  const RequestId id = Ask();
+  ASSERT_EQ(All<Send>().size(), 1u);
+  Tell({End(id, 0, Outcome::kReset)}, Micros{20'000});
+  EXPECT_TRUE(All<Send>().empty());
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kFailed) << "a refusal would promise that it never ran";
+}
+
 }  // namespace
 }  // namespace tinspan::core
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -114,8 +114,11 @@
   const std::string body(48'000, 'w');
   for (int i = 0; i < 16; ++i) writer.Send(Order(std::to_string(i + 1), Ref(i), body));
   Peer late = world.Client();
-  late.Send(Bulk({"RPC.HEALTH", "1", ""}));
-  CHECK(late.Silent(300));  // nothing new is taken
+  for (int tag = 1;; ++tag) {  // until nothing new is taken
+    late.Send(Bulk({"RPC.HEALTH", std::to_string(tag), ""}));
+    if (late.Silent(200)) break;
+    CHECK(Answer(late)[0] == std::to_string(tag) && tag < 1000);
+  }
   const auto left = UnixMs();
   leave(client);
   // More orders may be written to the same connection; the STOP comes among them.
@@ -365,6 +368,137 @@
   CHECK(world.program->log.find("connection lost") == std::string::npos);
 }
 
+std::string With(std::string settings, const std::string& was, const std::string& is) {
+  const std::size_t at = settings.find(was);
+  CHECK(at != std::string::npos);
+  return settings.replace(at, was.size(), is);
+}
+
+// A server that takes no connection until it is opened: its backlog is full, and what else comes is dropped
+// and tried again by the kernel a second later.
+class Shut {
+ public:
+  explicit Shut(Server& server) : server_(server) {
+    CHECK(::listen(server.Descriptor(), 0) == 0);
+    for (bool full = false; !full;) {
+      CHECK(fillers_.size() < 16);
+      const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      sockaddr_in at{};
+      at.sin_family = AF_INET;
+      at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      at.sin_port = htons(static_cast<std::uint16_t>(server.port));
+      ::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+      pollfd one{fd, POLLOUT, 0};
+      full = ::poll(&one, 1, 100) == 0;
+      fillers_.emplace_back(fd);
+    }
+  }
+  // The next connection that is not one of ours.
+  Peer Open() {
+    CHECK(::listen(server_.Descriptor(), 64) == 0);
+    for (Peer& filler : fillers_) ours_.push_back(Port(filler.Descriptor(), false));
+    while (true) {
+      Peer peer = server_.Accept();
+      const int from = Port(peer.Descriptor(), true);
+      if (std::find(ours_.begin(), ours_.end(), from) == ours_.end()) return peer;
+    }
+  }
+
+ private:
+  static int Port(int fd, bool of_peer) {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    CHECK((of_peer ? ::getpeername : ::getsockname)(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    return ntohs(at.sin_port);
+  }
+  Server& server_;
+  std::vector<Peer> fillers_;
+  std::vector<int> ours_;
+};
+
+// Its client leaves while a request waits for a connection: when that comes up, nothing is written to it.
+void NothingForWhoLeftWhileItConnected(const std::function<void(Peer&)>& leave) {
+  World world(0, false, "1024", "192",
+              With(kSettings, "\"connectTimeoutMs\":400.0", "\"connectTimeoutMs\":3000.0"));
+  Shut shut(world.cache_a);
+  Peer client = world.Client(), other = world.Client();
+  client.Send(Call("1"));
+  client.Send(Bulk({"RPC.HEALTH", "2", ""}));
+  CHECK(Answer(client)[0] == "2");
+  leave(client);
+  Healthy(other, "1");
+  Peer cache = shut.Open();
+  CHECK(cache.Silent(300));
+}
+
+// A keyed request whose answer broke off is asked for again within its window only, and the window lapses
+// while the connection for that comes up.
+void NoRepeatOnceItsWindowHasLapsed() {
+  World world(0, false, "1024", "192",
+              With(With(kSettings, "\"connectTimeoutMs\":400.0", "\"connectTimeoutMs\":3000.0"),
+                   "\"windowMs\":6000.0", "\"windowMs\":500.0"));
+  Peer client = world.Client();
+  client.Send(Order("1", kRef, "paid"));
+  Peer cache = world.cache_a.Accept();
+  CHECK(cache.Until("paid\r\n").starts_with(std::string("REQ ") + kRef));
+  Shut shut(world.cache_a);
+  cache.Reset();
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the window, and more
+  Peer again = shut.Open();
+  CHECK(Answer(client)[1] != "done");
+  CHECK(again.Silent(200));
+}
+
+// Thirty doormans killed at once and started again: nine in ten are ready within 10 s.
+void ThirtyComeBackAtOnce() {
+  constexpr int kDoormans = 30;
+  World world;
+  const auto start = [&] {
+    return std::make_unique<Program>(
+        std::vector<std::string>{"serve"},
+        std::map<std::string, std::string>{
+            {"PROXY_NAME", "n0"}, {"PROXY_LISTEN", "127.0.0.1:0"}, {"PROXY_CONFIG", world.file->path}});
+  };
+  std::vector<std::unique_ptr<Program>> fleet;
+  for (int i = 0; i < kDoormans; ++i) fleet.push_back(start());
+  for (auto& one : fleet) one->Port();
+  for (auto& one : fleet) one->Signal(SIGKILL);
+  const auto killed = UnixMs();
+  for (auto& one : fleet) one = start();
+  int ready = 0;
+  for (auto& one : fleet) {
+    Peer client = Peer::Connect(one->Port());
+    client.Send(Bulk({"RPC.HEALTH", "1", ""}));
+    ready += Answer(client)[1] == "healthy" && UnixMs() - killed < 10'000;
+  }
+  CHECK(ready >= kDoormans * 9 / 10);
+}
+
+// Settings of other customers: one class, one attempt, windows of milliseconds, no parents, nobody counted.
+void ServesUnderOtherCustomersSettings() {
+  const std::vector<std::string> all{
+      With(kSettings, "\"maxAttempts\":8", "\"maxAttempts\":1"),
+      With(kSettings, "\"windowMs\":5000.0", "\"windowMs\":1.0"),
+      With(kSettings, "\"midKind\":1", "\"midKind\":-1"),
+      With(kSettings, "\"instancesByZone\":[0,1]", "\"instancesByZone\":[]"),
+      With(kSettings, "\"instancesByZone\":[0,1]", "\"instancesByZone\":[0,0]"),
+      With(kSettings, "\"instances\":1", "\"instances\":0"),
+      With(kSettings, "\"cancel\":true", "\"cancel\":false"),
+      With(kSettings, "\"passThroughOk\":true", "\"passThroughOk\":false"),
+      With(kSettings, "\"paceKbPerS\":5000.0", "\"paceKbPerS\":0.0"),
+      With(kSettings, "\"streamsPerConn\":100", "\"streamsPerConn\":1"),
+      With(kSettings, "\"retryAfter\":true", "\"retryAfter\":false")};
+  for (const std::string& settings : all) {
+    World world(0, false, "1024", "192", settings);
+    Peer client = world.Client();
+    client.Send(Call("1"));
+    Peer cache = world.cache_a.Accept();
+    cache.Until("\r\n\r\n");
+    cache.Send(Ok("abc"));
+    CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -392,6 +526,20 @@
        {"a_reload_asks_a_watch_that_is_silent", AReloadAsksAWatchThatIsSilent},
        {"idle_clients_fill_the_descriptors_while_discovery_is_down",
         IdleClientsFillTheDescriptorsWhileDiscoveryIsDown},
+       {"nothing_for_who_closed_while_it_connected",
+        [] { NothingForWhoLeftWhileItConnected([](Peer& client) { client.Close(); }); }},
+       {"nothing_for_who_half_closed_while_it_connected",
+        [] {
+          NothingForWhoLeftWhileItConnected(
+              [](Peer& client) { CHECK(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
+        }},
+       {"nothing_for_what_was_called_off_while_it_connected",
+        [] {
+          NothingForWhoLeftWhileItConnected([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
+        }},
+       {"no_repeat_once_its_window_has_lapsed", NoRepeatOnceItsWindowHasLapsed},
+       {"thirty_come_back_at_once", ThirtyComeBackAtOnce},
+       {"serves_under_other_customers_settings", ServesUnderOtherCustomersSettings},
        {"blames_no_server_for_its_own_descriptors", BlamesNoServerForItsOwnDescriptors}},
       argc, argv);
 }
