End a connection that takes no STOP, so that no second copy overtakes it

Seen by reading: CacheSide::Carry(Stop) queued STOP behind bytes that the socket did not take, and the next attempt went out elsewhere at once; the server would read the first request, or the rest of it, after the second had begun. A gateway's client that leaves while its request is open is gone as well, also behind a full buffer (EndWithPeer), and a full buffer no longer has the loop told of it in every round (Connection::Read; nothing measured, seen by reading).

--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -202,6 +202,7 @@
   const std::string_view rest = std::string_view(target->path).substr(route->prefix.size());
   came.group = GroupOf(rest.substr(0, rest.find('/')));
   client.open = came.id;
+  client.connection->EndWithPeer(true);  // who leaves while a request is open is gone, whatever is unread
   asked_.emplace(came.id, std::move(asked));
   events_.push_back(came);
   return 0;
@@ -321,6 +322,7 @@
   Client& client = clients_.at(asked->connection);
   asked_.erase(id);
   client.open.reset();
+  client.connection->EndWithPeer(false);
   client.last = client.last || Stopping(net::Now());
   if (client.last) return client.connection->CloseWhenDrained();
   Read(client);
@@ -343,6 +345,7 @@
   Client& client = clients_.at(asked->connection);
   asked_.erase(id);
   client.open.reset();
+  client.connection->EndWithPeer(false);
   Reply(client, status, fields);
   Read(client);
 }
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -194,7 +194,8 @@
   const auto open = std::find_if(link.state.open.begin(), link.state.open.end(),
                                  [&](const auto& entry) { return entry.second.id == command.id; });
   if (open == link.state.open.end()) return;
-  if (open->second.written > 0) {
+  const bool written = open->second.written > 0;
+  if (written) {
     link.connection.Write("STOP " + open->first + "\r\n");
     Burn(link, open->first);
   } else {
@@ -203,6 +204,9 @@
   }
   link.state.open.erase(open);
   pool_.Release(link, now);
+  // A STOP that the socket does not take would come after the next attempt, elsewhere, has begun: a second
+  // copy. So would the rest of the request itself.
+  if (written && link.connection.Backlog() > 0) Lose(link, "takes no STOP");
 }
 
 void CacheSide::Burn(Link& link, const std::string& ref) {
@@ -230,7 +234,7 @@
   for (const auto& [ref, exchange] : link.state.open) {
     if (exchange.written > 0) link.connection.Write("STOP " + ref + "\r\n");
   }
-  link.connection.Close();
+  link.connection.Backlog() > 0 ? link.connection.Abort() : link.connection.Close();
   link.retired = true;
   OnLinkLost(link);
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -59,9 +59,10 @@
     owner_.OnOpen(*this);
     if (state_ != State::kOpen || !Flush()) return;
   }
+  hung_up_ = hung_up_ || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
   // Also while nothing is read (held back, or a full buffer): what its client has left behind must not be
   // acted on.
-  if (limits_.gone_at_end && !closing_ && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) return Fail();
+  if (limits_.gone_at_end && !closing_ && hung_up_) return Fail();
   if (state_ == State::kOpen && (events & EPOLLOUT) != 0 && !Flush()) return;
   if (state_ == State::kOpen && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     more_ = true;
@@ -100,11 +101,14 @@
   if (!held_ && (std::exchange(resume_, false) || got > 0)) owner_.OnBytes(*this);
   if (state_ != State::kOpen) return;
   if (failed || ended_) return Fail();
-  if (more_ && !held_ && !closing_) loop_.Again(handle_);
+  // A full buffer waits for Consume: told again and again meanwhile, the loop would spin.
+  const bool full = filled_ - start_ >= std::max(limits_.read, expected_);
+  if (more_ && !held_ && !closing_ && !full) loop_.Again(handle_);
 }
 
 void Connection::Consume(std::size_t bytes) {
   start_ += bytes;
+  if (bytes > 0 && more_ && !held_ && !closing_ && state_ == State::kOpen) loop_.Again(handle_);
   if (start_ < filled_) return;
   start_ = filled_ = 0;
   expected_ = 0;
@@ -200,6 +204,12 @@
   return state_ == State::kOpen && ::recv(fd_.Get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void Connection::Abort() {
+  const linger now{1, 0};
+  if (fd_) ::setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  Close();
+}
+
 void Connection::CloseWhenDrained() {
   closing_ = true;
   if (Backlog() == 0 && state_ == State::kOpen) Linger();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -62,6 +62,8 @@
   std::size_t Backlog() const { return static_cast<std::size_t>(queued_ - sent_); }
 
   void Close();  // at once, no word to the owner
+  void Abort();  // the same, and what the system still holds of it does not go out either
+  void EndWithPeer(bool on) { limits_.gone_at_end = on; }  // see Limits
   // Once the queue is empty our side is ended; what still comes is dropped until the peer ends its own. A
   // plain close with bytes unread would reset the connection, and the peer might never see the last answer.
   void CloseWhenDrained();
@@ -100,8 +102,9 @@
   bool closing_ = false;
   bool lingering_ = false;
   bool unmade_ = false;
-  bool ended_ = false;  // the peer has ended its side
-  std::string queue_;   // [queue_start_, end) waits for the socket
+  bool ended_ = false;    // the peer has ended its side, and all before that was read
+  bool hung_up_ = false;  // it has, read or not
+  std::string queue_;     // [queue_start_, end) waits for the socket
   std::size_t queue_start_ = 0;
   std::uint64_t queued_ = 0;
   std::uint64_t sent_ = 0;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -449,6 +449,35 @@
   CHECK(again.Silent(200));
 }
 
+// A server that has stopped reading: a STOP that its socket does not take is no STOP, and the rest of the
+// request before it must not arrive after the next attempt has begun. The connection is ended at once.
+void EndsAConnectionThatTakesNoStop() {
+  World world(0, false);
+  const int small = 4096;
+  CHECK(::setsockopt(world.cache_a.Descriptor(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
+  Peer client = world.Client();
+  client.Send(Call("1"));
+  Peer cache = world.cache_a.Accept();
+  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  const std::string body(48'000, 'w');
+  bool ended = false;
+  client.Send(Bulk({"RPC.CANCEL", "1"}));
+  for (int i = 2; i < 100 && !ended; ++i) {  // each is called off, none is read: more than a socket takes
+    client.Send(Order(std::to_string(i), Ref(i), body) + Bulk({"RPC.HEALTH", std::to_string(1'000 + i), ""}));
+    CHECK(Answer(client)[0] == std::to_string(1'000 + i));
+    client.Send(Bulk({"RPC.CANCEL", std::to_string(i)}) +
+                Bulk({"RPC.HEALTH", std::to_string(2'000 + i), ""}));
+    CHECK(Answer(client)[0] == std::to_string(2'000 + i));
+    pollfd one{cache.Descriptor(), 0, 0};
+    ended = ::poll(&one, 1, 0) == 1 && (one.revents & (POLLHUP | POLLERR)) != 0;
+  }
+  if (!ended) {
+    pollfd one{cache.Descriptor(), 0, 0};
+    ended = ::poll(&one, 1, 1'000) == 1;  // the end may be on its way
+  }
+  CHECK(ended);
+}
+
 // Thirty doormans killed at once and started again: nine in ten are ready within 10 s.
 void ThirtyComeBackAtOnce() {
   constexpr int kDoormans = 30;
@@ -538,6 +567,7 @@
           NothingForWhoLeftWhileItConnected([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
         }},
        {"no_repeat_once_its_window_has_lapsed", NoRepeatOnceItsWindowHasLapsed},
+       {"ends_a_connection_that_takes_no_stop", EndsAConnectionThatTakesNoStop},
        {"thirty_come_back_at_once", ThirtyComeBackAtOnce},
        {"serves_under_other_customers_settings", ServesUnderOtherCustomersSettings},
        {"blames_no_server_for_its_own_descriptors", BlamesNoServerForItsOwnDescriptors}},
