Let the gateway's idle clients go as the platform's: heard out, never over an arrived request

Seen by reading: http::Clients closed idle connections at once (a newcomer's place, idle time, the stop) over bytes that had just arrived or a request half written, and reset the backlog at the stop.

--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -18,6 +18,8 @@
 constexpr Micros kFirst{10'000'000};
 constexpr Micros kIdle{30'000'000};
 constexpr Micros kLinger{2'000'000};  // for a client to read a last answer and close
+constexpr Micros kRest{300'000};  // for the rest of a request that has begun to come when the gateway stops
+constexpr std::size_t kMostPassedOver = 8;  // idle ones looked at for a newcomer's place
 constexpr std::string_view kOperatorPrefix = "/-/";
 
 std::string_view Reason(int status) {
@@ -91,14 +93,10 @@
       listener_(loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
 
 void Clients::Accept(net::Fd fd) {
-  if (visitors_.IsFull()) {
-    const auto spare = visitors_.Spare(net::Now());
-    if (!spare) {
-      log::Warn("client.turned_away", {{"connections", clients_.size()}},
-                "client turned away: {} connections, all with requests open", clients_.size());
-      return;
-    }
-    clients_.at(*spare).connection->Close();
+  if (visitors_.IsFull() && !MakeRoom()) {
+    log::Warn("client.turned_away", {{"connections", clients_.size()}},
+              "client turned away: {} connections, none of them idle", clients_.size());
+    return;
   }
   const std::uint64_t id = ++last_;
   Client& client = clients_[id];
@@ -109,6 +107,30 @@
   visitors_.Came(id, client.used);
 }
 
+// Lets one go that asks for nothing, passing over those whose request has just arrived.
+bool Clients::MakeRoom() {
+  std::vector<std::uint64_t> asking;
+  bool made = false;
+  while (!made && asking.size() < kMostPassedOver) {
+    const auto spare = visitors_.Spare(net::Now());
+    if (!spare) break;
+    made = LetGo(clients_.at(*spare));
+    if (!made) asking.push_back(*spare);
+  }
+  for (const std::uint64_t id : asking) visitors_.Idle(id, net::Now());
+  return made;
+}
+
+// Our side is ended and the client heard out (kLinger): a close over what crosses it is a reset. False: a
+// request has just arrived.
+bool Clients::LetGo(Client& client) {
+  if (client.connection->HasArrived()) return false;
+  client.used = net::Now();
+  client.last = true;
+  client.connection->CloseWhenDrained();
+  return true;
+}
+
 void Clients::OnBytes(net::Connection& connection) {
   Client& client = clients_.at(connection.id);
   client.used = connection.LastHeard();
@@ -361,23 +383,24 @@
 }
 
 bool Clients::Drained() const {
-  return std::all_of(clients_.begin(), clients_.end(), [](const auto& entry) {
-    return !entry.second.open && entry.second.connection->Backlog() == 0;
-  });
+  return clients_.empty();  // those that linger have kRest at most then
 }
 
 void Clients::EndRound(Micros now) {
-  if (listener_.IsOpen() && Stopping(now)) listener_.Close();
+  if (listener_.IsOpen() && Stopping(now)) listener_.CloseTakingAll();
   for (auto& [id, client] : clients_) {
     net::Connection& connection = *client.connection;
     if (connection.Sent() != std::exchange(client.sent, connection.Sent())) client.used = now;
     const bool stuck = (connection.Backlog() > 0 && now - client.used > config_.stall) ||
-                       (connection.IsLingering() && now - client.used > kLinger);
+                       (connection.IsLingering() && now - client.used > (Stopping(now) ? kRest : kLinger));
     const bool busy = client.open || connection.Backlog() > 0;
-    if (!connection.IsClosed() && (stuck || (!busy && Stopping(now)))) {
+    if (!connection.IsClosed() && stuck) {
       connection.Close();
       Leave(client);
     }
+    const bool coming = !connection.Unread().empty() && now - connection.LastBytes() < kRest;
+    if (!connection.IsClosed() && !connection.IsLingering() && !busy && !coming && Stopping(now))
+      LetGo(client);
     if (connection.IsClosed()) {
       closed_.push_back(id);
     } else if (busy) {
@@ -387,8 +410,7 @@
     }
   }
   while (const auto id = visitors_.Overdue(now)) {
-    clients_.at(*id).connection->Close();
-    closed_.push_back(*id);
+    if (!LetGo(clients_.at(*id))) visitors_.Idle(*id, now);
   }
   for (const std::uint64_t id : closed_) visitors_.Left(id);
   for (const std::uint64_t id : closed_) clients_.erase(id);
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -68,6 +68,8 @@
   };
 
   void Accept(net::Fd fd);
+  bool MakeRoom();
+  bool LetGo(Client& client);
   void Read(Client& client);
   bool ReadOne(Client& client);  // false: nothing more to read now
   // 0: it goes to the core. Else the status that answers it; header lines go to `fields`.
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -547,6 +547,43 @@
 
 // Where two readers could disagree on where a message ends, or it is too large: refused, and the connection
 // ends.
+// A client with a request open that pipelines more than a buffer and goes: its request is given up at once,
+// though the end stands behind what is not read.
+void GivesUpForWhoHasGone() {
+  World world;
+  Peer client = world.Client();
+  client.Send(Get(kScan, Bearer(Token(kShared, Times(60)))));
+  Peer server = world.cache.Accept();
+  Message(server);
+  const std::string more(200'000, 'x');
+  CHECK(client.Push(more, more.size()) > 0);
+  const auto left = UnixMs();
+  client.Reset();
+  CHECK(server.ToEnd().empty());
+  CHECK(UnixMs() - left < 700);  // not at the deadline, 1.5 s from the start
+}
+
+// A request that begins to come before the gateway stops is answered.
+void HearsOutWhoWritesWhileItStops() {
+  World world;
+  Peer client = world.Client();
+  const std::string request = Get(kScan, Bearer(Token(kShared, Times(60))));
+  client.Send(request.substr(0, 10));
+  world.program->Signal(SIGTERM);
+  world.program->Line("stopping");
+  for (int i = 0; i < 9; ++i) {  // past the end of accepting, 0.7 s
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    client.Send(request.substr(10 + i, 1));
+  }
+  client.Send(request.substr(19));
+  Peer server = world.cache.Accept();
+  Message(server);
+  server.Send(Reply("200 OK", "page"));
+  CHECK(Read(client).body == "page");
+  client.Close();
+  CHECK(world.program->Wait() == 0);
+}
+
 void IsStrict() {
   World world;
   const std::string host = "Host: scans.example.is\r\n";
@@ -590,6 +627,8 @@
                    {"heeds_health_before_the_catalog", HeedsHealthBeforeTheCatalog},
                    {"treats_new_nodes_as_cold", TreatsNewNodesAsCold},
                    {"purges_for_operators", PurgesForOperators},
+                   {"gives_up_for_who_has_gone", GivesUpForWhoHasGone},
+                   {"hears_out_who_writes_while_it_stops", HearsOutWhoWritesWhileItStops},
                    {"is_strict", IsStrict}},
                   argc, argv);
 }
