--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -21,8 +21,8 @@
   std::size_t sockets = 1024;  // 64 at least
 
   // How the descriptors are shared out. What is neither a client's nor a server's (the log, epoll, signals,
-  // listeners, two connections to the change log, the operators' door) is kept free first, so that clients
-  // who fill their part and rest shut out neither.
+  // listeners, two connections to the change log, the operators' door and eight callers) is kept free first,
+  // so that clients who fill their part and rest shut out neither.
   static constexpr std::size_t kKept = 20;
   std::size_t ClientSockets() const { return (sockets - kKept) * 5 / 8; }
   std::size_t ServerSockets() const { return (sockets - kKept) / 4; }
--- a/src/front/ops/door.hpp
+++ b/src/front/ops/door.hpp
@@ -20,7 +20,7 @@
 class OpsDoor final : public net::Connection::Owner {
  public:
   using FiguresNow = std::function<ops::Figures()>;
-  static constexpr std::size_t kMostCallers = 64;
+  static constexpr std::size_t kMostCallers = 8;  // within config::Limits::kKept
   static constexpr net::Micros kMostSilence{10'000'000};
 
   // Throws std::system_error where the address cannot be had.
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -337,6 +337,8 @@
     idle.push_back(world.Client());
     idle.back().Send(Bulk({"RPC.HEALTH", "1", ""}));
   }
+  std::vector<Peer> callers;  // the door's are bounded as well
+  for (int i = 0; i < 30; ++i) callers.push_back(Peer::Connect(world.door));
   world.log.Close();
   for (int i = 0; i < 3; ++i) world.changelog.Accept().Close();
   world.log = world.changelog.Accept();
