--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -355,7 +355,7 @@
   const auto word = std::find_if(kWords.begin(), kWords.end(), [&](auto& w) { return w.text == words[1]; });
   if (word == kWords.end()) return kMalformed;
   ended.outcome = word->outcome;
-  std::string_view report;
+  std::string_view report, entity;
   const bool good = EachField(words[2], [&](std::string_view name, std::string_view value) {
     if (name == "detail") {
       const auto note = std::find_if(kNotes.begin(), kNotes.end(), [&](auto& n) { return n.first == value; });
@@ -365,6 +365,8 @@
       if (at && *at >= 0 && *at < kMostMillis) ended.issued = Micros{*at * 1000};
     } else if (name == "use") {
       report = value;
+    } else if (name == "entity") {
+      entity = value;
     }
   });
   if (!good) return kMalformed;
@@ -374,8 +376,16 @@
     return kMalformed;
   }
   patience_.Took(took);
-  if (word->outcome == Outcome::kServed) {
-    served_[id] = Served{word->text == "SAME", unread.substr(end + 2, *length)};
+  const bool same = word->text == "SAME";
+  const Asked* const asked = clients_.Find(id);
+  // A client's copy is current only where the server has named that very copy.
+  if (same && (asked == nullptr || asked->cached.empty() || entity != asked->cached)) {
+    log::Warn("server.names_another_copy", {{"server", link.server}},
+              "server {}: an answer that names a copy which its client does not hold", link.server);
+    ended.outcome = Outcome::kError;
+  }
+  if (ended.outcome == Outcome::kServed) {
+    served_[id] = Served{same, unread.substr(end + 2, *length)};
   } else {
     Burn(link, ref);
   }
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -480,6 +480,24 @@
   CHECK(ended);
 }
 
+// "The client's copy is the one" holds for the copy that the client has named, and for no other.
+void ACopyIsCurrentOnlyByItsOwnName() {
+  for (const std::string& held : {std::string(",cached=4be0c1927d55a6f3"), std::string()}) {
+    World world;
+    Peer client = world.Client();
+    client.Send(Call("1", held));
+    bool first = false;
+    Peer cache = Chosen(world, &first);
+    cache.Until("\r\n\r\n");
+    cache.Send(std::string(kRef) + " SAME entity=0000c1927d55a6f3,issued=" + std::to_string(UnixMs()) +
+               " 0\r\n\r\n");
+    Peer other = (first ? world.cache_b : world.cache_a).Accept();
+    other.Until("\r\n\r\n");
+    other.Send(Ok("abc"));
+    CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+  }
+}
+
 // Thirty doormans killed at once and started again: nine in ten are ready within 10 s.
 void ThirtyComeBackAtOnce() {
   constexpr int kDoormans = 30;
@@ -570,6 +588,7 @@
         }},
        {"no_repeat_once_its_window_has_lapsed", NoRepeatOnceItsWindowHasLapsed},
        {"ends_a_connection_that_takes_no_stop", EndsAConnectionThatTakesNoStop},
+       {"a_copy_is_current_only_by_its_own_name", ACopyIsCurrentOnlyByItsOwnName},
        {"thirty_come_back_at_once", ThirtyComeBackAtOnce},
        {"serves_under_other_customers_settings", ServesUnderOtherCustomersSettings},
        {"blames_no_server_for_its_own_descriptors", BlamesNoServerForItsOwnDescriptors}},
