Answer what is open before the kill that follows SIGTERM, not only what comes after it

They are the requests in flight at caches that hang when SIGKILL comes, 3.7 s after SIGTERM: Gateway::EndsBy bounded only those that came after SIGTERM. It bounds the open ones as well now; their clients are told 150 ms before the kill.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -33,6 +33,18 @@
   out_ = nullptr;
 }
 
+void Gateway::EndsBy(Micros at) {
+  ends_by_ = at;
+  std::vector<std::uint64_t> open;  // in their order, so that equal events give equal commands
+  for (auto& [id, request] : requests_) {
+    if (request.answered || request.deadline <= LastAnswer()) continue;
+    request.deadline = LastAnswer();
+    open.push_back(id);
+  }
+  std::sort(open.begin(), open.end());
+  for (const std::uint64_t id : open) At(LastAnswer(), Due::What::kDeadline, id);
+}
+
 std::optional<Micros> Gateway::NextDue() const {
   return due_.empty() ? std::nullopt : std::optional(due_.top().at);
 }
@@ -49,9 +61,7 @@
   const std::size_t kind = static_cast<std::size_t>(event.class_id);
   const Micros whole = kind < settings_.classes.size() ? settings_.classes[kind].deadline : Micros{0};
   Micros allow = whole > Micros{0} ? std::min(event.allow, 2 * whole) : event.allow;
-  // The time an answer takes to be written after its deadline here, before SIGKILL.
-  constexpr Micros kLastWrite{150'000};
-  if (ends_by_) allow = std::clamp(*ends_by_ - kLastWrite - now_, Micros{0}, allow);
+  if (ends_by_) allow = std::clamp(LastAnswer() - now_, Micros{0}, allow);
   const Micros left = std::max(allow - options_.slack, Micros{0});
   request.deadline = now_ + left;
   ++open_;
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -122,9 +122,10 @@
   Gateway(const Settings& settings, std::uint64_t seed, Micros now, GatewayOptions options);
 
   RequestId NextId() { return RequestId{++last_id_}; }
-  // SIGKILL may come at `at`: every request that comes from now on is allowed at most until shortly
-  // before, so that none is found unanswered (clients go on using kept connections in an upgrade).
-  void EndsBy(Micros at) { ends_by_ = at; }
+  // SIGKILL may come at `at`: every request, open already or to come, is allowed at most until shortly
+  // before, so that none is found unanswered: a client that is told may ask elsewhere, one that is cut off
+  // waits.
+  void EndsBy(Micros at);
   // Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
   void Retune(const Settings& settings) {
     settings_ = settings;
@@ -192,6 +193,7 @@
   void Do(const LogLine& order) { out_->push_back(Log{order.text}); }
 
   Request* Find(RequestId id);
+  Micros LastAnswer() const { return *ends_by_ - kLastWrite; }
   void Finish(RequestId id, Request& request, Answer answer);
   void End(RequestId id, Request& request, std::uint32_t attempt, AttemptEnded how);
   void Forget(RequestId id);
@@ -203,6 +205,9 @@
   // Whether a copy given out at `issued` is older than a purge that an attempt sent at `sent` had to heed.
   bool Purged(const Request& request, Micros sent, Micros issued) const;
 
+  // The time an answer takes to be written after its deadline here, before SIGKILL.
+  static constexpr Micros kLastWrite{150'000};
+
   Settings settings_;
   std::optional<Micros> ends_by_;
   GatewayOptions options_;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -232,5 +232,23 @@
   EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kFailed) << "a refusal would promise that it never ran";
 }
 
+// What is open when SIGTERM comes is answered before SIGKILL may come, whatever its client allows, and what
+// is out is called off.
+TEST_F(GatewayTest, WhatIsOpenIsAnsweredBeforeTheKill) {
+  const RequestId id = Ask();
+  ASSERT_EQ(All<Send>().size(), 1u);
+  gateway_.EndsBy(now_ + Micros{1'000'000});
+  Tell({}, Micros{849'000});
+  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_TRUE(gateway_.MaySend(now_, id, 0));
+  Tell({}, Micros{2'000});
+  ASSERT_EQ(All<Answer>().size(), 1u);
+  EXPECT_NE(All<Answer>()[0].verdict, Verdict::kServed);
+  EXPECT_EQ(All<Stop>().size(), 1u);
+  EXPECT_EQ(gateway_.OpenRequests(), 0u);
+  Tell({}, Micros{5'000'000});  // nothing more at its own deadline
+  EXPECT_TRUE(All<Answer>().empty());
+}
+
 }  // namespace
 }  // namespace tinspan::core
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -498,6 +498,23 @@
   }
 }
 
+// A request in flight at a server that hangs, with a long deadline, when SIGTERM comes: its client is told
+// before SIGKILL may come, and may ask elsewhere.
+void AnswersBeforeTheKill() {
+  World world(0, false, "1024", "192", With(kSettings, "\"giveUpMs\":2500.0", "\"giveUpMs\":9000.0"));
+  Peer client = world.Client();
+  client.Send(Call("1", "", 8'500));
+  Peer cache = world.cache_a.Accept();
+  cache.Until("\r\n\r\n");
+  world.program->Signal(SIGTERM);
+  const auto told = UnixMs();
+  const auto answer = Answer(client);
+  CHECK(answer[1] == "later" || answer[1] == "error");
+  CHECK(UnixMs() - told < 3'700);
+  client.Close();
+  CHECK(world.program->Wait() == 0);
+}
+
 // Thirty doormans killed at once and started again: nine in ten are ready within 10 s.
 void ThirtyComeBackAtOnce() {
   constexpr int kDoormans = 30;
@@ -589,6 +606,7 @@
        {"no_repeat_once_its_window_has_lapsed", NoRepeatOnceItsWindowHasLapsed},
        {"ends_a_connection_that_takes_no_stop", EndsAConnectionThatTakesNoStop},
        {"a_copy_is_current_only_by_its_own_name", ACopyIsCurrentOnlyByItsOwnName},
+       {"answers_before_the_kill", AnswersBeforeTheKill},
        {"thirty_come_back_at_once", ThirtyComeBackAtOnce},
        {"serves_under_other_customers_settings", ServesUnderOtherCustomersSettings},
        {"blames_no_server_for_its_own_descriptors", BlamesNoServerForItsOwnDescriptors}},
