--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -21,19 +21,6 @@
                    ",lookup=7f3a9c21e0b4d655,block=0,family=17",
                body});
 }
-// Stops the program for as long as it lives; what is sent meanwhile is there at once when it goes on.
-class Stopped {
- public:
-  explicit Stopped(Program& program) : program_(program) {
-    program_.Signal(SIGSTOP);
-    int status = 0;
-    CHECK(::waitpid(program_.Pid(), &status, WUNTRACED) == program_.Pid() && WIFSTOPPED(status));
-  }
-  ~Stopped() { program_.Signal(SIGCONT); }
-
- private:
-  Program& program_;
-};
 void Healthy(Peer& client, const std::string& tag) {
   client.Send(Bulk({"RPC.HEALTH", tag, ""}));
   CHECK(Answer(client)[0] == tag);
@@ -199,19 +186,24 @@
   CHECK(world.program->Wait() == 0);
 }
 
-// A request that comes in pieces while the doorman stops is answered.
+// A request of which a piece comes just when accepting ends, and the rest after it, is answered.
 void HearsARequestOutThatComesInPieces() {
   World world;
-  Peer client = world.Client();
+  Peer client = world.Client(), other = world.Client();
   Healthy(client, "1");
+  Healthy(other, "1");
   const std::string call = Call("2");
   client.Send(call.substr(0, 20));
   world.program->Signal(SIGTERM);
   world.program->Line("stopping");
-  for (std::size_t at = 20; at < call.size(); at += 14) {  // a good second for all of it
-    client.Send(call.substr(at, 14));
-    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  {
+    const Stopped stopped(*world.program);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));  // past the end of accepting
+    client.Send(call.substr(20, 20));
+    other.Send(Bulk({"RPC.HEALTH", "2", ""}));
   }
+  CHECK(Answer(other)[1] == "closing");  // the round in which accepting ended has come
+  client.Send(call.substr(40));
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -323,6 +323,20 @@
   std::string rest_;
 };
 
+// Stops the program for as long as it lives; what is sent meanwhile is there at once when it goes on.
+class Stopped {
+ public:
+  explicit Stopped(Program& program) : program_(program) {
+    program_.Signal(SIGSTOP);
+    int status = 0;
+    CHECK(::waitpid(program_.Pid(), &status, WUNTRACED) == program_.Pid() && WIFSTOPPED(status));
+  }
+  ~Stopped() { program_.Signal(SIGCONT); }
+
+ private:
+  Program& program_;
+};
+
 using Cases = std::map<std::string, std::function<void()>>;
 inline int RunCases(const Cases& cases, int argc, char** argv) {
   const auto found = cases.find(argc > 1 ? argv[1] : "");
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -563,19 +563,24 @@
   CHECK(UnixMs() - left < 700);  // not at the deadline, 1.5 s from the start
 }
 
-// A request that begins to come before the gateway stops is answered.
+// A request of which a piece comes just when the gateway ends accepting, and the rest after it, is answered.
 void HearsOutWhoWritesWhileItStops() {
   World world;
-  Peer client = world.Client();
+  Peer client = world.Client(), other = world.Client();
   const std::string request = Get(kScan, Bearer(Token(kShared, Times(60))));
   client.Send(request.substr(0, 10));
+  other.Send(Get("/-/healthy"));
+  CHECK(Read(other).status == 200);
   world.program->Signal(SIGTERM);
   world.program->Line("stopping");
-  for (int i = 0; i < 9; ++i) {  // past the end of accepting, 0.7 s
-    std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    client.Send(request.substr(10 + i, 1));
+  {
+    const Stopped stopped(*world.program);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));  // past the end of accepting
+    client.Send(request.substr(10, 10));
+    other.Send(Get("/-/healthy"));
   }
-  client.Send(request.substr(19));
+  CHECK(Read(other).status == 503);  // the round in which accepting ended has come
+  client.Send(request.substr(20));
   Peer server = world.cache.Accept();
   Message(server);
   server.Send(Reply("200 OK", "page"));
