--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -116,6 +116,10 @@
     if (!spare) break;
     made = LetGo(clients_.at(*spare));
     if (!made) asking.push_back(*spare);
+    // Not too many are heard out at once: each still holds its descriptor.
+    const config::Limits& limits = config_.limits;
+    if (made && clients_.size() >= limits.sockets / 3 + limits.PartingSockets())
+      clients_.at(*spare).connection->Close();
   }
   for (const std::uint64_t id : asking) visitors_.Idle(id, net::Now());
   return made;
