--- a/bench/synth_records.cpp
+++ b/bench/synth_records.cpp
@@ -28,12 +28,12 @@
   Settings settings;
   for (int i = 0; i < 3; ++i) {
     ClassSettings one;
-    one.aim = Micros{400'000};
+    one.latency_objective = Micros{400'000};
     one.deadline = Micros{2'500'000};
-    one.worth = 1 + i;
+    one.priority_weight = 1 + i;
     settings.classes.push_back(one);
   }
-  settings.purge_done = Micros{6'000'000};
+  settings.purge_retention = Micros{6'000'000};
   return settings;
 }
 
@@ -78,7 +78,7 @@
  private:
   void Members(std::uint64_t from, std::uint64_t to, Availability state) {
     core::MembersTold told;
-    told.kind = MembersEvent::Kind::kPatch;
+    told.kind = EndpointsEvent::Kind::kDelta;
     told.source = "consul/shop-cache";
     told.version = ++version_;
     for (std::uint64_t id = from; id < to; ++id) {
@@ -105,7 +105,7 @@
       send.order.id = came.id;
       send.order.server = ServerId{1 + random_() % 20};
       send.order.source = ServerId{1};
-      send.order.give_up_at = kStart + now_ + came.allow;
+      send.order.expires_at = kStart + now_ + came.allow;
       commands.push_back(send);
       open_.emplace(came.id, now_ + Micros{20'000} + Micros{static_cast<std::int64_t>(random_() % 250'000)});
     }
--- a/include/tinspan/router.hpp
+++ b/include/tinspan/router.hpp
@@ -29,88 +29,88 @@
 enum class KindId : std::uint32_t {};     // a kind of machine
 enum class GroupId : std::uint64_t {};    // a group of objects that can be purged together
 
-enum class Effect { kRepeatable, kByKey, kOnce };         // what a repeated attempt does
-enum class KeyGroup { kAll, kZone, kCell };               // kByKey: the caches that drop each other's repeats
+enum class Effect { kIdempotent, kIdempotencyKey, kNonIdempotent };  // what a repeated attempt does
+enum class IdempotencyScope { kAll, kZone, kCell };       // kByKey: the caches that drop each other's repeats
 enum class SiblingScope { kOff, kLocation, kAny };        // which caches may be the source of a fill
-enum class Detail { kAll, kHit, kOff };                   // how much an outcome tells of the fill
-enum class Discovery { kPushed, kAsked };                 // whether member lists come unasked
-enum class WeightMeaning { kOff, kSize, kRough, kLive };  // what Member::weight stands for
+enum class FillDetail { kAll, kHit, kOff };               // how much an outcome tells of the fill
+enum class Discovery { kPushed, kPolled };                // whether member lists come unasked
+enum class WeightMeaning { kOff, kSize, kRough, kLive };  // what EndpointInfo::weight stands for
 
 struct ClassSettings {
-  Effect effect = Effect::kOnce;
-  KeyGroup key_group = KeyGroup::kCell;
-  Micros key_window{0};    // kByKey: how long repeats are dropped after the first attempt
-  Micros aim{0};           // an answer within this earns full worth
-  double aim_stretch = 0;  // the aim grows by this multiple of the request's own sending time
-  Micros deadline{0};      // the class's whole time; a request brings its own
-  double worth = 0;        // of one request answered within its aim
-  double late_worth = 0;   // share of the worth earned after the aim
-  double stale_worth = 0;  // share of the worth earned by a copy past its fresh time
-  Micros fresh{0};         // how long a copy is fresh; 0: until purged
-  Micros grace{0};         // how much older than fresh a copy may be asked for
-  bool parts = false;      // objects come in parts asked for in turn
-  bool write = false;      // never kept, runs at the origin
-  bool streaming = false;  // answers stream: a StartedEvent comes
+  Effect effect = Effect::kNonIdempotent;
+  IdempotencyScope idempotency_scope = IdempotencyScope::kCell;
+  Micros idempotency_window{0};          // kByKey: how long repeats are dropped after the first attempt
+  Micros latency_objective{0};           // an answer within this earns full worth
+  double latency_objective_stretch = 0;  // the aim grows by this multiple of the request's own sending time
+  Micros deadline{0};                    // the class's whole time; a request brings its own
+  double priority_weight = 0;            // of one request answered within its aim
+  double late_weight = 0;                // share of the worth earned after the aim
+  double stale_weight = 0;               // share of the worth earned by a copy past its fresh time
+  Micros freshness_lifetime{0};          // how long a copy is fresh; 0: until purged
+  Micros stale_grace{0};                 // how much older than fresh a copy may be asked for
+  bool has_parts = false;                // objects come in parts asked for in turn
+  bool is_write = false;                 // never kept, runs at the origin
+  bool is_streamed = false;              // answers stream: a ResponseStartedEvent comes
   bool operator==(const ClassSettings&) const = default;
 };
 
 struct Settings {
   std::vector<ClassSettings> classes;
-  std::uint32_t zone_count = 0;             // zones that members may stand in
-  std::uint32_t kind_count = 0;             // kinds of machine
-  ZoneId zone{0};                           // where this router stands
-  std::vector<std::uint32_t> zone_hub;      // by zone: its hub; hubs stand in a ring
-  std::vector<std::uint32_t> zone_routers;  // by zone: routers that serve it
-  std::vector<double> zone_link_kb_per_s;   // by zone: its link in; 0: not told
-  std::uint32_t routers = 0;                // in all
-  std::uint32_t router = 0;                 // this one, from 0
-  std::optional<KindId> parent_kind;        // none: there are no parents
-  std::optional<KindId> origin_kind;        // none: no origin is listed
-  SiblingScope siblings = SiblingScope::kOff;
-  Detail detail = Detail::kOff;
+  std::uint32_t zone_count = 0;                     // zones that members may stand in
+  std::uint32_t kind_count = 0;                     // kinds of machine
+  ZoneId zone{0};                                   // where this router stands
+  std::vector<std::uint32_t> zone_hubs;             // by zone: its hub; hubs stand in a ring
+  std::vector<std::uint32_t> zone_instance_counts;  // by zone: routers that serve it
+  std::vector<double> zone_link_kb_per_s;           // by zone: its link in; 0: not told
+  std::uint32_t instance_count = 0;                 // in all
+  std::uint32_t instance_index = 0;                 // this one, from 0
+  std::optional<KindId> parent_kind;                // none: there are no parents
+  std::optional<KindId> origin_kind;                // none: no origin is listed
+  SiblingScope sibling_scope = SiblingScope::kOff;
+  FillDetail fill_detail = FillDetail::kOff;
   Discovery discovery = Discovery::kPushed;
-  WeightMeaning weights = WeightMeaning::kOff;
-  bool direct = false;             // requests may go straight to a parent or the origin
-  bool can_join = false;           // a request may join a fill under way
-  bool may_duplicate = false;      // two attempts of a request may be out together
-  bool can_cancel = false;         // CancelAttempt is allowed
-  bool retry_after = false;        // advice on coming back reaches clients
-  double pace_kb_per_s = 0;        // the pace of one transfer to a client
-  std::uint32_t max_attempts = 0;  // for one request
-  Micros max_retry_after{0};       // the longest advice that clients follow
-  Micros answer_grace{0};          // after the deadline a final answer still counts
-  Micros tick{0};                  // least time between two batches of events
+  WeightMeaning weight_meaning = WeightMeaning::kOff;
+  bool can_bypass_cache = false;      // requests may go straight to a parent or the origin
+  bool can_join_fill = false;         // a request may join a fill under way
+  bool can_hedge = false;             // two attempts of a request may be out together
+  bool can_cancel = false;            // CancelAttempt is allowed
+  bool has_retry_after = false;       // advice on coming back reaches clients
+  double transfer_rate_kb_per_s = 0;  // the pace of one transfer to a client
+  std::uint32_t max_attempts = 0;     // for one request
+  Micros max_retry_after{0};          // the longest advice that clients follow
+  Micros answer_grace{0};             // after the deadline a final answer still counts
+  Micros event_interval{0};           // least time between two batches of events
   Micros connect_timeout{0};
-  Micros drain_grace{0};         // time to stop using a draining server
-  double cold_share = 0;         // least part of its capacity with which a cache starts
-  Micros warm_after{0};          // a cache is warm after this at most
-  double fall_multiple = 0;      // a cold cache sent more than this times its capacity...
-  Micros tip_after{0};           // ...for this long falls over
-  double parent_cold_share = 0;  // the same for a parent
-  Micros parent_warm_after{0};
-  double parent_fall_multiple = 0;
-  double origin_fall_multiple = 0;  // asked for more than this the origin stops; 0: never
-  Micros origin_over_for{0};        // ...when that lasts this long
-  Micros purge_grace{0};            // time to heed a purge
-  Micros purge_done{0};             // after this no older copy is left anywhere
+  Micros drain_window{0};                    // time to stop using a draining server
+  double initial_capacity_share = 0;         // least part of its capacity with which a cache starts
+  Micros warm_up_time{0};                    // a cache is warm after this at most
+  double overload_multiple = 0;              // a cold cache sent more than this times its capacity...
+  Micros overload_window{0};                 // ...for this long falls over
+  double parent_initial_capacity_share = 0;  // the same for a parent
+  Micros parent_warm_up_time{0};
+  double parent_overload_multiple = 0;
+  double origin_overload_multiple = 0;  // asked for more than this the origin stops; 0: never
+  Micros origin_overload_window{0};     // ...when that lasts this long
+  Micros purge_window{0};               // time to heed a purge
+  Micros purge_retention{0};            // after this no older copy is left anywhere
 };
 
-enum class Availability { kUp, kDraining, kGone };
+enum class Availability { kUp, kDraining, kRemoved };
 
-struct Member {
+struct EndpointInfo {
   ServerId id{};
   double weight = 1;  // see Settings::weights
   Availability availability = Availability::kUp;
   std::uint32_t cell = 0;
   KindId kind{};
   ZoneId zone{};
-  Micros started{0};  // clock time of its last start; 0: long ago
+  Micros started_at{0};  // clock time of its last start; 0: long ago
 };
 
 // ---- Events. ----
-struct MembersEvent {
-  enum class Kind { kPatch, kFull, kStale, kBroken } kind = Kind::kFull;  // kStale: full, perhaps old
-  std::span<const Member> members{};                                      // read during the call only
+struct EndpointsEvent {
+  enum class Kind { kDelta, kFull, kStale, kWatchBroken } kind = Kind::kFull;  // kStale: full, perhaps old
+  std::span<const EndpointInfo> endpoints{};                                   // read during the call only
 };
 struct RequestEvent {
   RequestId id{};
@@ -119,14 +119,24 @@
   GroupId group{};
   ObjectId object{};
   std::uint32_t part = 0;
-  double size_kb = 0;   // 0: not told
-  bool repeat = false;  // the client marked it as a repeat
+  double size_kb = 0;     // 0: not told
+  bool is_retry = false;  // the client marked it as a repeat
 };
-struct StartedEvent {  // a streamed answer has begun; the attempt belongs to the client now
+struct ResponseStartedEvent {  // a streamed answer has begun; the attempt belongs to the client now
   RequestId id{};
   std::uint32_t attempt = 0;
 };
-enum class Outcome { kServed, kError, kFull, kTimedOut, kConnectFailed, kReset, kCancelled, kNotSent, kMiss };
+enum class Outcome {
+  kServed,
+  kError,
+  kRejected,
+  kTimedOut,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kNotSent,
+  kMiss
+};
 enum class FillNote {  // what an outcome tells of the fill
   kNone,
   kHit,
@@ -134,28 +144,28 @@
   kFilledViaOrigin,
   kJoined,
   kStaleHit,
-  kSourceRefused,
-  kSourceUnreached,
-  kSourceLacks,
-  kNoFillPlace,
+  kSourceRejected,
+  kSourceUnreachable,
+  kSourceMiss,
+  kNoFillSlot,
   kOriginFailed
 };
 struct LoadReport {
-  std::optional<double> in_flight{};  // requests held
-  std::optional<double> hit_share{};  // recent share of hits
-  std::optional<double> link_use{};   // cache: fullness of its location's link; parent: fetches out
+  std::optional<double> in_flight{};         // requests held
+  std::optional<double> hit_ratio{};         // recent share of hits
+  std::optional<double> link_utilization{};  // cache: fullness of its location's link; parent: fetches out
 };
 struct OutcomeEvent {
   RequestId id{};
   std::uint32_t attempt = 0;  // counted from 0 in the order sent
   Outcome outcome = Outcome::kServed;
-  Micros elapsed{0};      // since it was sent
-  bool finished = false;  // the request has had its final answer
+  Micros elapsed{0};         // since it was sent
+  bool is_finished = false;  // the request has had its final answer
   FillNote note = FillNote::kNone;
   std::optional<Micros> fill_wait{};  // until the source's first byte, or its failure
   LoadReport load{};
 };
-struct HangupEvent {
+struct ClientDisconnectedEvent {
   RequestId id{};
 };  // the client left; nothing is owed any more
 struct TimerEvent {
@@ -171,20 +181,20 @@
 struct SendAttempt {
   RequestId id{};
   ServerId server{};
-  ServerId source{};          // where a miss is filled from; the server itself: no fill
-  Micros give_up_at{0};       // clock time
-  Micros max_age{0};          // oldest copy that will do; 0: the class's own limit
-  std::uint8_t keep = 0;      // 0 no copy, else the rank 1 to 3
-  bool join = false;          // join a fill under way
-  bool source_holds = false;  // the source gives only what it holds
-  bool pass_parent = false;   // the parent keeps no copy
-  bool renew = false;         // an ageing copy is served and fetched anew behind
+  ServerId source{};                // where a miss is filled from; the server itself: no fill
+  Micros expires_at{0};             // clock time
+  Micros max_age{0};                // oldest copy that will do; 0: the class's own limit
+  std::uint8_t cache_rank = 0;      // 0 no copy, else the rank 1 to 3
+  bool join_fill = false;                // join a fill under way
+  bool source_cached_only = false;  // the source gives only what it holds
+  bool bypass_parent = false;       // the parent keeps no copy
+  bool revalidate = false;               // an ageing copy is served and fetched anew behind
 };
 struct CancelAttempt {
   RequestId id{};
   std::uint32_t attempt = 0;
 };
-struct Refuse {
+struct Reject {
   RequestId id{};
   Micros retry_after{0};
 };  // final; a retry is harmless; 0: no advice
@@ -199,7 +209,7 @@
 struct LogLine {
   std::string text;
 };
-using Action = std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SetTimer, Subscribe, LogLine>;
+using Action = std::variant<SendAttempt, CancelAttempt, Reject, Fail, SetTimer, Subscribe, LogLine>;
 using Actions = std::vector<Action>;
 
 class Router {
@@ -212,11 +222,11 @@
   // New settings for what comes from now on. Classes only grow: a class that is added or changed comes
   // after those there were, and requests that are open keep their class and their number of attempts.
   void Retune(const Settings& settings);
-  void Handle(Micros now, const MembersEvent& event, Actions& out);
+  void Handle(Micros now, const EndpointsEvent& event, Actions& out);
   void Handle(Micros now, const RequestEvent& event, Actions& out);
-  void Handle(Micros now, const StartedEvent& event, Actions& out);
+  void Handle(Micros now, const ResponseStartedEvent& event, Actions& out);
   void Handle(Micros now, const OutcomeEvent& event, Actions& out);
-  void Handle(Micros now, const HangupEvent& event, Actions& out);
+  void Handle(Micros now, const ClientDisconnectedEvent& event, Actions& out);
   void Handle(Micros now, const TimerEvent& event, Actions& out);
   void Handle(Micros now, const PurgeEvent& event, Actions& out);
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -92,8 +92,8 @@
 Odds& At(std::array<Odds, kOddsValues>& odds, int value) { return odds[std::min(value, kOddsValues - 1)]; }
 
 bool ProvesNotRun(Outcome outcome) {
-  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent ||
-         outcome == Outcome::kMiss;
+  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
 }
 }  // namespace
 
@@ -141,7 +141,7 @@
   explicit Brain(const Settings& settings) : settings_(settings) {
     CheckSettings(settings_);
     for (const ClassSettings& one : settings_.classes) {
-      sends_.push_back(Sec(one.aim));  // until seen, high: errs on the careful side
+      sends_.push_back(Sec(one.latency_objective));  // until seen, high: errs on the careful side
     }
   }
 
@@ -150,13 +150,13 @@
     CheckSettings(settings);
     settings_ = settings;
     for (std::size_t i = sends_.size(); i < settings_.classes.size(); ++i)
-      sends_.push_back(Sec(settings_.classes[i].aim));
+      sends_.push_back(Sec(settings_.classes[i].latency_objective));
   }
 
   void Start(Micros now, Actions& out) {
     Begin(now, out);
     began_ = now_;
-    if (settings_.discovery == Discovery::kAsked) Emit(Subscribe{});
+    if (settings_.discovery == Discovery::kPolled) Emit(Subscribe{});
   }
 
   // Every event enters here: the clock never goes back, and outdated purges are dropped.
@@ -190,7 +190,8 @@
     return server.known && server.member.availability == Availability::kUp;
   }
   double Told(const Server& server) const {  // its size, or 0
-    const bool size = settings_.weights == WeightMeaning::kSize || settings_.weights == WeightMeaning::kRough;
+    const bool size =
+        settings_.weight_meaning == WeightMeaning::kSize || settings_.weight_meaning == WeightMeaning::kRough;
     return size ? std::max(0.0, server.member.weight) : 0.0;
   }
   double Weight(const Server& server) const { return Told(server) > 0 ? Told(server) : 1.0; }
@@ -273,7 +274,7 @@
   }
   // The part of the room open to a request: little worth for its sending time is turned away first.
   double Share(const Request& request) const {
-    const double density = ClassOf(request).worth / std::max(OwnSend(request), 1e-3);
+    const double density = ClassOf(request).priority_weight / std::max(OwnSend(request), 1e-3);
     const double mean = mean_worth_ / std::max(mean_send_, 1e-3);
     return std::clamp(kLeastShare + (1 - kLeastShare) * density / std::max(mean, 1e-9), kLeastShare,
                       kMostShare);
@@ -282,14 +283,15 @@
   // ---- Cold-start budgets. ----
   // The part of its capacity that a server has by now.
   double ColdShare(const Server& server) const {
-    if (server.role == Role::kOrigin || server.member.started <= Micros{0}) return 1;
+    if (server.role == Role::kOrigin || server.member.started_at <= Micros{0}) return 1;
     const bool parent = server.role == Role::kParent;
-    const double from = parent ? settings_.parent_cold_share : settings_.cold_share;
-    const Micros warm = parent ? settings_.parent_warm_after : settings_.warm_after;
-    return std::min(1.0, from + (1 - from) * Sec(now_ - server.member.started) / std::max(Sec(warm), 1e-3));
+    const double from = parent ? settings_.parent_initial_capacity_share : settings_.initial_capacity_share;
+    const Micros warm = parent ? settings_.parent_warm_up_time : settings_.warm_up_time;
+    return std::min(1.0,
+                    from + (1 - from) * Sec(now_ - server.member.started_at) / std::max(Sec(warm), 1e-3));
   }
   bool IsCold(const Server& server) const { return ColdShare(server) < 1; }
-  double WorkSpan() const { return 4 * std::max(Sec(settings_.tip_after), 0.5); }
+  double WorkSpan() const { return 4 * std::max(Sec(settings_.overload_window), 0.5); }
   double WorkOf(const Server& server) const {
     return server.work * std::exp(-Sec(now_ - server.work_at) / WorkSpan());
   }
@@ -301,13 +303,14 @@
   double Routers(bool own_zone) const {
     const std::size_t zone = Number(settings_.zone);
     // Told that none serves our own location, we know better: then all may.
-    const bool told = own_zone && zone < settings_.zone_routers.size() && settings_.zone_routers[zone] > 0;
-    return std::max(1u, told ? settings_.zone_routers[zone] : settings_.routers);
+    const bool told =
+        own_zone && zone < settings_.zone_instance_counts.size() && settings_.zone_instance_counts[zone] > 0;
+    return std::max(1u, told ? settings_.zone_instance_counts[zone] : settings_.instance_count);
   }
   // This router's part of a warm server's capacity, in sending time a second: the told size over the
   // routers that send there, else what warm ones of the role get from us (low: they are not full).
   double Part(const Server& server) const {
-    const double part = settings_.weights == WeightMeaning::kRough ? kRoughPart : 1.0;
+    const double part = settings_.weight_meaning == WeightMeaning::kRough ? kRoughPart : 1.0;
     if (Told(server) > 0) return part * Told(server) / Routers(server.role == Role::kCache);
     return borne_[static_cast<int>(server.role)];
   }
@@ -328,18 +331,18 @@
     // Many routers hear of a start at once: each begins in debt by its own place among them, up to one
     // request, so that their first requests come as evenly as their budgets allow, summed over all.
     // What was not sent before we ourselves started is not made up for: all that start late would at once.
-    const Micros since = std::max(server.member.started, began_);
+    const Micros since = std::max(server.member.started_at, began_);
     if (server.budget_at < since) {
-      const double golden = 0.6180339887498949 * (settings_.router + 1.0);
+      const double golden = 0.6180339887498949 * (settings_.instance_index + 1.0);
       const double place = golden + static_cast<double>(Mix(Id(server), 0) >> 11) * 0x1p-53;
       server.budget = -(place - std::floor(place)) * *std::max_element(sends_.begin(), sends_.end());
       server.budget_at = since;
     }
     const bool parent = server.role == Role::kParent;
-    const double multiple = parent ? settings_.parent_fall_multiple : settings_.fall_multiple;
+    const double multiple = parent ? settings_.parent_overload_multiple : settings_.overload_multiple;
     const double rate = std::min(1.0, kColdPart * multiple) * ColdShare(server) * Part(server);
     server.budget += rate * Sec(now_ - server.budget_at);
-    server.budget = std::min(server.budget, kColdBurst * rate * Sec(settings_.tip_after));
+    server.budget = std::min(server.budget, kColdBurst * rate * Sec(settings_.overload_window));
     server.budget_at = now_;
     return server.budget > 0;
   }
@@ -351,7 +354,7 @@
     const std::uint64_t key = event.object ? Number(*event.object) : Number(event.group);
     const auto [place, added] = table.try_emplace(key, at);
     if (!added) place->second = std::max(place->second, at);
-    purge_queue_.push_back({now_ + settings_.purge_done, event.object.has_value(), key, at});
+    purge_queue_.push_back({now_ + settings_.purge_retention, event.object.has_value(), key, at});
   }
   void ForgetPurges() {
     while (!purge_queue_.empty() && purge_queue_.front().until < now_) {
@@ -389,7 +392,7 @@
   // The top sibling where the chance of an avoidable miss reaches epsilon, else nobody. Departures: no
   // sibling within a purge's ledger time (counts stand for void copies), no suspected or cold one.
   int TopSibling(const Request& request, int server, int& value) {
-    if (settings_.siblings == SiblingScope::kOff || LastPurge(request.event)) return kNobody;
+    if (settings_.sibling_scope == SiblingScope::kOff || LastPurge(request.event)) return kNobody;
     const std::uint64_t key = Key(request.event);
     int best = kNobody;
     double all_lack = 1;
@@ -410,7 +413,7 @@
   // left, the origin where none is left. A server that may fill from nobody is its own source.
   int Upward(const Request& request, int server) {
     int last = kNobody;
-    if (!ClassOf(request).write) {
+    if (!ClassOf(request).is_write) {
       for (const int place : Order(Role::kParent, request.event.object)) {
         if (!Affords(servers_[place])) continue;
         if (!servers_[place].suspect || TrialDue(servers_[place])) return place;
@@ -429,11 +432,11 @@
     const ClassSettings& one = ClassOf(request);
     if (request.ended || request.streaming || now_ >= request.deadline) return false;
     if (request.attempts.size() >= request.most_attempts) return false;
-    if (request.Out() > 0 && (!settings_.may_duplicate || one.effect != Effect::kRepeatable)) return false;
+    if (request.Out() > 0 && (!settings_.can_hedge || one.effect != Effect::kIdempotent)) return false;
     if (!EffectAllows(request, place)) return false;
     if (!Usable(server) || !Affords(server)) return false;
     const bool direct = server.role != Role::kCache;
-    if (direct && (!settings_.direct || server.role == Role::kForeign)) return false;
+    if (direct && (!settings_.can_bypass_cache || server.role == Role::kForeign)) return false;
 
     Attempt attempt{.server = place, .source = place, .sent = now_};
     const bool home = !request.order.empty() && place == request.order[0];
@@ -441,7 +444,7 @@
     const int summary = Summary(place, key);
     if (!direct) {
       int value = 0;
-      const bool ask = !one.write && home && summary == 0 && !request.sibling_failed;
+      const bool ask = !one.is_write && home && summary == 0 && !request.sibling_failed;
       attempt.source = ask ? TopSibling(request, place, value) : kNobody;
       attempt.sibling_value = attempt.source == kNobody ? 0 : value;
       if (attempt.source == kNobody) attempt.source = Upward(request, place);
@@ -449,7 +452,7 @@
     Server& source = servers_[attempt.source];
     attempt.value = summary;
     const Odds& odds = direct ? parent_odds_ : At(hit_odds_, summary);
-    attempt.fill_chance = attempt.source == place ? 0.0 : one.write ? 1.0 : 1 - odds.Share();
+    attempt.fill_chance = attempt.source == place ? 0.0 : one.is_write ? 1.0 : 1 - odds.Share();
     if (!HasRoom(server, request)) return false;
     if (attempt.fill_chance > kLikely && !HasRoom(source, request)) return false;
     // Departure: the location's link in has a room of its own. With many parents theirs add up to far more
@@ -461,7 +464,7 @@
     // An origin in trouble, or without room, is spared: parents give only what they hold, misses are
     // given up at once, copies past fresh time serve; single requests try the origin. Guards against
     // slow, failing and overrun origins alike; harms if the origin is blamed for what a parent does.
-    const int origin = one.write || source.role != Role::kParent ? kNobody : Origin();
+    const int origin = one.is_write || source.role != Role::kParent ? kNobody : Origin();
     if (origin != kNobody) {
       Server& behind = servers_[origin];
       attempt.spare = behind.suspect ? !TrialDue(behind) : !HasRoom(behind, request);
@@ -485,23 +488,25 @@
     SendAttempt action{.id = request.event.id,
                        .server = server.member.id,
                        .source = source.member.id,
-                       .give_up_at = request.deadline};
+                       .expires_at = request.deadline};
     const std::optional<Micros> purge = LastPurge(request.event);
     const bool trouble = attempt.spare || (source.suspect && source.role != Role::kCache);
-    action.max_age = trouble && one.grace > Micros{0} ? one.fresh + one.grace : Micros{0};
+    action.max_age =
+        trouble && one.stale_grace > Micros{0} ? one.freshness_lifetime + one.stale_grace : Micros{0};
     if (purge) {
-      Micros limit = std::max(now_ - *purge - settings_.tick, Micros{1});
-      if (one.fresh > Micros{0})
-        limit = std::min(limit, action.max_age > Micros{0} ? action.max_age : one.fresh);
+      Micros limit = std::max(now_ - *purge - settings_.event_interval, Micros{1});
+      if (one.freshness_lifetime > Micros{0})
+        limit = std::min(limit, action.max_age > Micros{0} ? action.max_age : one.freshness_lifetime);
       action.max_age = limit;
     }
-    if (!one.write) {
-      action.keep = direct ? 0 : static_cast<std::uint8_t>(summary > 0 ? 2 : 1);
-      action.join = settings_.can_join && !purge;  // a fill under way may have begun before the purge
+    if (!one.is_write) {
+      action.cache_rank = direct ? 0 : static_cast<std::uint8_t>(summary > 0 ? 2 : 1);
+      action.join_fill =
+          settings_.can_join_fill && !purge;  // a fill under way may have begun before the purge
       // A copy renewed behind a hit is a fill that nothing tells of: none at a source that is cold.
-      action.renew = one.fresh > Micros{0} && !purge && !attempt.spare && !IsCold(source);
-      action.source_holds = attempt.spare;
-      if (action.keep > 0 && server.counter) server.counter->Count(key);
+      action.revalidate = one.freshness_lifetime > Micros{0} && !purge && !attempt.spare && !IsCold(source);
+      action.source_cached_only = attempt.spare;
+      if (action.cache_rank > 0 && server.counter) server.counter->Count(key);
     }
     request.attempts.push_back(attempt);
     Emit(action);
@@ -513,25 +518,27 @@
   // Rule on effects: where may the next attempt go, given what may have run already?
   bool EffectAllows(const Request& request, int place) const {
     const ClassSettings& one = ClassOf(request);
-    if (one.effect == Effect::kRepeatable) return true;
+    if (one.effect == Effect::kIdempotent) return true;
     if (request.ran_at == kNobody) return request.Out() == 0;
-    if (one.effect == Effect::kOnce) return false;
+    if (one.effect == Effect::kNonIdempotent) return false;
     const Attempt& first = request.attempts[request.ran_at];
-    if (now_ - first.sent >= one.key_window) return false;
-    const Member& a = servers_[first.server].member;
-    const Member& b = servers_[place].member;
-    return one.key_group == KeyGroup::kAll || (one.key_group == KeyGroup::kZone && a.zone == b.zone) ||
-           (one.key_group == KeyGroup::kCell && a.zone == b.zone && a.cell == b.cell);
+    if (now_ - first.sent >= one.idempotency_window) return false;
+    const EndpointInfo& a = servers_[first.server].member;
+    const EndpointInfo& b = servers_[place].member;
+    return one.idempotency_scope == IdempotencyScope::kAll ||
+           (one.idempotency_scope == IdempotencyScope::kZone && a.zone == b.zone) ||
+           (one.idempotency_scope == IdempotencyScope::kCell && a.zone == b.zone && a.cell == b.cell);
   }
   double OwnSend(const Request& request) const {
-    if (request.event.size_kb > 0 && settings_.pace_kb_per_s > 0) {
-      return request.event.size_kb / settings_.pace_kb_per_s;
+    if (request.event.size_kb > 0 && settings_.transfer_rate_kb_per_s > 0) {
+      return request.event.size_kb / settings_.transfer_rate_kb_per_s;
     }
     return sends_[Number(request.event.class_id)];
   }
   double Aim(const Request& request) const {
     const ClassSettings& one = ClassOf(request);
-    return std::min(Sec(one.aim) + one.aim_stretch * OwnSend(request), Sec(one.deadline));
+    return std::min(Sec(one.latency_objective) + one.latency_objective_stretch * OwnSend(request),
+                    Sec(one.deadline));
   }
   // An attempt is looked at once its aim is past (sooner accuses servers wrongly), then after each further
   // aim; it is moved only if its server or source looks dead.
@@ -554,10 +561,10 @@
     // for once more. Then silence must first make its server suspected.
     const bool move =
         (silent && tardy_ < kTardy) || servers_[attempt.server].suspect || servers_[attempt.source].suspect;
-    if (move && ClassOf(request).effect != Effect::kOnce && settings_.can_cancel && further_ >= 1) {
+    if (move && ClassOf(request).effect != Effect::kNonIdempotent && settings_.can_cancel && further_ >= 1) {
       attempt.cancelled = true;
       Emit(CancelAttempt{request.event.id, static_cast<std::uint32_t>(index)});
-      if (settings_.may_duplicate) Further(request);
+      if (settings_.can_hedge) Further(request);
     } else {
       Agenda(now_ + FromSec(Aim(request)), request.event.id, index);
     }
@@ -581,9 +588,9 @@
     const bool lost = std::none_of(request.order.begin(), request.order.end(), [&](int place) {
       return !tried(place) && !servers_[place].suspect && Affords(servers_[place]);
     });
-    if (settings_.direct) {
+    if (settings_.can_bypass_cache) {
       for (const Role role : {Role::kParent, Role::kOrigin}) {
-        if (ClassOf(request).write ? role == Role::kParent : role == Role::kOrigin && !lost) continue;
+        if (ClassOf(request).is_write ? role == Role::kParent : role == Role::kOrigin && !lost) continue;
         for (const int place : Order(role, request.event.object)) {
           if (!tried(place) && !servers_[place].suspect && Send(request, place)) return true;
         }
@@ -604,11 +611,11 @@
     if (request.ended) return;
     const ClassSettings& one = ClassOf(request);
     const bool clean = request.ran_at == kNobody && request.Out() == 0;
-    const bool refusable = one.effect == Effect::kRepeatable || clean ||
-                           (one.effect == Effect::kByKey && one.key_group == KeyGroup::kAll);
+    const bool refusable = one.effect == Effect::kIdempotent || clean ||
+                           (one.effect == Effect::kIdempotencyKey && one.idempotency_scope == IdempotencyScope::kAll);
     request.ended = true;
     if (refusable) {
-      Emit(Refuse{request.event.id, settings_.retry_after ? settings_.max_retry_after : Micros{0}});
+      Emit(Reject{request.event.id, settings_.has_retry_after ? settings_.max_retry_after : Micros{0}});
     } else {
       Emit(Fail{request.event.id});
     }
@@ -630,13 +637,13 @@
     Request& request = requests_[Number(event.id)];
     request.event = event;
     request.most_attempts = settings_.max_attempts;
-    request.deadline = now_ + std::max(event.time_left, Micros{0}) - settings_.tick;
+    request.deadline = now_ + std::max(event.time_left, Micros{0}) - settings_.event_interval;
     // Departure, in classes with parts only: the cache is hashed by what a copy is of, object and part, so
     // that a client's train of parts does not clump at one cache. The parent stays hashed by the object.
-    const bool parts = ClassOf(request).parts && event.part > 0;
+    const bool parts = ClassOf(request).has_parts && event.part > 0;
     request.order = Order(Role::kCache, parts ? ObjectId{Key(event)} : event.object);
     if (OwnSend(request) <= Sec(ClassOf(request).deadline)) {  // else it is no measure for others
-      mean_worth_ += kMean * (ClassOf(request).worth - mean_worth_);
+      mean_worth_ += kMean * (ClassOf(request).priority_weight - mean_worth_);
       mean_send_ += kMean * (OwnSend(request) - mean_send_);
       MeanSend(request) += kMean * (OwnSend(request) - MeanSend(request));
     }
@@ -664,7 +671,7 @@
       AddWork(inlet_, kGhost * attempt.inlet_chance);
     }
     Unload(attempt);
-    const double use = event.load.link_use.value_or(-1);
+    const double use = event.load.link_utilization.value_or(-1);
     if (use >= 0 && use <= kLinkMost && servers_[attempt.server].role == Role::kCache) {  // else it cannot be
       link_use_ += (now_ - link_told_ < kReportLasts ? kReportWeight : 1) * (use - link_use_);
       link_told_ = now_;
@@ -672,7 +679,7 @@
     Judge(request, attempt, event);
     attempt.erred = event.outcome == Outcome::kError && event.note == FillNote::kNone;
     request.served = event.outcome == Outcome::kServed;
-    if (event.finished || event.outcome == Outcome::kServed) request.ended = true;
+    if (event.is_finished || event.outcome == Outcome::kServed) request.ended = true;
     if (!ProvesNotRun(event.outcome) && request.ran_at == kNobody) {
       request.ran_at = static_cast<int>(event.attempt);
     }
@@ -691,7 +698,7 @@
     const bool has_source = attempt.source != attempt.server;
     const bool served = event.outcome == Outcome::kServed;
     const bool filled = note == FillNote::kFilled || note == FillNote::kFilledViaOrigin;
-    const bool source_failed = note == FillNote::kSourceRefused || note == FillNote::kSourceUnreached;
+    const bool source_failed = note == FillNote::kSourceRejected || note == FillNote::kSourceUnreachable;
     Server& server = servers_[attempt.server];
     if (served) {
       Observe(attempt.server, false, kLight);
@@ -707,7 +714,7 @@
         Server& filler = servers_[far ? attempt.origin : attempt.source];
         // Where notes do not tell the way, a fill that was free to go by the origin speaks for it by the
         // chance that it did: else a suspicion of the origin would never end.
-        const bool told = settings_.detail == Detail::kAll;
+        const bool told = settings_.fill_detail == FillDetail::kAll;
         if (!told && !far && attempt.origin != kNobody && !attempt.spare) {
           Observe(attempt.origin, false, kLight * (1 - parent_odds_.Share()));
         }
@@ -715,8 +722,10 @@
         // Where sizes are not told, a large object looks slow: the wait for its first byte must be long too.
         const bool sized = request.event.size_kb > 0 || !event.fill_wait;
         const double wait = Sec(event.fill_wait.value_or(Micros{0}));
-        LearnRoom(filler, sized ? ratio > kSlowFill : ratio > 1 && wait > kSlow * Sec(ClassOf(request).aim),
-                  kFillCut);
+        LearnRoom(
+            filler,
+            sized ? ratio > kSlowFill : ratio > 1 && wait > kSlow * Sec(ClassOf(request).latency_objective),
+            kFillCut);
         // A fill that waited for most of its time speaks of its source, not of the link in.
         if (attempt.inlet_chance > 0)
           LearnRoom(inlet_, ratio > kSlowFill && wait < Sec(event.elapsed) / 2, kFillCut);
@@ -724,7 +733,7 @@
         LearnRoom(server, ratio > kSlow, kRoomCut);
       }
       if (note != FillNote::kNone) At(hit_odds_, attempt.value).Learn(!filled);
-      if (request.event.size_kb <= 0 && (note == FillNote::kHit || settings_.detail == Detail::kOff)) {
+      if (request.event.size_kb <= 0 && (note == FillNote::kHit || settings_.fill_detail == FillDetail::kOff)) {
         MeanSend(request) += kMean * (Sec(event.elapsed) - MeanSend(request));
       }
     } else if (source_failed || note == FillNote::kOriginFailed) {
@@ -732,11 +741,11 @@
       const int blamed = note == FillNote::kOriginFailed ? Origin() : has_source ? attempt.source : kNobody;
       if (blamed != kNobody) LearnRoom(servers_[blamed], true, kRoomFull);
       // A source that refuses is alive and full, not ill.
-      if (blamed != kNobody && note != FillNote::kSourceRefused) Observe(blamed, true, kLight);
-    } else if (event.outcome == Outcome::kFull) {
+      if (blamed != kNobody && note != FillNote::kSourceRejected) Observe(blamed, true, kLight);
+    } else if (event.outcome == Outcome::kRejected) {
       server.heard = now_;
       // Without a place for a fill it is the link in that is jammed: hits may go on.
-      LearnRoom(note == FillNote::kNoFillPlace ? inlet_ : server, true, kRoomFull);
+      LearnRoom(note == FillNote::kNoFillSlot ? inlet_ : server, true, kRoomFull);
     } else if (event.outcome == Outcome::kConnectFailed) {
       Observe(attempt.server, true, kStrong);
     } else if (event.outcome == Outcome::kError) {
@@ -754,12 +763,12 @@
       if (inlet_.late > kJam && attempt.inlet_chance > kLikely) Narrow(inlet_, kFillCut);
     } else if (event.outcome == Outcome::kMiss) {
       Observe(attempt.server, false, kLight);
-      if (attempt.spare && settings_.detail != Detail::kAll) parent_odds_.Learn(false);
+      if (attempt.spare && settings_.fill_detail != FillDetail::kAll) parent_odds_.Learn(false);
     }
     if (attempt.sibling_value > 0) {
       Odds& odds = At(odds_, attempt.sibling_value);
       if (served && filled) odds.Learn(true);
-      if (note == FillNote::kSourceLacks) odds.Learn(false);
+      if (note == FillNote::kSourceMiss) odds.Learn(false);
       if (!served) request.sibling_failed = true;
     }
     const bool untouched = note == FillNote::kHit || note == FillNote::kStaleHit || note == FillNote::kJoined;
@@ -784,12 +793,12 @@
     }
   }
 
-  void Take(const StartedEvent& event) {
+  void Take(const ResponseStartedEvent& event) {
     const auto found = requests_.find(Number(event.id));
     if (found != requests_.end()) found->second.streaming = true;
   }
 
-  void Take(const HangupEvent& event) {
+  void Take(const ClientDisconnectedEvent& event) {
     const auto found = requests_.find(Number(event.id));
     if (found == requests_.end()) return;
     found->second.ended = true;
@@ -828,16 +837,16 @@
     Arm();
   }
 
-  void Take(const MembersEvent& event) {
-    if (event.kind == MembersEvent::Kind::kBroken) {
+  void Take(const EndpointsEvent& event) {
+    if (event.kind == EndpointsEvent::Kind::kWatchBroken) {
       return Agenda(now_ + kGapGrowth * settings_.connect_timeout, RequestId{}, kSubscribe);
     }
-    if (event.kind != MembersEvent::Kind::kPatch) {
-      for (Server& server : servers_) server.member.availability = Availability::kGone;
+    if (event.kind != EndpointsEvent::Kind::kDelta) {
+      for (Server& server : servers_) server.member.availability = Availability::kRemoved;
     }
-    for (const Member& member : event.members) Learn(member);
+    for (const EndpointInfo& member : event.endpoints) Learn(member);
     for (Server& server : servers_) {  // slots of departed servers are used again
-      if (server.known && server.member.availability == Availability::kGone && server.out == 0 &&
+      if (server.known && server.member.availability == Availability::kRemoved && server.out == 0 &&
           server.fills < 1e-9 && servers_.size() > kSlotsKept) {
         places_.erase(Id(server));
         server = Server{};
@@ -857,7 +866,7 @@
     if (inlet_.room == 0 && here > 0) inlet_.room = FirstRoom(kInletPart * static_cast<double>(here), true);
   }
 
-  void Learn(const Member& member) {
+  void Learn(const EndpointInfo& member) {
     const std::uint64_t id = Number(member.id);
     const auto known = places_.find(id);
     int place = known == places_.end() ? kNobody : known->second;
@@ -868,7 +877,7 @@
       places_[id] = place;
     }
     Server& server = servers_[place];
-    if (server.known && server.member.started != member.started) {  // restarted: empty, cold, blameless
+    if (server.known && server.member.started_at != member.started_at) {  // restarted: empty, cold, blameless
       const Server old = std::exchange(server, Server{});
       server.out = old.out;
       server.fills = old.fills;
@@ -961,11 +970,11 @@
     brain_->Begin(now, out);                                          \
     brain_->Take(event);                                              \
   }
-TINSPAN_HANDLE(MembersEvent)
+TINSPAN_HANDLE(EndpointsEvent)
 TINSPAN_HANDLE(RequestEvent)
-TINSPAN_HANDLE(StartedEvent)
+TINSPAN_HANDLE(ResponseStartedEvent)
 TINSPAN_HANDLE(OutcomeEvent)
-TINSPAN_HANDLE(HangupEvent)
+TINSPAN_HANDLE(ClientDisconnectedEvent)
 TINSPAN_HANDLE(TimerEvent)
 TINSPAN_HANDLE(PurgeEvent)
 #undef TINSPAN_HANDLE
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -411,7 +411,7 @@
     ReadLimits(root, out.limits);
     ReadSettings(Need(root, "settings", "settings"), out);
     // Answers are passed on while they come: a begun one has no deadline, and the module is told so.
-    for (ClassSettings& one : out.site.settings.classes) one.streaming = true;
+    for (ClassSettings& one : out.site.settings.classes) one.is_streamed = true;
     out.slack = MillisOr(root, "slack_ms", "slack_ms", out.slack);
     out.origin = text("origin");
     const std::size_t scheme = out.origin.find("://");
--- a/src/console/screen.cpp
+++ b/src/console/screen.cpp
@@ -163,7 +163,7 @@
 
 struct ServerRow {
   std::string name, kind;
-  Availability state = Availability::kGone;
+  Availability state = Availability::kRemoved;
   Micros word{0};  // when an instance last told of it
   bool cold = false;
   ServerCell cell;
@@ -180,8 +180,8 @@
       if (change.at < row.word) continue;
       row.word = change.at;
       row.state = change.state;
-      row.cold = change.state == Availability::kUp && change.before == Availability::kGone && !change.first &&
-                 at - change.at < kCold;
+      row.cold = change.state == Availability::kUp && change.before == Availability::kRemoved &&
+                 !change.first && at - change.at < kCold;
     }
     if (at - life->last > kStale) continue;
     for (const auto& [server, bins] : life->servers) {
@@ -223,7 +223,7 @@
                         row.kind.c_str(), state, Age(at - row.word).c_str(), row.cell.attempts / bin,
                         Percent(row.cell.bad, row.cell.attempts).c_str(),
                         Percent(row.cell.full, row.cell.attempts).c_str(), row.out),
-                   row.state == Availability::kGone        ? Style::kSoft
+                   row.state == Availability::kRemoved     ? Style::kSoft
                    : row.state == Availability::kDraining  ? Style::kWarn
                    : row.cell.bad * 10 > row.cell.attempts ? Style::kBad
                                                            : Style::kPlain});
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -11,8 +11,8 @@
   return static_cast<std::uint64_t>(id);
 }
 bool ProvesNotRun(Outcome outcome) {
-  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent ||
-         outcome == Outcome::kMiss;
+  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
 }
 Actions& StartActions() {
   static thread_local Actions actions;  // scratch for the Router's constructor; emptied by Gateway's
@@ -73,7 +73,7 @@
                    .object = event.object,
                    .part = event.part,
                    .size_kb = event.size_kb,
-                   .repeat = event.repeat});
+                   .is_retry = event.is_retry});
   Forget(event.id);
 }
 
@@ -82,7 +82,7 @@
   if (request == nullptr || request->answered) return;
   request->answered = true;
   --open_;
-  Ask(HangupEvent{event.id});  // calls off what is out
+  Ask(ClientDisconnectedEvent{event.id});  // calls off what is out
   // What the Router leaves running has nobody to go to.
   for (std::uint32_t i = 0; Find(event.id) != nullptr && i < request->tries.size(); ++i) {
     if (!request->tries[i].out) continue;
@@ -103,7 +103,7 @@
   }
   request->begun = event.attempt;
   out_->push_back(Relay{event.id, event.attempt});
-  Ask(StartedEvent{event.id, event.attempt});
+  Ask(ResponseStartedEvent{event.id, event.attempt});
 }
 
 void Gateway::On(const AttemptEnded& event) {
@@ -120,14 +120,15 @@
     if (availability != Availability::kUp && first) standing.told = now_;
     standing.availability = availability;
   };
-  if (event.kind == MembersEvent::Kind::kFull || event.kind == MembersEvent::Kind::kStale) {
+  if (event.kind == EndpointsEvent::Kind::kFull || event.kind == EndpointsEvent::Kind::kStale) {
     for (auto& [id, standing] : standings_) {
-      const auto same = [number = id](const Member& member) { return Number(member.id) == number; };
-      if (std::none_of(event.members.begin(), event.members.end(), same)) tell(standing, Availability::kGone);
+      const auto same = [number = id](const EndpointInfo& member) { return Number(member.id) == number; };
+      if (std::none_of(event.members.begin(), event.members.end(), same))
+        tell(standing, Availability::kRemoved);
     }
   }
-  for (const Member& member : event.members) tell(standings_[Number(member.id)], member.availability);
-  Ask(MembersEvent{event.kind, event.members});
+  for (const EndpointInfo& member : event.members) tell(standings_[Number(member.id)], member.availability);
+  Ask(EndpointsEvent{event.kind, event.members});
 }
 
 void Gateway::On(const PurgeTold& event) {
@@ -156,17 +157,20 @@
     } else if (!request->answered && !request->begun) {
       // The Router answers at its own deadline, a tick earlier. Should it ever not, the client is still owed.
       Finish(id, *request, Answer{.id = id, .verdict = Verdict::kFailed});
-      Ask(HangupEvent{id});
+      Ask(ClientDisconnectedEvent{id});
       Forget(id);
     }
   }
   if (now_ < next_forget_) return;
   next_forget_ = now_ + options_.sweep;
-  const auto old = [this](const auto& entry) { return now_ - entry.second.at > 4 * settings_.purge_done; };
+  const auto old = [this](const auto& entry) {
+    return now_ - entry.second.at > 4 * settings_.purge_retention;
+  };
   std::erase_if(purged_objects_, old);
   std::erase_if(purged_groups_, old);
   std::erase_if(standings_, [this](const auto& entry) {
-    return entry.second.availability == Availability::kGone && now_ - entry.second.told > Micros{60'000'000};
+    return entry.second.availability == Availability::kRemoved &&
+           now_ - entry.second.told > Micros{60'000'000};
   });
 }
 
@@ -195,7 +199,7 @@
       std::any_of(request->tries.begin(), request->tries.end(), [](auto& t) { return t.out; });
   request->tries.push_back({order.server, order.source, now_, true});
   Micros until =
-      order.give_up_at > Micros{0} ? std::min(order.give_up_at, request->deadline) : request->deadline;
+      order.expires_at > Micros{0} ? std::min(order.expires_at, request->deadline) : request->deadline;
   const bool allowed = !request->answered && !another && number < request->most_attempts && until > now_ &&
                        !PastDrain(now_, order.server) && !PastDrain(now_, order.source);
   if (!allowed) {
@@ -204,7 +208,7 @@
   }
   At(until, Due::What::kAttempt, Number(order.id), number);
   Send send{order, number};
-  send.order.give_up_at = until;
+  send.order.expires_at = until;
   out_->push_back(std::move(send));
 }
 
@@ -217,7 +221,7 @@
   called_off_.push_back({.id = order.id, .attempt = order.attempt, .outcome = Outcome::kCancelled});
 }
 
-void Gateway::Do(const Refuse& order) {
+void Gateway::Do(const Reject& order) {
   Request* const request = Find(order.id);
   if (request == nullptr) return;
   Finish(order.id, *request,
@@ -243,7 +247,7 @@
   if (request.answered) return;
   request.answered = true;
   --open_;
-  answer.overdue = now_ + 2 * settings_.tick >= request.deadline;
+  answer.overdue = now_ + 2 * settings_.event_interval >= request.deadline;
   out_->push_back(answer);
 }
 
@@ -266,7 +270,7 @@
                    .attempt = attempt,
                    .outcome = how.outcome,
                    .elapsed = now_ - one.sent,
-                   .finished = request.answered,
+                   .is_finished = request.answered,
                    .note = how.note,
                    .fill_wait = how.fill_wait,
                    .load = how.load});
@@ -299,7 +303,7 @@
   const auto told_since = [&](const auto& table, std::uint64_t key) {
     const auto purge = table.find(key);
     return purge != table.end() && purge->second.told > one.sent &&
-           now - purge->second.told >= settings_.purge_grace / 2;
+           now - purge->second.told >= settings_.purge_window / 2;
   };
   return !told_since(purged_objects_, Number(request.came.object)) &&
          !told_since(purged_groups_, Number(request.came.group));
@@ -311,11 +315,11 @@
   const std::size_t kind = static_cast<std::size_t>(request.came.class_id);
   if (kind >= settings_.classes.size()) return true;
   const ClassSettings& one = settings_.classes[kind];
-  if (one.effect == Effect::kRepeatable) return true;
+  if (one.effect == Effect::kIdempotent) return true;
   const auto end = request.tries.begin() + attempt;
   const auto first = std::find_if(request.tries.begin(), end, [](const Try& t) { return t.may_have_run; });
   if (first == end) return true;
-  return one.effect == Effect::kByKey && now - first->sent < one.key_window;
+  return one.effect == Effect::kIdempotencyKey && now - first->sent < one.idempotency_window;
 }
 
 bool Gateway::PastDrain(Micros now, ServerId server) const {
@@ -323,14 +327,14 @@
   if (found == standings_.end()) return true;  // never listed
   // Half of the grace is ours: the rest is left for the write.
   return found->second.availability != Availability::kUp &&
-         now - found->second.told >= settings_.drain_grace / 2;
+         now - found->second.told >= settings_.drain_window / 2;
 }
 
 bool Gateway::Purged(const Request& request, Micros sent, Micros issued) const {
   const auto older = [&](const auto& table, std::uint64_t key) {
     const auto purge = table.find(key);
     return purge != table.end() && issued < purge->second.at &&
-           sent - purge->second.told >= settings_.purge_grace;
+           sent - purge->second.told >= settings_.purge_window;
   };
   return older(purged_objects_, Number(request.came.object)) ||
          older(purged_groups_, Number(request.came.group));
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -29,7 +29,7 @@
   ObjectId object{};
   std::uint32_t part = 0;
   double size_kb = 0;
-  bool repeat = false;
+  bool is_retry = false;
 };
 struct ClientLeft {  // nothing is owed any more
   RequestId id{};
@@ -57,8 +57,8 @@
     std::string name;
     std::string address;
   };
-  MembersEvent::Kind kind = MembersEvent::Kind::kFull;
-  std::vector<Member> members{};
+  EndpointsEvent::Kind kind = EndpointsEvent::Kind::kFull;
+  std::vector<EndpointInfo> members{};
   // For the record only; what is empty is not told.
   std::vector<Named> names{};  // of the member at the same place
   std::string source{};        // such as "changelog"
@@ -186,7 +186,7 @@
   void Ask(const RouterEvent& event);
   void Do(const SendAttempt& order);
   void Do(const CancelAttempt& order);
-  void Do(const Refuse& order);
+  void Do(const Reject& order);
   void Do(const Fail& order);
   void Do(const SetTimer& order);
   void Do(const Subscribe&) {}  // the change log is always followed
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -69,7 +69,7 @@
   return Choose<Outcome>(text, "disposition",
                          {{"pass", Outcome::kServed},
                           {"fault", Outcome::kError},
-                          {"no_room", Outcome::kFull},
+                          {"no_room", Outcome::kRejected},
                           {"too_slow", Outcome::kTimedOut},
                           {"no_route", Outcome::kConnectFailed},
                           {"cut", Outcome::kReset},
@@ -104,14 +104,14 @@
 
  private:
   struct Row {
-    Member member;
+    EndpointInfo member;
     std::string kind;
     std::string zone;
   };
   struct List {
     bool defined = false;
     std::vector<Row> rows;
-    std::vector<Member> members;  // rows with kinds and zones placed by the names below
+    std::vector<EndpointInfo> members;  // rows with kinds and zones placed by the names below
     Names zones;
     Names kinds;
   };
@@ -144,9 +144,9 @@
     if (name == "result") return Pass(ReadResult());
     if (name == "ring") return Pass(TimerEvent{line_.Get<std::uint64_t>(1, "ref")}, 2);
     if (name == "started") {
-      return Pass(StartedEvent{ReadId(), line_.Get<std::uint32_t>(3, "seqNo")}, 5);
+      return Pass(ResponseStartedEvent{ReadId(), line_.Get<std::uint32_t>(3, "seqNo")}, 5);
     }
-    if (name == "hangup") return Pass(HangupEvent{ReadId()}, 2);
+    if (name == "hangup") return Pass(ClientDisconnectedEvent{ReadId()}, 2);
     if (name == "invalidated") return Pass(ReadPurge());
     if (name == "roster_change") return RosterChange();
     if (name == "ping_result" || name == "mail") return;  // neither probes nor messages are used
@@ -171,10 +171,10 @@
       row.member.weight = line_.Has(2) ? line_.Get<double>(2, "nominal") : 0.0;
       row.member.availability = Choose<Availability>(
           line_.Text(3, "availability"), "availability",
-          {{"on", Availability::kUp}, {"fading", Availability::kDraining}, {"off", Availability::kGone}});
+          {{"on", Availability::kUp}, {"fading", Availability::kDraining}, {"off", Availability::kRemoved}});
       row.member.cell = line_.GetOrZero<std::uint32_t>(4, "pod");
       row.kind = line_.Text(5, "machine");
-      row.member.started = line_.Has(6) ? line_.Millis(6, "sinceMs") : Micros{0};
+      row.member.started_at = line_.Has(6) ? line_.Millis(6, "sinceMs") : Micros{0};
       row.zone = line_.Text(7, "area");
       line_.AtMost(8);
       list.rows.push_back(std::move(row));
@@ -204,24 +204,24 @@
   }
 
   void RosterChange() {
-    using Kind = MembersEvent::Kind;
-    MembersEvent event;
+    using Kind = EndpointsEvent::Kind;
+    EndpointsEvent event;
     event.kind = Choose<Kind>(line_.Text(1, "how"), "how",
-                              {{"patch", Kind::kPatch},
+                              {{"patch", Kind::kDelta},
                                {"whole", Kind::kFull},
                                {"stale_copy", Kind::kStale},
-                               {"broken", Kind::kBroken}});
+                               {"broken", Kind::kWatchBroken}});
     line_.AtMost(4);
-    if (event.kind != Kind::kBroken) {
+    if (event.kind != Kind::kWatchBroken) {
       const auto number = line_.Get<std::uint32_t>(2, "setId");
       if (number > 15 || !lists_[number].defined) throw Malformed{"setId", "a list that was defined"};
-      event.members = Placed(lists_[number]);
+      event.endpoints = Placed(lists_[number]);
     }
     Pass(event);
   }
 
   // The members of a list, kinds and zones placed once for all instances with the same names.
-  const std::vector<Member>& Placed(List& list) {
+  const std::vector<EndpointInfo>& Placed(List& list) {
     if (list.members.size() == list.rows.size() && list.zones == at_->site.zones &&
         list.kinds == at_->site.kinds) {
       return list.members;
@@ -230,7 +230,7 @@
     list.kinds = at_->site.kinds;
     list.members.clear();
     for (const Row& row : list.rows) {
-      Member member = row.member;
+      EndpointInfo member = row.member;
       member.kind = KindId{PlaceOf(list.kinds, row.kind, "machine")};
       member.zone = ZoneId{PlaceOf(list.zones, row.zone, "area")};
       list.members.push_back(member);
@@ -242,7 +242,7 @@
     RequestEvent event;
     event.id = ReadId();
     event.time_left = line_.Millis(2, "ttlMs");
-    event.repeat = (line_.GetOrZero<std::uint32_t>(3, "marks") & 2u) != 0;
+    event.is_retry = (line_.GetOrZero<std::uint32_t>(3, "marks") & 2u) != 0;
     event.class_id = ClassId{PlaceOf(at_->site.classes, line_.Text(4, "tierClass"), "tierClass")};
     event.group = GroupId{line_.GetOrZero<std::uint64_t>(5, "labelNo")};
     event.size_kb = line_.GetOrZero<double>(6, "volumeKb");
@@ -260,7 +260,7 @@
     event.attempt = line_.Get<std::uint32_t>(2, "seqNo");
     event.outcome = ReadOutcome(line_.Text(4, "disposition"));
     event.elapsed = line_.Millis(5, "spentMs");
-    event.finished = line_.Bool(6, "closed");
+    event.is_finished = line_.Bool(6, "closed");
     const auto note = line_.GetOrZero<std::uint32_t>(7, "detail");
     if (note > static_cast<std::uint32_t>(FillNote::kOriginFailed)) {
       throw Malformed{"detail", "a note from 0 to 10"};
@@ -344,14 +344,14 @@
     reply_ += '\t';
     PutMillis(one.max_age);
     reply_ += '\t';
-    PutMillis(one.give_up_at);
+    PutMillis(one.expires_at);
     reply_ += '\t';
-    Put(one.keep);
+    Put(one.cache_rank);
     reply_ += '\t';
     PutAddress(one.source);
     reply_ += '\t';
-    Put((one.join ? 1u : 0u) + (one.source_holds ? 2u : 0u) + (one.pass_parent ? 4u : 0u) +
-        (one.renew ? 8u : 0u));
+    Put((one.join_fill ? 1u : 0u) + (one.source_cached_only ? 2u : 0u) + (one.bypass_parent ? 4u : 0u) +
+        (one.revalidate ? 8u : 0u));
     reply_ += '\n';
   }
   void Write(const CancelAttempt& one) {
@@ -360,7 +360,7 @@
     Put(one.attempt);
     reply_ += '\n';
   }
-  void Write(const Refuse& one) {
+  void Write(const Reject& one) {
     Begin("not_now", one.id);
     reply_ += '\t';
     PutMillis(one.retry_after);
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -201,20 +201,21 @@
   const std::size_t place = static_cast<std::size_t>(route - config_.routes.begin());
   const ClassSettings& settings = config_.site.settings.classes[place];
   const bool reads = head.method == "GET" || head.method == "HEAD";
-  if (settings.write ? head.method != "POST" : !reads) {
-    fields = settings.write ? "Allow: POST\r\n" : "Allow: GET, HEAD\r\n";
+  if (settings.is_write ? head.method != "POST" : !reads) {
+    fields = settings.is_write ? "Allow: POST\r\n" : "Allow: GET, HEAD\r\n";
     return 405;
   }
   if (const int status = Judge(route->access, head, *target, now, fields)) return status;
   const std::string_view key = head.Field("Idempotency-Key");
-  if (settings.effect == Effect::kByKey && (key.empty() || head.Count("Idempotency-Key") > 1)) return 400;
+  if (settings.effect == Effect::kIdempotencyKey && (key.empty() || head.Count("Idempotency-Key") > 1))
+    return 400;
 
   Asked asked;
   asked.connection = client.connection->id;
   asked.method = head.method;
   asked.uri = target->Uri();
   asked.body = body;
-  asked.link = !settings.write &&
+  asked.link = !settings.is_write &&
                (route->access == config::Carrier::kLink || route->access == config::Carrier::kEither);
   const std::string_view connection = head.Field("Connection");
   for (const auto& [name, value] : head.fields) {
--- a/src/front/http/consul.cpp
+++ b/src/front/http/consul.cpp
@@ -36,7 +36,7 @@
     const std::string_view id = TextAt(check, "/CheckID");
     if (TextAt(check, "/Status") != "critical") continue;
     if (id == "_node_maintenance" || id.starts_with("_service_maintenance:")) return Availability::kDraining;
-    worst = Availability::kGone;
+    worst = Availability::kRemoved;
   }
   return worst;
 }
@@ -137,28 +137,28 @@
   std::vector<Node> changes;
   for (auto& [name, node] : catalog_) {
     const auto health = health_.find(name);
-    node.member.availability = health == health_.end() ? Availability::kGone : health->second;
+    node.member.availability = health == health_.end() ? Availability::kRemoved : health->second;
     const auto known = told_.find(name);
-    const bool was = known != told_.end() && known->second.member.availability != Availability::kGone;
-    if (!was && node.member.availability == Availability::kGone) continue;
+    const bool was = known != told_.end() && known->second.member.availability != Availability::kRemoved;
+    if (!was && node.member.availability == Availability::kRemoved) continue;
     if (!was && !from_catalog) continue;  // it may have come back elsewhere
     const bool moved = was && !(known->second.endpoint == node.endpoint);
     if (was && !moved) {
-      node.member.started = known->second.member.started;
+      node.member.started_at = known->second.member.started_at;
       if (known->second.member.availability == node.member.availability) continue;
     } else if (listed_) {
-      node.member.started = net::Now();
+      node.member.started_at = net::Now();
     }
     changes.push_back(node);
   }
   for (const auto& [name, node] : told_) {
-    if (catalog_.contains(name) || node.member.availability == Availability::kGone) continue;
+    if (catalog_.contains(name) || node.member.availability == Availability::kRemoved) continue;
     Node gone = node;
-    gone.member.availability = Availability::kGone;
+    gone.member.availability = Availability::kRemoved;
     changes.push_back(std::move(gone));
   }
   for (const Node& node : changes) {
-    if (node.member.availability == Availability::kGone) {
+    if (node.member.availability == Availability::kRemoved) {
       told_.erase(node.name);  // over a long day many come and go
     } else {
       told_[node.name] = node;
--- a/src/front/http/consul.hpp
+++ b/src/front/http/consul.hpp
@@ -13,7 +13,7 @@
 namespace tinspan::http {
 
 struct Node {
-  Member member;
+  EndpointInfo member;
   std::string name;  // NODE/SERVICE-ID
   net::Endpoint endpoint;
 };
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -41,11 +41,11 @@
     auto changed = [this, &events, &service, first = true](const std::vector<Node>& changes,
                                                            std::uint64_t index) mutable {
       core::MembersTold told;
-      told.kind = MembersEvent::Kind::kPatch;
+      told.kind = EndpointsEvent::Kind::kDelta;
       told.source = "consul/" + service.name;
       told.version = index;
       for (const Node& node : changes) {
-        const bool gone = node.member.availability == Availability::kGone;
+        const bool gone = node.member.availability == Availability::kRemoved;
         gone ? upstream_.Forsake(node.member.id) : upstream_.Know(node.member.id, {node.name, node.endpoint});
         told.members.push_back(node.member);
         told.names.push_back({node.name, node.endpoint.Text()});
--- a/src/front/http/jws.cpp
+++ b/src/front/http/jws.cpp
@@ -37,7 +37,7 @@
 using Signature = Owned<ECDSA_SIG, ECDSA_SIG_free>;
 using Context = Owned<EVP_MD_CTX, EVP_MD_CTX_free>;
 
-std::string Member(const element& jwk, std::string_view name, const std::string& path) {
+std::string EndpointInfo(const element& jwk, std::string_view name, const std::string& path) {
   std::string_view text;
   if (jwk[name].get(text) != simdjson::SUCCESS || text.empty()) {
     throw Malformed{path + "." + std::string(name), "a text"};
@@ -45,7 +45,7 @@
   return std::string(text);
 }
 std::string Binary(const element& jwk, std::string_view name, const std::string& path) {
-  auto bytes = FromBase64Url(Member(jwk, name, path));
+  auto bytes = FromBase64Url(EndpointInfo(jwk, name, path));
   if (!bytes) throw Malformed{path + "." + std::string(name), "base64url"};
   return *bytes;
 }
@@ -127,14 +127,14 @@
     throw Malformed{path, "a JWK"};
   }
   Key key;
-  key.id_ = Member(jwk, "kid", path);
-  const std::string algorithm = Member(jwk, "alg", path), type = Member(jwk, "kty", path);
+  key.id_ = EndpointInfo(jwk, "kid", path);
+  const std::string algorithm = EndpointInfo(jwk, "alg", path), type = EndpointInfo(jwk, "kty", path);
   if (algorithm == "HS256" && type == "oct") {
     key.secret_ = Binary(jwk, "k", path);
     if (key.secret_.size() < 32) throw Malformed{path + ".k", "32 bytes at least"};  // RFC 7518, 3.2
   } else if (algorithm == "ES256" && type == "EC") {
     key.algorithm_ = Algorithm::kEs256;
-    if (Member(jwk, "crv", path) != "P-256") throw Malformed{path + ".crv", "P-256"};
+    if (EndpointInfo(jwk, "crv", path) != "P-256") throw Malformed{path + ".crv", "P-256"};
     const std::string x = Binary(jwk, "x", path), y = Binary(jwk, "y", path);
     std::string d;
     element secret;
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -25,7 +25,7 @@
 std::optional<Outcome> Refusal(int status, bool write, bool only_if_cached) {
   if (only_if_cached && status == 504) return Outcome::kMiss;  // RFC 9111, 5.2.1.7
   // A read that was turned away did no harm in any case; of a write, 503 does not prove that it never ran.
-  if (status == 429 || (status == 503 && !write)) return Outcome::kFull;
+  if (status == 429 || (status == 503 && !write)) return Outcome::kRejected;
   if (status == 401 || status == 403 || status == 407 || status == 408 || status >= 500)
     return Outcome::kError;
   return std::nullopt;
@@ -95,21 +95,21 @@
   }
   link.state.to_head = asked->method == "HEAD";
   std::string out = asked->method + " " +
-                    (asked->link ? signer_.Link(asked->uri, now, order.give_up_at) : asked->uri) +
+                    (asked->link ? signer_.Link(asked->uri, now, order.expires_at) : asked->uri) +
                     " HTTP/1.1\r\nHost: " + config_.authority + "\r\nVia: 1.1 " + config_.name + "\r\n";
-  if (!asked->link) out += "Authorization: Bearer " + signer_.Token(now, order.give_up_at) + "\r\n";
+  if (!asked->link) out += "Authorization: Bearer " + signer_.Token(now, order.expires_at) + "\r\n";
   std::string control = fill ? "" : "only-if-cached";
   if (order.max_age > Micros{0}) {
     control +=
         (control.empty() ? "" : ", ") + ("max-age=" + std::to_string(order.max_age.count() / 1'000'000));
   }
   if (asked->method != "POST" && !control.empty()) out += "Cache-Control: " + control + "\r\n";
-  out += "Tinspan-Fill: keep=" + std::to_string(order.keep);
+  out += "Tinspan-Fill: keep=" + std::to_string(order.cache_rank);
   if (fill) out += "; source=" + source->second.name;
-  for (const auto& [set, word] : {std::pair{order.join, "join"},
-                                  {order.source_holds, "peek"},
-                                  {order.pass_parent, "pass"},
-                                  {order.renew, "renew"}}) {
+  for (const auto& [set, word] : {std::pair{order.join_fill, "join"},
+                                  {order.source_cached_only, "peek"},
+                                  {order.bypass_parent, "pass"},
+                                  {order.revalidate, "renew"}}) {
     if (set) out.append("; ").append(word);
   }
   out.append("\r\n").append(asked->fields);
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -38,7 +38,7 @@
 constexpr std::array<Word, 6> kWords{{{"OK", Outcome::kServed},
                                       {"SAME", Outcome::kServed},
                                       {"MISS", Outcome::kMiss},
-                                      {"BUSY", Outcome::kFull},
+                                      {"BUSY", Outcome::kRejected},
                                       {"ERR", Outcome::kError},
                                       {"VOID", Outcome::kNotSent}}};
 
@@ -64,16 +64,16 @@
   };
   add("path", asked.object);
   add("blk", asked.part);
-  add("budget", millis(order.give_up_at - now));
+  add("budget", millis(order.expires_at - now));
   add("uniq", asked.key);
   add("miss", source);
-  if (order.keep > 0) add("prio", std::to_string(order.keep));
+  if (order.cache_rank > 0) add("prio", std::to_string(order.cache_rank));
   if (order.max_age > Micros{0}) add("within", millis(order.max_age));
   std::string how;
-  for (const auto& [set, word] : {std::pair{order.join, "share"},
-                                  {order.source_holds, "peek"},
-                                  {order.pass_parent, "pass"},
-                                  {order.renew, "swr"}}) {
+  for (const auto& [set, word] : {std::pair{order.join_fill, "share"},
+                                  {order.source_cached_only, "peek"},
+                                  {order.bypass_parent, "pass"},
+                                  {order.revalidate, "swr"}}) {
     if (set) how.append(how.empty() ? "" : "+").append(word);
   }
   add("f", how);
@@ -129,7 +129,7 @@
       });
   if (held_) link.connection.HoldReading(true);
   out.link = &link;
-  const double pace = config_.site.settings.pace_kb_per_s;
+  const double pace = config_.site.settings.transfer_rate_kb_per_s;
   const auto sending = Micros{static_cast<std::int64_t>(pace > 0 ? asked.size_kb / pace * 1e6 : 0)};
   link.state.open[asked.ref] = {id, out.send.attempt, 0, now, 2 * sending};
   out_[id] = std::move(out);
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/change_log.cpp
@@ -178,24 +178,24 @@
     core::MembersTold told;
     told.source = "changelog";
     told.version = GetOr<std::uint64_t>(part, "version", 0);
-    told.kind = GetOr(part, "full", false) ? MembersEvent::Kind::kFull : MembersEvent::Kind::kPatch;
+    told.kind = GetOr(part, "full", false) ? EndpointsEvent::Kind::kFull : EndpointsEvent::Kind::kDelta;
     std::vector<std::optional<net::Endpoint>> endpoints;
     // Read whole before any of it holds: an event that breaks in the middle is asked for anew, and until then
     // nothing of it has been heard.
     for (const element one : Get<simdjson::dom::array>(part, "servers")) {
       // By the id: a new server may take the address of one that has gone.
       const auto name = Get<std::string_view>(one, "id");
-      Member member;
+      EndpointInfo member;
       member.id = HashName(name);
       member.weight = GetOr(one, "weight", 0.0);
       member.cell = static_cast<std::uint32_t>(GetOr<std::uint64_t>(one, "cell", 0));
       member.kind = KindId{PlaceOf(config_.site.kinds, Get<std::string_view>(one, "kind"), "kind")};
       member.zone = ZoneId{PlaceOf(config_.site.zones, Get<std::string_view>(one, "zone"), "zone")};
-      member.started = Micros{GetOr<std::int64_t>(one, "started_ms", 0) * 1000};
+      member.started_at = Micros{GetOr<std::int64_t>(one, "started_ms", 0) * 1000};
       member.availability = Choose<Availability>(Get<std::string_view>(one, "state"), "state",
                                                  {{"up", Availability::kUp},
                                                   {"draining", Availability::kDraining},
-                                                  {"removed", Availability::kGone}});
+                                                  {"removed", Availability::kRemoved}});
       const auto endpoint = net::Endpoint::Parse(GetOr<std::string_view>(one, "addr", ""));
       if (!endpoint && member.availability == Availability::kUp)
         throw Malformed{"addr", "an address and port"};
@@ -203,16 +203,16 @@
       told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
       endpoints.push_back(endpoint);
     }
-    if (told.kind == MembersEvent::Kind::kFull) {  // who is not named in a whole list has gone
+    if (told.kind == EndpointsEvent::Kind::kFull) {  // who is not named in a whole list has gone
       draining_.clear();
       std::unordered_set<ServerId> named;
-      for (const Member& member : told.members) named.insert(member.id);
+      for (const EndpointInfo& member : told.members) named.insert(member.id);
       caches_.ForsakeAllBut(named);
     }
     for (std::size_t i = 0; i < told.members.size(); ++i) {
-      const Member& member = told.members[i];
+      const EndpointInfo& member = told.members[i];
       if (endpoints[i]) caches_.Know(member.id, {told.names[i].name, *endpoints[i]});
-      if (member.availability == Availability::kGone) caches_.Forsake(member.id);
+      if (member.availability == Availability::kRemoved) caches_.Forsake(member.id);
       member.availability == Availability::kDraining ? static_cast<void>(draining_.insert(member.id))
                                                      : static_cast<void>(draining_.erase(member.id));
     }
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -185,11 +185,11 @@
     const ClassSettings& of = settings_.classes[i];
     wire::Class& out = *header.add_classes();
     out.set_name(i < options_.classes.size() ? options_.classes[i] : std::to_string(i));
-    out.set_aim_us(of.aim.count());
+    out.set_aim_us(of.latency_objective.count());
     out.set_deadline_us(of.deadline.count());
-    out.set_worth(of.worth);
-    out.set_late_worth(of.late_worth);
-    out.set_stale_worth(of.stale_worth);
+    out.set_worth(of.priority_weight);
+    out.set_late_worth(of.late_weight);
+    out.set_stale_worth(of.stale_weight);
   }
   for (const std::string& zone : options_.zones) header.add_zones(zone);
   for (const std::string& kind : options_.kinds) header.add_kinds(kind);
--- a/src/record/tracker.cpp
+++ b/src/record/tracker.cpp
@@ -110,7 +110,7 @@
   place->second.came = event;
   place->second.at = now_;
   ++came_[static_cast<std::uint32_t>(event.class_id)];
-  if (event.repeat) ++repeats_[static_cast<std::uint32_t>(event.class_id)];
+  if (event.is_retry) ++repeats_[static_cast<std::uint32_t>(event.class_id)];
   Count();
 }
 
@@ -142,25 +142,25 @@
 }
 
 void Tracker::On(const core::MembersTold& event) {
-  const bool whole = event.kind == MembersEvent::Kind::kFull || event.kind == MembersEvent::Kind::kStale;
+  const bool whole = event.kind == EndpointsEvent::Kind::kFull || event.kind == EndpointsEvent::Kind::kStale;
   wire::Members told;
   told.set_source(event.source);
   told.set_version(event.version);
-  told.set_kind(event.kind == MembersEvent::Kind::kPatch   ? 0
-                : event.kind == MembersEvent::Kind::kFull  ? 1
-                : event.kind == MembersEvent::Kind::kStale ? 2
-                                                           : 3);
+  told.set_kind(event.kind == EndpointsEvent::Kind::kDelta   ? 0
+                : event.kind == EndpointsEvent::Kind::kFull  ? 1
+                : event.kind == EndpointsEvent::Kind::kStale ? 2
+                                                             : 3);
   std::vector<std::uint32_t> named;  // numbers in the list
-  const auto put = [&](Known& known, const Member& member) {
+  const auto put = [&](Known& known, const EndpointInfo& member) {
     wire::Member& out = *told.add_members();
     out.set_server(known.number);
     out.set_state(static_cast<std::uint32_t>(member.availability));
     out.set_weight(member.weight);
-    out.set_started_us(member.started.count());
+    out.set_started_us(member.started_at.count());
     Leave(known, member.availability);
   };
   for (std::size_t i = 0; i < event.members.size(); ++i) {
-    const Member& member = event.members[i];
+    const EndpointInfo& member = event.members[i];
     bool fresh = false;
     Known& known = Number(member.id, fresh);
     const core::MembersTold::Named none;
@@ -181,11 +181,12 @@
     std::sort(named.begin(), named.end());
     std::map<std::uint32_t, ServerId> missing;  // in the order of their numbers
     for (const auto& [id, known] : servers_) {
-      if (known.state != Availability::kGone && !std::binary_search(named.begin(), named.end(), known.number))
+      if (known.state != Availability::kRemoved &&
+          !std::binary_search(named.begin(), named.end(), known.number))
         missing.emplace(known.number, id);
     }
     for (const auto& [number, id] : missing) {
-      put(servers_.at(id), Member{.id = id, .availability = Availability::kGone});
+      put(servers_.at(id), EndpointInfo{.id = id, .availability = Availability::kRemoved});
     }
   }
   *Put().mutable_members() = std::move(told);
@@ -281,13 +282,13 @@
                                .source_id = order.source,
                                .source = fill ? Server(order.source).number : 0,
                                .sent = now_,
-                               .give_up_at = order.give_up_at,
+                               .expires_at = order.expires_at,
                                .issued = std::nullopt,
                                .ended = std::nullopt,
                                .begun = std::nullopt,
-                               .keep = order.keep,
-                               .how = (order.join ? 1u : 0u) | (order.source_holds ? 2u : 0u) |
-                                      (order.pass_parent ? 4u : 0u) | (order.renew ? 8u : 0u)});
+                               .keep = order.cache_rank,
+                               .how = (order.join_fill ? 1u : 0u) | (order.source_cached_only ? 2u : 0u) |
+                                      (order.bypass_parent ? 4u : 0u) | (order.revalidate ? 8u : 0u)});
   Went(request->attempts.back());
 }
 
@@ -295,7 +296,7 @@
   Request* const request = Find(command.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, command.attempt);
   if (attempt == nullptr || attempt->ended) return;
-  const bool due = wall_ >= attempt->give_up_at;
+  const bool due = wall_ >= attempt->expires_at;
   // An answer that had begun and was never passed on was older than a purge.
   const bool purged = attempt->begun && *attempt->begun == now_ && !request->ending;
   EndAttempt(*request, *attempt, purged ? Outcome::kError : due ? Outcome::kTimedOut : Outcome::kCancelled);
@@ -313,11 +314,12 @@
   if (command.verdict == Verdict::kServed) {
     const auto place = static_cast<std::size_t>(request->came.class_id);
     Micros aim = Micros::max();
-    if (place < settings_.classes.size() && settings_.classes[place].aim > Micros{0}) {
+    if (place < settings_.classes.size() && settings_.classes[place].latency_objective > Micros{0}) {
       const ClassSettings& of = settings_.classes[place];
-      const double sending =
-          settings_.pace_kb_per_s > 0 ? request->came.size_kb / settings_.pace_kb_per_s * 1e6 : 0;
-      aim = of.aim + Micros{std::llround(of.aim_stretch * sending)};
+      const double sending = settings_.transfer_rate_kb_per_s > 0
+                                 ? request->came.size_kb / settings_.transfer_rate_kb_per_s * 1e6
+                                 : 0;
+      aim = of.latency_objective + Micros{std::llround(of.latency_objective_stretch * sending)};
     }
     const bool late = now_ - request->at > aim;
     const bool stale = attempt != nullptr && attempt->note == FillNote::kStaleHit;
@@ -401,7 +403,7 @@
   out.set_group(static_cast<std::uint64_t>(request.came.group));
   out.set_part(request.came.part);
   out.set_size_kb(static_cast<float>(request.came.size_kb));
-  out.set_repeat(request.came.repeat);
+  out.set_repeat(request.came.is_retry);
   out.set_took_us(Clip32((request.answered - request.at).count()));
   out.set_verdict(static_cast<std::uint32_t>(*request.ending));
   out.set_retry_after_ms(request.retry_after_ms);
@@ -529,7 +531,7 @@
   }
   std::erase_if(purges_, [this](const auto& entry) {
     const auto& [key, purge] = entry;
-    if (now_ - purge.told < settings_.purge_done) return false;
+    if (now_ - purge.told < settings_.purge_retention) return false;
     wire::PurgeHeld& held = *Put().mutable_purge_held();
     held.set_group(key.first);
     held.set_object(key.second);
@@ -544,7 +546,7 @@
   // Over a long day many come and go.
   std::erase_if(servers_, [this](const auto& entry) {
     const Known& known = entry.second;
-    return known.state == Availability::kGone && known.out == 0 && !known.leaving &&
+    return known.state == Availability::kRemoved && known.out == 0 && !known.leaving &&
            now_ - known.changed > kKeepGone;
   });
 }
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -76,7 +76,7 @@
     ServerId source_id{};
     std::uint32_t source = 0;      // 0: no fill
     Micros sent{0};                // mono, like all here but where said
-    Micros give_up_at{0};          // wall clock
+    Micros expires_at{0};          // wall clock
     std::optional<Micros> issued;  // wall clock: when the origin gave out the copy
     bool served = false;           // its answer is here; whether the core passes it on is not known yet
     std::optional<Micros> ended;
--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -34,33 +34,34 @@
     const std::string lane = "lanes." + std::to_string(i) + ".";
     site.classes.emplace_back(setup.Need(lane + "name"));
     ClassSettings one;
-    one.effect = Choose<Effect>(
-        setup.Need(lane + "effect"), lane + "effect",
-        {{"repeatable", Effect::kRepeatable}, {"by_key", Effect::kByKey}, {"once", Effect::kOnce}});
-    one.key_group =
-        setup.Word<KeyGroup>(lane + "keyScope", KeyGroup::kCell,
-                             {{"all", KeyGroup::kAll}, {"zone", KeyGroup::kZone}, {"cell", KeyGroup::kCell}});
-    one.key_window = setup.Millis(lane + "windowMs");
-    one.aim = setup.Millis(lane + "promiseMs");
-    one.aim_stretch = setup.Number(lane + "aimStretch");
+    one.effect = Choose<Effect>(setup.Need(lane + "effect"), lane + "effect",
+                                {{"repeatable", Effect::kIdempotent},
+                                 {"by_key", Effect::kIdempotencyKey},
+                                 {"once", Effect::kNonIdempotent}});
+    one.idempotency_scope =
+        setup.Word<IdempotencyScope>(lane + "keyScope", IdempotencyScope::kCell,
+                             {{"all", IdempotencyScope::kAll}, {"zone", IdempotencyScope::kZone}, {"cell", IdempotencyScope::kCell}});
+    one.idempotency_window = setup.Millis(lane + "windowMs");
+    one.latency_objective = setup.Millis(lane + "promiseMs");
+    one.latency_objective_stretch = setup.Number(lane + "aimStretch");
     one.deadline = setup.Millis(lane + "giveUpMs");
-    one.worth = setup.Number(lane + "credit");
-    one.late_worth = setup.Number(lane + "lateShare");
-    one.streaming = setup.Bool(lane + "streaming");
-    one.fresh = millis_of("familyInfo.maxAgeMs", i);
-    one.grace = millis_of("familyInfo.classGraceMs", i);
-    one.parts = bool_of("familyInfo.multiPart", i);
-    one.write = bool_of("familyInfo.classWrite", i);
+    one.priority_weight = setup.Number(lane + "credit");
+    one.late_weight = setup.Number(lane + "lateShare");
+    one.is_streamed = setup.Bool(lane + "streaming");
+    one.freshness_lifetime = millis_of("familyInfo.maxAgeMs", i);
+    one.stale_grace = millis_of("familyInfo.classGraceMs", i);
+    one.has_parts = bool_of("familyInfo.multiPart", i);
+    one.is_write = bool_of("familyInfo.classWrite", i);
     const std::string_view stale_worth = by_class("familyInfo.oldCopyWorth", i);
-    one.stale_worth =
+    one.stale_weight =
         IsAbsent(stale_worth) ? 0.0 : ParseNumber<double>(stale_worth, "familyInfo.oldCopyWorth");
     settings.classes.push_back(one);
   }
   for (const std::string_view hub : setup.List("familyInfo.attachedTo")) {
-    settings.zone_hub.push_back(ParseNumber<std::uint32_t>(hub, "familyInfo.attachedTo"));
+    settings.zone_hubs.push_back(ParseNumber<std::uint32_t>(hub, "familyInfo.attachedTo"));
   }
   for (const std::string_view count : setup.List("familyInfo.instancesByZone")) {
-    settings.zone_routers.push_back(ParseNumber<std::uint32_t>(count, "familyInfo.instancesByZone"));
+    settings.zone_instance_counts.push_back(ParseNumber<std::uint32_t>(count, "familyInfo.instancesByZone"));
   }
   for (const std::string_view link : setup.List("familyInfo.inletKbPerS")) {
     settings.zone_link_kb_per_s.push_back(ParseNumber<double>(link, "familyInfo.inletKbPerS"));
@@ -71,44 +72,45 @@
   };
   settings.parent_kind = kind_of("familyInfo.midKind");
   settings.origin_kind = kind_of("familyInfo.sourceKind");
-  settings.routers = setup.Whole("instances");
-  settings.router = setup.Whole("me");
-  settings.siblings = setup.Word<SiblingScope>(
+  settings.instance_count = setup.Whole("instances");
+  settings.instance_index = setup.Whole("me");
+  settings.sibling_scope = setup.Word<SiblingScope>(
       "familyInfo.siblings", SiblingScope::kOff,
       {{"off", SiblingScope::kOff}, {"location", SiblingScope::kLocation}, {"any", SiblingScope::kAny}});
-  settings.detail = setup.Word<Detail>("familyInfo.detail", Detail::kOff,
-                                       {{"all", Detail::kAll}, {"hit", Detail::kHit}, {"off", Detail::kOff}});
+  settings.fill_detail =
+      setup.Word<FillDetail>("familyInfo.detail", FillDetail::kOff,
+                         {{"all", FillDetail::kAll}, {"hit", FillDetail::kHit}, {"off", FillDetail::kOff}});
   settings.discovery =
       setup.Word<Discovery>("registryMode", Discovery::kPushed,
-                            {{"automatic", Discovery::kPushed}, {"subscribe", Discovery::kAsked}});
-  settings.weights = setup.Word<WeightMeaning>("weights", WeightMeaning::kOff,
-                                               {{"off", WeightMeaning::kOff},
-                                                {"nominal", WeightMeaning::kSize},
-                                                {"rough", WeightMeaning::kRough},
-                                                {"live", WeightMeaning::kLive}});
-  settings.direct = setup.Bool("familyInfo.passThroughOk");
-  settings.can_join = setup.Bool("familyInfo.canJoin");
-  settings.may_duplicate = setup.Bool("limits.mayDuplicate");
+                            {{"automatic", Discovery::kPushed}, {"subscribe", Discovery::kPolled}});
+  settings.weight_meaning = setup.Word<WeightMeaning>("weights", WeightMeaning::kOff,
+                                                      {{"off", WeightMeaning::kOff},
+                                                       {"nominal", WeightMeaning::kSize},
+                                                       {"rough", WeightMeaning::kRough},
+                                                       {"live", WeightMeaning::kLive}});
+  settings.can_bypass_cache = setup.Bool("familyInfo.passThroughOk");
+  settings.can_join_fill = setup.Bool("familyInfo.canJoin");
+  settings.can_hedge = setup.Bool("limits.mayDuplicate");
   settings.can_cancel = setup.Bool("limits.cancel");
-  settings.retry_after = setup.Bool("limits.retryAfter");
-  settings.pace_kb_per_s = setup.Number("familyInfo.paceKbPerS");
+  settings.has_retry_after = setup.Bool("limits.retryAfter");
+  settings.transfer_rate_kb_per_s = setup.Number("familyInfo.paceKbPerS");
   settings.max_attempts = setup.Whole("limits.maxAttempts");
   settings.max_retry_after = setup.Millis("limits.maxRetryAfterMs");
   settings.answer_grace = setup.Millis("rules.graceToAnswerMs");
-  settings.tick = setup.Millis("tickMs");
+  settings.event_interval = setup.Millis("tickMs");
   settings.connect_timeout = setup.Millis("limits.connectTimeoutMs");
-  settings.drain_grace = setup.Millis("rules.drainGraceMs");
-  settings.cold_share = setup.Number("rules.coldShare");
-  settings.warm_after = setup.Millis("rules.warmAfterMs");
-  settings.fall_multiple = setup.Number("rules.fallMultiple");
-  settings.tip_after = setup.Millis("rules.tipAfterMs");
-  settings.parent_cold_share = setup.Number("familyInfo.parentColdFrom");
-  settings.parent_warm_after = setup.Millis("familyInfo.upperColdMs");
-  settings.parent_fall_multiple = setup.Number("familyInfo.upperFallMultiple");
-  settings.origin_fall_multiple = setup.Number("familyInfo.rootFallMultiple");
-  settings.origin_over_for = setup.Millis("familyInfo.originOverForMs");
-  settings.purge_grace = setup.Millis("familyInfo.purgeSlackMs");
-  settings.purge_done = setup.Millis("familyInfo.goneEverywhereMs");
+  settings.drain_window = setup.Millis("rules.drainGraceMs");
+  settings.initial_capacity_share = setup.Number("rules.coldShare");
+  settings.warm_up_time = setup.Millis("rules.warmAfterMs");
+  settings.overload_multiple = setup.Number("rules.fallMultiple");
+  settings.overload_window = setup.Millis("rules.tipAfterMs");
+  settings.parent_initial_capacity_share = setup.Number("familyInfo.parentColdFrom");
+  settings.parent_warm_up_time = setup.Millis("familyInfo.upperColdMs");
+  settings.parent_overload_multiple = setup.Number("familyInfo.upperFallMultiple");
+  settings.origin_overload_multiple = setup.Number("familyInfo.rootFallMultiple");
+  settings.origin_overload_window = setup.Millis("familyInfo.originOverForMs");
+  settings.purge_window = setup.Millis("familyInfo.purgeSlackMs");
+  settings.purge_retention = setup.Millis("familyInfo.goneEverywhereMs");
   return site;
 }
 
@@ -120,8 +122,8 @@
     if (mark == std::string_view::npos) throw Malformed{"stats", "name:value pairs"};
     const double value = ParseNumber<double>(pair.substr(mark + 1), "stats");
     if (pair.substr(0, mark) == "inflight") load.in_flight = value;
-    if (pair.substr(0, mark) == "x0") load.hit_share = value;
-    if (pair.substr(0, mark) == "x1") load.link_use = value;
+    if (pair.substr(0, mark) == "x0") load.hit_ratio = value;
+    if (pair.substr(0, mark) == "x1") load.link_utilization = value;
   }
   return load;
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -17,7 +17,7 @@
 inline constexpr int kNobody = -1;
 
 struct Server {
-  Member member;
+  EndpointInfo member;
   Role role = Role::kForeign;
   bool known = false;  // false: the slot is free
   int out = 0;         // own attempts outstanding there
--- a/src/timeline/course.cpp
+++ b/src/timeline/course.cpp
@@ -145,7 +145,7 @@
   for (const wire::Member& one : members.members()) {
     const ServerKey key = KeyOf(life, one.server());
     const auto state = static_cast<Availability>(std::min(one.state(), 2u));
-    const auto [place, fresh] = life.states.try_emplace(key, Availability::kGone);
+    const auto [place, fresh] = life.states.try_emplace(key, Availability::kRemoved);
     if (!fresh && place->second == state) continue;
     life.changes.push_back({at, key, state, place->second, Micros{one.started_us()}, first});
     place->second = state;
@@ -180,7 +180,7 @@
       case Outcome::kMiss:
       case Outcome::kCancelled:
         break;
-      case Outcome::kFull:
+      case Outcome::kRejected:
         cell.full += count;
         break;
       default:
--- a/src/timeline/course.hpp
+++ b/src/timeline/course.hpp
@@ -44,7 +44,7 @@
     Micros at{0};
     ServerKey server = 0;
     Availability state = Availability::kUp;
-    Availability before = Availability::kGone;
+    Availability before = Availability::kRemoved;
     Micros started{0};   // by the server's own word; 0: long ago
     bool first = false;  // of the first list from its source
   };
--- a/src/timeline/events.cpp
+++ b/src/timeline/events.cpp
@@ -110,11 +110,11 @@
     for (const Life::Change& change : merged.lives[i]->changes) {
       if (change.first && change.state == Availability::kUp)
         continue;  // it was there when the instance began
-      const bool cold = change.state == Availability::kUp && change.before == Availability::kGone;
-      const EventKind kind = change.state == Availability::kDraining ? EventKind::kDraining
-                             : change.state == Availability::kGone   ? EventKind::kGone
-                             : cold                                  ? EventKind::kCold
-                                                                     : EventKind::kUp;
+      const bool cold = change.state == Availability::kUp && change.before == Availability::kRemoved;
+      const EventKind kind = change.state == Availability::kDraining  ? EventKind::kDraining
+                             : change.state == Availability::kRemoved ? EventKind::kGone
+                             : cold                                   ? EventKind::kCold
+                                                                      : EventKind::kUp;
       heard[{change.server, kind}].push_back({merged.At(i, change.at), i});
     }
   }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -8,9 +8,9 @@
 
 bool IsParent(ServerId id) { return id == ServerId{11} || id == ServerId{12}; }
 
-Member Changed(Member member, Availability availability, Micros started = Micros{0}) {
+EndpointInfo Changed(EndpointInfo member, Availability availability, Micros started = Micros{0}) {
   member.availability = availability;
-  member.started = started;
+  member.started_at = started;
   return member;
 }
 
@@ -18,7 +18,7 @@
 
 TEST(Mechanism, AllRoutersHashAnObjectToTheSameCacheAndParent) {
   Script a, b;
-  b.settings.router = 1;
+  b.settings.instance_index = 1;
   std::reverse(b.members.begin(), b.members.end());
   a.Start();
   b.Start();
@@ -47,7 +47,7 @@
 SendAttempt AskWithCountsAtASibling(Script& script, std::uint64_t object, Micros later = 1s, int times = 1) {
   const ServerId home = script.Serve(object).server;
   script.Wait(9s);  // beyond k * tau: the home's own count has slid out
-  const Member member = Script::Cache(static_cast<std::uint64_t>(home));
+  const EndpointInfo member = Script::Cache(static_cast<std::uint64_t>(home));
   script.Tell({Changed(member, Availability::kDraining)});
   for (int i = 0; i < times; ++i) script.Serve(object);
   script.Tell({member});
@@ -71,7 +71,7 @@
 
 TEST(Mechanism, SiblingsOffNamesTheParent) {
   Script script;
-  script.settings.siblings = SiblingScope::kOff;
+  script.settings.sibling_scope = SiblingScope::kOff;
   script.Start();
   EXPECT_TRUE(IsParent(AskWithCountsAtASibling(script, 5).source));
 }
@@ -80,7 +80,7 @@
   Script script;
   script.Start();
   const SendAttempt first = AskWithCountsAtASibling(script, 5);
-  script.Answer(first.id, 0, Outcome::kMiss, FillNote::kSourceLacks);
+  script.Answer(first.id, 0, Outcome::kMiss, FillNote::kSourceMiss);
   const SendAttempt second = script.OnlyAttempt();
   EXPECT_EQ(second.id, first.id);
   EXPECT_EQ(second.server, first.server);
@@ -98,7 +98,7 @@
       continue;
     }
     ++named;
-    script.Answer(sent.id, 0, Outcome::kMiss, FillNote::kSourceLacks);
+    script.Answer(sent.id, 0, Outcome::kMiss, FillNote::kSourceMiss);
     script.Answer(sent.id, 1, Outcome::kServed, FillNote::kFilled);
   }
   EXPECT_GE(named, 2);  // one half, then 0.5 / 2, then 0.5 / 3 is under epsilon
@@ -134,7 +134,7 @@
 // Guards against a client's train of parts clumping at one cache (incident ie147f1).
 TEST(Mechanism, PartsSpreadOverCachesAndShareAParent) {
   Script script;
-  script.settings.classes[0].parts = true;
+  script.settings.classes[0].has_parts = true;
   script.Start();
   std::vector<ServerId> caches, parents;
   for (std::uint32_t part = 0; part < 12; ++part) {
@@ -160,17 +160,17 @@
 TEST(Mechanism, AskedAgainIsKeptAtAHigherRank) {
   Script script;
   script.Start();
-  const int once = script.Serve(7).keep;
+  const int once = script.Serve(7).cache_rank;
   EXPECT_GT(once, 0);
-  EXPECT_GT(script.Serve(7).keep, once);
+  EXPECT_GT(script.Serve(7).cache_rank, once);
 }
 
 TEST(Mechanism, WritesAreNeverKeptAndRunAtTheOrigin) {
   Script script;
-  script.settings.classes[0].write = true;
+  script.settings.classes[0].is_write = true;
   script.Start();
   const SendAttempt sent = script.Ask(7);
-  EXPECT_EQ(sent.keep, 0);
+  EXPECT_EQ(sent.cache_rank, 0);
   EXPECT_EQ(sent.source, ServerId{21});
 }
 
@@ -183,9 +183,9 @@
   const RequestEvent event = script.Request(7);
   script.Ask(event);
   script.Wait(4990ms);
-  EXPECT_TRUE(script.All<Refuse>().empty() && script.All<Fail>().empty());
+  EXPECT_TRUE(script.All<Reject>().empty() && script.All<Fail>().empty());
   script.Wait(10ms);
-  EXPECT_EQ(script.All<Refuse>().size() + script.All<Fail>().size(), 1u);
+  EXPECT_EQ(script.All<Reject>().size() + script.All<Fail>().size(), 1u);
   script.Answer(event.id, 0, Outcome::kTimedOut);
   EXPECT_TRUE(script.actions.empty());
 }
@@ -195,11 +195,11 @@
   script.settings.can_cancel = false;
   script.Start();
   const SendAttempt sent = script.Ask(7);
-  script.now = sent.give_up_at;
+  script.now = sent.expires_at;
   script.Answer(sent.id, 0, Outcome::kTimedOut);
-  EXPECT_EQ(script.All<Refuse>().size() + script.All<Fail>().size(), 1u);
+  EXPECT_EQ(script.All<Reject>().size() + script.All<Fail>().size(), 1u);
   script.Wait(10ms);
-  EXPECT_EQ(script.All<Refuse>().size() + script.All<Fail>().size(), 0u);
+  EXPECT_EQ(script.All<Reject>().size() + script.All<Fail>().size(), 0u);
 }
 
 TEST(Answers, TheRequestsOwnTimeRulesNotTheClassFigure) {
@@ -207,33 +207,33 @@
   script.Start();
   RequestEvent event = script.Request(7);
   event.time_left = 700ms;
-  EXPECT_LE(script.Ask(event).give_up_at, script.now + 700ms);
+  EXPECT_LE(script.Ask(event).expires_at, script.now + 700ms);
 }
 
 TEST(Answers, NothingIsSentAfterAHangup) {
   Script script;
   script.Start();
   const SendAttempt sent = script.Ask(7);
-  script.Pass(HangupEvent{sent.id});
+  script.Pass(ClientDisconnectedEvent{sent.id});
   script.Answer(sent.id, 0, Outcome::kConnectFailed);
   script.Wait(6s);
   EXPECT_TRUE(script.All<SendAttempt>().empty());
-  EXPECT_TRUE(script.All<Fail>().empty() && script.All<Refuse>().empty());
+  EXPECT_TRUE(script.All<Fail>().empty() && script.All<Reject>().empty());
 }
 
 TEST(Effects, OnceIsSentAgainOnlyAfterProofThatItDidNotRun) {
   for (const Outcome outcome : {Outcome::kError, Outcome::kReset, Outcome::kTimedOut, Outcome::kCancelled}) {
     Script script;
-    script.settings.classes[0].effect = Effect::kOnce;
+    script.settings.classes[0].effect = Effect::kNonIdempotent;
     script.Start();
     const SendAttempt sent = script.Ask(7);
     script.Answer(sent.id, 0, outcome);
     EXPECT_TRUE(script.All<SendAttempt>().empty());
     EXPECT_EQ(script.All<Fail>().size(), 1u);
   }
-  for (const Outcome outcome : {Outcome::kFull, Outcome::kConnectFailed, Outcome::kMiss}) {
+  for (const Outcome outcome : {Outcome::kRejected, Outcome::kConnectFailed, Outcome::kMiss}) {
     Script script;
-    script.settings.classes[0].effect = Effect::kOnce;
+    script.settings.classes[0].effect = Effect::kNonIdempotent;
     script.Start();
     const SendAttempt sent = script.Ask(7);
     script.Answer(sent.id, 0, outcome);
@@ -243,19 +243,19 @@
 
 TEST(Effects, OnceThatMayHaveRunFailsAndIsNotRefused) {
   Script script;
-  script.settings.classes[0].effect = Effect::kOnce;
+  script.settings.classes[0].effect = Effect::kNonIdempotent;
   script.Start();
   script.Ask(7);
   script.Wait(6s);
   EXPECT_EQ(script.All<Fail>().size(), 1u);
-  EXPECT_TRUE(script.All<Refuse>().empty());
+  EXPECT_TRUE(script.All<Reject>().empty());
 }
 
 TEST(Effects, KeyedStaysInItsCellAndWindow) {
   Script script;
-  script.settings.classes[0].effect = Effect::kByKey;
-  script.settings.classes[0].key_group = KeyGroup::kCell;
-  script.settings.classes[0].key_window = 1s;
+  script.settings.classes[0].effect = Effect::kIdempotencyKey;
+  script.settings.classes[0].idempotency_scope = IdempotencyScope::kCell;
+  script.settings.classes[0].idempotency_window = 1s;
   for (int i = 0; i < 3; ++i) script.members[i].cell = i == 0 ? 0 : 1;
   for (std::uint64_t object = 1; object < 20; ++object) {
     Script one = Script();
@@ -292,8 +292,8 @@
 TEST(Drains, ADrainingCacheGetsNothingNewNotEvenAsSourceOrTrial) {
   Script script;
   script.Start();
-  std::vector<Member> drained;
-  for (const Member& member : script.members) {
+  std::vector<EndpointInfo> drained;
+  for (const EndpointInfo& member : script.members) {
     if (member.id == ServerId{1} || member.id == ServerId{11}) {
       drained.push_back(Changed(member, Availability::kDraining));
     }
@@ -309,7 +309,7 @@
 TEST(Drains, AbsentFromAFullListIsGone) {
   Script script;
   script.Start();
-  script.Tell({script.members.begin() + 1, script.members.end()}, MembersEvent::Kind::kFull);
+  script.Tell({script.members.begin() + 1, script.members.end()}, EndpointsEvent::Kind::kFull);
   for (std::uint64_t object = 1; object < 40; ++object) {
     EXPECT_NE(script.Serve(object).server, ServerId{1});
   }
@@ -317,9 +317,9 @@
 
 TEST(Drains, ABrokenListCallKeepsTheOldList) {
   Script script;
-  script.settings.discovery = Discovery::kAsked;
+  script.settings.discovery = Discovery::kPolled;
   script.Start();
-  script.Pass(MembersEvent{.kind = MembersEvent::Kind::kBroken});
+  script.Pass(EndpointsEvent{.kind = EndpointsEvent::Kind::kWatchBroken});
   EXPECT_TRUE(script.All<Subscribe>().empty());
   EXPECT_NE(script.Serve(7).server, ServerId{});
   script.Wait(4s);  // some connect time-outs later it asks again
@@ -339,8 +339,8 @@
 
 TEST(Cold, ARestartedCacheIsHeldToItsBudget) {
   Script script;
-  script.settings.weights = WeightMeaning::kSize;
-  for (Member& member : script.members) member.weight = 10;
+  script.settings.weight_meaning = WeightMeaning::kSize;
+  for (EndpointInfo& member : script.members) member.weight = 10;
   script.Start();
   EXPECT_GT(SentTo(script, ServerId{1}, 2s, true), 5.0);
   script.Tell({Changed(script.members[0], Availability::kUp, script.now)});
@@ -352,8 +352,8 @@
 
 TEST(Cold, FillsAtARestartedParentAreHeldToItsBudget) {
   Script script;
-  script.settings.weights = WeightMeaning::kSize;
-  for (Member& member : script.members) member.weight = 10;
+  script.settings.weight_meaning = WeightMeaning::kSize;
+  for (EndpointInfo& member : script.members) member.weight = 10;
   script.Start();
   EXPECT_GT(SentTo(script, ServerId{11}, 2s, true), 5.0);
   script.Tell({Changed(script.members[3], Availability::kUp, script.now)});
@@ -370,15 +370,15 @@
     double sum = 0;
     for (std::uint32_t number = 0; number < kRouters; ++number) {
       Script script;
-      script.settings.routers = kRouters;
-      script.settings.zone_routers = {kRouters, kRouters};
-      script.settings.router = number;
-      script.settings.weights = WeightMeaning::kSize;
-      for (Member& member : script.members) member.weight = 20;
+      script.settings.instance_count = kRouters;
+      script.settings.zone_instance_counts = {kRouters, kRouters};
+      script.settings.instance_index = number;
+      script.settings.weight_meaning = WeightMeaning::kSize;
+      for (EndpointInfo& member : script.members) member.weight = 20;
       script.Start();
       const std::size_t place = parent ? 3 : 0;
       script.Tell({Changed(script.members[place], Availability::kUp, script.now - 300ms)});
-      for (Micros t{0}; t < script.settings.tip_after; t += 100ms) {
+      for (Micros t{0}; t < script.settings.overload_window; t += 100ms) {
         script.Pass(script.Request(static_cast<std::uint64_t>(t.count()) + 77 * number + 1000, 300));
         for (const SendAttempt& one : script.All<SendAttempt>()) {
           const ServerId cold = script.members[place].id;
@@ -396,8 +396,8 @@
 
 TEST(Cold, ABurstAtTheStartCounts) {
   Script script;
-  script.settings.weights = WeightMeaning::kSize;
-  for (Member& member : script.members) member.weight = 10;
+  script.settings.weight_meaning = WeightMeaning::kSize;
+  for (EndpointInfo& member : script.members) member.weight = 10;
   script.Start();
   script.Serve(1);
   script.Tell({Changed(script.members[0], Availability::kUp, script.now)});
@@ -418,7 +418,7 @@
   SendAttempt sent = script.Serve(7);
   EXPECT_GT(sent.max_age, Micros{0});
   EXPECT_LT(sent.max_age, 185ms);
-  EXPECT_FALSE(sent.join);
+  EXPECT_FALSE(sent.join_fill);
   EXPECT_EQ(script.Serve(8).max_age, Micros{0});
   script.Wait(5800ms);
   sent = script.Serve(7);
@@ -463,7 +463,7 @@
     for (std::uint64_t object = from; object < from + 300; ++object) {
       script.Pass(script.Request(object));
       for (const SendAttempt& one : script.All<SendAttempt>()) sent.push_back(one.id);
-      EXPECT_EQ(script.All<SendAttempt>().size() + script.All<Refuse>().size(), 1u);
+      EXPECT_EQ(script.All<SendAttempt>().size() + script.All<Reject>().size(), 1u);
     }
     return sent;
   };
@@ -498,7 +498,7 @@
     };
     fill_up();
     for (const RequestId id : std::vector<RequestId>(sent)) {
-      script.Pass(HangupEvent{id});
+      script.Pass(ClientDisconnectedEvent{id});
       script.Answer(id, 0, Outcome::kCancelled, FillNote::kNone, cut_off);
     }
     script.Wait(20s);
@@ -542,8 +542,8 @@
   ManyParents script;
   const std::vector<RequestId> first = script.FillUp();
   for (const RequestId id : first) {
-    script.Pass(HangupEvent{id});
-    script.Answer(id, 0, Outcome::kFull, FillNote::kNoFillPlace);
+    script.Pass(ClientDisconnectedEvent{id});
+    script.Answer(id, 0, Outcome::kRejected, FillNote::kNoFillSlot);
   }
   EXPECT_LT(script.FillUp(5000).size(), first.size());
 }
@@ -555,7 +555,7 @@
       script.Pass(OutcomeEvent{.id = id,
                                .outcome = Outcome::kServed,
                                .elapsed = 600ms,
-                               .finished = true,
+                               .is_finished = true,
                                .note = FillNote::kFilled,
                                .fill_wait = wait});
     }
@@ -572,13 +572,13 @@
   }
   const std::vector<RequestId> first = script.FillUp();
   for (const RequestId id : first) {
-    script.Pass(HangupEvent{id});
+    script.Pass(ClientDisconnectedEvent{id});
     script.Answer(id, 0, Outcome::kCancelled, FillNote::kNone, 100ms);
   }
   const std::vector<RequestId> second = script.FillUp(5000);
   EXPECT_LT(second.size(), first.size());
   for (const RequestId id : second) {
-    script.Pass(HangupEvent{id});
+    script.Pass(ClientDisconnectedEvent{id});
     script.Answer(id, 0, Outcome::kNotSent);
   }
   script.Wait(20s);
@@ -594,7 +594,7 @@
   }
   for (std::uint64_t wave = 1; wave <= 50; ++wave) {
     for (const RequestId id : script.FillUp(10'000 * wave)) {
-      script.Pass(HangupEvent{id});
+      script.Pass(ClientDisconnectedEvent{id});
       script.Answer(id, 0, Outcome::kCancelled, FillNote::kNone, 5ms);
     }
   }
@@ -610,7 +610,7 @@
     for (std::uint64_t object = 1; object < 20; ++object) {
       const RequestEvent event = script.Request(object, size_kb);
       script.Pass(event);
-      script.Pass(HangupEvent{event.id});
+      script.Pass(ClientDisconnectedEvent{event.id});
       script.Answer(event.id, 0, Outcome::kCancelled);
     }
     int sent = 0;
@@ -633,7 +633,7 @@
   }
   for (std::uint64_t object = 1; object < 100; ++object) script.Pass(script.Request(object, 400));
   script.Pass(script.Request(7, 2000));
-  EXPECT_EQ(script.All<Refuse>().size(), 1u);
+  EXPECT_EQ(script.All<Reject>().size(), 1u);
   int small = 0;
   for (std::uint64_t object = 1; object < 10; ++object) {
     script.Pass(script.Request(object, 5));
@@ -675,7 +675,7 @@
     EXPECT_NE(second.server, first.server);
     script.Answer(first.id, 1, Outcome::kError);
     EXPECT_TRUE(script.All<SendAttempt>().empty());  // no third is asked
-    EXPECT_EQ(script.All<Refuse>().size(), 1u);
+    EXPECT_EQ(script.All<Reject>().size(), 1u);
     for (std::uint64_t good = 1; good <= 4; ++good) script.Serve(1000 + 4 * object + good);
   }
   std::vector<int> sent(4, 0);
@@ -721,7 +721,7 @@
   script.now += 10ms;
   for (const SendAttempt& one : open) {
     script.Answer(one.id, 0, Outcome::kReset);
-    script.Pass(HangupEvent{one.id});  // the further attempt is no part of this
+    script.Pass(ClientDisconnectedEvent{one.id});  // the further attempt is no part of this
     script.Answer(one.id, 1, Outcome::kCancelled);
   }
   int again = 0;
@@ -733,7 +733,7 @@
 
 TEST(Health, ASilentCacheIsSuspectedFromSilenceAlone) {
   Script script;
-  script.settings.may_duplicate = true;
+  script.settings.can_hedge = true;
   script.Start();
   const SendAttempt sent = script.Ask(7);
   script.Wait(410ms);
@@ -788,8 +788,8 @@
     EXPECT_EQ(one.server, home);
     const bool bad = one.source == ServerId{12};
     bad_fills += bad;
-    script.Answer(one.id, 0, bad ? Outcome::kFull : Outcome::kServed,
-                  bad ? FillNote::kSourceUnreached : FillNote::kFilled);
+    script.Answer(one.id, 0, bad ? Outcome::kRejected : Outcome::kServed,
+                  bad ? FillNote::kSourceUnreachable : FillNote::kFilled);
     if (bad) script.Answer(one.id, 1, Outcome::kServed, FillNote::kFilled);
     script.Wait(20ms);
   }
@@ -800,22 +800,22 @@
 // Guards against pressing a failing origin further, which is what keeps it down.
 TEST(Origin, InTroubleItIsSparedButForTrials) {
   Script script;
-  script.settings.classes[0].fresh = 10s;
-  script.settings.classes[0].grace = 30s;
+  script.settings.classes[0].freshness_lifetime = 10s;
+  script.settings.classes[0].stale_grace = 30s;
   script.Start();
   int pressed = 0, spared = 0;
   for (std::uint64_t object = 1; object < 100; ++object) {
     const SendAttempt one = script.Ask(object);
-    if (one.source_holds) {
+    if (one.source_cached_only) {
       ++spared;
       EXPECT_EQ(one.max_age, 40s);  // a copy past its fresh time is better than none
-      script.Answer(one.id, 0, Outcome::kMiss, FillNote::kSourceLacks);
+      script.Answer(one.id, 0, Outcome::kMiss, FillNote::kSourceMiss);
     } else {
       ++pressed;
-      script.Answer(one.id, 0, Outcome::kFull, FillNote::kOriginFailed);
+      script.Answer(one.id, 0, Outcome::kRejected, FillNote::kOriginFailed);
     }
     EXPECT_TRUE(script.All<SendAttempt>().empty());
-    EXPECT_EQ(script.All<Refuse>().size(), 1u);
+    EXPECT_EQ(script.All<Reject>().size(), 1u);
     script.Wait(20ms);
   }
   EXPECT_LE(pressed, 9);
@@ -823,7 +823,7 @@
   script.Wait(4s);
   for (int i = 0; i < 5; ++i) {
     const SendAttempt trial = script.Ask(200 + static_cast<std::uint64_t>(i));
-    EXPECT_FALSE(trial.source_holds);
+    EXPECT_FALSE(trial.source_cached_only);
     script.Answer(trial.id, 0, Outcome::kServed, FillNote::kFilledViaOrigin);
   }
   EXPECT_EQ(script.Ask(300).max_age, Micros{0});
@@ -836,7 +836,7 @@
   script.Tell({Changed(Script::Cache(static_cast<std::uint64_t>(first.server)), Availability::kUp,
                        script.now - 19900ms)});
   script.Wait(200ms);  // warm again, but empty since its start
-  EXPECT_EQ(script.Serve(7).keep, first.keep);
+  EXPECT_EQ(script.Serve(7).cache_rank, first.cache_rank);
 }
 
 TEST(Misuse, GetsADefinedAnswer) {
@@ -856,7 +856,7 @@
   script.Pass(twice);
   EXPECT_TRUE(script.actions.empty());
   script.now -= 50s;  // a clock that steps back stands still
-  EXPECT_GE(script.Ask(9).give_up_at, 104s);
+  EXPECT_GE(script.Ask(9).expires_at, 104s);
 }
 
 // What is kept of departed servers is bounded, and the living are still served after thousands have gone.
@@ -864,11 +864,11 @@
   Script script;
   script.Start();
   for (std::uint64_t id = 1000; id < 4000; ++id) {
-    std::vector<Member> list = script.members;
+    std::vector<EndpointInfo> list = script.members;
     list.push_back(Script::Cache(id));
-    script.Tell(list, MembersEvent::Kind::kFull);
+    script.Tell(list, EndpointsEvent::Kind::kFull);
   }
-  script.Tell(script.members, MembersEvent::Kind::kFull);
+  script.Tell(script.members, EndpointsEvent::Kind::kFull);
   for (std::uint64_t object = 1; object < 50; ++object) {
     EXPECT_LE(static_cast<std::uint64_t>(script.Serve(object).server), 3u);
   }
@@ -876,7 +876,7 @@
 
 TEST(Misuse, SettingsThatMakeNoSenseThrow) {
   Script script;
-  script.settings.warm_after = -1ms;
+  script.settings.warm_up_time = -1ms;
   EXPECT_THROW(Router(script.settings, 1, 0us, script.actions), std::invalid_argument);
   script.settings = Script().settings;
   script.settings.classes.clear();
@@ -888,7 +888,7 @@
   script.members.clear();
   script.Start();
   script.Pass(script.Request(7));
-  EXPECT_EQ(script.All<Refuse>().size(), 1u);
+  EXPECT_EQ(script.All<Reject>().size(), 1u);
 }
 
 }  // namespace
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -161,8 +161,9 @@
   EXPECT_EQ(retuned.site.classes, (tinspan::Names{"pages", "orders", "pages_new", "orders"}));
   EXPECT_EQ(retuned.added, (std::vector<std::string>{"pages_new", "orders"}));
   EXPECT_EQ(retuned.dropped, (std::vector<std::string>{"pages"}));
-  EXPECT_EQ(retuned.site.settings.classes[1].effect, tinspan::Effect::kByKey);  // open ones keep theirs
-  EXPECT_EQ(retuned.site.settings.classes[3].effect, tinspan::Effect::kOnce);
+  EXPECT_EQ(retuned.site.settings.classes[1].effect,
+            tinspan::Effect::kIdempotencyKey);  // open ones keep theirs
+  EXPECT_EQ(retuned.site.settings.classes[3].effect, tinspan::Effect::kNonIdempotent);
   EXPECT_EQ(retuned.site.settings.max_attempts, 2u);
   std::size_t place = 0;
   ASSERT_TRUE(tinspan::FindClass(retuned.site.classes, "orders", place));
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -19,9 +19,9 @@
   mp::Actions actions;
   mp::Router router(settings, /*seed=*/7, /*now=*/0us, actions);
 
-  const mp::Member members[] = {{.id = mp::ServerId{10}, .kind = mp::KindId{0}},
-                                {.id = mp::ServerId{20}, .kind = mp::KindId{1}}};
-  router.Handle(1ms, mp::MembersEvent{.members = members}, actions);
+  const mp::EndpointInfo members[] = {{.id = mp::ServerId{10}, .kind = mp::KindId{0}},
+                                      {.id = mp::ServerId{20}, .kind = mp::KindId{1}}};
+  router.Handle(1ms, mp::EndpointsEvent{.members = members}, actions);
 
   router.Handle(2ms, mp::RequestEvent{.id = mp::RequestId{1}, .time_left = 3s, .object = mp::ObjectId{99}},
                 actions);
@@ -33,7 +33,8 @@
   }
 
   actions.clear();
-  router.Handle(40ms, mp::OutcomeEvent{.id = mp::RequestId{1}, .elapsed = 38ms, .finished = true}, actions);
+  router.Handle(40ms, mp::OutcomeEvent{.id = mp::RequestId{1}, .elapsed = 38ms, .is_finished = true},
+                actions);
   std::printf("attempts at the cache, filled from the origin: %d; actions after the answer: %zu\n", sent,
               actions.size());
   return sent == 1 && actions.empty() ? 0 : 1;
--- a/tests/fixture.hpp
+++ b/tests/fixture.hpp
@@ -19,32 +19,33 @@
 class Script {
  public:
   Script() {
-    settings.classes.push_back({.effect = Effect::kRepeatable, .aim = 400ms, .deadline = 5s, .worth = 1});
+    settings.classes.push_back(
+        {.effect = Effect::kIdempotent, .latency_objective = 400ms, .deadline = 5s, .priority_weight = 1});
     settings.zone_count = 2;
     settings.kind_count = 3;
-    settings.zone_routers = {1, 1};
-    settings.routers = 2;
+    settings.zone_instance_counts = {1, 1};
+    settings.instance_count = 2;
     settings.parent_kind = kParentKind;
     settings.origin_kind = kOriginKind;
-    settings.siblings = SiblingScope::kLocation;
-    settings.detail = Detail::kAll;
-    settings.can_join = settings.can_cancel = settings.retry_after = true;
-    settings.pace_kb_per_s = 1000;
+    settings.sibling_scope = SiblingScope::kLocation;
+    settings.fill_detail = FillDetail::kAll;
+    settings.can_join_fill = settings.can_cancel = settings.has_retry_after = true;
+    settings.transfer_rate_kb_per_s = 1000;
     settings.max_attempts = 6;
     settings.max_retry_after = 1s;
     settings.answer_grace = 8ms;
-    settings.tick = 2ms;
+    settings.event_interval = 2ms;
     settings.connect_timeout = 400ms;
-    settings.drain_grace = 1s;
-    settings.cold_share = 0.2;
-    settings.warm_after = 20s;
-    settings.fall_multiple = 2;
-    settings.tip_after = 2s;
-    settings.parent_cold_share = 0.1;
-    settings.parent_warm_after = 20s;
-    settings.parent_fall_multiple = 2;
-    settings.purge_grace = 300ms;
-    settings.purge_done = 6s;
+    settings.drain_window = 1s;
+    settings.initial_capacity_share = 0.2;
+    settings.warm_up_time = 20s;
+    settings.overload_multiple = 2;
+    settings.overload_window = 2s;
+    settings.parent_initial_capacity_share = 0.1;
+    settings.parent_warm_up_time = 20s;
+    settings.parent_overload_multiple = 2;
+    settings.purge_window = 300ms;
+    settings.purge_retention = 6s;
     for (std::uint64_t id : {1, 2, 3}) members.push_back(Cache(id));
     for (std::uint64_t id : {11, 12}) {
       members.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
@@ -52,14 +53,14 @@
     members.push_back({.id = ServerId{21}, .kind = kOriginKind, .zone = ZoneId{1}});
   }
 
-  static Member Cache(std::uint64_t id) { return {.id = ServerId{id}, .kind = kCacheKind}; }
+  static EndpointInfo Cache(std::uint64_t id) { return {.id = ServerId{id}, .kind = kCacheKind}; }
 
   void Start() {
     router = std::make_unique<Router>(settings, 1, now, actions);
-    Tell(members, MembersEvent::Kind::kStale);
+    Tell(members, EndpointsEvent::Kind::kStale);
   }
-  void Tell(const std::vector<Member>& list, MembersEvent::Kind kind = MembersEvent::Kind::kPatch) {
-    Pass(MembersEvent{.kind = kind, .members = list});
+  void Tell(const std::vector<EndpointInfo>& list, EndpointsEvent::Kind kind = EndpointsEvent::Kind::kDelta) {
+    Pass(EndpointsEvent{.kind = kind, .endpoints = list});
   }
   template <class Event>
   void Pass(const Event& event) {
@@ -97,7 +98,7 @@
                       .attempt = attempt,
                       .outcome = outcome,
                       .elapsed = elapsed,
-                      .finished = outcome == Outcome::kServed,
+                      .is_finished = outcome == Outcome::kServed,
                       .note = note});
   }
   SendAttempt Serve(std::uint64_t object, FillNote note = FillNote::kHit) {
@@ -111,7 +112,7 @@
       RequestEvent slow = Request(object);
       slow.time_left = 1500ms;
       const SendAttempt late = Ask(slow);
-      if (late.source_holds) return true;
+      if (late.source_cached_only) return true;
       const SendAttempt quick = Ask(object + 1000);
       Wait(100ms);
       Answer(quick.id, 0, Outcome::kServed, FillNote::kFilled);
@@ -141,7 +142,7 @@
   }
 
   Settings settings;
-  std::vector<Member> members;
+  std::vector<EndpointInfo> members;
   Micros now{100s};
   Actions actions;
   std::vector<SetTimer> timers;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -12,7 +12,7 @@
 
 // A script on a platform whose notes tell hits from fills and nothing else of a fill's way, as ours does.
 struct HitNotes : Script {
-  HitNotes() { settings.detail = Detail::kHit; }
+  HitNotes() { settings.fill_detail = FillDetail::kHit; }
 };
 
 // Guards against a suspicion of the origin that no answer could ever clear: notes never say that a fill came
@@ -23,8 +23,8 @@
   bool spared = false;
   for (std::uint64_t object = 1; object < 60 && !spared; ++object) {
     const SendAttempt one = script.Ask(object);
-    spared = one.source_holds;
-    script.Answer(one.id, 0, Outcome::kFull, FillNote::kOriginFailed);
+    spared = one.source_cached_only;
+    script.Answer(one.id, 0, Outcome::kRejected, FillNote::kOriginFailed);
     script.Wait(20ms);
   }
   ASSERT_TRUE(spared);
@@ -32,8 +32,8 @@
   int pressed = 0;
   for (std::uint64_t i = 0; i < 40; ++i) {  // it is well again
     const SendAttempt one = script.Ask(1000 + i);
-    pressed += !one.source_holds;
-    const bool filled = !one.source_holds;
+    pressed += !one.source_cached_only;
+    const bool filled = !one.source_cached_only;
     script.Answer(one.id, 0, filled ? Outcome::kServed : Outcome::kMiss,
                   filled ? FillNote::kFilled : FillNote::kNone);
     script.Wait(100ms);
@@ -74,12 +74,12 @@
     auto script = std::make_unique<Script>();
     script->now = now;
     script->next_id = 1 + 1'000'000ull * number + static_cast<std::uint64_t>(now.count() % 1'000'000);
-    script->settings.routers = kRouters;
-    script->settings.zone_routers = {here, here};
-    script->settings.router = number;
-    script->settings.weights = weight > 0 ? WeightMeaning::kSize : WeightMeaning::kOff;
-    for (Member& member : script->members) member.weight = weight;
-    if (told) script->members[parent ? 3 : 0].started = kStart;
+    script->settings.instance_count = kRouters;
+    script->settings.zone_instance_counts = {here, here};
+    script->settings.instance_index = number;
+    script->settings.weight_meaning = weight > 0 ? WeightMeaning::kSize : WeightMeaning::kOff;
+    for (EndpointInfo& member : script->members) member.weight = weight;
+    if (told) script->members[parent ? 3 : 0].started_at = kStart;
     script->Start();
     return script;
   }
@@ -102,8 +102,8 @@
         Script& script = *fleet[i];
         script.Wait(now - script.now);
         if (now == kStart + told_late) {
-          Member member = script.members[parent ? 3 : 0];
-          member.started = kStart;
+          EndpointInfo member = script.members[parent ? 3 : 0];
+          member.started_at = kStart;
           script.Tell({member});
         }
         if (roll > 0s && now > kStart + told_late && now % (roll * kRouters) == roll * i) {
@@ -122,17 +122,18 @@
     }
     if (sent != nullptr) *sent = times.size();
     const Settings& settings = fleet[0]->settings;
-    const double span = std::chrono::duration<double>(settings.tip_after).count();
+    const double span = std::chrono::duration<double>(settings.overload_window).count();
     double over = -1e9;
     for (std::size_t first = 0; first < times.size(); ++first) {
-      const double from = parent ? settings.parent_cold_share : settings.cold_share;
+      const double from = parent ? settings.parent_initial_capacity_share : settings.initial_capacity_share;
       const double warm =
-          std::chrono::duration<double>(parent ? settings.parent_warm_after : settings.warm_after).count();
+          std::chrono::duration<double>(parent ? settings.parent_warm_up_time : settings.warm_up_time)
+              .count();
       const double share = std::min(
           1.0, from + (1 - from) * std::chrono::duration<double>(times[first] - kStart).count() / warm);
-      const double multiple = parent ? settings.parent_fall_multiple : settings.fall_multiple;
+      const double multiple = parent ? settings.parent_overload_multiple : settings.overload_multiple;
       const double n = multiple * share * capacity * span / kWork;
-      const auto end = std::upper_bound(times.begin(), times.end(), times[first] + settings.tip_after);
+      const auto end = std::upper_bound(times.begin(), times.end(), times[first] + settings.overload_window);
       over = std::max(over, static_cast<double>(end - times.begin()) - static_cast<double>(first) -
                                 (n + 2 * std::sqrt(n) + 2));
     }
@@ -182,8 +183,8 @@
 // A location of many routers, each of which sends little.
 struct ManyRouters : HitNotes {
   ManyRouters() {
-    settings.routers = 100;
-    settings.zone_routers = {10, 1};
+    settings.instance_count = 100;
+    settings.zone_instance_counts = {10, 1};
     for (std::uint64_t id = 100; id < 140; ++id) {
       members.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
     }
@@ -193,14 +194,14 @@
     }
   }
   // One answer whose report says how full the location's link in is.
-  void Report(double link_use) {
+  void Report(double link_utilization) {
     const SendAttempt one = Ask(next_id + 100'000);
     Pass(OutcomeEvent{.id = one.id,
                       .outcome = Outcome::kServed,
                       .elapsed = 60ms,
-                      .finished = true,
+                      .is_finished = true,
                       .note = FillNote::kFilled,
-                      .load = {.in_flight = 3, .link_use = link_use}});
+                      .load = {.in_flight = 3, .link_utilization = link_utilization}});
   }
   std::size_t FillsAtOnce() {
     std::size_t sent = 0;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -14,30 +14,30 @@
 Settings MakeSettings() {
   Settings settings;
   ClassSettings pages;
-  pages.effect = Effect::kRepeatable;
-  pages.aim = Micros{2'000'000};
+  pages.effect = Effect::kIdempotent;
+  pages.latency_objective = Micros{2'000'000};
   pages.deadline = Micros{2'500'000};
-  pages.worth = 1;
+  pages.priority_weight = 1;
   settings.classes = {pages};
   settings.zone_count = 2;
   settings.kind_count = 2;
   settings.zone = ZoneId{1};
-  settings.routers = 1;
+  settings.instance_count = 1;
   settings.origin_kind = KindId{1};
-  settings.direct = true;
+  settings.can_bypass_cache = true;
   settings.can_cancel = true;
-  settings.retry_after = true;
+  settings.has_retry_after = true;
   settings.max_attempts = 4;
   settings.max_retry_after = Micros{2'000'000};
-  settings.tick = Micros{2'000};
+  settings.event_interval = Micros{2'000};
   settings.connect_timeout = Micros{400'000};
-  settings.drain_grace = Micros{500'000};
-  settings.purge_grace = Micros{1'000'000};
-  settings.purge_done = Micros{6'000'000};
-  settings.pace_kb_per_s = 5000;
+  settings.drain_window = Micros{500'000};
+  settings.purge_window = Micros{1'000'000};
+  settings.purge_retention = Micros{6'000'000};
+  settings.transfer_rate_kb_per_s = 5000;
   return settings;
 }
-Member MakeMember(ServerId id, Availability availability = Availability::kUp) {
+EndpointInfo MakeMember(ServerId id, Availability availability = Availability::kUp) {
   const bool origin = id == kOrigin;
   return {.id = id,
           .availability = availability,
@@ -48,7 +48,7 @@
 class GatewayTest : public ::testing::Test {
  protected:
   GatewayTest() {
-    Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+    Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   }
   void Tell(std::vector<Event> events, Micros later = Micros{0}) {
     now_ += later;
@@ -80,8 +80,8 @@
   Settings settings = MakeSettings();
   ClassSettings& one = settings.classes[0];
   one.effect = effect;
-  one.key_group = KeyGroup::kAll;
-  one.key_window = window;
+  one.idempotency_scope = IdempotencyScope::kAll;
+  one.idempotency_window = window;
   return settings;
 }
 
@@ -120,7 +120,7 @@
 TEST_F(GatewayTest, SendsAgainOnlyAfterTheEnd) {
   const RequestId id = Ask();
   const ServerId first = All<Send>().at(0).order.server;
-  Tell({End(id, 0, Outcome::kFull)});
+  Tell({End(id, 0, Outcome::kRejected)});
   ASSERT_EQ(All<Send>().size(), 1u);
   EXPECT_NE(All<Send>()[0].order.server, first);
   EXPECT_EQ(All<Send>()[0].attempt, 1u);
@@ -133,10 +133,11 @@
   const RequestId id = Ask();
   const ServerId server = All<Send>().at(0).order.server;
   EXPECT_TRUE(gateway_.MaySend(now_, id, 0));
-  Tell({MembersTold{MembersEvent::Kind::kPatch, {MakeMember(server, Availability::kDraining)}}});
+  Tell({MembersTold{EndpointsEvent::Kind::kDelta, {MakeMember(server, Availability::kDraining)}}});
   EXPECT_TRUE(gateway_.MaySend(now_ + Micros{200'000}, id, 0));
   EXPECT_FALSE(gateway_.MaySend(now_ + Micros{300'000}, id, 0));
-  Tell({MembersTold{MembersEvent::Kind::kPatch, {MakeMember(server, Availability::kGone)}}}, Micros{100'000});
+  Tell({MembersTold{EndpointsEvent::Kind::kDelta, {MakeMember(server, Availability::kRemoved)}}},
+       Micros{100'000});
   EXPECT_FALSE(gateway_.MaySend(now_ + Micros{200'000}, id, 0)) << "the time runs from the first word";
 }
 
@@ -189,7 +190,7 @@
   RequestId id = Ask();
   for (std::uint32_t attempt = 0; All<Answer>().empty(); ++attempt) {
     ASSERT_LT(attempt, 4u);
-    Tell({End(id, attempt, Outcome::kFull)});
+    Tell({End(id, attempt, Outcome::kRejected)});
   }
   EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kRefused);
   EXPECT_EQ(All<Answer>()[0].retry_after, Micros{2'000'000});
@@ -198,8 +199,8 @@
 
 // Guards against a repeat whose key lapses while the connection for it comes up: it would run once more.
 TEST_F(GatewayTest, ARepeatWaitsForItsConnectionOnlyWithinItsWindow) {
-  gateway_ = Gateway(WithClass(Effect::kByKey, Micros{300'000}), 1, now_, {});
-  Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  gateway_ = Gateway(WithClass(Effect::kIdempotencyKey, Micros{300'000}), 1, now_, {});
+  Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   const RequestId id = Ask();
   const Micros first = now_;
   ASSERT_EQ(All<Send>().size(), 1u);
@@ -212,18 +213,18 @@
 
 // What proves that nothing ran starts no window.
 TEST_F(GatewayTest, AnAttemptThatNeverRanStartsNoWindow) {
-  gateway_ = Gateway(WithClass(Effect::kByKey, Micros{300'000}), 1, now_, {});
-  Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  gateway_ = Gateway(WithClass(Effect::kIdempotencyKey, Micros{300'000}), 1, now_, {});
+  Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   const RequestId id = Ask();
-  Tell({End(id, 0, Outcome::kFull)}, Micros{200'000});
+  Tell({End(id, 0, Outcome::kRejected)}, Micros{200'000});
   ASSERT_EQ(All<Send>().size(), 1u);
   EXPECT_TRUE(gateway_.MaySend(now_ + Micros{900'000}, id, 1));
 }
 
 // A class that may run once: after a connection that broke with the request written whole there is no other.
 TEST_F(GatewayTest, OnceMeansOnceAfterAReset) {
-  gateway_ = Gateway(WithClass(Effect::kOnce, Micros{0}), 1, now_, {});
-  Tell({MembersTold{MembersEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  gateway_ = Gateway(WithClass(Effect::kNonIdempotent, Micros{0}), 1, now_, {});
+  Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   const RequestId id = Ask();
   ASSERT_EQ(All<Send>().size(), 1u);
   Tell({End(id, 0, Outcome::kReset)}, Micros{20'000});
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -158,32 +158,32 @@
   Settings settings;
   for (int i = 0; i < 3; ++i) {
     ClassSettings one;
-    one.effect = i == 2 ? Effect::kByKey : Effect::kRepeatable;
-    one.key_group = KeyGroup::kAll;
-    one.key_window = Micros{6'000'000};
-    one.aim = Micros{300'000};
+    one.effect = i == 2 ? Effect::kIdempotencyKey : Effect::kIdempotent;
+    one.idempotency_scope = IdempotencyScope::kAll;
+    one.idempotency_window = Micros{6'000'000};
+    one.latency_objective = Micros{300'000};
     one.deadline = Micros{1'500'000};
-    one.worth = 1 + i;
-    one.late_worth = 0.2;
-    one.stale_worth = 0.7;
-    one.streaming = true;
+    one.priority_weight = 1 + i;
+    one.late_weight = 0.2;
+    one.stale_weight = 0.7;
+    one.is_streamed = true;
     settings.classes.push_back(one);
   }
   settings.zone_count = 2;
   settings.kind_count = 2;
   settings.zone = ZoneId{1};
-  settings.routers = 1;
+  settings.instance_count = 1;
   settings.origin_kind = KindId{1};
-  settings.direct = true;
+  settings.can_bypass_cache = true;
   settings.can_cancel = true;
-  settings.retry_after = true;
+  settings.has_retry_after = true;
   settings.max_attempts = 3;
   settings.max_retry_after = Micros{2'000'000};
-  settings.tick = Micros{2'000};
-  settings.drain_grace = Micros{500'000};
-  settings.purge_grace = Micros{1'000'000};
-  settings.purge_done = Micros{6'000'000};
-  settings.pace_kb_per_s = 5000;
+  settings.event_interval = Micros{2'000};
+  settings.drain_window = Micros{500'000};
+  settings.purge_window = Micros{1'000'000};
+  settings.purge_retention = Micros{6'000'000};
+  settings.transfer_rate_kb_per_s = 5000;
   return settings;
 }
 
@@ -195,7 +195,7 @@
         tracker_(MakeSettings(), {.sample_ppm = 300'000}, seed) {}
 
   void Run(int rounds) {
-    Tell({Members(MembersEvent::Kind::kFull)});
+    Tell({Members(EndpointsEvent::Kind::kFull)});
     for (int i = 0; i < rounds; ++i) Tell(Events());
     for (int i = 0; i < 400; ++i) {  // all deadlines pass
       std::vector<core::Event> rest;
@@ -234,7 +234,7 @@
 
  private:
   bool Chance(int of) { return random_() % static_cast<unsigned>(of) == 0; }
-  core::MembersTold Members(MembersEvent::Kind kind) {
+  core::MembersTold Members(EndpointsEvent::Kind kind) {
     core::MembersTold told;
     told.kind = kind;
     for (std::uint64_t id = 11; id < 16; ++id) {
@@ -267,7 +267,7 @@
       if (!Chance(3)) continue;
       core::AttemptEnded ended{.id = id, .attempt = attempt};
       constexpr std::array kAll{Outcome::kServed, Outcome::kServed, Outcome::kServed,
-                                Outcome::kServed, Outcome::kError,  Outcome::kFull,
+                                Outcome::kServed, Outcome::kError,  Outcome::kRejected,
                                 Outcome::kReset,  Outcome::kMiss,   Outcome::kNotSent};
       ended.outcome = kAll[random_() % kAll.size()];
       ended.note = Chance(5) ? FillNote::kStaleHit : FillNote::kHit;
@@ -276,8 +276,8 @@
       stale_[id] = ended.note == FillNote::kStaleHit;
       out.push_back(ended);
     }
-    if (Chance(40)) out.push_back(Members(MembersEvent::Kind::kPatch));
-    if (Chance(80)) out.push_back(Members(MembersEvent::Kind::kFull));
+    if (Chance(40)) out.push_back(Members(EndpointsEvent::Kind::kDelta));
+    if (Chance(80)) out.push_back(Members(EndpointsEvent::Kind::kFull));
     if (Chance(15)) out.push_back(core::PurgeTold{now_, GroupId{random_() % 4}, std::nullopt});
     if (Chance(9) && !arrived_.empty()) {
       const RequestId id = arrived_.begin()->first;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -32,15 +32,16 @@
 std::string PlayDay(unsigned seed, Script& script, Script* beside) {
   std::mt19937 random(seed);
   const auto draw = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
-  script.settings.may_duplicate = seed % 2;
-  script.settings.direct = seed % 3 == 0;
-  script.settings.classes.push_back({.effect = Effect::kOnce, .aim = 500ms, .deadline = 3s, .worth = 3});
-  script.settings.classes.push_back({.effect = Effect::kByKey,
-                                     .key_group = KeyGroup::kZone,
-                                     .key_window = 900ms,
-                                     .aim = 500ms,
+  script.settings.can_hedge = seed % 2;
+  script.settings.can_bypass_cache = seed % 3 == 0;
+  script.settings.classes.push_back(
+      {.effect = Effect::kNonIdempotent, .latency_objective = 500ms, .deadline = 3s, .priority_weight = 3});
+  script.settings.classes.push_back({.effect = Effect::kIdempotencyKey,
+                                     .idempotency_scope = IdempotencyScope::kZone,
+                                     .idempotency_window = 900ms,
+                                     .latency_objective = 500ms,
                                      .deadline = 3s,
-                                     .worth = 3});
+                                     .priority_weight = 3});
   script.Start();
   if (beside) beside->Start();
   std::map<RequestId, Held> held;
@@ -59,8 +60,8 @@
         EXPECT_EQ(state[sent->source], Availability::kUp) << "filled from a draining server";
         const Effect effect = script.settings.classes[static_cast<std::size_t>(one.event.class_id)].effect;
         for (const auto& [is_out, may_have_run] : one.attempts) {
-          EXPECT_FALSE(is_out && (!script.settings.may_duplicate || effect != Effect::kRepeatable));
-          EXPECT_FALSE(may_have_run && effect == Effect::kOnce) << "an effect could happen twice";
+          EXPECT_FALSE(is_out && (!script.settings.can_hedge || effect != Effect::kIdempotent));
+          EXPECT_FALSE(may_have_run && effect == Effect::kNonIdempotent) << "an effect could happen twice";
         }
         const auto purge = purged.find(static_cast<std::uint64_t>(one.event.object));
         if (purge != purged.end() && script.now - purge->second < 6s) {
@@ -70,12 +71,12 @@
         one.attempts.emplace_back(true, false);
         EXPECT_LE(one.attempts.size(), script.settings.max_attempts);
         out.emplace_back(sent->id, static_cast<std::uint32_t>(one.attempts.size() - 1));
-      } else if (const auto* refused = std::get_if<Refuse>(&action)) {
+      } else if (const auto* refused = std::get_if<Reject>(&action)) {
         Held& one = held[refused->id];
         EXPECT_LT(one.answered, 0us) << "answered twice";
         one.answered = script.now;
         if (script.settings.classes[static_cast<std::size_t>(one.event.class_id)].effect !=
-            Effect::kRepeatable) {
+            Effect::kIdempotent) {
           for (const auto& attempt : one.attempts) EXPECT_FALSE(attempt.first || attempt.second);
         }
       } else if (const auto* failed = std::get_if<Fail>(&action)) {
@@ -84,7 +85,7 @@
       }
     }
   };
-  for (const Member& member : script.members) state[member.id] = Availability::kUp;
+  for (const EndpointInfo& member : script.members) state[member.id] = Availability::kUp;
   for (int step = 0; step < 4000; ++step) {
     const unsigned what = draw(20);
     if (beside && step % 3 == 0) {
@@ -104,17 +105,17 @@
       out.erase(out.begin() + static_cast<std::ptrdiff_t>(pick));
       Held& one = held[id];
       const Outcome outcome = draw(2) ? Outcome::kServed : static_cast<Outcome>(draw(9));
-      const bool proves = outcome == Outcome::kFull || outcome == Outcome::kConnectFailed ||
+      const bool proves = outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
                           outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
       one.attempts[attempt] = {false, !proves};
       if (outcome == Outcome::kServed && one.answered < 0us) one.answered = script.now;
       script.Answer(id, attempt, outcome, static_cast<FillNote>(draw(11)), Micros{1000 * draw(500)});
       check();
     } else if (what == 16) {
-      const Member& member = script.members[draw(static_cast<unsigned>(script.members.size()))];
-      Member changed = member;
+      const EndpointInfo& member = script.members[draw(static_cast<unsigned>(script.members.size()))];
+      EndpointInfo changed = member;
       changed.availability = static_cast<Availability>(draw(3));
-      if (draw(2)) changed.started = script.now - Micros{1000 * draw(5000)};
+      if (draw(2)) changed.started_at = script.now - Micros{1000 * draw(5000)};
       state[member.id] = changed.availability;
       script.Tell({changed});
       check();
