--- a/src/core/observer.hpp
+++ b/src/core/observer.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 
 namespace tinspan::core {
 
--- a/src/core/gateway.cpp
+++ b/src/core/request_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "core/observer.hpp"
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
--- a/src/front/http/consul.hpp
+++ b/src/front/http/consul.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/http/consul_query.hpp"
 
 namespace tinspan::http {
--- a/src/front/http/upstream.hpp
+++ b/src/front/http/upstream.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/http/access.hpp"
 #include "front/http/clients.hpp"
 #include "front/http/http1.hpp"
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/platform/client_side.hpp"
 #include "front/seen_failing.hpp"
 #include "net/patience.hpp"
--- a/src/front/platform/change_log.hpp
+++ b/src/front/platform/change_log.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/platform/cache_side.hpp"
 #include "net/connection.hpp"
 
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/platform/resp.hpp"
 #include "net/connection.hpp"
 #include "net/listener.hpp"
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <vector>
 
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "core/observer.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 #include "record/record.pb.h"
 
 namespace tinspan::record {
--- a/tests/gateway_test.cpp
+++ b/tests/request_coordinator_test.cpp
@@ -1,5 +1,5 @@
 // The core without sockets: what it promises whatever the Router decides.
-#include "core/gateway.hpp"
+#include "core/request_coordinator.hpp"
 
 #include <gtest/gtest.h>
 
