--- a/bench/synth_records.cpp
+++ b/bench/synth_records.cpp
@@ -62,7 +62,7 @@
       if (whole && second == 130) Members(5, 6, Availability::kUp);
       if (whole && second >= 200 && second < 210) {
         events.push_back(
-            core::PurgeTold{kStart + now_, GroupId{static_cast<std::uint64_t>(second)}, std::nullopt});
+            core::PurgeReceived{kStart + now_, GroupId{static_cast<std::uint64_t>(second)}, std::nullopt});
       }
       const bool trouble = second >= 300 && second < 308;
       End(trouble, events, commands);
@@ -77,15 +77,15 @@
 
  private:
   void Members(std::uint64_t from, std::uint64_t to, Availability state) {
-    core::MembersTold told;
+    core::EndpointsUpdated told;
     told.kind = EndpointsEvent::Kind::kDelta;
     told.source = "consul/shop-cache";
     told.version = ++version_;
     for (std::uint64_t id = from; id < to; ++id) {
-      told.members.push_back({.id = ServerId{id + 1},
-                              .availability = state,
-                              .kind = KindId{id == 0 ? 1u : 0u},
-                              .zone = ZoneId{0}});
+      told.endpoints.push_back({.id = ServerId{id + 1},
+                                .availability = state,
+                                .kind = KindId{id == 0 ? 1u : 0u},
+                                .zone = ZoneId{0}});
       told.names.push_back({"node-" + std::to_string(id) + "/c", "127.0.0.1:" + std::to_string(7000 + id)});
     }
     next_.push_back(std::move(told));
@@ -93,19 +93,19 @@
   void Come(double rate, std::vector<core::Event>& events, core::Commands& commands) {
     const int count = std::poisson_distribution<int>(rate * 0.1)(random_);
     for (int i = 0; i < count; ++i) {
-      core::RequestCame came;
+      core::RequestReceived came;
       came.id = RequestId{++requests_};
       came.class_id = ClassId{static_cast<std::uint32_t>(random_() % 3)};
-      came.allow = Micros{2'500'000};
+      came.time_left = Micros{2'500'000};
       came.object = ObjectId{random_()};
       came.group = GroupId{random_() % 256};
       came.size_kb = 100;
       events.push_back(came);
-      core::Send send;
-      send.order.id = came.id;
-      send.order.server = ServerId{1 + random_() % 20};
-      send.order.source = ServerId{1};
-      send.order.expires_at = kStart + now_ + came.allow;
+      core::StartAttempt send;
+      send.action.id = came.id;
+      send.action.server = ServerId{1 + random_() % 20};
+      send.action.source = ServerId{1};
+      send.action.expires_at = kStart + now_ + came.time_left;
       commands.push_back(send);
       open_.emplace(came.id, now_ + Micros{20'000} + Micros{static_cast<std::int64_t>(random_() % 250'000)});
     }
@@ -117,11 +117,11 @@
         continue;
       }
       const bool bad = trouble && random_() % 3 == 0;
-      events.push_back(core::AttemptEnded{
+      events.push_back(core::AttemptCompleted{
           .id = one->first, .outcome = bad ? Outcome::kError : Outcome::kServed, .note = FillNote::kHit});
-      core::Answer answer;
+      core::CompleteRequest answer;
       answer.id = one->first;
-      answer.verdict = bad ? core::Verdict::kRefused : core::Verdict::kServed;
+      answer.status = bad ? core::CompletionStatus::kRejected : core::CompletionStatus::kServed;
       commands.push_back(answer);
       one = open_.erase(one);
     }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -16,7 +16,9 @@
 namespace tinspan::cli {
 namespace {
 
-core::GatewayOptions CoreOptions(const config::Common& config) { return {.slack = config.slack}; }
+core::CoordinatorOptions CoreOptions(const config::Common& config) {
+  return {.response_margin = config.slack};
+}
 
 // The program ends by itself no earlier than SIGKILL could come, whichever way the deadline is read.
 front::StopTimes Stop(const config::Common& config) {
@@ -152,7 +154,7 @@
     node->Leave();
   };
   if (agent != nullptr && agent->Spreads()) {
-    beside.purged = [agent](const core::PurgeTold& told) {
+    beside.purged = [agent](const core::PurgeReceived& told) {
       lease::Job job;
       job.group = static_cast<std::uint64_t>(told.group);
       if (told.object) job.object = static_cast<std::uint64_t>(*told.object);
@@ -170,14 +172,14 @@
   net::EventLoop loop;
   front::Signals signals(loop);
   std::vector<core::Event> events;
-  core::Gateway gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
+  core::RequestCoordinator gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
   const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
   const std::unique_ptr<members::Node> fleet = MakeMembers(loop, config);  // outlives the front that asks it
   const std::unique_ptr<lease::Agent> leases = MakeLeases(loop, config, fleet.get());
   if (leases) {
     leases->SetApply([&events](const lease::Job& job) {
-      core::PurgeTold told;
-      told.at = net::Now() - job.age;
+      core::PurgeReceived told;
+      told.purged_at = net::Now() - job.age;
       told.group = GroupId{job.group};
       if (job.object) told.object = ObjectId{*job.object};
       events.push_back(told);
@@ -193,7 +195,7 @@
     const std::string door = net::Endpoint{config.ops->address, *ops}.Text();
     log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
   }
-  if (recorder) recorder->OnLife(net::Now(), core::Life::kServing, 0, at, 0);
+  if (recorder) recorder->OnLifecycleEvent(net::Now(), core::LifecycleEvent::kServing, 0, at, 0);
   front::Run(loop, signals, gateway, front, events, Stop(config), recorder.get());
 }
 
--- a/src/core/observer.hpp
+++ b/src/core/observer.hpp
@@ -11,18 +11,28 @@
 
 namespace tinspan::core {
 
-enum class Life { kStarted, kSignalled, kStopping, kStopped, kCut, kReloaded, kReloadRefused, kServing };
+enum class LifecycleEvent {
+  kStarted,
+  kSignalReceived,
+  kStopping,
+  kStopped,
+  kShutdownTimedOut,
+  kReloaded,
+  kReloadRejected,
+  kServing
+};
 
 class Observer {
  public:
   virtual ~Observer() = default;
-  // After Gateway::Handle, and before the commands are carried out. `now`: the wall clock.
+  // After RequestCoordinator::Handle, and before the commands are carried out. `now`: the wall clock.
   virtual void OnRound(Micros now, std::span<const Event> events, const Commands& commands,
                        std::size_t open) = 0;
   // `signal`: its number with kSignalled; `open`: requests without their final answer.
-  virtual void OnLife(Micros now, Life what, int signal, std::string_view text, std::size_t open) = 0;
+  virtual void OnLifecycleEvent(Micros now, LifecycleEvent event, int signal, std::string_view text,
+                                std::size_t open) = 0;
   // The longest that it may be until the next OnRound.
-  virtual Micros MostWait(Micros now) const = 0;
+  virtual Micros MaxWait(Micros now) const = 0;
 };
 
 // What has been observed lately, as bytes for whoever looks on from afar (record/recorder.hpp).
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -21,9 +21,9 @@
 namespace tinspan::core {
 
 // ---- Events. ----
-struct RequestCame {
-  RequestId id{};   // from Gateway::NextId
-  Micros allow{0};  // from now until the client gives up
+struct RequestReceived {
+  RequestId id{};       // from RequestCoordinator::NextRequestId
+  Micros time_left{0};  // from now until the client gives up
   ClassId class_id{};
   GroupId group{};
   ObjectId object{};
@@ -31,101 +31,101 @@
   double size_kb = 0;
   bool is_retry = false;
 };
-struct ClientLeft {  // nothing is owed any more
+struct ClientDisconnected {  // nothing is owed any more
   RequestId id{};
 };
-struct AttemptWritten {  // it had to wait for a connection, and has gone out only now
+struct AttemptSent {  // it had to wait for a connection, and has gone out only now
   RequestId id{};
   std::uint32_t attempt = 0;
 };
-struct AttemptBegan {  // the answer's first bytes are here and may be passed on from now
+struct ResponseStarted {  // the answer's first bytes are here and may be passed on from now
   RequestId id{};
   std::uint32_t attempt = 0;
-  std::optional<Micros> issued{};  // when the origin gave the copy out
+  std::optional<Micros> issued_at{};  // when the origin gave the copy out
 };
-struct AttemptEnded {
+struct AttemptCompleted {
   RequestId id{};
   std::uint32_t attempt = 0;
   Outcome outcome = Outcome::kServed;
   FillNote note = FillNote::kNone;
   std::optional<Micros> fill_wait{};
   LoadReport load{};
-  std::optional<Micros> issued{};
+  std::optional<Micros> issued_at{};
 };
-struct MembersTold {
-  struct Named {
+struct EndpointsUpdated {
+  struct EndpointName {
     std::string name;
     std::string address;
   };
   EndpointsEvent::Kind kind = EndpointsEvent::Kind::kFull;
-  std::vector<EndpointInfo> members{};
+  std::vector<EndpointInfo> endpoints{};
   // For the record only; what is empty is not told.
-  std::vector<Named> names{};  // of the member at the same place
-  std::string source{};        // such as "changelog"
-  std::uint64_t version = 0;   // the source's own number of what it told
+  std::vector<EndpointName> names{};  // of the member at the same place
+  std::string source{};               // such as "changelog"
+  std::uint64_t version = 0;          // the source's own number of what it told
 };
-struct PurgeTold {
-  Micros at{0};  // when the purge was made
+struct PurgeReceived {
+  Micros purged_at{0};  // when the purge was made
   GroupId group{};
   std::optional<ObjectId> object{};  // none: the whole group
 };
-struct ConnectionLost {  // of a server, with requests open on it; each of them is told by AttemptEnded
+struct ConnectionLost {  // of a server, with requests open on it; each of them is told by AttemptCompleted
   ServerId server{};
-  std::size_t open = 0;
+  std::size_t open_requests = 0;
 };
-using Event = std::variant<RequestCame, ClientLeft, AttemptBegan, AttemptEnded, MembersTold, PurgeTold,
-                           ConnectionLost, AttemptWritten>;
+using Event = std::variant<RequestReceived, ClientDisconnected, ResponseStarted, AttemptCompleted,
+                           EndpointsUpdated, PurgeReceived, ConnectionLost, AttemptSent>;
 
 // ---- Commands, to be carried out in order. ----
-struct Send {
-  SendAttempt order;
+struct StartAttempt {
+  SendAttempt action;
   std::uint32_t attempt = 0;
 };
-struct Stop {  // the attempt is given up; whatever still comes of it is dropped
+struct AbortAttempt {  // the attempt is given up; whatever still comes of it is dropped
   RequestId id{};
   std::uint32_t attempt = 0;
 };
-struct Relay {  // the attempt's answer is the client's: pass on what there is and what comes
+struct ForwardResponse {  // the attempt's answer is the client's: pass on what there is and what comes
   RequestId id{};
   std::uint32_t attempt = 0;
 };
-enum class Verdict {
-  kServed,   // by the attempt named
-  kBroken,   // the answer had begun and cannot be finished: the client must see that
-  kRefused,  // trying again is harmless
+enum class CompletionStatus {
+  kServed,     // by the attempt named
+  kTruncated,  // the answer had begun and cannot be finished: the client must see that
+  kRejected,   // trying again is harmless
   kFailed,
 };
-struct Answer {  // final; each request that came gets one, unless its client left
+struct CompleteRequest {  // final; each request that came gets one, unless its client left
   RequestId id{};
-  Verdict verdict = Verdict::kFailed;
+  CompletionStatus status = CompletionStatus::kFailed;
   std::uint32_t attempt = 0;
-  Micros retry_after{0};  // 0: no advice
-  bool overdue = false;   // the time was up, whatever the verdict
+  Micros retry_after{0};           // 0: no advice
+  bool deadline_exceeded = false;  // the time was up, whatever the verdict
 };
-struct Log {
+struct LogMessage {
   std::string text;
 };
-using Command = std::variant<Send, Stop, Relay, Answer, Log>;
+using Command = std::variant<StartAttempt, AbortAttempt, ForwardResponse, CompleteRequest, LogMessage>;
 using Commands = std::vector<Command>;
 
-struct GatewayOptions {
+struct CoordinatorOptions {
   // Taken off what a client allows: `allow` counts from when the client sent, and the answer has still to be
   // written and to reach it.
-  Micros slack{2'000};
+  Micros response_margin{2'000};
   // A begun answer may take as long as it keeps moving; without any bytes for so long it is broken off by the
   // front. Here only: how long an attempt without a deadline may be remembered.
-  Micros sweep{1'000'000};
+  Micros sweep_interval{1'000'000};
 };
 
-class Gateway {
+class RequestCoordinator {
  public:
-  Gateway(const Settings& settings, std::uint64_t seed, Micros now, GatewayOptions options);
+  RequestCoordinator(const Settings& settings, std::uint64_t seed, Micros now, CoordinatorOptions options);
 
-  RequestId NextId() { return RequestId{++last_id_}; }
+  RequestId NextRequestId() { return RequestId{++last_id_}; }
   // SIGKILL may come at `at`: every request, open already or to come, is allowed at most until shortly
   // before, so that none is found unanswered: a client that is told may ask elsewhere, one that is cut off
   // waits.
-  void EndsBy(Micros at);
+  void SetShutdownDeadline(Micros at);
   // Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
   void Retune(const Settings& settings) {
     settings_ = settings;
@@ -134,9 +134,9 @@
   // Handles all that has come in since the last call, then what is due by the clock.
   void Handle(Micros now, std::span<const Event> events, Commands& out);
   // Whether a send that had to wait (for a connection) may still go out. A front asks right before it writes.
-  bool MaySend(Micros now, RequestId id, std::uint32_t attempt) const;
+  bool CanSend(Micros now, RequestId id, std::uint32_t attempt) const;
   // When Handle wants to be called again, if nothing happens before.
-  std::optional<Micros> NextDue() const;
+  std::optional<Micros> NextDeadline() const;
   std::size_t OpenRequests() const { return open_; }  // without their final answer yet
 
  private:
@@ -148,7 +148,7 @@
     bool may_have_run = false;  // ended, by an outcome that does not prove the opposite
   };
   struct Request {
-    RequestCame came;
+    RequestReceived came;
     Micros deadline{0};
     std::uint32_t most_attempts = 0;  // as the settings said when it came
     bool answered = false;
@@ -172,13 +172,13 @@
     Micros told{0};
   };
 
-  void On(const RequestCame& event);
-  void On(const ClientLeft& event);
-  void On(const AttemptBegan& event);
-  void On(const AttemptEnded& event);
-  void On(const MembersTold& event);
-  void On(const PurgeTold& event);
-  void On(const AttemptWritten&) {}  // the attempt's time runs from its order
+  void On(const RequestReceived& event);
+  void On(const ClientDisconnected& event);
+  void On(const ResponseStarted& event);
+  void On(const AttemptCompleted& event);
+  void On(const EndpointsUpdated& event);
+  void On(const PurgeReceived& event);
+  void On(const AttemptSent&) {}     // the attempt's time runs from its order
   void On(const ConnectionLost&) {}  // of no weight for any decision: what was open on it is told one by one
   void RunDue();
 
@@ -190,12 +190,12 @@
   void Do(const Fail& order);
   void Do(const SetTimer& order);
   void Do(const Subscribe&) {}  // the change log is always followed
-  void Do(const LogLine& order) { out_->push_back(Log{order.text}); }
+  void Do(const LogLine& order) { out_->push_back(LogMessage{order.text}); }
 
   Request* Find(RequestId id);
   Micros LastAnswer() const { return *ends_by_ - kLastWrite; }
-  void Finish(RequestId id, Request& request, Answer answer);
-  void End(RequestId id, Request& request, std::uint32_t attempt, AttemptEnded how);
+  void Finish(RequestId id, Request& request, CompleteRequest answer);
+  void End(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted how);
   void Forget(RequestId id);
   void At(Micros at, Due::What what, std::uint64_t token, std::uint32_t attempt = 0);
   bool PastDrain(Micros now, ServerId server) const;
@@ -210,7 +210,7 @@
 
   Settings settings_;
   std::optional<Micros> ends_by_;
-  GatewayOptions options_;
+  CoordinatorOptions options_;
   Micros now_{0};
   Commands* out_ = nullptr;
   std::uint64_t last_id_ = 0;
@@ -222,7 +222,7 @@
   Micros next_forget_{0};
   std::priority_queue<Due> due_;
   std::uint64_t serial_ = 0;
-  std::vector<AttemptEnded> called_off_;  // outcomes that the Router is told after the actions at hand
+  std::vector<AttemptCompleted> called_off_;  // outcomes that the Router is told after the actions at hand
   Router router_;
 };
 
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -82,11 +82,11 @@
 }
 GroupId GroupOf(std::string_view segment) { return GroupId{static_cast<std::uint64_t>(HashName(segment))}; }
 
-Clients::Clients(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Access& access,
-                 std::vector<core::Event>& events)
+Clients::Clients(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
+                 Access& access, std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
-      gateway_(gateway),
+      coordinator_(coordinator),
       access_(access),
       events_(events),
       visitors_({.most = config.limits.sockets / 3, .first = kFirst, .idle = kIdle}),
@@ -221,9 +221,9 @@
   for (const auto& [name, value] : head.fields) {
     if (!EndsHere(name, connection)) asked.fields.append(name).append(": ").append(value).append("\r\n");
   }
-  core::RequestCame came;
-  came.id = gateway_.NextId();
-  came.allow = settings.deadline;
+  core::RequestReceived came;
+  came.id = coordinator_.NextRequestId();
+  came.time_left = settings.deadline;
   came.class_id = ClassId{static_cast<std::uint32_t>(place)};
   came.object = ObjectOf(asked.uri);
   const std::string_view rest = std::string_view(target->path).substr(route->prefix.size());
@@ -269,8 +269,8 @@
   simdjson::dom::element json;
   std::string_view text;
   if (parser.parse(simdjson::padded_string(body)).get(json) != simdjson::SUCCESS) return 400;
-  core::PurgeTold told;
-  told.at = net::Now();
+  core::PurgeReceived told;
+  told.purged_at = net::Now();
   if (json["object"].get(text) == simdjson::SUCCESS) {
     const auto object = ReadTarget(text);
     if (!object) return 400;
@@ -381,7 +381,7 @@
 
 void Clients::Leave(Client& client) {
   if (client.open) {
-    events_.push_back(core::ClientLeft{*client.open});
+    events_.push_back(core::ClientDisconnected{*client.open});
     asked_.erase(*client.open);
     client.open.reset();
   }
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/request_coordinator.hpp"
 #include "core/observer.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
 #include "net/connection.hpp"
@@ -31,8 +31,8 @@
 
 class Clients final : public net::Connection::Owner {
  public:
-  Clients(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Access& access,
-          std::vector<core::Event>& events);
+  Clients(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
+          Access& access, std::vector<core::Event>& events);
 
   Asked* Find(RequestId id);
   // Parts of an answer that is passed on. How many bytes wait for the client now; nothing if it has gone.
@@ -47,7 +47,7 @@
   // What /-/records gives out; none: there is no such endpoint.
   void SetFeed(const core::RecordFeed* feed) { feed_ = feed; }
   // Told each operator's purge that is taken here.
-  void SetPurged(std::function<void(const core::PurgeTold&)> purged) { purged_ = std::move(purged); }
+  void SetPurged(std::function<void(const core::PurgeReceived&)> purged) { purged_ = std::move(purged); }
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
   bool Drained() const;
   void EndRound(Micros now);
@@ -84,7 +84,7 @@
 
   net::EventLoop& loop_;
   const config::Http& config_;
-  core::Gateway& gateway_;
+  core::RequestCoordinator& coordinator_;
   Access& access_;
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
@@ -94,7 +94,7 @@
   std::uint64_t last_ = 0;
   bool ready_ = false;
   const core::RecordFeed* feed_ = nullptr;
-  std::function<void(const core::PurgeTold&)> purged_;
+  std::function<void(const core::PurgeReceived&)> purged_;
   std::string body_;  // of the answer to an operator
   Micros accept_until_ = Micros::max();
   net::Listener listener_;
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -29,25 +29,25 @@
   }
 }
 
-HttpFront::HttpFront(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway,
+HttpFront::HttpFront(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
                      std::vector<core::Event>& events)
     : config_(config),
       access_(ReadKeys(config, config.keys), Rules(config)),
       signer_(ReadSigningKey(config), config.name, Rules(config)),
-      clients_(loop, config, gateway, access_, events),
-      upstream_(loop, config, gateway, clients_, signer_, events),
+      clients_(loop, config, coordinator, access_, events),
+      upstream_(loop, config, coordinator, clients_, signer_, events),
       unlisted_(config.consul_services.size()) {
   for (const config::ConsulService& service : config.consul_services) {
     auto changed = [this, &events, &service, first = true](const std::vector<Node>& changes,
                                                            std::uint64_t index) mutable {
-      core::MembersTold told;
+      core::EndpointsUpdated told;
       told.kind = EndpointsEvent::Kind::kDelta;
       told.source = "consul/" + service.name;
       told.version = index;
       for (const Node& node : changes) {
         const bool gone = node.member.availability == Availability::kRemoved;
         gone ? upstream_.Forsake(node.member.id) : upstream_.Know(node.member.id, {node.name, node.endpoint});
-        told.members.push_back(node.member);
+        told.endpoints.push_back(node.member);
         told.names.push_back({node.name, node.endpoint.Text()});
       }
       log::Info("consul.changed", {{"service", service.name}, {"changes", changes.size()}},
@@ -73,22 +73,22 @@
 }
 
 void HttpFront::Carry(net::Micros now, const core::Command& command) {
-  if (const auto* send = std::get_if<core::Send>(&command)) return upstream_.Carry(now, *send);
-  if (const auto* stop = std::get_if<core::Stop>(&command)) return upstream_.Carry(now, *stop);
-  if (const auto* relay = std::get_if<core::Relay>(&command)) return upstream_.Carry(now, *relay);
-  if (const auto* answer = std::get_if<core::Answer>(&command)) return Answer(*answer);
-  if (const auto* line = std::get_if<core::Log>(&command)) {
+  if (const auto* send = std::get_if<core::StartAttempt>(&command)) return upstream_.Carry(now, *send);
+  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return upstream_.Carry(now, *stop);
+  if (const auto* relay = std::get_if<core::ForwardResponse>(&command)) return upstream_.Carry(now, *relay);
+  if (const auto* answer = std::get_if<core::CompleteRequest>(&command)) return Answer(*answer);
+  if (const auto* line = std::get_if<core::LogMessage>(&command)) {
     log::Info("router.line", {}, "router: {}", line->text);
   }
 }
 
-void HttpFront::Answer(const core::Answer& answer) {
-  if (answer.verdict == core::Verdict::kServed) return clients_.Served(answer.id);
-  if (answer.verdict == core::Verdict::kBroken) return clients_.Broken(answer.id);
+void HttpFront::Answer(const core::CompleteRequest& answer) {
+  if (answer.status == core::CompletionStatus::kServed) return clients_.Served(answer.id);
+  if (answer.status == core::CompletionStatus::kTruncated) return clients_.Broken(answer.id);
   const Asked* const asked = clients_.Find(answer.id);
-  const bool refused = answer.verdict == core::Verdict::kRefused;
-  int status = answer.overdue ? 504 : refused ? 503 : 502;
-  if (asked != nullptr && asked->blame != 0 && !answer.overdue) status = asked->blame;
+  const bool refused = answer.status == core::CompletionStatus::kRejected;
+  int status = answer.deadline_exceeded ? 504 : refused ? 503 : 502;
+  if (asked != nullptr && asked->blame != 0 && !answer.deadline_exceeded) status = asked->blame;
   std::string fields;
   if (status == 503) {
     const auto seconds = std::max<std::int64_t>(1, (answer.retry_after.count() + 999'999) / 1'000'000);
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -16,7 +16,7 @@
 class HttpFront final : public front::Front {
  public:
   // Throws config::Error on keys that make no sense.
-  HttpFront(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway,
+  HttpFront(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
             std::vector<core::Event>& events);
 
   void Carry(net::Micros now, const core::Command& command) override;
@@ -41,7 +41,7 @@
   }
 
  private:
-  void Answer(const core::Answer& answer);
+  void Answer(const core::CompleteRequest& answer);
 
   const config::Http& config_;
   Access access_;
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -52,29 +52,29 @@
 
 }  // namespace
 
-Upstream::Upstream(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Clients& clients,
-                   const Signer& signer, std::vector<core::Event>& events)
+Upstream::Upstream(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
+                   Clients& clients, const Signer& signer, std::vector<core::Event>& events)
     : config_(config),
-      gateway_(gateway),
+      coordinator_(coordinator),
       clients_(clients),
       signer_(signer),
       events_(events),
       pool_(loop, Rules(config), *this) {}
 
-void Upstream::Carry(Micros now, const core::Send& command) {
-  const auto address = addresses_.find(command.order.server);
-  if (clients_.Find(command.order.id) == nullptr || address == addresses_.end()) {
-    events_.push_back(
-        core::AttemptEnded{.id = command.order.id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
+void Upstream::Carry(Micros now, const core::StartAttempt& command) {
+  const auto address = addresses_.find(command.action.server);
+  if (clients_.Find(command.action.id) == nullptr || address == addresses_.end()) {
+    events_.push_back(core::AttemptCompleted{
+        .id = command.action.id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
     return;
   }
-  Link& link = pool_.Take(static_cast<std::uint64_t>(command.order.server), address->second.endpoint, now,
+  Link& link = pool_.Take(static_cast<std::uint64_t>(command.action.server), address->second.endpoint, now,
                           [](const Link& one) { return one.connection.IsOpen() && !one.state.busy; });
   link.state = UpstreamLink();
-  link.state.id = command.order.id;
+  link.state.id = command.action.id;
   link.state.attempt = command.attempt;
   link.state.busy = true;
-  out_[command.order.id] = Out{&link, command};
+  out_[command.action.id] = Out{&link, command};
   if (link.connection.IsOpen()) {
     Put(now, link, command);
   } else {
@@ -82,14 +82,14 @@
   }
 }
 
-void Upstream::Put(Micros now, Link& link, const core::Send& send) {
+void Upstream::Put(Micros now, Link& link, const core::StartAttempt& send) {
   link.state.waiting = false;
-  const Asked* const asked = clients_.Find(send.order.id);
-  const SendAttempt& order = send.order;
+  const Asked* const asked = clients_.Find(send.action.id);
+  const SendAttempt& order = send.action;
   const bool fill = order.source != order.server;
   const auto source = addresses_.find(order.source);
   if (asked == nullptr || (fill && source == addresses_.end()) ||
-      !gateway_.MaySend(now, order.id, send.attempt)) {
+      !coordinator_.CanSend(now, order.id, send.attempt)) {
     Tell(link, {.outcome = Outcome::kNotSent});
     return Free(link);
   }
@@ -122,13 +122,13 @@
 void Upstream::OnLinkOpen(Link& link) {
   const auto out = link.state.busy ? out_.find(link.state.id) : out_.end();
   if (!link.state.waiting || out == out_.end()) return;
-  const core::Send send = out->second.send;
+  const core::StartAttempt send = out->second.send;
   Put(net::Now(), link, send);
-  if (link.state.written > 0) events_.emplace_back(core::AttemptWritten{send.order.id, send.attempt});
+  if (link.state.written > 0) events_.emplace_back(core::AttemptSent{send.action.id, send.attempt});
 }
 
 // Ends the exchange towards the core, which may still go on on the wire.
-void Upstream::Tell(Link& link, core::AttemptEnded ended) {
+void Upstream::Tell(Link& link, core::AttemptCompleted ended) {
   const auto found = out_.find(link.state.id);
   if (found == out_.end() || found->second.link != &link) return;
   ended.id = link.state.id;
@@ -165,7 +165,7 @@
   Break(link, whole ? Outcome::kReset : Outcome::kConnectFailed);
 }
 
-void Upstream::Carry(Micros, const core::Stop& command) {
+void Upstream::Carry(Micros, const core::AbortAttempt& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
   Link& link = *found->second.link;
@@ -174,7 +174,7 @@
   Free(link);
 }
 
-void Upstream::Carry(Micros, const core::Relay& command) {
+void Upstream::Carry(Micros, const core::ForwardResponse& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
   Link& link = *found->second.link;
@@ -246,7 +246,7 @@
   state.note = Note(head.Field("Cache-Status"));
   Asked* const asked = clients_.Find(state.id);
   const auto out = out_.find(state.id);
-  const bool only = out != out_.end() && out->second.send.order.source == out->second.send.order.server;
+  const bool only = out != out_.end() && out->second.send.action.source == out->second.send.action.server;
   const auto refusal = Refusal(head.status, asked != nullptr && asked->method == "POST", only);
   if (refusal || asked == nullptr) {
     if (asked != nullptr) asked->blame = 0;
@@ -275,7 +275,7 @@
   if (std::from_chars(told.data(), told.data() + told.size(), age).ec == std::errc{} && age >= 0) {
     issued = now - Micros{(std::min<std::int64_t>(age, 1'000'000'000) + 1) * 1'000'000};
   }
-  events_.emplace_back(core::AttemptBegan{.id = state.id, .attempt = state.attempt, .issued = issued});
+  events_.emplace_back(core::ResponseStarted{.id = state.id, .attempt = state.attempt, .issued_at = issued});
   link.connection.Consume(head.length);
   return true;
 }
--- a/src/front/http/upstream.hpp
+++ b/src/front/http/upstream.hpp
@@ -41,8 +41,8 @@
   using Pool = net::Pool<UpstreamLink>;
   using Link = Pool::Link;
 
-  Upstream(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Clients& clients,
-           const Signer& signer, std::vector<core::Event>& events);
+  Upstream(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
+           Clients& clients, const Signer& signer, std::vector<core::Event>& events);
 
   struct Address {
     std::string name;
@@ -54,9 +54,9 @@
     addresses_.erase(id);  // over a long day many come and go
   }
 
-  void Carry(Micros now, const core::Send& command);
-  void Carry(Micros now, const core::Stop& command);
-  void Carry(Micros now, const core::Relay& command);
+  void Carry(Micros now, const core::StartAttempt& command);
+  void Carry(Micros now, const core::AbortAttempt& command);
+  void Carry(Micros now, const core::ForwardResponse& command);
   void EndRound(Micros now);
   front::SeenFailing& Failing() { return failing_; }
 
@@ -67,17 +67,17 @@
  private:
   struct Out {
     Link* link = nullptr;
-    core::Send send;
+    core::StartAttempt send;
   };
-  void Put(Micros now, Link& link, const core::Send& send);
+  void Put(Micros now, Link& link, const core::StartAttempt& send);
   void Pump(Link& link);
   bool ReadHead(Link& link);  // false: not whole yet, or the exchange is over
-  void Tell(Link& link, core::AttemptEnded ended);
+  void Tell(Link& link, core::AttemptCompleted ended);
   void Free(Link& link);                    // the exchange is over on the wire as well
   void Break(Link& link, Outcome outcome);  // the connection cannot be used any more
 
   const config::Http& config_;
-  core::Gateway& gateway_;
+  core::RequestCoordinator& coordinator_;
   Clients& clients_;
   const Signer& signer_;
   std::vector<core::Event>& events_;
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/cache_side.cpp
@@ -53,11 +53,12 @@
   return rules;
 }
 
-std::string RequestLine(Micros now, const Asked& asked, const core::Send& send, const std::string& source) {
+std::string RequestLine(Micros now, const Asked& asked, const core::StartAttempt& send,
+                        const std::string& source) {
   const auto millis = [](Micros time) {
     return std::to_string(std::max<std::int64_t>(1, time.count() / 1000));
   };
-  const SendAttempt& order = send.order;
+  const SendAttempt& order = send.action;
   std::string line = "REQ " + asked.ref + " queue=" + asked.class_name;
   const auto add = [&line](std::string_view name, std::string_view value) {
     if (!value.empty()) line.append(",").append(name).append("=").append(value);
@@ -84,10 +85,11 @@
 
 }  // namespace
 
-CacheSide::CacheSide(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
-                     const ClientSide& clients, std::vector<core::Event>& events)
+CacheSide::CacheSide(net::EventLoop& loop, const config::Platform& config,
+                     core::RequestCoordinator& coordinator, const ClientSide& clients,
+                     std::vector<core::Event>& events)
     : config_(config),
-      gateway_(gateway),
+      coordinator_(coordinator),
       clients_(clients),
       events_(events),
       loop_(loop),
@@ -109,24 +111,26 @@
   for (const ServerId id : gone) Forsake(id);
 }
 
-void CacheSide::Carry(Micros now, const core::Send& command) {
-  const RequestId id = command.order.id;
+void CacheSide::Carry(Micros now, const core::StartAttempt& command) {
+  const RequestId id = command.action.id;
   const Asked* const asked = clients_.Find(id);
-  const auto address = addresses_.find(command.order.server);
+  const auto address = addresses_.find(command.action.server);
   if (asked == nullptr || address == addresses_.end()) {
-    events_.push_back(core::AttemptEnded{.id = id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
+    events_.push_back(
+        core::AttemptCompleted{.id = id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
     return;
   }
   Place(now, *asked, Out{nullptr, command});
 }
 
 void CacheSide::Place(Micros now, const Asked& asked, Out out) {
-  const RequestId id = out.send.order.id;
-  const auto address = addresses_.find(out.send.order.server);
-  Link& link = pool_.Take(
-      static_cast<std::uint64_t>(out.send.order.server), address->second.endpoint, now, [&](const Link& one) {
-        return !one.state.open.contains(asked.ref) && !one.state.burnt.contains(asked.ref);
-      });
+  const RequestId id = out.send.action.id;
+  const auto address = addresses_.find(out.send.action.server);
+  Link& link =
+      pool_.Take(static_cast<std::uint64_t>(out.send.action.server), address->second.endpoint, now,
+                 [&](const Link& one) {
+                   return !one.state.open.contains(asked.ref) && !one.state.burnt.contains(asked.ref);
+                 });
   if (held_) link.connection.HoldReading(true);
   out.link = &link;
   const double pace = config_.site.settings.transfer_rate_kb_per_s;
@@ -154,20 +158,21 @@
       due.link->state.waiting.push_back(due.ref);
       continue;
     }
-    const core::Send send = out->second.send;
+    const core::StartAttempt send = out->second.send;
     Put(now, *due.link, due.ref, send);
-    if (due.waited) events_.emplace_back(core::AttemptWritten{send.order.id, send.attempt});
+    if (due.waited) events_.emplace_back(core::AttemptSent{send.action.id, send.attempt});
   }
   due_.clear();
 }
 
 // Writes a request, unless what has happened since the decision forbids it.
-void CacheSide::Put(Micros now, Link& link, const std::string& ref, const core::Send& send) {
-  const RequestId id = send.order.id;
+void CacheSide::Put(Micros now, Link& link, const std::string& ref, const core::StartAttempt& send) {
+  const RequestId id = send.action.id;
   const Asked* const asked = clients_.Find(id);
-  const bool fill = send.order.source != send.order.server;
-  const auto filler = addresses_.find(send.order.source);
-  if (asked == nullptr || (fill && filler == addresses_.end()) || !gateway_.MaySend(now, id, send.attempt)) {
+  const bool fill = send.action.source != send.action.server;
+  const auto filler = addresses_.find(send.action.source);
+  if (asked == nullptr || (fill && filler == addresses_.end()) ||
+      !coordinator_.CanSend(now, id, send.attempt)) {
     return End(id, link, {.outcome = Outcome::kNotSent});
   }
   const std::string source = fill ? filler->second.name : std::string();
@@ -186,7 +191,7 @@
     due_.push_back({&link, std::move(ref), true});
 }
 
-void CacheSide::Carry(Micros now, const core::Stop& command) {
+void CacheSide::Carry(Micros now, const core::AbortAttempt& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
   Link& link = *found->second.link;
@@ -215,7 +220,7 @@
 }
 
 // An exchange is over on the wire: the core is told.
-void CacheSide::End(RequestId id, Link& link, core::AttemptEnded ended) {
+void CacheSide::End(RequestId id, Link& link, core::AttemptCompleted ended) {
   const auto found = out_.find(id);
   if (found == out_.end()) return;
   ended.id = id;
@@ -258,7 +263,7 @@
     const Asked* const asked = clients_.Find(exchange.id);
     // A connection that had been up and broke says little of its server: what was not out goes on another.
     if (!whole && link.state.up && out != out_.end() && !out->second.moved && asked != nullptr &&
-        addresses_.contains(out->second.send.order.server)) {
+        addresses_.contains(out->second.send.action.server)) {
       Out again = out->second;
       again.moved = true;
       pool_.Release(link, now);
@@ -351,7 +356,7 @@
   if (found->second.written == 0 || link.connection.Sent() < found->second.written) return kMalformed;
   const RequestId id = found->second.id;
   const Micros took = net::Now() - found->second.at - found->second.sending;
-  core::AttemptEnded ended;
+  core::AttemptCompleted ended;
   const auto word = std::find_if(kWords.begin(), kWords.end(), [&](auto& w) { return w.text == words[1]; });
   if (word == kWords.end()) return kMalformed;
   ended.outcome = word->outcome;
@@ -362,7 +367,7 @@
       if (note != kNotes.end()) ended.note = note->second;
     } else if (name == "issued") {
       const auto at = ReadNumber<std::int64_t>(value);
-      if (at && *at >= 0 && *at < kMostMillis) ended.issued = Micros{*at * 1000};
+      if (at && *at >= 0 && *at < kMostMillis) ended.issued_at = Micros{*at * 1000};
     } else if (name == "use") {
       report = value;
     } else if (name == "entity") {
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/cache_side.hpp
@@ -48,7 +48,7 @@
     std::string_view body;  // valid until the round ends
   };
 
-  CacheSide(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
+  CacheSide(net::EventLoop& loop, const config::Platform& config, core::RequestCoordinator& coordinator,
             const ClientSide& clients, std::vector<core::Event>& events);
 
   void Know(ServerId id, Address address);
@@ -56,8 +56,8 @@
   void ForsakeAllBut(const std::unordered_set<ServerId>& named);
   std::size_t Members() const { return addresses_.size(); }
 
-  void Carry(Micros now, const core::Send& command);
-  void Carry(Micros now, const core::Stop& command);
+  void Carry(Micros now, const core::StartAttempt& command);
+  void Carry(Micros now, const core::AbortAttempt& command);
   // The answer of the attempt that was reported served in this round, or nothing.
   const Served* Answer(RequestId id) const;
 
@@ -73,7 +73,7 @@
  private:
   struct Out {
     Link* link = nullptr;
-    core::Send send;
+    core::StartAttempt send;
     bool moved = false;  // to a second connection, since the first broke before it was out
   };
 
@@ -82,8 +82,8 @@
   // server reads its connections in the order in which they became ready: with a request written first, the
   // next copy of another, behind it, would be read before the STOP that came between on another connection.
   void WriteDue(Micros now);
-  void Put(Micros now, Link& link, const std::string& ref, const core::Send& send);
-  void End(RequestId id, Link& link, core::AttemptEnded ended);
+  void Put(Micros now, Link& link, const std::string& ref, const core::StartAttempt& send);
+  void End(RequestId id, Link& link, core::AttemptCompleted ended);
   void Burn(Link& link, const std::string& ref);
   void Lose(Link& link, std::string_view why);
   // Gives up connections that owe answers and do not move.
@@ -92,7 +92,7 @@
   std::size_t Take(Link& link, std::string_view unread);
 
   const config::Platform& config_;
-  core::Gateway& gateway_;
+  core::RequestCoordinator& coordinator_;
   const ClientSide& clients_;
   std::vector<core::Event>& events_;
   std::unordered_map<ServerId, Address> addresses_;
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/change_log.cpp
@@ -175,7 +175,7 @@
   if (seq <= seq_) return;  // known already
   element part;
   if (event["fleet"].get(part) == simdjson::SUCCESS) {
-    core::MembersTold told;
+    core::EndpointsUpdated told;
     told.source = "changelog";
     told.version = GetOr<std::uint64_t>(part, "version", 0);
     told.kind = GetOr(part, "full", false) ? EndpointsEvent::Kind::kFull : EndpointsEvent::Kind::kDelta;
@@ -199,18 +199,18 @@
       const auto endpoint = net::Endpoint::Parse(GetOr<std::string_view>(one, "addr", ""));
       if (!endpoint && member.availability == Availability::kUp)
         throw Malformed{"addr", "an address and port"};
-      told.members.push_back(member);
+      told.endpoints.push_back(member);
       told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
       endpoints.push_back(endpoint);
     }
     if (told.kind == EndpointsEvent::Kind::kFull) {  // who is not named in a whole list has gone
       draining_.clear();
       std::unordered_set<ServerId> named;
-      for (const EndpointInfo& member : told.members) named.insert(member.id);
+      for (const EndpointInfo& member : told.endpoints) named.insert(member.id);
       caches_.ForsakeAllBut(named);
     }
-    for (std::size_t i = 0; i < told.members.size(); ++i) {
-      const EndpointInfo& member = told.members[i];
+    for (std::size_t i = 0; i < told.endpoints.size(); ++i) {
+      const EndpointInfo& member = told.endpoints[i];
       if (endpoints[i]) caches_.Know(member.id, {told.names[i].name, *endpoints[i]});
       if (member.availability == Availability::kRemoved) caches_.Forsake(member.id);
       member.availability == Availability::kDraining ? static_cast<void>(draining_.insert(member.id))
@@ -218,8 +218,8 @@
     }
     events_.push_back(std::move(told));
   } else if (event["invalidate"].get(part) == simdjson::SUCCESS) {
-    core::PurgeTold told;
-    told.at = Micros{Get<std::int64_t>(part, "time") * 1000};
+    core::PurgeReceived told;
+    told.purged_at = Micros{Get<std::int64_t>(part, "time") * 1000};
     std::string_view object;
     if (part["object"].get(object) == simdjson::SUCCESS) {
       told.object = ParseObject(object, "object");
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/client_side.cpp
@@ -52,11 +52,11 @@
 
 }  // namespace
 
-ClientSide::ClientSide(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
-                       std::vector<core::Event>& events)
+ClientSide::ClientSide(net::EventLoop& loop, const config::Platform& config,
+                       core::RequestCoordinator& coordinator, std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
-      gateway_(gateway),
+      coordinator_(coordinator),
       events_(events),
       visitors_(Rules(config)),
       classes_(config.site.classes),
@@ -185,7 +185,7 @@
 void ClientSide::Cancel(Client& client, const std::string& tag) {
   const auto found = client.open.find(tag);
   if (found == client.open.end()) return;  // crossed our answer
-  events_.push_back(core::ClientLeft{found->second});
+  events_.push_back(core::ClientDisconnected{found->second});
   Forget(found->second);
   client.open.erase(found);
 }
@@ -198,7 +198,7 @@
   asked.tag = message.words[1];
   asked.class_name = message.words[2];
   if (message.count == 5) asked.body = message.words[4];
-  core::RequestCame came;
+  core::RequestReceived came;
   bool good = true, allowed = false;
   good = EachField(message.words[3],
                    [&](std::string_view name, std::string_view value) {
@@ -209,7 +209,7 @@
                        const auto millis = ReadNumber<double>(value);
                        good = good && millis && *millis >= 0 && *millis < 1e9;
                        allowed = good;
-                       if (good) came.allow = Micros{static_cast<std::int64_t>(*millis * 1000)};
+                       if (good) came.time_left = Micros{static_cast<std::int64_t>(*millis * 1000)};
                      } else if (name == "replay") {
                        asked.key = value;
                      } else if (name == "lookup") {
@@ -247,7 +247,7 @@
   if (!FindClass(classes_, asked.class_name, place)) return false;
   came.class_id = ClassId{static_cast<std::uint32_t>(place)};
   asked.size_kb = came.size_kb;
-  came.id = gateway_.NextId();
+  came.id = coordinator_.NextRequestId();
   client.open.emplace(asked.tag, came.id);
   refs_.insert(asked.ref);
   held_bytes_ += asked.body.size();
@@ -314,7 +314,7 @@
 // What is open on a connection that ends has nobody to go to.
 void ClientSide::Abandon(Client& client) {
   for (const auto& [tag, id] : std::exchange(client.open, {})) {
-    events_.push_back(core::ClientLeft{id});
+    events_.push_back(core::ClientDisconnected{id});
     Forget(id);
   }
   visitors_.Left(client.connection->id);
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/client_side.hpp
@@ -35,7 +35,7 @@
 
 class ClientSide final : public net::Connection::Owner {
  public:
-  ClientSide(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
+  ClientSide(net::EventLoop& loop, const config::Platform& config, core::RequestCoordinator& coordinator,
              std::vector<core::Event>& events);
 
   const Asked* Find(RequestId id) const;
@@ -102,7 +102,7 @@
 
   net::EventLoop& loop_;
   const config::Platform& config_;
-  core::Gateway& gateway_;
+  core::RequestCoordinator& coordinator_;
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
   std::unordered_map<RequestId, Asked> asked_;
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -15,25 +15,26 @@
 }
 
 void PlatformFront::Carry(Micros now, const core::Command& command) {
-  if (const auto* send = std::get_if<core::Send>(&command)) {
+  if (const auto* send = std::get_if<core::StartAttempt>(&command)) {
     ++counted_.upstream;
     return caches_.Carry(now, *send);
   }
-  if (const auto* stop = std::get_if<core::Stop>(&command)) return caches_.Carry(now, *stop);
-  if (const auto* line = std::get_if<core::Log>(&command))
+  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return caches_.Carry(now, *stop);
+  if (const auto* line = std::get_if<core::LogMessage>(&command))
     return log::Info("router.line", {}, "router: {}", line->text);
-  const auto* const answer = std::get_if<core::Answer>(&command);
-  if (answer == nullptr) return;  // Relay: answers come whole here
-  ++(answer->verdict == core::Verdict::kServed    ? counted_.completed
-     : answer->verdict == core::Verdict::kRefused ? counted_.rejected
-                                                  : counted_.failed);
-  if (answer->verdict == core::Verdict::kServed) {
+  const auto* const answer = std::get_if<core::CompleteRequest>(&command);
+  if (answer == nullptr) return;  // ForwardResponse: responses are complete here
+  ++(answer->status == core::CompletionStatus::kServed     ? counted_.completed
+     : answer->status == core::CompletionStatus::kRejected ? counted_.rejected
+                                                           : counted_.failed);
+  if (answer->status == core::CompletionStatus::kServed) {
     const CacheSide::Served* const served = caches_.Answer(answer->id);
     if (served != nullptr) return clients_.Serve(answer->id, served->same, served->body);
     log::Error("core.answer_without_bytes", {}, "an answer without its bytes");
     return clients_.Fail(answer->id);
   }
-  if (answer->verdict == core::Verdict::kRefused) return clients_.Refuse(answer->id, answer->retry_after);
+  if (answer->status == core::CompletionStatus::kRejected)
+    return clients_.Refuse(answer->id, answer->retry_after);
   clients_.Fail(answer->id);
 }
 
@@ -44,7 +45,7 @@
     const config::Platform told = config::ReadPlatform();
     Retuned retuned = Retune(site_, told.site);
     if (retuned.changed) {
-      gateway_.Retune(retuned.site.settings);
+      coordinator_.Retune(retuned.site.settings);
       clients_.SetClasses(retuned.site.classes);
       site_ = std::move(retuned.site);
     }
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -12,13 +12,13 @@
 
 class PlatformFront final : public front::Front {
  public:
-  PlatformFront(net::EventLoop& loop, const config::Platform& config, core::Gateway& gateway,
+  PlatformFront(net::EventLoop& loop, const config::Platform& config, core::RequestCoordinator& coordinator,
                 std::vector<core::Event>& events)
       : most_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
-        gateway_(gateway),
+        coordinator_(coordinator),
         site_(config.site),
-        clients_(loop, config, gateway, events),
-        caches_(loop, config, gateway, clients_, events),
+        clients_(loop, config, coordinator, events),
+        caches_(loop, config, coordinator, clients_, events),
         changes_(loop, config, caches_, events) {
     if (config.ops)
       door_.emplace(
@@ -48,7 +48,7 @@
   ops::Figures Figures() const;
 
   const std::size_t most_backlog_;
-  core::Gateway& gateway_;
+  core::RequestCoordinator& coordinator_;
   Site site_;  // in force, with the classes of every retune
   ClientSide clients_;
   CacheSide caches_;
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -36,10 +36,10 @@
   }
 }
 
-void Run(net::EventLoop& loop, Signals& signals, core::Gateway& gateway, Front& front,
+void Run(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
          std::vector<core::Event>& events, StopTimes times, core::Observer* observer) {
-  const auto tell = [&](Micros now, core::Life what, int signal = 0) {
-    if (observer != nullptr) observer->OnLife(now, what, signal, {}, gateway.OpenRequests());
+  const auto tell = [&](Micros now, core::LifecycleEvent what, int signal = 0) {
+    if (observer != nullptr) observer->OnLifecycleEvent(now, what, signal, {}, coordinator.OpenRequests());
   };
   std::optional<Micros> stopping;
   core::Commands commands;
@@ -48,43 +48,43 @@
   while (true) {
     Micros wait{stopping ? 20'000 : 1'000'000};
     const Micros before = net::Now();
-    for (const auto& next : {gateway.NextDue(), loop.Timers().Next()}) {
+    for (const auto& next : {coordinator.NextDeadline(), loop.Timers().Next()}) {
       if (next) wait = std::min(wait, std::max(*next - before, Micros{0}));
     }
-    if (observer != nullptr) wait = std::min(wait, observer->MostWait(before));
+    if (observer != nullptr) wait = std::min(wait, observer->MaxWait(before));
     if (!std::exchange(first, false)) loop.Poll(events.empty() ? wait : Micros{0});
     const Micros now = net::Now();
     loop.Timers().Run(now);
     batch.clear();
     batch.swap(events);
     commands.clear();
-    gateway.Handle(now, batch, commands);
-    if (observer != nullptr) observer->OnRound(now, batch, commands, gateway.OpenRequests());
+    coordinator.Handle(now, batch, commands);
+    if (observer != nullptr) observer->OnRound(now, batch, commands, coordinator.OpenRequests());
     for (const core::Command& command : commands) front.Carry(now, command);
     front.EndRound(now);
 
-    if (signals.last != 0) tell(now, core::Life::kSignalled, std::exchange(signals.last, 0));
+    if (signals.last != 0) tell(now, core::LifecycleEvent::kSignalReceived, std::exchange(signals.last, 0));
     if (std::exchange(signals.reload, false)) {
-      tell(now, front.Reload() ? core::Life::kReloaded : core::Life::kReloadRefused);
+      tell(now, front.Reload() ? core::LifecycleEvent::kReloaded : core::LifecycleEvent::kReloadRejected);
     }
     if (signals.stop && !stopping) {
       stopping = now;
-      log::Info("stop.begun", {{"open", gateway.OpenRequests()}}, "stopping: {} requests open",
-                gateway.OpenRequests());
-      tell(now, core::Life::kStopping);
-      gateway.EndsBy(now + times.killed);
+      log::Info("stop.begun", {{"open", coordinator.OpenRequests()}}, "stopping: {} requests open",
+                coordinator.OpenRequests());
+      tell(now, core::LifecycleEvent::kStopping);
+      coordinator.SetShutdownDeadline(now + times.killed);
       front.Drain(now + times.accept);
     }
-    if (stopping && now - *stopping >= times.accept && gateway.OpenRequests() == 0 && events.empty() &&
+    if (stopping && now - *stopping >= times.accept && coordinator.OpenRequests() == 0 && events.empty() &&
         front.Drained()) {
       log::Info("stop.done", {{"open", 0}}, "stopped, all that was taken is answered");
-      tell(now, core::Life::kStopped);
+      tell(now, core::LifecycleEvent::kStopped);
       return;
     }
     if (stopping && now - *stopping >= times.most) {
-      tell(now, core::Life::kCut);
-      log::Warn("stop.cut", {{"open", gateway.OpenRequests()}}, "stopped with {} requests open",
-                gateway.OpenRequests());
+      tell(now, core::LifecycleEvent::kShutdownTimedOut);
+      log::Warn("stop.cut", {{"open", coordinator.OpenRequests()}}, "stopped with {} requests open",
+                coordinator.OpenRequests());
       return;
     }
   }
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -6,8 +6,8 @@
 #include <functional>
 #include <vector>
 
-#include "core/request_coordinator.hpp"
 #include "core/observer.hpp"
+#include "core/request_coordinator.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
 #include "ops/ops.hpp"
@@ -52,7 +52,7 @@
   std::function<void(ops::Figures&)> figures;
   std::function<void()> on_drain;                           // SIGTERM came
   std::function<void(std::vector<std::uint64_t>)> failing;  // servers seen fail lately, once a second
-  std::function<void(const core::PurgeTold&)> purged;       // an operator's purge was taken here
+  std::function<void(const core::PurgeReceived&)> purged;   // an operator's purge was taken here
 };
 
 struct StopTimes {
@@ -63,7 +63,7 @@
 
 // Runs until SIGTERM or SIGINT and what was taken is finished. `events` is where the front's parts put what
 // they gather; `observer` may be none.
-void Run(net::EventLoop& loop, Signals& signals, core::Gateway& gateway, Front& front,
+void Run(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
          std::vector<core::Event>& events, StopTimes times, core::Observer* observer);
 
 }  // namespace tinspan::front
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -55,7 +55,7 @@
       incarnation_(now),
       tracker_(settings, options_.tracker, options_.seed),
       rotation_(options_.rotation, Old(options_)) {
-  OnLife(now, core::Life::kStarted, 0, {}, 0);
+  OnLifecycleEvent(now, core::LifecycleEvent::kStarted, 0, {}, 0);
   HandOver();  // so that a start is seen, however soon the end comes
 }
 
@@ -73,9 +73,11 @@
   if (order_.bytes.size() >= kBlock || (!order_.bytes.empty() && mono - handed_ >= kHandOver)) HandOver();
 }
 
-void Recorder::OnLife(Micros now, core::Life what, int signal, std::string_view text, std::size_t open) {
+void Recorder::OnLifecycleEvent(Micros now, core::LifecycleEvent what, int signal, std::string_view text,
+                                std::size_t open) {
   if (off_) return;
-  if (what == core::Life::kStopped || what == core::Life::kCut) tracker_.Flush(Mono(), records_);
+  if (what == core::LifecycleEvent::kStopped || what == core::LifecycleEvent::kShutdownTimedOut)
+    tracker_.Flush(Mono(), records_);
   wire::Record& record = records_.emplace_back();
   record.set_at_us(Mono().count());
   wire::Life& life = *record.mutable_life();
@@ -87,7 +89,7 @@
   HandOver();
 }
 
-Micros Recorder::MostWait(Micros) const {
+Micros Recorder::MaxWait(Micros) const {
   if (off_) return Micros::max();
   const Micros mono = Mono();
   Micros due = tracker_.NextDue();
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -36,8 +36,9 @@
 
   void OnRound(Micros now, std::span<const core::Event> events, const core::Commands& commands,
                std::size_t open) override;
-  void OnLife(Micros now, core::Life what, int signal, std::string_view text, std::size_t open) override;
-  Micros MostWait(Micros now) const override;
+  void OnLifecycleEvent(Micros now, core::LifecycleEvent what, int signal, std::string_view text,
+                        std::size_t open) override;
+  Micros MaxWait(Micros now) const override;
 
   // Of the open segment, the last 1 MB at most, as a segment's bytes.
   std::string Since(std::uint64_t& offset) const override;
--- a/src/record/tracker.cpp
+++ b/src/record/tracker.cpp
@@ -104,7 +104,7 @@
 
 // ---- Events. ----
 
-void Tracker::On(const core::RequestCame& event) {
+void Tracker::On(const core::RequestReceived& event) {
   const auto [place, added] = requests_.try_emplace(event.id);
   if (!added) return;
   place->second.came = event;
@@ -114,26 +114,26 @@
   Count();
 }
 
-void Tracker::On(const core::ClientLeft& event) {
+void Tracker::On(const core::ClientDisconnected& event) {
   Request* const request = Find(event.id);
   if (request != nullptr && !request->ending) End(*request, Ending::kLeft, 0);
 }
 
-void Tracker::On(const core::AttemptBegan& event) {
+void Tracker::On(const core::ResponseStarted& event) {
   Request* const request = Find(event.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
   if (attempt == nullptr || attempt->ended) return;
   attempt->begun = now_;
-  attempt->issued = event.issued;
+  attempt->issued_at = event.issued_at;
 }
 
-void Tracker::On(const core::AttemptEnded& event) {
+void Tracker::On(const core::AttemptCompleted& event) {
   Request* const request = Find(event.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
   if (attempt == nullptr || attempt->ended) return;  // given up before
   attempt->note = event.note;
   attempt->fill_wait = event.fill_wait.value_or(Micros{0});
-  if (event.issued) attempt->issued = event.issued;
+  if (event.issued_at) attempt->issued_at = event.issued_at;
   if (event.outcome == Outcome::kServed) {
     attempt->served = true;  // unless the core finds it older than a purge
   } else {
@@ -141,7 +141,7 @@
   }
 }
 
-void Tracker::On(const core::MembersTold& event) {
+void Tracker::On(const core::EndpointsUpdated& event) {
   const bool whole = event.kind == EndpointsEvent::Kind::kFull || event.kind == EndpointsEvent::Kind::kStale;
   wire::Members told;
   told.set_source(event.source);
@@ -159,12 +159,12 @@
     out.set_started_us(member.started_at.count());
     Leave(known, member.availability);
   };
-  for (std::size_t i = 0; i < event.members.size(); ++i) {
-    const EndpointInfo& member = event.members[i];
+  for (std::size_t i = 0; i < event.endpoints.size(); ++i) {
+    const EndpointInfo& member = event.endpoints[i];
     bool fresh = false;
     Known& known = Number(member.id, fresh);
-    const core::MembersTold::Named none;
-    const core::MembersTold::Named& named_as = i < event.names.size() ? event.names[i] : none;
+    const core::EndpointsUpdated::EndpointName none;
+    const core::EndpointsUpdated::EndpointName& named_as = i < event.names.size() ? event.names[i] : none;
     const bool renamed = (!named_as.name.empty() && known.name != named_as.name) ||
                          (!named_as.address.empty() && known.address != named_as.address);
     if (fresh || renamed) {
@@ -192,15 +192,15 @@
   *Put().mutable_members() = std::move(told);
 }
 
-void Tracker::On(const core::PurgeTold& event) {
+void Tracker::On(const core::PurgeReceived& event) {
   wire::Purge& out = *Put().mutable_purge();
-  out.set_made_us(event.at.count());
+  out.set_made_us(event.purged_at.count());
   out.set_group(static_cast<std::uint64_t>(event.group));
   out.set_object(event.object ? static_cast<std::uint64_t>(*event.object) : 0);
   const PurgeKey key = event.object ? PurgeKey{0, static_cast<std::uint64_t>(*event.object)}
                                     : PurgeKey{static_cast<std::uint64_t>(event.group), 0};
   Purge& purge = purges_[key];
-  if (event.at >= purge.made) purge = {.made = event.at, .told = now_};
+  if (event.purged_at >= purge.made) purge = {.made = event.purged_at, .told = now_};
 }
 
 // Draining, then gone: the time runs from the first word.
@@ -227,7 +227,7 @@
   drain.set_last_us(known.sent == 0 ? 0 : Clip32((known.last_sent - known.told).count()));
 }
 
-void Tracker::On(const core::AttemptWritten& event) {
+void Tracker::On(const core::AttemptSent& event) {
   Request* const request = Find(event.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, event.attempt);
   if (attempt != nullptr && !attempt->ended) Went(*attempt);
@@ -250,11 +250,11 @@
 
 // An answer that was passed on: by a copy from before a purge?
 void Tracker::Old(const Request& request, const Attempt& attempt) {
-  if (!attempt.issued) return;
+  if (!attempt.issued_at) return;
   for (const PurgeKey& key : {PurgeKey{static_cast<std::uint64_t>(request.came.group), 0},
                               PurgeKey{0, static_cast<std::uint64_t>(request.came.object)}}) {
     const auto purge = purges_.find(key);
-    if (purge == purges_.end() || *attempt.issued >= purge->second.made) continue;
+    if (purge == purges_.end() || *attempt.issued_at >= purge->second.made) continue;
     ++purge->second.served;
     purge->second.last_sent = std::max(purge->second.last_sent, attempt.sent);
     purge->second.last_served = now_;
@@ -264,18 +264,18 @@
 void Tracker::On(const core::ConnectionLost& event) {
   Losses& losses = lost_[Server(event.server).number];
   ++losses.connections;
-  losses.open += static_cast<std::uint32_t>(event.open);
+  losses.open += static_cast<std::uint32_t>(event.open_requests);
 }
 
 // ---- Commands. ----
 
-void Tracker::On(const core::Send& command) {
-  Request* const request = Find(command.order.id);
+void Tracker::On(const core::StartAttempt& command) {
+  Request* const request = Find(command.action.id);
   if (request == nullptr) return;
-  Known& server = Server(command.order.server);
+  Known& server = Server(command.action.server);
   ++server.out;
-  const bool fill = command.order.source != command.order.server;
-  const SendAttempt& order = command.order;
+  const bool fill = command.action.source != command.action.server;
+  const SendAttempt& order = command.action;
   request->attempts.push_back({.number = command.attempt,
                                .id = order.server,
                                .server = server.number,
@@ -283,7 +283,7 @@
                                .source = fill ? Server(order.source).number : 0,
                                .sent = now_,
                                .expires_at = order.expires_at,
-                               .issued = std::nullopt,
+                               .issued_at = std::nullopt,
                                .ended = std::nullopt,
                                .begun = std::nullopt,
                                .keep = order.cache_rank,
@@ -292,7 +292,7 @@
   Went(request->attempts.back());
 }
 
-void Tracker::On(const core::Stop& command) {
+void Tracker::On(const core::AbortAttempt& command) {
   Request* const request = Find(command.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, command.attempt);
   if (attempt == nullptr || attempt->ended) return;
@@ -302,16 +302,17 @@
   EndAttempt(*request, *attempt, purged ? Outcome::kError : due ? Outcome::kTimedOut : Outcome::kCancelled);
 }
 
-void Tracker::On(const core::Answer& command) {
+void Tracker::On(const core::CompleteRequest& command) {
   Request* const request = Find(command.id);
   if (request == nullptr || request->ending) return;
-  request->overdue = command.overdue;
+  request->overdue = command.deadline_exceeded;
   request->retry_after_ms = Clip32(command.retry_after.count() / 1000);
-  using core::Verdict;
+  using core::CompletionStatus;
   Attempt* const attempt = Find(*request, command.attempt);
-  const bool answered = command.verdict == Verdict::kServed || command.verdict == Verdict::kBroken;
+  const bool answered =
+      command.status == CompletionStatus::kServed || command.status == CompletionStatus::kTruncated;
   const std::uint32_t server = answered && attempt != nullptr ? attempt->server : 0;
-  if (command.verdict == Verdict::kServed) {
+  if (command.status == CompletionStatus::kServed) {
     const auto place = static_cast<std::size_t>(request->came.class_id);
     Micros aim = Micros::max();
     if (place < settings_.classes.size() && settings_.classes[place].latency_objective > Micros{0}) {
@@ -330,18 +331,18 @@
     End(*request,
         late ? (stale ? Ending::kLateStale : Ending::kLate) : (stale ? Ending::kStale : Ending::kInTime),
         server);
-  } else if (command.verdict == Verdict::kBroken) {
+  } else if (command.status == CompletionStatus::kTruncated) {
     End(*request, Ending::kBroken, server);
   } else {
     End(*request,
-        command.overdue                        ? Ending::kOverdue
-        : command.verdict == Verdict::kRefused ? Ending::kRefused
-                                               : Ending::kFailed,
+        command.deadline_exceeded                       ? Ending::kOverdue
+        : command.status == CompletionStatus::kRejected ? Ending::kRefused
+                                                        : Ending::kFailed,
         server);
   }
 }
 
-void Tracker::On(const core::Log& command) { Put().set_router_line(command.text); }
+void Tracker::On(const core::LogMessage& command) { Put().set_router_line(command.text); }
 
 // ---- Requests. ----
 
@@ -409,7 +410,7 @@
   out.set_retry_after_ms(request.retry_after_ms);
   out.set_overdue(request.overdue);
   out.set_sampled(sampled);
-  out.set_allow_ms(Clip32(request.came.allow.count() / 1000));
+  out.set_allow_ms(Clip32(request.came.time_left.count() / 1000));
   for (const Attempt& one : request.attempts) {
     wire::Attempt& attempt = *out.add_attempts();
     attempt.set_number(one.number);
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -74,11 +74,11 @@
     ServerId id{};
     std::uint32_t server = 0;  // the number that it was given
     ServerId source_id{};
-    std::uint32_t source = 0;      // 0: no fill
-    Micros sent{0};                // mono, like all here but where said
-    Micros expires_at{0};          // wall clock
-    std::optional<Micros> issued;  // wall clock: when the origin gave out the copy
-    bool served = false;           // its answer is here; whether the core passes it on is not known yet
+    std::uint32_t source = 0;         // 0: no fill
+    Micros sent{0};                   // mono, like all here but where said
+    Micros expires_at{0};             // wall clock
+    std::optional<Micros> issued_at;  // wall clock: when the origin gave out the copy
+    bool served = false;              // its answer is here; whether the core passes it on is not known yet
     std::optional<Micros> ended;
     std::optional<Micros> begun;
     Outcome outcome = Outcome::kServed;
@@ -88,7 +88,7 @@
     std::uint32_t how = 0;
   };
   struct Request {
-    core::RequestCame came;
+    core::RequestReceived came;
     Micros at{0};
     std::optional<Ending> ending;
     Micros answered{0};
@@ -117,19 +117,19 @@
   };
   using PurgeKey = std::pair<std::uint64_t, std::uint64_t>;  // group, or 0 and the object
 
-  void On(const core::RequestCame& event);
-  void On(const core::ClientLeft& event);
-  void On(const core::AttemptBegan& event);
-  void On(const core::AttemptEnded& event);
-  void On(const core::MembersTold& event);
-  void On(const core::PurgeTold& event);
+  void On(const core::RequestReceived& event);
+  void On(const core::ClientDisconnected& event);
+  void On(const core::ResponseStarted& event);
+  void On(const core::AttemptCompleted& event);
+  void On(const core::EndpointsUpdated& event);
+  void On(const core::PurgeReceived& event);
   void On(const core::ConnectionLost& event);
-  void On(const core::AttemptWritten& event);
-  void On(const core::Send& command);
-  void On(const core::Stop& command);
-  void On(const core::Relay&) {}
-  void On(const core::Answer& command);
-  void On(const core::Log& command);
+  void On(const core::AttemptSent& event);
+  void On(const core::StartAttempt& command);
+  void On(const core::AbortAttempt& command);
+  void On(const core::ForwardResponse&) {}
+  void On(const core::CompleteRequest& command);
+  void On(const core::LogMessage& command);
 
   wire::Record& Put();
   Request* Find(RequestId id);
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -201,7 +201,7 @@
       std::vector<core::Event> rest;
       for (const auto& [id, attempt] : out_) {
         if (Chance(3))
-          rest.push_back(core::AttemptEnded{.id = id, .attempt = attempt, .outcome = Outcome::kError});
+          rest.push_back(core::AttemptCompleted{.id = id, .attempt = attempt, .outcome = Outcome::kError});
       }
       Tell(rest);
     }
@@ -234,13 +234,13 @@
 
  private:
   bool Chance(int of) { return random_() % static_cast<unsigned>(of) == 0; }
-  core::MembersTold Members(EndpointsEvent::Kind kind) {
-    core::MembersTold told;
+  core::EndpointsUpdated Members(EndpointsEvent::Kind kind) {
+    core::EndpointsUpdated told;
     told.kind = kind;
     for (std::uint64_t id = 11; id < 16; ++id) {
       if (id > 12 && Chance(4)) continue;
       const bool origin = id == 11;
-      told.members.push_back(
+      told.endpoints.push_back(
           {.id = ServerId{id},
            .availability = id > 12 && Chance(4) ? Availability::kDraining : Availability::kUp,
            .kind = KindId{origin ? 1u : 0u},
@@ -252,10 +252,10 @@
   std::vector<core::Event> Events() {
     std::vector<core::Event> out;
     for (int i = static_cast<int>(random_() % 4); i > 0; --i) {
-      core::RequestCame request;
-      request.id = gateway_.NextId();
+      core::RequestReceived request;
+      request.id = gateway_.NextRequestId();
       request.class_id = ClassId{static_cast<std::uint32_t>(random_() % 3)};
-      request.allow = Micros{1'500'000};
+      request.time_left = Micros{1'500'000};
       request.object = ObjectId{1 + random_() % 20};
       request.group = GroupId{random_() % 4};
       request.size_kb = 10;
@@ -265,24 +265,24 @@
     }
     for (const auto& [id, attempt] : std::map(out_)) {
       if (!Chance(3)) continue;
-      core::AttemptEnded ended{.id = id, .attempt = attempt};
+      core::AttemptCompleted ended{.id = id, .attempt = attempt};
       constexpr std::array kAll{Outcome::kServed, Outcome::kServed, Outcome::kServed,
                                 Outcome::kServed, Outcome::kError,  Outcome::kRejected,
                                 Outcome::kReset,  Outcome::kMiss,   Outcome::kNotSent};
       ended.outcome = kAll[random_() % kAll.size()];
       ended.note = Chance(5) ? FillNote::kStaleHit : FillNote::kHit;
-      ended.issued = now_ - Micros{static_cast<std::int64_t>(random_() % 4'000'000)};
-      if (Chance(3)) out.push_back(core::AttemptBegan{id, attempt, ended.issued});
+      ended.issued_at = now_ - Micros{static_cast<std::int64_t>(random_() % 4'000'000)};
+      if (Chance(3)) out.push_back(core::ResponseStarted{id, attempt, ended.issued_at});
       stale_[id] = ended.note == FillNote::kStaleHit;
       out.push_back(ended);
     }
     if (Chance(40)) out.push_back(Members(EndpointsEvent::Kind::kDelta));
     if (Chance(80)) out.push_back(Members(EndpointsEvent::Kind::kFull));
-    if (Chance(15)) out.push_back(core::PurgeTold{now_, GroupId{random_() % 4}, std::nullopt});
+    if (Chance(15)) out.push_back(core::PurgeReceived{now_, GroupId{random_() % 4}, std::nullopt});
     if (Chance(9) && !arrived_.empty()) {
       const RequestId id = arrived_.begin()->first;
       if (!answered_.contains(id)) Verdict(id, Ending::kLeft);
-      out.push_back(core::ClientLeft{id});
+      out.push_back(core::ClientDisconnected{id});
     }
     return out;
   }
@@ -299,27 +299,27 @@
     gateway_.Handle(now_, events, commands);
     tracker_.Round(now_, mono_, events, commands, gateway_.OpenRequests(), records_);
     for (const core::Command& command : commands) {
-      if (const auto* send = std::get_if<core::Send>(&command)) {
+      if (const auto* send = std::get_if<core::StartAttempt>(&command)) {
         ++sends;
-        out_[send->order.id] = send->attempt;
-      } else if (const auto* stop = std::get_if<core::Stop>(&command)) {
+        out_[send->action.id] = send->attempt;
+      } else if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) {
         out_.erase(stop->id);
-      } else if (const auto* answer = std::get_if<core::Answer>(&command)) {
+      } else if (const auto* answer = std::get_if<core::CompleteRequest>(&command)) {
         if (answered_.contains(answer->id)) continue;
         const bool late = mono_ - arrived_.at(answer->id).first > Micros{300'000};
         const bool stale = stale_[answer->id];
-        using core::Verdict;
-        Course::Verdict(answer->id, answer->verdict == Verdict::kServed
+        using core::CompletionStatus;
+        Course::Verdict(answer->id, answer->status == CompletionStatus::kServed
                                         ? (late ? (stale ? Ending::kLateStale : Ending::kLate)
                                                 : (stale ? Ending::kStale : Ending::kInTime))
-                                    : answer->verdict == Verdict::kBroken  ? Ending::kBroken
-                                    : answer->overdue                      ? Ending::kOverdue
-                                    : answer->verdict == Verdict::kRefused ? Ending::kRefused
+                                    : answer->status == CompletionStatus::kTruncated  ? Ending::kBroken
+                                    : answer->deadline_exceeded                      ? Ending::kOverdue
+                                    : answer->status == CompletionStatus::kRejected ? Ending::kRefused
                                                                            : Ending::kFailed);
       }
     }
     for (const core::Event& event : events) {
-      if (const auto* ended = std::get_if<core::AttemptEnded>(&event)) {
+      if (const auto* ended = std::get_if<core::AttemptCompleted>(&event)) {
         const auto found = out_.find(ended->id);
         if (found != out_.end() && found->second == ended->attempt) out_.erase(found);
       }
@@ -328,7 +328,7 @@
 
   std::mt19937_64 random_;
   Micros now_{1'764'576'000'000'000}, mono_{77'000'000};
-  core::Gateway gateway_;
+  core::RequestCoordinator gateway_;
   Tracker tracker_;
   std::vector<wire::Record> records_;
   std::map<RequestId, std::uint32_t> out_;
@@ -409,7 +409,7 @@
 }
 void Write(Recorder& recorder, int lines, std::size_t size = 100) {
   for (int i = 0; i < lines; ++i) {
-    const core::Commands commands{core::Log{std::string(size, 'x')}};
+    const core::Commands commands{core::LogMessage{std::string(size, 'x')}};
     recorder.OnRound(WallNow(), {}, commands, 0);
   }
 }
@@ -421,10 +421,10 @@
   {
     Recorder recorder(MakeSettings(), MakeOptions(folder), WallNow());
     Write(recorder, 10);
-    recorder.OnLife(WallNow(), core::Life::kStopping, 0, {}, 0);  // hands over
-    while (got.Lines() < 10) reader.Poll(got);                    // as soon as the thread has written
+    recorder.OnLifecycleEvent(WallNow(), core::LifecycleEvent::kStopping, 0, {}, 0);  // hands over
+    while (got.Lines() < 10) reader.Poll(got);  // as soon as the thread has written
     Write(recorder, 10);
-    recorder.OnLife(WallNow(), core::Life::kStopped, 0, {}, 0);
+    recorder.OnLifecycleEvent(WallNow(), core::LifecycleEvent::kStopped, 0, {}, 0);
   }
   reader.Poll(got);
   reader.Finish(got);
@@ -442,7 +442,7 @@
   std::uint64_t most = 0;
   for (int i = 0; i < 200; ++i) {
     Write(recorder, 20);
-    recorder.OnLife(WallNow(), core::Life::kSignalled, i, {}, 0);
+    recorder.OnLifecycleEvent(WallNow(), core::LifecycleEvent::kSignalReceived, i, {}, 0);
     most = std::max(most, folder.Bytes());
   }
   EXPECT_TRUE(recorder.IsOn());
@@ -485,7 +485,7 @@
   ::setrlimit(RLIMIT_FSIZE, &small);  // EFBIG from there on
   for (int i = 0; i < 2000 && recorder.IsOn(); ++i) {
     Write(recorder, 20);
-    recorder.OnLife(WallNow(), core::Life::kSignalled, 1, {}, 0);
+    recorder.OnLifecycleEvent(WallNow(), core::LifecycleEvent::kSignalReceived, 1, {}, 0);
   }
   ::setrlimit(RLIMIT_FSIZE, &before);
   EXPECT_FALSE(recorder.IsOn());
@@ -510,16 +510,16 @@
 TEST(Recorders, TenThousandMembersFitIntoASegment) {
   Folder folder;
   Recorder recorder(MakeSettings(), MakeOptions(folder), WallNow());
-  core::MembersTold told;
+  core::EndpointsUpdated told;
   told.source = "consul/shop-cache";
   told.version = 3;
   for (std::uint64_t id = 1; id <= 10'000; ++id) {
-    told.members.push_back({.id = ServerId{id}, .kind = KindId{0}, .zone = ZoneId{1}});
+    told.endpoints.push_back({.id = ServerId{id}, .kind = KindId{0}, .zone = ZoneId{1}});
     told.names.push_back({"node-" + std::to_string(id) + "/c", "10.0.0.1:80"});
   }
   const std::vector<core::Event> events{told};
   recorder.OnRound(WallNow(), events, {}, 0);
-  recorder.OnLife(WallNow(), core::Life::kSignalled, 1, {}, 0);
+  recorder.OnLifecycleEvent(WallNow(), core::LifecycleEvent::kSignalReceived, 1, {}, 0);
   EXPECT_TRUE(recorder.IsOn());
   Collected got;
   FolderReader reader({folder.path});
--- a/tests/request_coordinator_test.cpp
+++ b/tests/request_coordinator_test.cpp
@@ -48,12 +48,13 @@
 class GatewayTest : public ::testing::Test {
  protected:
   GatewayTest() {
-    Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+    Tell({EndpointsUpdated{EndpointsEvent::Kind::kFull,
+                           {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   }
   void Tell(std::vector<Event> events, Micros later = Micros{0}) {
     now_ += later;
     commands_.clear();
-    gateway_.Handle(now_, events, commands_);
+    coordinator_.Handle(now_, events, commands_);
   }
   template <class Kind>
   std::vector<Kind> All() const {
@@ -64,15 +65,16 @@
     return out;
   }
   RequestId Ask(Micros allow = Micros{2'500'000}) {
-    const RequestId id = gateway_.NextId();
-    Tell({RequestCame{.id = id, .allow = allow, .group = GroupId{7}, .object = ObjectId{99}, .size_kb = 50}});
+    const RequestId id = coordinator_.NextRequestId();
+    Tell({RequestReceived{
+        .id = id, .time_left = allow, .group = GroupId{7}, .object = ObjectId{99}, .size_kb = 50}});
     return id;
   }
-  AttemptEnded End(RequestId id, std::uint32_t attempt, Outcome outcome) {
-    return {.id = id, .attempt = attempt, .outcome = outcome, .issued = now_};
+  AttemptCompleted End(RequestId id, std::uint32_t attempt, Outcome outcome) {
+    return {.id = id, .attempt = attempt, .outcome = outcome, .issued_at = now_};
   }
   Micros now_ = kStart;
-  Gateway gateway_{MakeSettings(), 1, kStart, {}};
+  RequestCoordinator coordinator_{MakeSettings(), 1, kStart, {}};
   Commands commands_;
 };
 
@@ -88,167 +90,172 @@
 // Guards against clients that claim to wait for days: what is kept for a request ends with its class's time.
 TEST_F(GatewayTest, AllowIsBoundByTheClass) {
   const RequestId id = Ask(Micros{900'000'000'000});
-  ASSERT_EQ(All<Send>().size(), 1u);
-  EXPECT_EQ(All<Send>()[0].order.id, id);
-  for (int i = 0; i < 60 && All<Answer>().empty(); ++i) Tell({}, Micros{100'000});
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_EQ(gateway_.OpenRequests(), 0u);
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  EXPECT_EQ(All<StartAttempt>()[0].action.id, id);
+  for (int i = 0; i < 60 && All<CompleteRequest>().empty(); ++i) Tell({}, Micros{100'000});
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_EQ(coordinator_.OpenRequests(), 0u);
 }
 
 TEST_F(GatewayTest, GivesOneFinalAnswer) {
   const RequestId id = Ask();
-  ASSERT_EQ(All<Send>().size(), 1u);
-  Tell({End(id, 0, Outcome::kServed), End(id, 0, Outcome::kServed), ClientLeft{id}});
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kServed);
-  EXPECT_EQ(gateway_.OpenRequests(), 0u);
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  Tell({End(id, 0, Outcome::kServed), End(id, 0, Outcome::kServed), ClientDisconnected{id}});
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_EQ(All<CompleteRequest>()[0].status, CompletionStatus::kServed);
+  EXPECT_EQ(coordinator_.OpenRequests(), 0u);
 }
 
 TEST_F(GatewayTest, AnswersAtTheDeadlineLessSlackAndStopsBefore) {
   const RequestId id = Ask(Micros{300'000});
   Tell({}, Micros{290'000});  // nearly all of it is the attempt's
-  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_TRUE(All<CompleteRequest>().empty());
   Tell({}, Micros{8'000});  // 2 ms before the client gives up
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_TRUE(All<Answer>()[0].overdue);
-  ASSERT_EQ(All<Stop>().size(), 1u);
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_TRUE(All<CompleteRequest>()[0].deadline_exceeded);
+  ASSERT_EQ(All<AbortAttempt>().size(), 1u);
   Tell({End(id, 0, Outcome::kServed)});  // too late: dropped
-  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_TRUE(All<CompleteRequest>().empty());
 }
 
 // One attempt out at a time: the next goes only with the end of the one before.
 TEST_F(GatewayTest, SendsAgainOnlyAfterTheEnd) {
   const RequestId id = Ask();
-  const ServerId first = All<Send>().at(0).order.server;
+  const ServerId first = All<StartAttempt>().at(0).action.server;
   Tell({End(id, 0, Outcome::kRejected)});
-  ASSERT_EQ(All<Send>().size(), 1u);
-  EXPECT_NE(All<Send>()[0].order.server, first);
-  EXPECT_EQ(All<Send>()[0].attempt, 1u);
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  EXPECT_NE(All<StartAttempt>()[0].action.server, first);
+  EXPECT_EQ(All<StartAttempt>()[0].attempt, 1u);
   Tell({End(id, 0, Outcome::kServed)});  // of the attempt that has ended already
-  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_TRUE(All<CompleteRequest>().empty());
 }
 
 // A send that waits for its connection is looked at again right before it is written.
 TEST_F(GatewayTest, HoldsBackAQueuedSendPastItsDrain) {
   const RequestId id = Ask();
-  const ServerId server = All<Send>().at(0).order.server;
-  EXPECT_TRUE(gateway_.MaySend(now_, id, 0));
-  Tell({MembersTold{EndpointsEvent::Kind::kDelta, {MakeMember(server, Availability::kDraining)}}});
-  EXPECT_TRUE(gateway_.MaySend(now_ + Micros{200'000}, id, 0));
-  EXPECT_FALSE(gateway_.MaySend(now_ + Micros{300'000}, id, 0));
-  Tell({MembersTold{EndpointsEvent::Kind::kDelta, {MakeMember(server, Availability::kRemoved)}}},
+  const ServerId server = All<StartAttempt>().at(0).action.server;
+  EXPECT_TRUE(coordinator_.CanSend(now_, id, 0));
+  Tell({EndpointsUpdated{EndpointsEvent::Kind::kDelta, {MakeMember(server, Availability::kDraining)}}});
+  EXPECT_TRUE(coordinator_.CanSend(now_ + Micros{200'000}, id, 0));
+  EXPECT_FALSE(coordinator_.CanSend(now_ + Micros{300'000}, id, 0));
+  Tell({EndpointsUpdated{EndpointsEvent::Kind::kDelta, {MakeMember(server, Availability::kRemoved)}}},
        Micros{100'000});
-  EXPECT_FALSE(gateway_.MaySend(now_ + Micros{200'000}, id, 0)) << "the time runs from the first word";
+  EXPECT_FALSE(coordinator_.CanSend(now_ + Micros{200'000}, id, 0)) << "the time runs from the first word";
 }
 
 TEST_F(GatewayTest, HoldsBackAQueuedSendPastAPurge) {
   const RequestId id = Ask();
-  Tell({PurgeTold{.at = now_, .group = GroupId{7}}}, Micros{10'000});
-  EXPECT_TRUE(gateway_.MaySend(now_ + Micros{400'000}, id, 0));
-  EXPECT_FALSE(gateway_.MaySend(now_ + Micros{600'000}, id, 0));
+  Tell({PurgeReceived{.purged_at = now_, .group = GroupId{7}}}, Micros{10'000});
+  EXPECT_TRUE(coordinator_.CanSend(now_ + Micros{400'000}, id, 0));
+  EXPECT_FALSE(coordinator_.CanSend(now_ + Micros{600'000}, id, 0));
 }
 
 TEST_F(GatewayTest, PassesOnNoCopyOlderThanAPurge) {
   const Micros purged = now_;
-  Tell({PurgeTold{.at = purged, .object = ObjectId{99}}});
+  Tell({PurgeReceived{.purged_at = purged, .object = ObjectId{99}}});
   now_ += Micros{1'500'000};
   const RequestId id = Ask();
-  ASSERT_EQ(All<Send>().size(), 1u);
-  EXPECT_LE(All<Send>()[0].order.max_age, Micros{1'500'000});
-  Tell({AttemptEnded{.id = id, .attempt = 0, .outcome = Outcome::kServed, .issued = purged - Micros{1}}});
-  EXPECT_TRUE(All<Answer>().empty());
-  ASSERT_EQ(All<Send>().size(), 1u);  // asked for elsewhere
-  Tell({AttemptEnded{.id = id, .attempt = 1, .outcome = Outcome::kServed, .issued = now_}});
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kServed);
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  EXPECT_LE(All<StartAttempt>()[0].action.max_age, Micros{1'500'000});
+  Tell({AttemptCompleted{
+      .id = id, .attempt = 0, .outcome = Outcome::kServed, .issued_at = purged - Micros{1}}});
+  EXPECT_TRUE(All<CompleteRequest>().empty());
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);  // asked for elsewhere
+  Tell({AttemptCompleted{.id = id, .attempt = 1, .outcome = Outcome::kServed, .issued_at = now_}});
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_EQ(All<CompleteRequest>()[0].status, CompletionStatus::kServed);
 }
 
 // A begun answer belongs to the client: no deadline, no other attempt, and a break is told as one.
 TEST_F(GatewayTest, ABegunAnswerIsFinishedOrBroken) {
   const RequestId id = Ask(Micros{300'000});
-  Tell({AttemptBegan{.id = id, .attempt = 0, .issued = now_}});
-  ASSERT_EQ(All<Relay>().size(), 1u);
+  Tell({ResponseStarted{.id = id, .attempt = 0, .issued_at = now_}});
+  ASSERT_EQ(All<ForwardResponse>().size(), 1u);
   Tell({}, Micros{3'000'000});
-  EXPECT_TRUE(All<Answer>().empty());
-  EXPECT_TRUE(All<Stop>().empty());
+  EXPECT_TRUE(All<CompleteRequest>().empty());
+  EXPECT_TRUE(All<AbortAttempt>().empty());
   Tell({End(id, 0, Outcome::kReset)});
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kBroken);
-  EXPECT_TRUE(All<Send>().empty());
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_EQ(All<CompleteRequest>()[0].status, CompletionStatus::kTruncated);
+  EXPECT_TRUE(All<StartAttempt>().empty());
 }
 
 TEST_F(GatewayTest, StopsWhatAClientLeaves) {
   const RequestId id = Ask();
-  Tell({ClientLeft{id}});
-  EXPECT_EQ(All<Stop>().size(), 1u);
-  EXPECT_TRUE(All<Answer>().empty());
-  EXPECT_FALSE(gateway_.MaySend(now_, id, 0));
+  Tell({ClientDisconnected{id}});
+  EXPECT_EQ(All<AbortAttempt>().size(), 1u);
+  EXPECT_TRUE(All<CompleteRequest>().empty());
+  EXPECT_FALSE(coordinator_.CanSend(now_, id, 0));
 }
 
 // A given-up request is answered at once, with advice on when to come back; it is not held to its deadline.
 TEST_F(GatewayTest, RefusesAtOnceWithAdvice) {
   RequestId id = Ask();
-  for (std::uint32_t attempt = 0; All<Answer>().empty(); ++attempt) {
+  for (std::uint32_t attempt = 0; All<CompleteRequest>().empty(); ++attempt) {
     ASSERT_LT(attempt, 4u);
     Tell({End(id, attempt, Outcome::kRejected)});
   }
-  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kRefused);
-  EXPECT_EQ(All<Answer>()[0].retry_after, Micros{2'000'000});
-  EXPECT_FALSE(All<Answer>()[0].overdue);
+  EXPECT_EQ(All<CompleteRequest>()[0].status, CompletionStatus::kRejected);
+  EXPECT_EQ(All<CompleteRequest>()[0].retry_after, Micros{2'000'000});
+  EXPECT_FALSE(All<CompleteRequest>()[0].deadline_exceeded);
 }
 
 // Guards against a repeat whose key lapses while the connection for it comes up: it would run once more.
 TEST_F(GatewayTest, ARepeatWaitsForItsConnectionOnlyWithinItsWindow) {
-  gateway_ = Gateway(WithClass(Effect::kIdempotencyKey, Micros{300'000}), 1, now_, {});
-  Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  coordinator_ = RequestCoordinator(WithClass(Effect::kIdempotencyKey, Micros{300'000}), 1, now_, {});
+  Tell(
+      {EndpointsUpdated{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   const RequestId id = Ask();
   const Micros first = now_;
-  ASSERT_EQ(All<Send>().size(), 1u);
-  EXPECT_TRUE(gateway_.MaySend(first + Micros{350'000}, id, 0)) << "the first attempt starts the window";
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  EXPECT_TRUE(coordinator_.CanSend(first + Micros{350'000}, id, 0)) << "the first attempt starts the window";
   Tell({End(id, 0, Outcome::kReset)}, Micros{200'000});
-  ASSERT_EQ(All<Send>().size(), 1u);
-  EXPECT_TRUE(gateway_.MaySend(first + Micros{299'999}, id, 1));
-  EXPECT_FALSE(gateway_.MaySend(first + Micros{300'000}, id, 1));
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  EXPECT_TRUE(coordinator_.CanSend(first + Micros{299'999}, id, 1));
+  EXPECT_FALSE(coordinator_.CanSend(first + Micros{300'000}, id, 1));
 }
 
 // What proves that nothing ran starts no window.
 TEST_F(GatewayTest, AnAttemptThatNeverRanStartsNoWindow) {
-  gateway_ = Gateway(WithClass(Effect::kIdempotencyKey, Micros{300'000}), 1, now_, {});
-  Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  coordinator_ = RequestCoordinator(WithClass(Effect::kIdempotencyKey, Micros{300'000}), 1, now_, {});
+  Tell(
+      {EndpointsUpdated{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   const RequestId id = Ask();
   Tell({End(id, 0, Outcome::kRejected)}, Micros{200'000});
-  ASSERT_EQ(All<Send>().size(), 1u);
-  EXPECT_TRUE(gateway_.MaySend(now_ + Micros{900'000}, id, 1));
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  EXPECT_TRUE(coordinator_.CanSend(now_ + Micros{900'000}, id, 1));
 }
 
 // A class that may run once: after a connection that broke with the request written whole there is no other.
 TEST_F(GatewayTest, OnceMeansOnceAfterAReset) {
-  gateway_ = Gateway(WithClass(Effect::kNonIdempotent, Micros{0}), 1, now_, {});
-  Tell({MembersTold{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
+  coordinator_ = RequestCoordinator(WithClass(Effect::kNonIdempotent, Micros{0}), 1, now_, {});
+  Tell(
+      {EndpointsUpdated{EndpointsEvent::Kind::kFull, {MakeMember(kA), MakeMember(kB), MakeMember(kOrigin)}}});
   const RequestId id = Ask();
-  ASSERT_EQ(All<Send>().size(), 1u);
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
   Tell({End(id, 0, Outcome::kReset)}, Micros{20'000});
-  EXPECT_TRUE(All<Send>().empty());
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_EQ(All<Answer>()[0].verdict, Verdict::kFailed) << "a refusal would promise that it never ran";
+  EXPECT_TRUE(All<StartAttempt>().empty());
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_EQ(All<CompleteRequest>()[0].status, CompletionStatus::kFailed)
+      << "a refusal would promise that it never ran";
 }
 
 // What is open when SIGTERM comes is answered before SIGKILL may come, whatever its client allows, and what
 // is out is called off.
 TEST_F(GatewayTest, WhatIsOpenIsAnsweredBeforeTheKill) {
   const RequestId id = Ask();
-  ASSERT_EQ(All<Send>().size(), 1u);
-  gateway_.EndsBy(now_ + Micros{1'000'000});
+  ASSERT_EQ(All<StartAttempt>().size(), 1u);
+  coordinator_.SetShutdownDeadline(now_ + Micros{1'000'000});
   Tell({}, Micros{849'000});
-  EXPECT_TRUE(All<Answer>().empty());
-  EXPECT_TRUE(gateway_.MaySend(now_, id, 0));
+  EXPECT_TRUE(All<CompleteRequest>().empty());
+  EXPECT_TRUE(coordinator_.CanSend(now_, id, 0));
   Tell({}, Micros{2'000});
-  ASSERT_EQ(All<Answer>().size(), 1u);
-  EXPECT_NE(All<Answer>()[0].verdict, Verdict::kServed);
-  EXPECT_EQ(All<Stop>().size(), 1u);
-  EXPECT_EQ(gateway_.OpenRequests(), 0u);
+  ASSERT_EQ(All<CompleteRequest>().size(), 1u);
+  EXPECT_NE(All<CompleteRequest>()[0].status, CompletionStatus::kServed);
+  EXPECT_EQ(All<AbortAttempt>().size(), 1u);
+  EXPECT_EQ(coordinator_.OpenRequests(), 0u);
   Tell({}, Micros{5'000'000});  // nothing more at its own deadline
-  EXPECT_TRUE(All<Answer>().empty());
+  EXPECT_TRUE(All<CompleteRequest>().empty());
 }
 
 }  // namespace
