Move the files of net and the platform's front to the names of their classes-to-be

Cause: visitors, patience, seen_failing, cache_side, client_side and change_log hide what they hold. The program builds.

--- a/src/front/http/upstream.hpp
+++ b/src/front/http/upstream.hpp
@@ -14,8 +14,8 @@
 #include "front/http/access.hpp"
 #include "front/http/clients.hpp"
 #include "front/http/http1.hpp"
-#include "front/seen_failing.hpp"
-#include "net/pool.hpp"
+#include "front/upstream_failure_log.hpp"
+#include "net/connection_pool.hpp"
 
 namespace tinspan::http {
 
--- a/src/front/platform/client_side.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -1,4 +1,4 @@
-#include "front/platform/client_side.hpp"
+#include "front/platform/downstream_connections.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/front/platform/client_side.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -14,7 +14,7 @@
 #include "front/platform/resp.hpp"
 #include "net/connection.hpp"
 #include "net/listener.hpp"
-#include "net/visitors.hpp"
+#include "net/idle_connection_tracker.hpp"
 
 namespace tinspan::platform {
 
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/endpoint_watcher.cpp
@@ -1,4 +1,4 @@
-#include "front/platform/change_log.hpp"
+#include "front/platform/endpoint_watcher.hpp"
 
 #include <simdjson.h>
 
--- a/src/front/platform/change_log.hpp
+++ b/src/front/platform/endpoint_watcher.hpp
@@ -12,7 +12,7 @@
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
-#include "front/platform/cache_side.hpp"
+#include "front/platform/upstream_connections.hpp"
 #include "net/connection.hpp"
 
 namespace simdjson::dom {
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "front/ops/door.hpp"
-#include "front/platform/cache_side.hpp"
-#include "front/platform/change_log.hpp"
-#include "front/platform/client_side.hpp"
+#include "front/platform/upstream_connections.hpp"
+#include "front/platform/endpoint_watcher.hpp"
+#include "front/platform/downstream_connections.hpp"
 #include "front/runner.hpp"
 #include "ops/ops.hpp"
 
--- a/src/front/platform/cache_side.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -1,4 +1,4 @@
-#include "front/platform/cache_side.hpp"
+#include "front/platform/upstream_connections.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/front/platform/cache_side.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -9,10 +9,10 @@
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
-#include "front/platform/client_side.hpp"
-#include "front/seen_failing.hpp"
-#include "net/patience.hpp"
-#include "net/pool.hpp"
+#include "front/platform/downstream_connections.hpp"
+#include "front/upstream_failure_log.hpp"
+#include "net/response_timeout_estimator.hpp"
+#include "net/connection_pool.hpp"
 
 namespace tinspan::platform {
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,7 +5,7 @@
 #include <random>
 
 #include "fixture.hpp"
-#include "net/patience.hpp"
+#include "net/response_timeout_estimator.hpp"
 
 namespace tinspan {
 namespace {
