--- a/src/cli/door.cpp
+++ b/src/cli/door.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <vector>
 
+#include "net/endpoint.hpp"
 #include "net/fd.hpp"
 
 namespace tinspan::cli {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -118,8 +118,8 @@
   add("purges_refused_total", agent.Spread().Refused());
 }
 
-front::Beside BesideOf(members::Node* node, lease::Agent* agent) {
-  front::Beside beside;
+front::AttachedServices BesideOf(members::Node* node, lease::Agent* agent) {
+  front::AttachedServices beside;
   if (node == nullptr) return beside;
   beside.views.members = [node] { return node->Lines(); };
   if (agent != nullptr) beside.views.leases = [agent] { return agent->Lines(); };
@@ -187,7 +187,7 @@
   }
   Front front(loop, config, gateway, events);
   if constexpr (std::is_same_v<Front, http::HttpFront>) front.SetFeed(recorder.get());
-  front.SetBeside(BesideOf(fleet.get(), leases.get()));
+  front.SetAttachedServices(BesideOf(fleet.get(), leases.get()));
   // The port as it is, since 0 asks for any free one.
   const std::string at = net::Endpoint{config.listen.address, front.Port()}.Text();
   log::Info("serve.listening", {{"name", config.name}, {"address", at}}, "{} serving at {}", config.name, at);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "net/endpoint.hpp"
 #include "net/fd.hpp"
 #include "setup/setup.hpp"
 
--- a/src/console/remote.cpp
+++ b/src/console/remote.cpp
@@ -8,7 +8,7 @@
 namespace tinspan::console {
 namespace {
 
-constexpr net::Connection::Limits kLimits{.read = 8 << 20, .write = 64 << 10};
+constexpr net::Connection::Limits kLimits{.max_read_bytes = 8 << 20, .max_write_bytes = 64 << 10};
 constexpr Micros kEvery{250'000};
 constexpr Micros kAgain{1'000'000};
 constexpr Micros kLimit{2'500'000};  // for an answer
@@ -35,7 +35,7 @@
                    "\r\nAuthorization: Bearer " + token_ + "\r\n\r\n");
 }
 
-void Remote::OnBytes(net::Connection& connection) {
+void Remote::OnData(net::Connection& connection) {
   const std::string_view unread = connection.Unread();
   http::Head head;
   const int status = http::ReadResponse(unread, head);
@@ -44,7 +44,7 @@
   const auto framing = status == 0 ? http::ResponseFraming(head, false, length) : std::nullopt;
   if (!framing || *framing == http::BodyReader::Framing::kChunked)
     return Failed("an answer that cannot be read");
-  if (unread.size() < head.length + length) return connection.Expect(head.length + length);
+  if (unread.size() < head.length + length) return connection.ExpectMessage(head.length + length);
   if (head.status != 200) {
     refused_ = head.status == 401 || head.status == 404 || head.status == 405;
     return Failed(head.status == 401 ? "the operator's token is not accepted"
--- a/src/console/remote.hpp
+++ b/src/console/remote.hpp
@@ -23,7 +23,7 @@
   void EndRound() { old_.reset(); }
 
   void OnOpen(net::Connection& connection) override;
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -89,22 +89,25 @@
       coordinator_(coordinator),
       access_(access),
       events_(events),
-      visitors_({.most = config.limits.sockets / 3, .first = kFirst, .idle = kIdle}),
+      idle_connections_({.max_connections = config.limits.sockets / 3,
+                         .first_request_timeout = kFirst,
+                         .idle_timeout = kIdle}),
       listener_(loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }) {}
 
 void Clients::Accept(net::Fd fd) {
-  if (visitors_.IsFull() && !MakeRoom()) {
+  if (idle_connections_.IsFull() && !MakeRoom()) {
     log::Warn("client.turned_away", {{"connections", clients_.size()}},
               "client turned away: {} connections, none of them idle", clients_.size());
     return;
   }
   const std::uint64_t id = ++last_;
   Client& client = clients_[id];
-  const net::Connection::Limits limits{.read = kMostHead + config_.most_body + 4, .write = 4 << 20};
+  const net::Connection::Limits limits{.max_read_bytes = kMostHead + config_.most_body + 4,
+                                       .max_write_bytes = 4 << 20};
   client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, limits);
   client.connection->id = id;
   client.used = net::Now();
-  visitors_.Came(id, client.used);
+  idle_connections_.OnAccepted(id, client.used);
 }
 
 // Lets one go that asks for nothing, passing over those whose request has just arrived.
@@ -112,7 +115,7 @@
   std::vector<std::uint64_t> asking;
   bool made = false;
   while (!made && asking.size() < kMostPassedOver) {
-    const auto spare = visitors_.Spare(net::Now());
+    const auto spare = idle_connections_.EvictCandidate(net::Now());
     if (!spare) break;
     made = LetGo(clients_.at(*spare));
     if (!made) asking.push_back(*spare);
@@ -121,23 +124,23 @@
     if (made && clients_.size() >= limits.sockets / 3 + limits.PartingSockets())
       clients_.at(*spare).connection->Close();
   }
-  for (const std::uint64_t id : asking) visitors_.Idle(id, net::Now());
+  for (const std::uint64_t id : asking) idle_connections_.MarkIdle(id, net::Now());
   return made;
 }
 
 // Our side is ended and the client heard out (kLinger): a close over what crosses it is a reset. False: a
 // request has just arrived.
 bool Clients::LetGo(Client& client) {
-  if (client.connection->HasArrived()) return false;
+  if (client.connection->HasPendingInput()) return false;
   client.used = net::Now();
   client.last = true;
-  client.connection->CloseWhenDrained();
+  client.connection->ShutdownWhenDrained();
   return true;
 }
 
-void Clients::OnBytes(net::Connection& connection) {
+void Clients::OnData(net::Connection& connection) {
   Client& client = clients_.at(connection.id);
-  client.used = connection.LastHeard();
+  client.used = connection.LastActivityAt();
   Read(client);
 }
 
@@ -229,7 +232,8 @@
   const std::string_view rest = std::string_view(target->path).substr(route->prefix.size());
   came.group = GroupOf(rest.substr(0, rest.find('/')));
   client.open = came.id;
-  client.connection->EndWithPeer(true);  // who leaves while a request is open is gone, whatever is unread
+  client.connection->SetCloseOnPeerShutdown(
+      true);  // who leaves while a request is open is gone, whatever is unread
   asked_.emplace(came.id, std::move(asked));
   events_.push_back(came);
   return 0;
@@ -323,7 +327,7 @@
   if (client.last) out.append("Connection: close\r\n");
   client.connection->Write(out.append("\r\n"), body, {});
   client.used = net::Now();
-  if (client.last) client.connection->CloseWhenDrained();
+  if (client.last) client.connection->ShutdownWhenDrained();
 }
 
 std::optional<std::size_t> Clients::Pass(RequestId id, std::string_view bytes) {
@@ -349,9 +353,9 @@
   Client& client = clients_.at(asked->connection);
   asked_.erase(id);
   client.open.reset();
-  client.connection->EndWithPeer(false);
+  client.connection->SetCloseOnPeerShutdown(false);
   client.last = client.last || Stopping(net::Now());
-  if (client.last) return client.connection->CloseWhenDrained();
+  if (client.last) return client.connection->ShutdownWhenDrained();
   Read(client);
 }
 
@@ -363,7 +367,7 @@
   client.open.reset();
   // Short of its length or its last chunk, the answer is seen as broken.
   client.last = true;
-  client.connection->CloseWhenDrained();
+  client.connection->ShutdownWhenDrained();
 }
 
 void Clients::Answer(RequestId id, int status, std::string_view fields) {
@@ -372,7 +376,7 @@
   Client& client = clients_.at(asked->connection);
   asked_.erase(id);
   client.open.reset();
-  client.connection->EndWithPeer(false);
+  client.connection->SetCloseOnPeerShutdown(false);
   Reply(client, status, fields);
   Read(client);
 }
@@ -392,10 +396,10 @@
 }
 
 void Clients::EndRound(Micros now) {
-  if (listener_.IsOpen() && Stopping(now)) listener_.CloseTakingAll();
+  if (listener_.IsOpen() && Stopping(now)) listener_.CloseAfterAccepting();
   for (auto& [id, client] : clients_) {
     net::Connection& connection = *client.connection;
-    if (connection.Sent() != std::exchange(client.sent, connection.Sent())) client.used = now;
+    if (connection.BytesSent() != std::exchange(client.sent, connection.BytesSent())) client.used = now;
     const bool stuck = (connection.Backlog() > 0 && now - client.used > config_.stall) ||
                        (connection.IsLingering() && now - client.used > (Stopping(now) ? kRest : kLinger));
     const bool busy = client.open || connection.Backlog() > 0;
@@ -403,21 +407,21 @@
       connection.Close();
       Leave(client);
     }
-    const bool coming = !connection.Unread().empty() && now - connection.LastBytes() < kRest;
+    const bool coming = !connection.Unread().empty() && now - connection.LastReceivedAt() < kRest;
     if (!connection.IsClosed() && !connection.IsLingering() && !busy && !coming && Stopping(now))
       LetGo(client);
     if (connection.IsClosed()) {
       closed_.push_back(id);
     } else if (busy) {
-      visitors_.Busy(id);
-    } else if (connection.Queued() != std::exchange(client.told, connection.Queued())) {
-      visitors_.Idle(id, now);
+      idle_connections_.MarkActive(id);
+    } else if (connection.BytesQueued() != std::exchange(client.told, connection.BytesQueued())) {
+      idle_connections_.MarkIdle(id, now);
     }
   }
-  while (const auto id = visitors_.Overdue(now)) {
-    if (!LetGo(clients_.at(*id))) visitors_.Idle(*id, now);
+  while (const auto id = idle_connections_.NextExpired(now)) {
+    if (!LetGo(clients_.at(*id))) idle_connections_.MarkIdle(*id, now);
   }
-  for (const std::uint64_t id : closed_) visitors_.Left(id);
+  for (const std::uint64_t id : closed_) idle_connections_.Remove(id);
   for (const std::uint64_t id : closed_) clients_.erase(id);
   closed_.clear();
 }
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -13,8 +13,8 @@
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
 #include "net/connection.hpp"
-#include "net/listener.hpp"
 #include "net/idle_connection_tracker.hpp"
+#include "net/listener.hpp"
 
 namespace tinspan::http {
 
@@ -53,7 +53,7 @@
   void EndRound(Micros now);
   std::uint16_t Port() const { return listener_.Port(); }
 
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
@@ -90,7 +90,7 @@
   std::unordered_map<std::uint64_t, Client> clients_;
   std::unordered_map<RequestId, Asked> asked_;
   std::vector<std::uint64_t> closed_;
-  net::Visitors visitors_;
+  net::IdleConnectionTracker idle_connections_;
   std::uint64_t last_ = 0;
   bool ready_ = false;
   const core::RecordFeed* feed_ = nullptr;
--- a/src/front/http/consul_query.cpp
+++ b/src/front/http/consul_query.cpp
@@ -8,7 +8,7 @@
 namespace tinspan::http {
 namespace {
 
-constexpr net::Connection::Limits kLimits{.read = 16 << 20, .write = 64 << 10};
+constexpr net::Connection::Limits kLimits{.max_read_bytes = 16 << 20, .max_write_bytes = 64 << 10};
 constexpr Micros kFirstBackOff{200'000};
 constexpr Micros kMostBackOff{2'000'000};
 
@@ -39,12 +39,12 @@
   connection.Write(out + "\r\n");
 }
 
-void ConsulQuery::OnBytes(net::Connection& connection) {
+void ConsulQuery::OnData(net::Connection& connection) {
   if (IsIdle()) return LetGo();  // it speaks unasked
   Response response;
   std::size_t expect = 0;
   const Taken taken = TakeResponse(connection.Unread(), response, expect);
-  if (expect > 0) connection.Expect(expect);
+  if (expect > 0) connection.ExpectMessage(expect);
   if (taken == Taken::kMore) return;
   if (taken == Taken::kUnreadable) return Failed("an answer that cannot be read");
   loop_.Timers().Cancel(timer_);
--- a/src/front/http/consul_query.hpp
+++ b/src/front/http/consul_query.hpp
@@ -29,7 +29,7 @@
   void EndRound() { old_.reset(); }
 
   void OnOpen(net::Connection& connection) override;
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -65,7 +65,7 @@
         loop, *config.ops, service_,
         [this] {
           ops::Figures figures;
-          if (beside_.figures) beside_.figures(figures);
+          if (attached_.figures) attached_.figures(figures);
           return figures;
         },
         views_);
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -22,7 +22,7 @@
   void Carry(net::Micros now, const core::Command& command) override;
   void EndRound(net::Micros now) override;
   void Drain(net::Micros accept_until) override {
-    if (beside_.on_drain) beside_.on_drain();
+    if (attached_.on_drain) attached_.on_drain();
     service_.Stopping();
     clients_.Drain(accept_until);
   }
@@ -33,11 +33,11 @@
   std::optional<std::uint16_t> OpsPort() const {
     return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
   }
-  void SetBeside(front::Beside beside) {
+  void SetAttachedServices(front::AttachedServices beside) {
     views_ = beside.views;
     upstream_.Failing().ReportTo(beside.failing);
     clients_.SetPurged(beside.purged);
-    beside_ = std::move(beside);
+    attached_ = std::move(beside);
   }
 
  private:
@@ -52,7 +52,7 @@
   std::size_t unlisted_;         // services that Consul has not listed yet
   ops::Service service_{false};  // serving once Consul has listed every service; no standby here
   ops::Views views_;
-  front::Beside beside_;
+  front::AttachedServices attached_;
   std::optional<front::OpsDoor> door_;
 };
 
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -12,12 +12,12 @@
 constexpr std::size_t kSlowClient = 256
                                     << 10;  // bytes waiting for a client from which its server is held back
 
-net::PoolRules Rules(const config::Http& config) {
-  net::PoolRules rules;
+net::ConnectionPoolOptions Rules(const config::Http& config) {
+  net::ConnectionPoolOptions rules;
   rules.connect_timeout = config.connect_timeout;
-  rules.idle_close = config.idle_close * 3 / 4;
-  rules.exchanges = 1;
-  rules.limits = {.read = 64 << 10, .write = 2 << 20};
+  rules.idle_timeout = config.idle_close * 3 / 4;
+  rules.max_streams = 1;
+  rules.limits = {.max_read_bytes = 64 << 10, .max_write_bytes = 2 << 20};
   return rules;
 }
 
@@ -68,32 +68,33 @@
         .id = command.action.id, .attempt = command.attempt, .outcome = Outcome::kNotSent});
     return;
   }
-  Link& link = pool_.Take(static_cast<std::uint64_t>(command.action.server), address->second.endpoint, now,
-                          [](const Link& one) { return one.connection.IsOpen() && !one.state.busy; });
-  link.state = UpstreamLink();
-  link.state.id = command.action.id;
-  link.state.attempt = command.attempt;
-  link.state.busy = true;
-  out_[command.action.id] = Out{&link, command};
-  if (link.connection.IsOpen()) {
-    Put(now, link, command);
+  PooledConnection& pooled =
+      pool_.Acquire(static_cast<std::uint64_t>(command.action.server), address->second.endpoint, now,
+                    [](const PooledConnection& one) { return one.connection.IsOpen() && !one.state.busy; });
+  pooled.state = UpstreamConnectionState();
+  pooled.state.id = command.action.id;
+  pooled.state.attempt = command.attempt;
+  pooled.state.busy = true;
+  out_[command.action.id] = Out{&pooled, command};
+  if (pooled.connection.IsOpen()) {
+    Put(now, pooled, command);
   } else {
-    link.state.waiting = true;
+    pooled.state.waiting = true;
   }
 }
 
-void Upstream::Put(Micros now, Link& link, const core::StartAttempt& send) {
-  link.state.waiting = false;
+void Upstream::Put(Micros now, PooledConnection& pooled, const core::StartAttempt& send) {
+  pooled.state.waiting = false;
   const Asked* const asked = clients_.Find(send.action.id);
   const SendAttempt& order = send.action;
   const bool fill = order.source != order.server;
   const auto source = addresses_.find(order.source);
   if (asked == nullptr || (fill && source == addresses_.end()) ||
       !coordinator_.CanSend(now, order.id, send.attempt)) {
-    Tell(link, {.outcome = Outcome::kNotSent});
-    return Free(link);
+    Tell(pooled, {.outcome = Outcome::kNotSent});
+    return Free(pooled);
   }
-  link.state.to_head = asked->method == "HEAD";
+  pooled.state.to_head = asked->method == "HEAD";
   std::string out = asked->method + " " +
                     (asked->link ? signer_.Link(asked->uri, now, order.expires_at) : asked->uri) +
                     " HTTP/1.1\r\nHost: " + config_.authority + "\r\nVia: 1.1 " + config_.name + "\r\n";
@@ -114,129 +115,129 @@
   }
   out.append("\r\n").append(asked->fields);
   if (asked->method == "POST") out += "Content-Length: " + std::to_string(asked->body.size()) + "\r\n";
-  const bool taken = link.connection.Write(out, "\r\n", asked->body);
-  link.state.written = link.connection.Queued();
-  if (!taken) Break(link, Outcome::kConnectFailed);
+  const bool taken = pooled.connection.Write(out, "\r\n", asked->body);
+  pooled.state.written = pooled.connection.BytesQueued();
+  if (!taken) Break(pooled, Outcome::kConnectFailed);
 }
 
-void Upstream::OnLinkOpen(Link& link) {
-  const auto out = link.state.busy ? out_.find(link.state.id) : out_.end();
-  if (!link.state.waiting || out == out_.end()) return;
+void Upstream::OnConnectionOpen(PooledConnection& pooled) {
+  const auto out = pooled.state.busy ? out_.find(pooled.state.id) : out_.end();
+  if (!pooled.state.waiting || out == out_.end()) return;
   const core::StartAttempt send = out->second.send;
-  Put(net::Now(), link, send);
-  if (link.state.written > 0) events_.emplace_back(core::AttemptSent{send.action.id, send.attempt});
+  Put(net::Now(), pooled, send);
+  if (pooled.state.written > 0) events_.emplace_back(core::AttemptSent{send.action.id, send.attempt});
 }
 
 // Ends the exchange towards the core, which may still go on on the wire.
-void Upstream::Tell(Link& link, core::AttemptCompleted ended) {
-  const auto found = out_.find(link.state.id);
-  if (found == out_.end() || found->second.link != &link) return;
-  ended.id = link.state.id;
-  ended.attempt = link.state.attempt;
+void Upstream::Tell(PooledConnection& pooled, core::AttemptCompleted ended) {
+  const auto found = out_.find(pooled.state.id);
+  if (found == out_.end() || found->second.pooled != &pooled) return;
+  ended.id = pooled.state.id;
+  ended.attempt = pooled.state.attempt;
   events_.push_back(ended);
   out_.erase(found);
 }
 
-void Upstream::Free(Link& link) {
-  const bool keep = link.state.keep && !link.connection.IsClosed();
-  link.connection.HoldReading(false);
-  link.state = UpstreamLink{};
+void Upstream::Free(PooledConnection& pooled) {
+  const bool keep = pooled.state.keep && !pooled.connection.IsClosed();
+  pooled.connection.SetReadPaused(false);
+  pooled.state = UpstreamConnectionState{};
   if (!keep) {
-    link.connection.Close();
-    pool_.Retire(link);
+    pooled.connection.Close();
+    pool_.Retire(pooled);
   }
-  pool_.Release(link, net::Now());
+  pool_.Release(pooled, net::Now());
 }
 
-void Upstream::Break(Link& link, Outcome outcome) {
-  if (!link.state.busy) return;
-  failing_.Note(net::Now(), link.server);
-  Tell(link, {.outcome = outcome});
-  link.state.keep = false;
-  Free(link);
+void Upstream::Break(PooledConnection& pooled, Outcome outcome) {
+  if (!pooled.state.busy) return;
+  failing_.Note(net::Now(), pooled.server);
+  Tell(pooled, {.outcome = outcome});
+  pooled.state.keep = false;
+  Free(pooled);
 }
 
-void Upstream::OnLinkLost(Link& link) {
+void Upstream::OnConnectionLost(PooledConnection& pooled) {
   // Its end may be in the buffer yet, if the server closes after each answer: looked at once it may be passed
   // on.
-  if (link.state.headed && !link.state.relayed && !link.state.discard) return;
-  const bool whole = link.state.written > 0 && link.connection.Sent() >= link.state.written;
-  if (link.state.busy) events_.emplace_back(core::ConnectionLost{ServerId{link.server}, 1});
-  Break(link, whole ? Outcome::kReset : Outcome::kConnectFailed);
+  if (pooled.state.headed && !pooled.state.relayed && !pooled.state.discard) return;
+  const bool whole = pooled.state.written > 0 && pooled.connection.BytesSent() >= pooled.state.written;
+  if (pooled.state.busy) events_.emplace_back(core::ConnectionLost{ServerId{pooled.server}, 1});
+  Break(pooled, whole ? Outcome::kReset : Outcome::kConnectFailed);
 }
 
 void Upstream::Carry(Micros, const core::AbortAttempt& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
-  Link& link = *found->second.link;
+  PooledConnection& pooled = *found->second.pooled;
   out_.erase(found);
-  link.state.keep = false;  // HTTP/1.1 knows no other way to give a request up
-  Free(link);
+  pooled.state.keep = false;  // HTTP/1.1 knows no other way to give a request up
+  Free(pooled);
 }
 
 void Upstream::Carry(Micros, const core::ForwardResponse& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
-  Link& link = *found->second.link;
-  link.state.relayed = true;
-  clients_.Pass(command.id, std::exchange(link.state.head, {}));
-  Pump(link);
+  PooledConnection& pooled = *found->second.pooled;
+  pooled.state.relayed = true;
+  clients_.Pass(command.id, std::exchange(pooled.state.head, {}));
+  Pump(pooled);
 }
 
-void Upstream::Pump(Link& link) {
-  UpstreamLink& state = link.state;
+void Upstream::Pump(PooledConnection& pooled) {
+  UpstreamConnectionState& state = pooled.state;
   while (true) {
-    const std::string_view unread = link.connection.Unread();
+    const std::string_view unread = pooled.connection.Unread();
     if (!state.busy) {
-      if (unread.empty() || link.connection.IsClosed()) return;
-      link.connection.Close();  // a server that speaks unasked
-      return pool_.Retire(link);
+      if (unread.empty() || pooled.connection.IsClosed()) return;
+      pooled.connection.Close();  // a server that speaks unasked
+      return pool_.Retire(pooled);
     }
     if (!state.headed) {
-      if (unread.empty() || !ReadHead(link)) return;
+      if (unread.empty() || !ReadHead(pooled)) return;
       continue;
     }
     if (!state.relayed && !state.discard) return;
     const auto taken = state.body.Take(unread);
-    if (!taken) return Break(link, Outcome::kReset);
+    if (!taken) return Break(pooled, Outcome::kReset);
     if (*taken > 0 && state.relayed) {
       const auto backlog = clients_.Pass(state.id, unread.substr(0, *taken));
       if (!backlog) return;  // its client has gone: the core says Stop
       if (*backlog > kSlowClient) {
         state.held = true;
-        link.connection.HoldReading(true);
+        pooled.connection.SetReadPaused(true);
       }
     }
-    link.connection.Consume(*taken);
+    pooled.connection.Consume(*taken);
     if (!state.body.IsWhole()) {
       if (*taken > 0) continue;
-      if (link.connection.IsClosed()) Break(link, Outcome::kReset);
+      if (pooled.connection.IsClosed()) Break(pooled, Outcome::kReset);
       return;
     }
-    if (state.relayed) Tell(link, {.outcome = Outcome::kServed, .note = state.note});
-    return Free(link);
+    if (state.relayed) Tell(pooled, {.outcome = Outcome::kServed, .note = state.note});
+    return Free(pooled);
   }
 }
 
-bool Upstream::ReadHead(Link& link) {
-  UpstreamLink& state = link.state;
+bool Upstream::ReadHead(PooledConnection& pooled) {
+  UpstreamConnectionState& state = pooled.state;
   Head head;
-  const int status = ReadResponse(link.connection.Unread(), head);
+  const int status = ReadResponse(pooled.connection.Unread(), head);
   if (status < 0) return false;
   if (status > 0) {
-    Break(link, Outcome::kError);
+    Break(pooled, Outcome::kError);
     return false;
   }
   if (head.status < 200) {  // 100 and its like announce the answer
-    link.connection.Consume(head.length);
+    pooled.connection.Consume(head.length);
     if (head.status != 101) return true;
-    Break(link, Outcome::kError);
+    Break(pooled, Outcome::kError);
     return false;
   }
   std::uint64_t length = 0;
   const auto framing = ResponseFraming(head, state.to_head, length);
   if (!framing) {  // without an end that shows, a broken answer could not be told from a whole one
-    Break(link, Outcome::kError);
+    Break(pooled, Outcome::kError);
     return false;
   }
   state.headed = true;
@@ -253,12 +254,13 @@
     // A server that takes our signature for none: an error of ours, not of the client.
     if ((head.status == 401 || head.status == 403) && asked != nullptr) {
       asked->blame = 502;
-      log::Error("server.refuses_signature", {{"server", link.server}, {"status", head.status}},
-                 "server {} at {} refuses our signature with {}", link.server, link.to.Text(), head.status);
+      log::Error("server.refuses_signature", {{"server", pooled.server}, {"status", head.status}},
+                 "server {} at {} refuses our signature with {}", pooled.server, pooled.endpoint.Text(),
+                 head.status);
     }
     state.discard = true;
-    Tell(link, {.outcome = refusal.value_or(Outcome::kError), .note = FillNote::kNone});
-    link.connection.Consume(head.length);
+    Tell(pooled, {.outcome = refusal.value_or(Outcome::kError), .note = FillNote::kNone});
+    pooled.connection.Consume(head.length);
     return true;
   }
   state.head = "HTTP/1.1 " + std::to_string(head.status) + " \r\n";
@@ -276,24 +278,24 @@
     issued = now - Micros{(std::min<std::int64_t>(age, 1'000'000'000) + 1) * 1'000'000};
   }
   events_.emplace_back(core::ResponseStarted{.id = state.id, .attempt = state.attempt, .issued_at = issued});
-  link.connection.Consume(head.length);
+  pooled.connection.Consume(head.length);
   return true;
 }
 
 void Upstream::EndRound(Micros now) {
-  for (Link& link : pool_.Links()) {
-    UpstreamLink& state = link.state;
+  for (PooledConnection& pooled : pool_.Connections()) {
+    UpstreamConnectionState& state = pooled.state;
     if (state.held) {
       const auto backlog = clients_.Backlog(state.id);
       if (backlog && *backlog < kSlowClient / 2) {
         state.held = false;
-        link.connection.HoldReading(false);
-        Pump(link);
+        pooled.connection.SetReadPaused(false);
+        Pump(pooled);
       }
-    } else if (state.busy && state.headed && !link.connection.IsClosed() &&
-               now - link.connection.LastHeard() > config_.stall) {
-      link.connection.Close();  // a begun answer that does not move any more
-      Break(link, Outcome::kReset);
+    } else if (state.busy && state.headed && !pooled.connection.IsClosed() &&
+               now - pooled.connection.LastActivityAt() > config_.stall) {
+      pooled.connection.Close();  // a begun answer that does not move any more
+      Break(pooled, Outcome::kReset);
     }
   }
   pool_.Sweep(now);
--- a/src/front/http/upstream.hpp
+++ b/src/front/http/upstream.hpp
@@ -19,7 +19,7 @@
 
 namespace tinspan::http {
 
-struct UpstreamLink {
+struct UpstreamConnectionState {
   RequestId id{};
   std::uint32_t attempt = 0;
   bool busy = false;     // an exchange is under way
@@ -36,10 +36,10 @@
   BodyReader body;
 };
 
-class Upstream final : public net::Pool<UpstreamLink>::User {
+class Upstream final : public net::ConnectionPool<UpstreamConnectionState>::Callbacks {
  public:
-  using Pool = net::Pool<UpstreamLink>;
-  using Link = Pool::Link;
+  using Pool = net::ConnectionPool<UpstreamConnectionState>;
+  using PooledConnection = Pool::PooledConnection;
 
   Upstream(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
            Clients& clients, const Signer& signer, std::vector<core::Event>& events);
@@ -58,23 +58,23 @@
   void Carry(Micros now, const core::AbortAttempt& command);
   void Carry(Micros now, const core::ForwardResponse& command);
   void EndRound(Micros now);
-  front::SeenFailing& Failing() { return failing_; }
+  front::UpstreamFailureLog& Failing() { return failing_; }
 
-  void OnLinkOpen(Link& link) override;
-  void OnLinkBytes(Link& link) override { Pump(link); }
-  void OnLinkLost(Link& link) override;
+  void OnConnectionOpen(PooledConnection& pooled) override;
+  void OnConnectionData(PooledConnection& pooled) override { Pump(pooled); }
+  void OnConnectionLost(PooledConnection& pooled) override;
 
  private:
   struct Out {
-    Link* link = nullptr;
+    PooledConnection* pooled = nullptr;
     core::StartAttempt send;
   };
-  void Put(Micros now, Link& link, const core::StartAttempt& send);
-  void Pump(Link& link);
-  bool ReadHead(Link& link);  // false: not whole yet, or the exchange is over
-  void Tell(Link& link, core::AttemptCompleted ended);
-  void Free(Link& link);                    // the exchange is over on the wire as well
-  void Break(Link& link, Outcome outcome);  // the connection cannot be used any more
+  void Put(Micros now, PooledConnection& pooled, const core::StartAttempt& send);
+  void Pump(PooledConnection& pooled);
+  bool ReadHead(PooledConnection& pooled);  // false: not whole yet, or the exchange is over
+  void Tell(PooledConnection& pooled, core::AttemptCompleted ended);
+  void Free(PooledConnection& pooled);                    // the exchange is over on the wire as well
+  void Break(PooledConnection& pooled, Outcome outcome);  // the connection cannot be used any more
 
   const config::Http& config_;
   core::RequestCoordinator& coordinator_;
@@ -83,7 +83,7 @@
   std::vector<core::Event>& events_;
   std::unordered_map<ServerId, Address> addresses_;
   std::unordered_map<RequestId, Out> out_;
-  front::SeenFailing failing_;
+  front::UpstreamFailureLog failing_;
   Pool pool_;
 };
 
--- a/src/front/ops/door.cpp
+++ b/src/front/ops/door.cpp
@@ -8,7 +8,7 @@
 namespace tinspan::front {
 namespace {
 // A line and its answer; the longest is `members` of a large fleet, some 100 bytes a member.
-constexpr net::Connection::Limits kLimits{.read = ops::kMostLine + 2, .write = 4 << 20};
+constexpr net::Connection::Limits kLimits{.max_read_bytes = ops::kMostLine + 2, .max_write_bytes = 4 << 20};
 }  // namespace
 
 OpsDoor::OpsDoor(net::EventLoop& loop, const net::Endpoint& at, ops::Service& service, FiguresNow figures,
@@ -24,7 +24,7 @@
   Sweep(now);
   if (callers_.size() >= kMostCallers) {  // the one silent longest goes; none of them has a whole line
     auto oldest = std::min_element(callers_.begin(), callers_.end(), [](const auto& a, const auto& b) {
-      return a.second->Since() < b.second->Since();
+      return a.second->OpenedAt() < b.second->OpenedAt();
     });
     oldest->second->Close();
     callers_.erase(oldest);
@@ -35,7 +35,7 @@
   callers_.emplace(id, std::move(connection));
 }
 
-void OpsDoor::OnBytes(net::Connection& connection) {
+void OpsDoor::OnData(net::Connection& connection) {
   if (connection.IsLingering()) return connection.Consume(connection.Unread().size());
   const std::string_view unread = connection.Unread();
   const std::size_t end = unread.find('\n');
@@ -52,7 +52,7 @@
              answer.substr(0, answer.find('\n')));
   connection.Consume(unread.size());
   // A caller that sends more than one line gets one answer: one call a connection.
-  if (connection.Write(answer)) connection.CloseWhenDrained();
+  if (connection.Write(answer)) connection.ShutdownWhenDrained();
 }
 
 void OpsDoor::OnClosed(net::Connection& connection) {
@@ -66,7 +66,7 @@
   closed_.clear();
   std::erase_if(callers_, [now](const auto& entry) {
     const net::Connection& caller = *entry.second;
-    return caller.IsClosed() || now - caller.LastHeard() > kMostSilence;
+    return caller.IsClosed() || now - caller.LastActivityAt() > kMostSilence;
   });
 }
 
--- a/src/front/ops/door.hpp
+++ b/src/front/ops/door.hpp
@@ -30,7 +30,7 @@
   std::uint16_t Port() const { return listener_.Port(); }
   std::uint64_t Answered() const { return answered_; }
 
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t kTurn = 32;
 // Answers that a client may leave unread: more than 32 of the largest. Nothing more is read from one that has
 // left so many, nor from any such client once all together hold a quarter of the memory.
-constexpr net::Connection::Limits kLimits{.read = kMostMessage, .write = 9 << 20, .gone_at_end = true};
+constexpr net::Connection::Limits kLimits{
+    .max_read_bytes = kMostMessage, .max_write_bytes = 9 << 20, .close_on_peer_shutdown = true};
 constexpr std::size_t kFull = 8 << 20;
 constexpr Micros kStuck{10'000'000};     // a client that takes nothing of its answers for so long is let go
 constexpr Micros kStuckForAll{500'000};  // the same while what is unread holds up all servers' answers
@@ -37,11 +38,11 @@
 
 // Clients hold a third of the descriptors at most; bad ones hold what they get. Half-read messages of all may
 // take a quarter of the memory.
-net::VisitorRules Rules(const config::Platform& config) {
+net::IdleConnectionLimits Rules(const config::Platform& config) {
   const std::size_t memory = config.limits.memory_mb << 20;
-  return {.most = std::min(config.limits.ClientSockets(), memory / 4 / kMostMessage),
-          .first = kFirst,
-          .idle = kIdle};
+  return {.max_connections = std::min(config.limits.ClientSockets(), memory / 4 / kMostMessage),
+          .first_request_timeout = kFirst,
+          .idle_timeout = kIdle};
 }
 
 bool IsHex(std::string_view text, std::size_t length) {
@@ -52,19 +53,20 @@
 
 }  // namespace
 
-ClientSide::ClientSide(net::EventLoop& loop, const config::Platform& config,
-                       core::RequestCoordinator& coordinator, std::vector<core::Event>& events)
+DownstreamConnections::DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
+                                             core::RequestCoordinator& coordinator,
+                                             std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
       coordinator_(coordinator),
       events_(events),
-      visitors_(Rules(config)),
+      idle_connections_(Rules(config)),
       classes_(config.site.classes),
       listener_(
           loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }, /*shared=*/true) {}
 
-void ClientSide::Accept(net::Fd fd) {
-  if (visitors_.IsFull() && !MakeRoom()) {
+void DownstreamConnections::Accept(net::Fd fd) {
+  if (idle_connections_.IsFull() && !MakeRoom()) {
     log::Warn("client.turned_away", {{"connections", clients_.size()}},
               "client turned away: {} connections, none of them idle", clients_.size());
     return;
@@ -74,15 +76,15 @@
   client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, kLimits);
   client.connection->id = id;
   client.held = held_;
-  visitors_.Came(id, net::Now());
+  idle_connections_.OnAccepted(id, net::Now());
 }
 
 // Lets one go that asks for nothing, passing over those whose request has just arrived.
-bool ClientSide::MakeRoom() {
+bool DownstreamConnections::MakeRoom() {
   std::vector<std::uint64_t> asking;
   bool made = false;
   while (!made && asking.size() < kMostPassedOver) {
-    const auto spare = visitors_.Spare(net::Now());
+    const auto spare = idle_connections_.EvictCandidate(net::Now());
     if (!spare) break;
     made = LetGo(clients_.at(*spare), net::Now());
     if (!made) asking.push_back(*spare);
@@ -91,13 +93,13 @@
   return made;
 }
 
-void ClientSide::OnBytes(net::Connection& connection) {
+void DownstreamConnections::OnData(net::Connection& connection) {
   Client& client = clients_.at(connection.id);
   touched_.insert(connection.id);
   if (client.held) {
     LookAhead(client);
     // As much as a turn holds is read ahead; the rest waits in the socket.
-    if (connection.Unread().size() >= kMostMessage) connection.HoldReading(true);
+    if (connection.Unread().size() >= kMostMessage) connection.SetReadPaused(true);
     return;
   }
   for (std::size_t turn = 0; !connection.IsClosed(); ++turn) {
@@ -105,16 +107,16 @@
     if (unread.empty()) break;
     if (turn == kTurn) {
       LookAhead(client);
-      return connection.Resume();
+      return connection.ScheduleRead();
     }
     RespMessage message;
     std::size_t used = 0;
     const RespState state = ParseResp(unread, kMostMessage, message, used);
     if (state == RespState::kPartial) {
-      connection.Expect(client.consume + used);
+      connection.ExpectMessage(client.consume + used);
       // One that rested and begins to write is given a newcomer's time for the whole of it.
-      if (client.open.empty() && connection.Queued() > 0 && !std::exchange(client.partial, true))
-        visitors_.Came(connection.id, net::Now());
+      if (client.open.empty() && connection.BytesQueued() > 0 && !std::exchange(client.partial, true))
+        idle_connections_.OnAccepted(connection.id, net::Now());
       break;
     }
     if (state == RespState::kMalformed) {  // where the next message begins is not known
@@ -129,7 +131,7 @@
 
 // What a client has called off further on in its input, while its turn is over or nothing new is taken from
 // it: no attempt may begin for it meanwhile.
-void ClientSide::LookAhead(Client& client) {
+void DownstreamConnections::LookAhead(Client& client) {
   const std::string_view unread = client.connection->Unread();
   for (std::size_t at = std::max(client.ahead, client.consume); at < unread.size();) {
     RespMessage message;
@@ -145,15 +147,15 @@
 }
 
 // Nothing new is taken from a client that is held; what it calls off is heeded all the same.
-void ClientSide::Hold(Client& client, bool hold) {
+void DownstreamConnections::Hold(Client& client, bool hold) {
   if (std::exchange(client.held, hold) == hold || hold) return;
-  client.connection->HoldReading(false);
-  client.connection->Resume();
+  client.connection->SetReadPaused(false);
+  client.connection->ScheduleRead();
 }
 
 // A message whose frame is whole but that cannot be used is answered alone: what else is open on the
 // connection has nothing to do with it.
-void ClientSide::Handle(Client& client, const RespMessage& message) {
+void DownstreamConnections::Handle(Client& client, const RespMessage& message) {
   const std::string_view verb = message.words[0];
   const std::string tag(message.count > 1 ? message.words[1].substr(0, kMostField) : std::string_view());
   if (verb == "RPC.CANCEL") {
@@ -173,16 +175,16 @@
   Seat(client);
 }
 
-void ClientSide::Seat(Client& client) {
+void DownstreamConnections::Seat(Client& client) {
   const net::Connection& connection = *client.connection;
   client.partial = false;
-  if (!client.open.empty()) return visitors_.Busy(connection.id);
+  if (!client.open.empty()) return idle_connections_.MarkActive(connection.id);
   // Nothing has been said to one that withdrew all it asked.
-  connection.Queued() > 0 ? visitors_.Idle(connection.id, net::Now())
-                          : visitors_.Came(connection.id, connection.Since());
+  connection.BytesQueued() > 0 ? idle_connections_.MarkIdle(connection.id, net::Now())
+                               : idle_connections_.OnAccepted(connection.id, connection.OpenedAt());
 }
 
-void ClientSide::Cancel(Client& client, const std::string& tag) {
+void DownstreamConnections::Cancel(Client& client, const std::string& tag) {
   const auto found = client.open.find(tag);
   if (found == client.open.end()) return;  // crossed our answer
   events_.push_back(core::ClientDisconnected{found->second});
@@ -190,7 +192,7 @@
   client.open.erase(found);
 }
 
-bool ClientSide::Call(Client& client, const RespMessage& message) {
+bool DownstreamConnections::Call(Client& client, const RespMessage& message) {
   if (message.count < 4 || message.count > 5 || client.open.size() >= kMostOpen) return false;
   if (!ReadNumber<std::uint64_t>(message.words[1])) return false;
   Asked asked;
@@ -256,21 +258,22 @@
   return true;
 }
 
-const Asked* ClientSide::Find(RequestId id) const {
+const Asked* DownstreamConnections::Find(RequestId id) const {
   const auto found = asked_.find(id);
   return found == asked_.end() ? nullptr : &found->second;
 }
 
-void ClientSide::Serve(RequestId id, bool same, std::string_view body) {
+void DownstreamConnections::Serve(RequestId id, bool same, std::string_view body) {
   Write(id, "done", same ? "keep=1" : "", body);
 }
-void ClientSide::Refuse(RequestId id, Micros retry_after) {
+void DownstreamConnections::Refuse(RequestId id, Micros retry_after) {
   const auto millis = retry_after.count() / 1000;
   Write(id, "later", millis > 0 ? "cooldown=" + std::to_string(millis) : "", {});
 }
-void ClientSide::Fail(RequestId id) { Write(id, "error", "", {}); }
+void DownstreamConnections::Fail(RequestId id) { Write(id, "error", "", {}); }
 
-void ClientSide::Write(RequestId id, std::string_view word, std::string_view fields, std::string_view body) {
+void DownstreamConnections::Write(RequestId id, std::string_view word, std::string_view fields,
+                                  std::string_view body) {
   const auto found = asked_.find(id);
   if (found == asked_.end()) return;
   const auto place = clients_.find(found->second.connection);
@@ -283,8 +286,8 @@
   Forget(id);
 }
 
-void ClientSide::Reply(Client& client, std::string_view tag, std::string_view word, std::string_view fields,
-                       std::string_view body) {
+void DownstreamConnections::Reply(Client& client, std::string_view tag, std::string_view word,
+                                  std::string_view fields, std::string_view body) {
   if (client.connection->IsClosed()) return;
   client.answered = true;
   std::string head = "*4\r\n";
@@ -299,44 +302,44 @@
   }
   if (client.connection->Backlog() > 0 && backed_.insert(client.connection->id).second) {
     client.moved = net::Now();
-    client.sent = client.connection->Sent();
+    client.sent = client.connection->BytesSent();
   }
 }
 
-void ClientSide::OnClosed(net::Connection& connection) { Close(clients_.at(connection.id)); }
+void DownstreamConnections::OnClosed(net::Connection& connection) { Close(clients_.at(connection.id)); }
 
-void ClientSide::Close(Client& client) {
+void DownstreamConnections::Close(Client& client) {
   client.connection->Close();
   Abandon(client);
   closed_.push_back(client.connection->id);
 }
 
 // What is open on a connection that ends has nobody to go to.
-void ClientSide::Abandon(Client& client) {
+void DownstreamConnections::Abandon(Client& client) {
   for (const auto& [tag, id] : std::exchange(client.open, {})) {
     events_.push_back(core::ClientDisconnected{id});
     Forget(id);
   }
-  visitors_.Left(client.connection->id);
+  idle_connections_.Remove(client.connection->id);
 }
 
-bool ClientSide::LetGo(Client& client, Micros now) {
-  if (client.connection->HasArrived()) return false;
+bool DownstreamConnections::LetGo(Client& client, Micros now) {
+  if (client.connection->HasPendingInput()) return false;
   Part(client, now);
   return true;
 }
 
-void ClientSide::Part(Client& client, Micros now) {
+void DownstreamConnections::Part(Client& client, Micros now) {
   Abandon(client);
-  client.connection->HoldReading(false);  // what comes is read and dropped
-  client.connection->CloseWhenDrained();
+  client.connection->SetReadPaused(false);  // what comes is read and dropped
+  client.connection->ShutdownWhenDrained();
   parting_.push_back({client.connection->id, now + kParting});
   loop_.Timers().Set(now + kParting, [](Micros) {});
 }
 
 // Those that have closed their side as well, or had their time. Not too many at once: each still holds its
 // descriptor.
-void ClientSide::Depart(Micros now) {
+void DownstreamConnections::Depart(Micros now) {
   const std::size_t most = config_.limits.PartingSockets();
   std::size_t over = parting_.size() > most ? parting_.size() - most : 0;
   std::erase_if(parting_, [&](const Parting& one) {
@@ -349,7 +352,7 @@
   });
 }
 
-void ClientSide::Forget(RequestId id) {
+void DownstreamConnections::Forget(RequestId id) {
   const auto found = asked_.find(id);
   if (found == asked_.end()) return;
   held_bytes_ -= found->second.body.size();
@@ -357,14 +360,14 @@
   asked_.erase(found);
 }
 
-std::size_t ClientSide::Backlog() const {
+std::size_t DownstreamConnections::Backlog() const {
   std::size_t sum = 0;
   for (const std::uint64_t id : backed_) sum += clients_.at(id).connection->Backlog();
   return sum;
 }
 
-void ClientSide::EndRound(Micros now) {
-  if (listener_.IsOpen() && now >= accept_until_) listener_.CloseTakingAll();
+void DownstreamConnections::EndRound(Micros now) {
+  if (listener_.IsOpen() && now >= accept_until_) listener_.CloseAfterAccepting();
   // Bodies of all requests together could hold more than the memory limit: over a share of it they wait in
   // the sockets.
   const bool hold = held_bytes_ > config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
@@ -386,7 +389,7 @@
     net::Connection& connection = *client.connection;
     const std::size_t backlog = connection.IsClosed() ? 0 : connection.Backlog();
     Hold(client, held_ || backlog > (much ? 0 : kFull));
-    if (connection.Sent() != std::exchange(client.sent, connection.Sent())) client.moved = now;
+    if (connection.BytesSent() != std::exchange(client.sent, connection.BytesSent())) client.moved = now;
     if (backlog > 0 && now - client.moved > (much ? kStuckForAll : kStuck)) {
       log::Warn("client.stuck", {{"client", connection.id}, {"backlog", backlog}},
                 "client {}: takes no answers, connection closed", connection.id);
@@ -394,10 +397,10 @@
     }
     place = backlog == 0 || connection.IsClosed() ? backed_.erase(place) : std::next(place);
   }
-  while (const auto id = visitors_.Overdue(now)) {
+  while (const auto id = idle_connections_.NextExpired(now)) {
     Client& client = clients_.at(*id);
     // One that has still to take its answers is not idle, nor one that has just asked.
-    if (client.connection->Backlog() > 0 || !LetGo(client, now)) visitors_.Idle(*id, now);
+    if (client.connection->Backlog() > 0 || !LetGo(client, now)) idle_connections_.MarkIdle(*id, now);
   }
   Depart(now);
   for (const std::uint64_t id : closed_) {
@@ -409,7 +412,7 @@
 }
 
 // Standby and the end: connections are let go once nothing is open on them.
-void ClientSide::LeaveWhenStopping(Micros now) {
+void DownstreamConnections::LeaveWhenStopping(Micros now) {
   const bool last = now >= accept_until_;
   for (auto& [id, client] : clients_) {  // walked at the end only: none that is idle stays
     net::Connection& connection = *client.connection;
@@ -417,9 +420,9 @@
       continue;
     // A newcomer is given the moment in which its first request comes, one that writes the time for the rest:
     // let go before it, the request would cross the close.
-    Micros due = std::max(connection.Since(), connection.LastBytes()) + kNewcomer;
+    Micros due = std::max(connection.OpenedAt(), connection.LastReceivedAt()) + kNewcomer;
     if (client.answered) due = now;
-    if (!connection.Unread().empty()) due = connection.LastBytes() + kRest;
+    if (!connection.Unread().empty()) due = connection.LastReceivedAt() + kRest;
     if (last) due = std::min(due, accept_until_ + kMostRest);
     if (now >= due) {
       LetGo(client, now);  // else it is read in the next round
@@ -431,8 +434,8 @@
 }
 
 // Newcomers and idle ones are let go in time, though nothing happens.
-void ClientSide::Wake() {
-  const auto due = visitors_.NextDue();
+void DownstreamConnections::Wake() {
+  const auto due = idle_connections_.NextDeadline();
   if (!due || (wake_ && *wake_ <= *due)) return;
   wake_ = *due + Micros{1000};
   loop_.Timers().Set(*wake_, [this](Micros) { wake_.reset(); });
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -13,8 +13,8 @@
 #include "core/request_coordinator.hpp"
 #include "front/platform/resp.hpp"
 #include "net/connection.hpp"
-#include "net/listener.hpp"
 #include "net/idle_connection_tracker.hpp"
+#include "net/listener.hpp"
 
 namespace tinspan::platform {
 
@@ -33,10 +33,10 @@
   double size_kb = 0;  // as the module was told
 };
 
-class ClientSide final : public net::Connection::Owner {
+class DownstreamConnections final : public net::Connection::Owner {
  public:
-  ClientSide(net::EventLoop& loop, const config::Platform& config, core::RequestCoordinator& coordinator,
-             std::vector<core::Event>& events);
+  DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
+                        core::RequestCoordinator& coordinator, std::vector<core::Event>& events);
 
   const Asked* Find(RequestId id) const;
   // The final answer; `body` is sent or copied before this returns.
@@ -57,7 +57,7 @@
   }  // requests without their final answer  // bytes that clients have yet to take, all together
   void EndRound(Micros now);
 
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
@@ -109,7 +109,7 @@
   std::unordered_set<std::string> refs_;  // of the requests that are open
   std::size_t held_bytes_ = 0;            // bodies of the requests that are open
   bool held_ = false;
-  net::Visitors visitors_;
+  net::IdleConnectionTracker idle_connections_;
   std::unordered_set<std::uint64_t> touched_;  // with bytes handled in this round
   std::unordered_set<std::uint64_t> backed_;   // with answers not yet taken
   std::vector<std::uint64_t> closed_;
--- a/src/front/platform/endpoint_watcher.cpp
+++ b/src/front/platform/endpoint_watcher.cpp
@@ -12,7 +12,7 @@
 
 using simdjson::dom::element;
 
-constexpr net::Connection::Limits kLimits{.read = 8 << 20, .write = 4096};
+constexpr net::Connection::Limits kLimits{.max_read_bytes = 8 << 20, .max_write_bytes = 4096};
 // A line comes each second. Without one for so long the connection is dead, though nothing says so; what the
 // log has to tell counts as told 4 s after it stopped, whether it was heard or not.
 constexpr Micros kSilence{1'800'000};
@@ -37,8 +37,8 @@
 
 }  // namespace
 
-ChangeLog::ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
-                     std::vector<core::Event>& events)
+EndpointWatcher::EndpointWatcher(net::EventLoop& loop, const config::Platform& config,
+                                 UpstreamConnections& caches, std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
       at_(config.changelog),
@@ -57,12 +57,12 @@
   Connect();
 }
 
-ChangeLog::~ChangeLog() { loop_.Timers().Cancel(timer_); }
+EndpointWatcher::~EndpointWatcher() { loop_.Timers().Cancel(timer_); }
 
-void ChangeLog::Follow(const net::Endpoint& at) {
+void EndpointWatcher::Follow(const net::Endpoint& at) {
   if (at == at_) {
     if (connection_ && connection_->IsOpen() &&
-        net::Now() - std::max(line_at_, connection_->Since()) > kQuiet)
+        net::Now() - std::max(line_at_, connection_->OpenedAt()) > kQuiet)
       Reconnect();
     return;
   }
@@ -80,21 +80,21 @@
   Connect();
 }
 
-void ChangeLog::Connect() {
+void EndpointWatcher::Connect() {
   spoke_ = false;
   connection_ = std::make_unique<net::Connection>(loop_, at_, *this, kLimits);
   Watch();
 }
 
 // Freed at the round's end: it may be the one that is being heard.
-void ChangeLog::Drop(std::unique_ptr<net::Connection>& watch) {
+void EndpointWatcher::Drop(std::unique_ptr<net::Connection>& watch) {
   if (!watch) return;
   watch->Close();
   closed_.push_back(std::move(watch));
 }
 
 // One timer at a time: the connect's limit, the silence, or the wait before the next try.
-void ChangeLog::Watch() {
+void EndpointWatcher::Watch() {
   loop_.Timers().Cancel(timer_);
   const Micros wait = connection_->IsOpen() ? kSilence : kConnect;
   timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) {
@@ -104,23 +104,23 @@
   });
 }
 
-void ChangeLog::Reconnect() {
+void EndpointWatcher::Reconnect() {
   loop_.Timers().Cancel(timer_);
   Drop(connection_);
   std::uniform_int_distribution<Micros::rep> wait(kAgainLeast.count(), kAgainMost.count());
   timer_ = loop_.Timers().Set(net::Now() + Micros{wait(random_)}, [this](Micros) { Connect(); });
 }
 
-void ChangeLog::OnOpen(net::Connection& connection) {
+void EndpointWatcher::OnOpen(net::Connection& connection) {
   connection.Write("since " + std::to_string(seq_) + "\n");
   Watch();
 }
 
-void ChangeLog::OnClosed(net::Connection& connection) {
+void EndpointWatcher::OnClosed(net::Connection& connection) {
   &connection == leaving_.get() ? Drop(leaving_) : Reconnect();
 }
 
-void ChangeLog::OnBytes(net::Connection& connection) {
+void EndpointWatcher::OnData(net::Connection& connection) {
   const bool leaving = &connection == leaving_.get();
   const std::string_view unread = connection.Unread();
   std::size_t at = 0;
@@ -145,7 +145,7 @@
 
 // What was spoilt on the way comes whole when asked for anew. Spoilt a second time it is passed over, so that
 // one event cannot keep all later ones away for ever.
-void ChangeLog::Unusable(const Malformed& wrong, bool event) {
+void EndpointWatcher::Unusable(const Malformed& wrong, bool event) {
   const bool again = event && stuck_ == seq_;
   log::Error("changelog.unusable",
              {{"seq", seq_}, {"field", wrong.field}, {"expected", wrong.expected}, {"passed_over", again}},
@@ -156,7 +156,7 @@
   Reconnect();
 }
 
-void ChangeLog::Line(std::string_view line, bool leaving) {
+void EndpointWatcher::Line(std::string_view line, bool leaving) {
   if (line.empty()) return;
   if (line.front() == '{') return Apply(line);
   if (leaving) return;  // how far it has got is for the new one to say
@@ -166,7 +166,7 @@
   if (*last > seq_) throw Malformed{"last number", std::to_string(seq_)};
 }
 
-void ChangeLog::Apply(std::string_view json) {
+void EndpointWatcher::Apply(std::string_view json) {
   element event;
   if (parser_->parse(json.data(), json.size()).get(event) != simdjson::SUCCESS) {
     throw Malformed{"event", "JSON"};
@@ -231,6 +231,6 @@
   seq_ = seq;
 }
 
-void ChangeLog::EndRound() { closed_.clear(); }
+void EndpointWatcher::EndRound() { closed_.clear(); }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/endpoint_watcher.hpp
+++ b/src/front/platform/endpoint_watcher.hpp
@@ -21,12 +21,12 @@
 
 namespace tinspan::platform {
 
-class ChangeLog final : public net::Connection::Owner {
+class EndpointWatcher final : public net::Connection::Owner {
  public:
   // Applies what the configuration knows at once, into `events`, and begins to follow.
-  ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
-            std::vector<core::Event>& events);
-  ~ChangeLog();
+  EndpointWatcher(net::EventLoop& loop, const config::Platform& config, UpstreamConnections& caches,
+                  std::vector<core::Event>& events);
+  ~EndpointWatcher();
   // From now on the events come from here; their numbers go on. The old watch is heard until the new one has
   // spoken: what it tells meanwhile is told.
   void Follow(const net::Endpoint& at);
@@ -34,7 +34,7 @@
   std::size_t Draining() const { return draining_.size(); }  // servers told to drain, not yet gone
 
   void OnOpen(net::Connection& connection) override;
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
@@ -49,7 +49,7 @@
   net::EventLoop& loop_;
   const config::Platform& config_;
   net::Endpoint at_;
-  CacheSide& caches_;
+  UpstreamConnections& caches_;
   std::vector<core::Event>& events_;
   std::unique_ptr<simdjson::dom::parser> parser_;
   std::uint64_t seq_ = 0;
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -10,7 +10,7 @@
   figures.pending = clients_.Open();
   figures.members = caches_.Members();
   figures.members_unavailable = changes_.Draining();
-  if (beside_.figures) beside_.figures(figures);
+  if (attached_.figures) attached_.figures(figures);
   return figures;
 }
 
@@ -28,7 +28,7 @@
      : answer->status == core::CompletionStatus::kRejected ? counted_.rejected
                                                            : counted_.failed);
   if (answer->status == core::CompletionStatus::kServed) {
-    const CacheSide::Served* const served = caches_.Answer(answer->id);
+    const UpstreamConnections::Served* const served = caches_.Answer(answer->id);
     if (served != nullptr) return clients_.Serve(answer->id, served->same, served->body);
     log::Error("core.answer_without_bytes", {}, "an answer without its bytes");
     return clients_.Fail(answer->id);
@@ -76,7 +76,7 @@
   service_.Serving();  // the first round has applied what was known at the start
   clients_.SendAway(service_.Now() == ops::Life::kStandby);
   // Clients that are slow to take their answers hold up the servers' answers, not the memory.
-  caches_.HoldReading(clients_.Backlog() > most_backlog_);
+  caches_.SetReadPaused(clients_.Backlog() > most_backlog_);
   clients_.EndRound(now);
   caches_.EndRound(now);
   changes_.EndRound();
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "front/ops/door.hpp"
-#include "front/platform/upstream_connections.hpp"
-#include "front/platform/endpoint_watcher.hpp"
 #include "front/platform/downstream_connections.hpp"
+#include "front/platform/endpoint_watcher.hpp"
+#include "front/platform/upstream_connections.hpp"
 #include "front/runner.hpp"
 #include "ops/ops.hpp"
 
@@ -24,16 +24,16 @@
       door_.emplace(
           loop, *config.ops, service_, [this] { return Figures(); }, views_);
   }
-  void SetBeside(front::Beside beside) {
+  void SetAttachedServices(front::AttachedServices beside) {
     views_ = beside.views;
     caches_.Failing().ReportTo(beside.failing);
-    beside_ = std::move(beside);
+    attached_ = std::move(beside);
   }
 
   void Carry(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
   void Drain(Micros accept_until) override {
-    if (beside_.on_drain) beside_.on_drain();
+    if (attached_.on_drain) attached_.on_drain();
     service_.Stopping();
     clients_.Drain(accept_until);
   }
@@ -50,13 +50,13 @@
   const std::size_t most_backlog_;
   core::RequestCoordinator& coordinator_;
   Site site_;  // in force, with the classes of every retune
-  ClientSide clients_;
-  CacheSide caches_;
-  ChangeLog changes_;
+  DownstreamConnections clients_;
+  UpstreamConnections caches_;
+  EndpointWatcher changes_;
   ops::Service service_;
   ops::Figures counted_;  // what is counted as it happens; the rest is looked up when asked
   ops::Views views_;
-  front::Beside beside_;
+  front::AttachedServices attached_;
   std::optional<front::OpsDoor> door_;
 };
 
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -42,14 +42,15 @@
                                       {"ERR", Outcome::kError},
                                       {"VOID", Outcome::kNotSent}}};
 
-net::PoolRules Rules(const config::Platform& config) {
-  net::PoolRules rules;
+net::ConnectionPoolOptions Rules(const config::Platform& config) {
+  net::ConnectionPoolOptions rules;
   rules.connect_timeout = config.connect_timeout;
-  rules.idle_close = config.idle_close * 3 / 4;  // before the server does
-  rules.exchanges = config.exchanges;
-  rules.spread = kSpread;
-  rules.most = config.limits.ServerSockets();
-  rules.limits = {.read = 64 << 10, .write = std::min<std::size_t>(4 << 20, config.limits.memory_mb << 17)};
+  rules.idle_timeout = config.idle_close * 3 / 4;  // before the server does
+  rules.max_streams = config.exchanges;
+  rules.preferred_streams = kSpread;
+  rules.max_connections = config.limits.ServerSockets();
+  rules.limits = {.max_read_bytes = 64 << 10,
+                  .max_write_bytes = std::min<std::size_t>(4 << 20, config.limits.memory_mb << 17)};
   return rules;
 }
 
@@ -85,25 +86,26 @@
 
 }  // namespace
 
-CacheSide::CacheSide(net::EventLoop& loop, const config::Platform& config,
-                     core::RequestCoordinator& coordinator, const ClientSide& clients,
-                     std::vector<core::Event>& events)
+UpstreamConnections::UpstreamConnections(net::EventLoop& loop, const config::Platform& config,
+                                         core::RequestCoordinator& coordinator,
+                                         const DownstreamConnections& clients,
+                                         std::vector<core::Event>& events)
     : config_(config),
       coordinator_(coordinator),
       clients_(clients),
       events_(events),
       loop_(loop),
-      patience_(kPatience, kMostPatience),
+      response_timeout_(kPatience, kMostPatience),
       pool_(loop, Rules(config), *this) {}
 
-void CacheSide::Know(ServerId id, Address address) { addresses_[id] = std::move(address); }
+void UpstreamConnections::Know(ServerId id, Address address) { addresses_[id] = std::move(address); }
 
-void CacheSide::Forsake(ServerId id) {
+void UpstreamConnections::Forsake(ServerId id) {
   pool_.RetireServer(static_cast<std::uint64_t>(id));
   addresses_.erase(id);  // over a long day many come and go
 }
 
-void CacheSide::ForsakeAllBut(const std::unordered_set<ServerId>& named) {
+void UpstreamConnections::ForsakeAllBut(const std::unordered_set<ServerId>& named) {
   std::vector<ServerId> gone;
   for (const auto& [id, address] : addresses_) {
     if (!named.contains(id)) gone.push_back(id);
@@ -111,7 +113,7 @@
   for (const ServerId id : gone) Forsake(id);
 }
 
-void CacheSide::Carry(Micros now, const core::StartAttempt& command) {
+void UpstreamConnections::Carry(Micros now, const core::StartAttempt& command) {
   const RequestId id = command.action.id;
   const Asked* const asked = clients_.Find(id);
   const auto address = addresses_.find(command.action.server);
@@ -123,153 +125,155 @@
   Place(now, *asked, Out{nullptr, command});
 }
 
-void CacheSide::Place(Micros now, const Asked& asked, Out out) {
+void UpstreamConnections::Place(Micros now, const Asked& asked, Out out) {
   const RequestId id = out.send.action.id;
   const auto address = addresses_.find(out.send.action.server);
-  Link& link =
-      pool_.Take(static_cast<std::uint64_t>(out.send.action.server), address->second.endpoint, now,
-                 [&](const Link& one) {
-                   return !one.state.open.contains(asked.ref) && !one.state.burnt.contains(asked.ref);
-                 });
-  if (held_) link.connection.HoldReading(true);
-  out.link = &link;
+  PooledConnection& pooled =
+      pool_.Acquire(static_cast<std::uint64_t>(out.send.action.server), address->second.endpoint, now,
+                    [&](const PooledConnection& one) {
+                      return !one.state.open.contains(asked.ref) && !one.state.burnt.contains(asked.ref);
+                    });
+  if (held_) pooled.connection.SetReadPaused(true);
+  out.pooled = &pooled;
   const double pace = config_.site.settings.transfer_rate_kb_per_s;
   const auto sending = Micros{static_cast<std::int64_t>(pace > 0 ? asked.size_kb / pace * 1e6 : 0)};
-  link.state.open[asked.ref] = {id, out.send.attempt, 0, now, 2 * sending};
+  pooled.state.open[asked.ref] = {id, out.send.attempt, 0, now, 2 * sending};
   out_[id] = std::move(out);
-  if (link.connection.IsOpen()) {
-    due_.push_back({&link, asked.ref, false});
+  if (pooled.connection.IsOpen()) {
+    due_.push_back({&pooled, asked.ref, false});
   } else {
-    link.state.waiting.push_back(asked.ref);
+    pooled.state.waiting.push_back(asked.ref);
   }
 }
 
-void CacheSide::WriteDue(Micros now) {
+void UpstreamConnections::WriteDue(Micros now) {
   for (std::size_t i = 0; i < due_.size(); ++i) {  // one that takes nothing in may add to them
     const Due due = due_[i];
-    const auto found = due.link->state.open.find(due.ref);
-    if (found == due.link->state.open.end() || found->second.written > 0)
+    const auto found = due.pooled->state.open.find(due.ref);
+    if (found == due.pooled->state.open.end() || found->second.written > 0)
       continue;  // stopped, or out already
     const auto out = out_.find(found->second.id);
     if (out == out_.end()) continue;
     // Behind bytes that the socket does not take yet it would go out who knows when: after a drain, a purge,
     // its key's window. It waits here, where it is asked about again.
-    if (due.link->connection.Backlog() > 0) {
-      due.link->state.waiting.push_back(due.ref);
+    if (due.pooled->connection.Backlog() > 0) {
+      due.pooled->state.waiting.push_back(due.ref);
       continue;
     }
     const core::StartAttempt send = out->second.send;
-    Put(now, *due.link, due.ref, send);
+    Put(now, *due.pooled, due.ref, send);
     if (due.waited) events_.emplace_back(core::AttemptSent{send.action.id, send.attempt});
   }
   due_.clear();
 }
 
 // Writes a request, unless what has happened since the decision forbids it.
-void CacheSide::Put(Micros now, Link& link, const std::string& ref, const core::StartAttempt& send) {
+void UpstreamConnections::Put(Micros now, PooledConnection& pooled, const std::string& ref,
+                              const core::StartAttempt& send) {
   const RequestId id = send.action.id;
   const Asked* const asked = clients_.Find(id);
   const bool fill = send.action.source != send.action.server;
   const auto filler = addresses_.find(send.action.source);
   if (asked == nullptr || (fill && filler == addresses_.end()) ||
       !coordinator_.CanSend(now, id, send.attempt)) {
-    return End(id, link, {.outcome = Outcome::kNotSent});
+    return End(id, pooled, {.outcome = Outcome::kNotSent});
   }
   const std::string source = fill ? filler->second.name : std::string();
-  const bool taken = link.connection.Write(RequestLine(now, *asked, send, source), asked->body, "\r\n");
-  link.state.open[ref].written = link.connection.Queued();
-  if (!taken) Lose(link, "takes nothing in");  // none of this reached it whole
+  const bool taken = pooled.connection.Write(RequestLine(now, *asked, send, source), asked->body, "\r\n");
+  pooled.state.open[ref].written = pooled.connection.BytesQueued();
+  if (!taken) Lose(pooled, "takes nothing in");  // none of this reached it whole
 }
 
-void CacheSide::OnLinkOpen(Link& link) {
-  link.state.up = true;
-  OnLinkDrained(link);
+void UpstreamConnections::OnConnectionOpen(PooledConnection& pooled) {
+  pooled.state.up = true;
+  OnConnectionDrained(pooled);
 }
 
-void CacheSide::OnLinkDrained(Link& link) {
-  for (std::string& ref : std::exchange(link.state.waiting, {}))
-    due_.push_back({&link, std::move(ref), true});
+void UpstreamConnections::OnConnectionDrained(PooledConnection& pooled) {
+  for (std::string& ref : std::exchange(pooled.state.waiting, {}))
+    due_.push_back({&pooled, std::move(ref), true});
 }
 
-void CacheSide::Carry(Micros now, const core::AbortAttempt& command) {
+void UpstreamConnections::Carry(Micros now, const core::AbortAttempt& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
-  Link& link = *found->second.link;
+  PooledConnection& pooled = *found->second.pooled;
   out_.erase(found);
-  const auto open = std::find_if(link.state.open.begin(), link.state.open.end(),
+  const auto open = std::find_if(pooled.state.open.begin(), pooled.state.open.end(),
                                  [&](const auto& entry) { return entry.second.id == command.id; });
-  if (open == link.state.open.end()) return;
+  if (open == pooled.state.open.end()) return;
   const bool written = open->second.written > 0;
   if (written) {
-    link.connection.Write("STOP " + open->first + "\r\n");
-    Burn(link, open->first);
+    pooled.connection.Write("STOP " + open->first + "\r\n");
+    Burn(pooled, open->first);
   } else {
     // Asked again on this connection before it is up, it would wait there twice and go out twice.
-    std::erase(link.state.waiting, open->first);
+    std::erase(pooled.state.waiting, open->first);
   }
-  link.state.open.erase(open);
-  pool_.Release(link, now);
+  pooled.state.open.erase(open);
+  pool_.Release(pooled, now);
   // A STOP that the socket does not take would come after the next attempt, elsewhere, has begun: a second
   // copy. So would the rest of the request itself.
-  if (written && link.connection.Backlog() > 0) Lose(link, "takes no STOP");
+  if (written && pooled.connection.Backlog() > 0) Lose(pooled, "takes no STOP");
 }
 
-void CacheSide::Burn(Link& link, const std::string& ref) {
-  link.state.burnt.insert(ref);
-  if (link.state.burnt.size() > kMostBurnt) pool_.Retire(link);
+void UpstreamConnections::Burn(PooledConnection& pooled, const std::string& ref) {
+  pooled.state.burnt.insert(ref);
+  if (pooled.state.burnt.size() > kMostBurnt) pool_.Retire(pooled);
 }
 
 // An exchange is over on the wire: the core is told.
-void CacheSide::End(RequestId id, Link& link, core::AttemptCompleted ended) {
+void UpstreamConnections::End(RequestId id, PooledConnection& pooled, core::AttemptCompleted ended) {
   const auto found = out_.find(id);
   if (found == out_.end()) return;
   ended.id = id;
   ended.attempt = found->second.send.attempt;
   events_.push_back(ended);
   out_.erase(found);
-  std::erase_if(link.state.open, [id](const auto& entry) { return entry.second.id == id; });
-  pool_.Release(link, net::Now());
+  std::erase_if(pooled.state.open, [id](const auto& entry) { return entry.second.id == id; });
+  pool_.Release(pooled, net::Now());
 }
 
-void CacheSide::Lose(Link& link, std::string_view why) {
-  const std::string at = link.to.Text();
-  log::Warn("server.connection_closed", {{"server", link.server}, {"address", at}, {"reason", why}},
-            "server {} at {}: {}, connection closed", link.server, at, why);
+void UpstreamConnections::Lose(PooledConnection& pooled, std::string_view why) {
+  const std::string at = pooled.endpoint.Text();
+  log::Warn("server.connection_closed", {{"server", pooled.server}, {"address", at}, {"reason", why}},
+            "server {} at {}: {}, connection closed", pooled.server, at, why);
   // What is open may be asked for again at once, and may overtake the close: it is given up in so many words.
-  for (const auto& [ref, exchange] : link.state.open) {
-    if (exchange.written > 0) link.connection.Write("STOP " + ref + "\r\n");
+  for (const auto& [ref, exchange] : pooled.state.open) {
+    if (exchange.written > 0) pooled.connection.Write("STOP " + ref + "\r\n");
   }
-  link.connection.Backlog() > 0 ? link.connection.Abort() : link.connection.Close();
-  link.retired = true;
-  OnLinkLost(link);
+  pooled.connection.Backlog() > 0 ? pooled.connection.Abort() : pooled.connection.Close();
+  pooled.is_retired = true;
+  OnConnectionLost(pooled);
 }
 
-void CacheSide::OnLinkLost(Link& link) {
-  const auto open = std::exchange(link.state.open, {});
-  link.state.waiting.clear();
-  if (!open.empty() && !link.connection.WasUnmade()) {
-    log::Debug("server.connection_lost", {{"server", link.server}, {"open", open.size()}},
-               "server {} at {}: connection lost with {} open", link.server, link.to.Text(), open.size());
-    events_.emplace_back(core::ConnectionLost{ServerId{link.server}, open.size()});
+void UpstreamConnections::OnConnectionLost(PooledConnection& pooled) {
+  const auto open = std::exchange(pooled.state.open, {});
+  pooled.state.waiting.clear();
+  if (!open.empty() && !pooled.connection.FailedLocally()) {
+    log::Debug("server.connection_lost", {{"server", pooled.server}, {"open", open.size()}},
+               "server {} at {}: connection lost with {} open", pooled.server, pooled.endpoint.Text(),
+               open.size());
+    events_.emplace_back(core::ConnectionLost{ServerId{pooled.server}, open.size()});
   }
   const Micros now = net::Now();
   // No descriptor was left: that is ours to answer for, and says nothing of the server.
-  const bool unmade = link.connection.WasUnmade();
-  if (!open.empty() && !unmade) failing_.Note(now, link.server);
+  const bool unmade = pooled.connection.FailedLocally();
+  if (!open.empty() && !unmade) failing_.Note(now, pooled.server);
   for (const auto& [ref, exchange] : open) {
     // Not all bytes taken by the socket, or never connected: it cannot have reached the server whole.
-    const bool whole = exchange.written > 0 && link.connection.Sent() >= exchange.written;
+    const bool whole = exchange.written > 0 && pooled.connection.BytesSent() >= exchange.written;
     const auto out = out_.find(exchange.id);
     const Asked* const asked = clients_.Find(exchange.id);
     // A connection that had been up and broke says little of its server: what was not out goes on another.
-    if (!whole && link.state.up && out != out_.end() && !out->second.moved && asked != nullptr &&
+    if (!whole && pooled.state.up && out != out_.end() && !out->second.moved && asked != nullptr &&
         addresses_.contains(out->second.send.action.server)) {
       Out again = out->second;
       again.moved = true;
-      pool_.Release(link, now);
+      pool_.Release(pooled, now);
       Place(now, *asked, std::move(again));
     } else {
-      End(exchange.id, link,
+      End(exchange.id, pooled,
           {.outcome = whole    ? Outcome::kReset
                       : unmade ? Outcome::kNotSent
                                : Outcome::kConnectFailed});
@@ -277,51 +281,51 @@
   }
 }
 
-void CacheSide::Watch(Micros now) {
+void UpstreamConnections::Watch(Micros now) {
   if (held_ || (watch_ && now < *watch_)) return;
   watch_ = now + kWatch;
   std::unordered_map<std::uint64_t, Micros> heard;  // by server, on any connection
-  for (const Link& link : pool_.Links()) {
-    Micros& last = heard[link.server];
-    last = std::max(last, link.connection.LastBytes());
+  for (const PooledConnection& pooled : pool_.Connections()) {
+    Micros& last = heard[pooled.server];
+    last = std::max(last, pooled.connection.LastReceivedAt());
   }
-  for (Link& link : pool_.Links()) {
-    if (!link.connection.IsOpen()) continue;
-    if (!link.connection.Unread().empty() && now - link.connection.LastHeard() > kStall) {
-      Lose(link, "an answer that stalls");
+  for (PooledConnection& pooled : pool_.Connections()) {
+    if (!pooled.connection.IsOpen()) continue;
+    if (!pooled.connection.Unread().empty() && now - pooled.connection.LastActivityAt() > kStall) {
+      Lose(pooled, "an answer that stalls");
       continue;
     }
     // Nothing comes here while the server speaks elsewhere: an answer that never comes, and what is behind it
     // does not come either. One alone may be slow, so it is given more time.
-    const Micros silent = link.SilentSince();
-    if (silent == Micros{0} || heard[link.server] <= silent) continue;
+    const Micros silent = pooled.SilentSince();
+    if (silent == Micros{0} || heard[pooled.server] <= silent) continue;
     std::size_t overdue = 0;
     bool long_overdue = false;
-    for (const auto& [ref, exchange] : link.state.open) {
+    for (const auto& [ref, exchange] : pooled.state.open) {
       const Micros waits = now - std::max(exchange.at, silent);
-      const Micros patience = patience_.Now() + exchange.sending;
+      const Micros patience = response_timeout_.Timeout() + exchange.sending;
       overdue += waits > patience ? 1 : 0;
       long_overdue = long_overdue || waits > 4 * patience;
     }
-    if (overdue >= 2 || long_overdue) Lose(link, "silent while others of it are not");
+    if (overdue >= 2 || long_overdue) Lose(pooled, "silent while others of it are not");
   }
   loop_.Timers().Set(*watch_, [](Micros) {});  // the round that follows looks again
 }
 
-void CacheSide::OnLinkBytes(Link& link) {
-  while (!link.connection.IsClosed()) {
-    const std::string_view unread = link.connection.Unread().substr(link.state.consume);
+void UpstreamConnections::OnConnectionData(PooledConnection& pooled) {
+  while (!pooled.connection.IsClosed()) {
+    const std::string_view unread = pooled.connection.Unread().substr(pooled.state.consume);
     if (unread.empty()) return;
-    const std::size_t used = Take(link, unread);
+    const std::size_t used = Take(pooled, unread);
     if (used == 0) return;
     if (used == kMalformed) {
-      return Lose(link, "an answer that cannot be read");
+      return Lose(pooled, "an answer that cannot be read");
     }
-    link.state.consume += used;
+    pooled.state.consume += used;
   }
 }
 
-std::size_t CacheSide::Take(Link& link, std::string_view unread) {
+std::size_t UpstreamConnections::Take(PooledConnection& pooled, std::string_view unread) {
   if (unread.starts_with("\r\n")) return 2;
   if (unread == "\r") return 0;
   const std::size_t end = unread.find("\r\n");
@@ -341,19 +345,19 @@
   if (!length || *length > kMostBody) return kMalformed;
   const std::size_t whole = end + 2 + *length + 2;
   if (unread.size() < whole) {
-    link.connection.Expect(link.state.consume + whole);
+    pooled.connection.ExpectMessage(pooled.state.consume + whole);
     return 0;
   }
   if (unread.substr(whole - 2, 2) != "\r\n") return kMalformed;
 
   const std::string ref(words[0]);
-  const auto found = link.state.open.find(ref);
-  if (found == link.state.open.end()) {
-    Burn(link, ref);  // given up before, or nobody asked: dropped
+  const auto found = pooled.state.open.find(ref);
+  if (found == pooled.state.open.end()) {
+    Burn(pooled, ref);  // given up before, or nobody asked: dropped
     return whole;
   }
   // It has not been asked yet.
-  if (found->second.written == 0 || link.connection.Sent() < found->second.written) return kMalformed;
+  if (found->second.written == 0 || pooled.connection.BytesSent() < found->second.written) return kMalformed;
   const RequestId id = found->second.id;
   const Micros took = net::Now() - found->second.at - found->second.sending;
   core::AttemptCompleted ended;
@@ -380,39 +384,39 @@
   } catch (const tinspan::Malformed&) {
     return kMalformed;
   }
-  patience_.Took(took);
+  response_timeout_.AddSample(took);
   const bool same = word->text == "SAME";
   const Asked* const asked = clients_.Find(id);
   // A client's copy is current only where the server has named that very copy.
   if (same && (asked == nullptr || asked->cached.empty() || entity != asked->cached)) {
-    log::Warn("server.names_another_copy", {{"server", link.server}},
-              "server {}: an answer that names a copy which its client does not hold", link.server);
+    log::Warn("server.names_another_copy", {{"server", pooled.server}},
+              "server {}: an answer that names a copy which its client does not hold", pooled.server);
     ended.outcome = Outcome::kError;
   }
   if (ended.outcome == Outcome::kServed) {
     served_[id] = Served{same, unread.substr(end + 2, *length)};
   } else {
-    Burn(link, ref);
+    Burn(pooled, ref);
   }
-  End(id, link, ended);
+  End(id, pooled, ended);
   return whole;
 }
 
-const CacheSide::Served* CacheSide::Answer(RequestId id) const {
+const UpstreamConnections::Served* UpstreamConnections::Answer(RequestId id) const {
   const auto found = served_.find(id);
   return found == served_.end() ? nullptr : &found->second;
 }
 
-void CacheSide::HoldReading(bool hold) {
+void UpstreamConnections::SetReadPaused(bool hold) {
   if (held_ == hold) return;
   held_ = hold;
-  for (Link& link : pool_.Links()) link.connection.HoldReading(hold);
+  for (PooledConnection& pooled : pool_.Connections()) pooled.connection.SetReadPaused(hold);
 }
 
-void CacheSide::EndRound(Micros now) {
+void UpstreamConnections::EndRound(Micros now) {
   served_.clear();
-  for (Link& link : pool_.Links()) {
-    if (link.state.consume > 0) link.connection.Consume(std::exchange(link.state.consume, 0));
+  for (PooledConnection& pooled : pool_.Connections()) {
+    if (pooled.state.consume > 0) pooled.connection.Consume(std::exchange(pooled.state.consume, 0));
   }
   if (!out_.empty()) Watch(now);
   WriteDue(now);
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -11,8 +11,8 @@
 #include "core/request_coordinator.hpp"
 #include "front/platform/downstream_connections.hpp"
 #include "front/upstream_failure_log.hpp"
-#include "net/response_timeout_estimator.hpp"
 #include "net/connection_pool.hpp"
+#include "net/response_timeout_estimator.hpp"
 
 namespace tinspan::platform {
 
@@ -22,7 +22,7 @@
   net::Endpoint endpoint;
 };
 
-struct CacheLink {
+struct UpstreamConnectionState {
   struct Exchange {
     RequestId id{};
     std::uint32_t attempt = 0;
@@ -39,17 +39,18 @@
   std::size_t consume = 0;           // handled, still in the buffer
 };
 
-class CacheSide final : public net::Pool<CacheLink>::User {
+class UpstreamConnections final : public net::ConnectionPool<UpstreamConnectionState>::Callbacks {
  public:
-  using Pool = net::Pool<CacheLink>;
-  using Link = Pool::Link;
+  using Pool = net::ConnectionPool<UpstreamConnectionState>;
+  using PooledConnection = Pool::PooledConnection;
   struct Served {
     bool same = false;
     std::string_view body;  // valid until the round ends
   };
 
-  CacheSide(net::EventLoop& loop, const config::Platform& config, core::RequestCoordinator& coordinator,
-            const ClientSide& clients, std::vector<core::Event>& events);
+  UpstreamConnections(net::EventLoop& loop, const config::Platform& config,
+                      core::RequestCoordinator& coordinator, const DownstreamConnections& clients,
+                      std::vector<core::Event>& events);
 
   void Know(ServerId id, Address address);
   void Forsake(ServerId id);  // gone: nothing new on its connections
@@ -61,18 +62,18 @@
   // The answer of the attempt that was reported served in this round, or nothing.
   const Served* Answer(RequestId id) const;
 
-  void HoldReading(bool hold);
+  void SetReadPaused(bool hold);
   void EndRound(Micros now);
-  front::SeenFailing& Failing() { return failing_; }
+  front::UpstreamFailureLog& Failing() { return failing_; }
 
-  void OnLinkOpen(Link& link) override;
-  void OnLinkDrained(Link& link) override;
-  void OnLinkBytes(Link& link) override;
-  void OnLinkLost(Link& link) override;
+  void OnConnectionOpen(PooledConnection& pooled) override;
+  void OnConnectionDrained(PooledConnection& pooled) override;
+  void OnConnectionData(PooledConnection& pooled) override;
+  void OnConnectionLost(PooledConnection& pooled) override;
 
  private:
   struct Out {
-    Link* link = nullptr;
+    PooledConnection* pooled = nullptr;
     core::StartAttempt send;
     bool moved = false;  // to a second connection, since the first broke before it was out
   };
@@ -82,33 +83,33 @@
   // server reads its connections in the order in which they became ready: with a request written first, the
   // next copy of another, behind it, would be read before the STOP that came between on another connection.
   void WriteDue(Micros now);
-  void Put(Micros now, Link& link, const std::string& ref, const core::StartAttempt& send);
-  void End(RequestId id, Link& link, core::AttemptCompleted ended);
-  void Burn(Link& link, const std::string& ref);
-  void Lose(Link& link, std::string_view why);
+  void Put(Micros now, PooledConnection& pooled, const std::string& ref, const core::StartAttempt& send);
+  void End(RequestId id, PooledConnection& pooled, core::AttemptCompleted ended);
+  void Burn(PooledConnection& pooled, const std::string& ref);
+  void Lose(PooledConnection& pooled, std::string_view why);
   // Gives up connections that owe answers and do not move.
   void Watch(Micros now);
   // Bytes that the message at the front of `unread` takes, 0: not whole yet, npos: no message at all.
-  std::size_t Take(Link& link, std::string_view unread);
+  std::size_t Take(PooledConnection& pooled, std::string_view unread);
 
   const config::Platform& config_;
   core::RequestCoordinator& coordinator_;
-  const ClientSide& clients_;
+  const DownstreamConnections& clients_;
   std::vector<core::Event>& events_;
   std::unordered_map<ServerId, Address> addresses_;
   std::unordered_map<RequestId, Out> out_;  // one attempt out at a time
   std::unordered_map<RequestId, Served> served_;
   bool held_ = false;
   net::EventLoop& loop_;
-  net::Patience patience_;
+  net::ResponseTimeoutEstimator response_timeout_;
   std::optional<Micros> watch_;  // when Watch looks again
   struct Due {
-    Link* link;  // valid until the sweep at the round's end
+    PooledConnection* pooled;  // valid until the sweep at the round's end
     std::string ref;
     bool waited;  // for its connection: the core is told that it is out
   };
   std::vector<Due> due_;
-  front::SeenFailing failing_;
+  front::UpstreamFailureLog failing_;
   Pool pool_;
 };
 
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -47,7 +47,7 @@
 
 // Parts that run beside a front (the fleet view, leases): what the operators' door shows of them, their
 // figures in `stats`, and what they are told by the front. Each may be empty.
-struct Beside {
+struct AttachedServices {
   ops::Views views;
   std::function<void(ops::Figures&)> figures;
   std::function<void()> on_drain;                           // SIGTERM came
--- a/src/front/upstream_failure_log.hpp
+++ b/src/front/upstream_failure_log.hpp
@@ -12,7 +12,7 @@
 
 namespace tinspan::front {
 
-class SeenFailing {
+class UpstreamFailureLog {
  public:
   static constexpr net::Micros kKeep{10'000'000}, kEvery{1'000'000};
   using Told = std::function<void(std::vector<std::uint64_t>)>;
--- a/src/lease/kv_store.cpp
+++ b/src/lease/kv_store.cpp
@@ -11,7 +11,7 @@
 namespace tinspan::lease {
 namespace {
 
-constexpr net::Connection::Limits kLimits{.read = 256 << 10, .write = 64 << 10};
+constexpr net::Connection::Limits kLimits{.max_read_bytes = 256 << 10, .max_write_bytes = 64 << 10};
 
 std::string FromBase64(const std::string& text) {
   if (text.size() % 4 != 0 || text.size() > 64 << 10) throw std::runtime_error("Value: expected base64");
@@ -85,7 +85,7 @@
   if (!request_.empty()) connection.Write(request_);
 }
 
-void KvStore::OnBytes(net::Connection& connection) {
+void KvStore::OnData(net::Connection& connection) {
   if (request_.empty()) return LetGo();  // it speaks unasked
   http::Response response;
   std::size_t expect = 0;
--- a/src/lease/kv_store.hpp
+++ b/src/lease/kv_store.hpp
@@ -35,7 +35,7 @@
   void Call(const Ask& ask, const std::string& text);
 
   void OnOpen(net::Connection& connection) override;
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
--- a/src/members/node.cpp
+++ b/src/members/node.cpp
@@ -134,7 +134,7 @@
     }
     view_.Receive(now, *decoded.message);
   }
-  if (taken == kMostRound) loop_.Again(handle_);  // the rest in the next round: the loop is not held
+  if (taken == kMostRound) loop_.ScheduleAgain(handle_);  // the rest in the next round: the loop is not held
   Flush();
   Arm();
 }
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -17,6 +17,7 @@
 
 #include "members/codec.hpp"
 #include "members/view.hpp"
+#include "net/endpoint.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -6,16 +6,25 @@
 #include <sys/uio.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
 namespace tinspan::net {
 namespace {
-constexpr std::size_t kFirstBuffer = 4096;
-constexpr std::size_t kReadRound =
-    1 << 20;  // read from one connection in a round, so that none starves others
-constexpr std::size_t kKeptBuffer = 64 << 10;  // an empty buffer larger than this gives its memory back
+
+constexpr std::size_t kInitialBufferBytes = 4096;
+// Read from one connection in a round, so that none starves the others.
+constexpr std::size_t kMaxReadPerRound = 1 << 20;
+// An empty buffer larger than this gives its memory back.
+constexpr std::size_t kMaxIdleBufferBytes = 64 << 10;
+constexpr std::size_t kDiscardBlockBytes = 4096;
+constexpr std::uint32_t kPeerEndEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
+
+iovec ToIovec(std::string_view bytes) {
+  return {const_cast<char*>(bytes.data()), bytes.size()};  // sendmsg(2) does not write to it
+}
+
 }  // namespace
 
 Connection::Connection(EventLoop& loop, Fd accepted, Owner& owner, Limits limits)
@@ -23,12 +32,15 @@
   Register();
 }
 
-Connection::Connection(EventLoop& loop, const Endpoint& to, Owner& owner, Limits limits)
-    : loop_(loop), owner_(owner), limits_(limits), state_(State::kConnecting) {
-  fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  unmade_ = !fd_ && (errno == EMFILE || errno == ENFILE);
-  since_ = heard_ = Now();
-  const sockaddr_in address = to.Socket();
+Connection::Connection(EventLoop& loop, const Endpoint& peer, Owner& owner, Limits limits)
+    : loop_(loop),
+      owner_(owner),
+      limits_(limits),
+      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      state_(State::kConnecting) {
+  failed_locally_ = !fd_ && (errno == EMFILE || errno == ENFILE);
+  opened_at_ = last_activity_at_ = Now();
+  const sockaddr_in address = peer.Socket();
   const bool begun =
       fd_ && (::connect(fd_.Get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 ||
               errno == EINPROGRESS);
@@ -36,153 +48,179 @@
     Register();
     return;
   }
-  // No descriptor left, or refused before the call returned: told in the next round like any other failure.
-  failing_ = loop_.Timers().Set(Micros{0}, [this](Micros) { Fail(); });
+  // No descriptor left, or refused before the call returned: notified in the next round like other failures.
+  failure_timer_ = loop_.Timers().Set(Micros{0}, [this](Micros) { Fail(); });
 }
 
 void Connection::Register() {
-  const int one = 1;
-  ::setsockopt(fd_.Get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  since_ = heard_ = Now();
+  const int enabled = 1;
+  ::setsockopt(fd_.Get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+  opened_at_ = last_activity_at_ = Now();
   handle_ = loop_.Add(fd_.Get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this);
 }
 
 void Connection::OnReady(std::uint32_t events) {
-  if (state_ == State::kConnecting) {
-    int error = 0;
-    socklen_t size = sizeof error;
-    ::getsockopt(fd_.Get(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) return Fail();
-    if ((events & EPOLLOUT) == 0) return;
-    state_ = State::kOpen;
-    heard_ = Now();
-    owner_.OnOpen(*this);
-    if (state_ != State::kOpen || !Flush()) return;
-  }
-  hung_up_ = hung_up_ || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
-  // Also while nothing is read (held back, or a full buffer): what its client has left behind must not be
-  // acted on.
-  if (limits_.gone_at_end && !closing_ && hung_up_) return Fail();
+  if (state_ == State::kConnecting && !FinishConnecting(events)) return;
+  peer_hung_up_ = peer_hung_up_ || (events & kPeerEndEvents) != 0;
+  // Also while nothing is read (paused, or a full buffer): what a client that has gone left behind must not
+  // be acted on.
+  if (limits_.close_on_peer_shutdown && !closing_ && peer_hung_up_) return Fail();
   if (state_ == State::kOpen && (events & EPOLLOUT) != 0 && !Flush()) return;
-  if (state_ == State::kOpen && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-    more_ = true;
+  if (state_ == State::kOpen && (events & (EPOLLIN | kPeerEndEvents)) != 0) {
+    more_in_socket_ = true;
     lingering_ ? Linger() : Read();
   }
 }
 
+// False: nothing more is to be done in this round.
+bool Connection::FinishConnecting(std::uint32_t events) {
+  int error = 0;
+  socklen_t size = sizeof error;
+  ::getsockopt(fd_.Get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) {
+    Fail();
+    return false;
+  }
+  if ((events & EPOLLOUT) == 0) return false;
+  state_ = State::kOpen;
+  last_activity_at_ = Now();
+  owner_.OnOpen(*this);
+  return state_ == State::kOpen && Flush();
+}
+
+std::size_t Connection::ReadLimit() const { return std::max(limits_.max_read_bytes, expected_); }
+
 void Connection::Read() {
-  std::size_t got = 0;
-  bool failed = false;
-  while (more_ && !held_ && !closing_ && got < kReadRound) {
-    const std::size_t limit = std::max(limits_.read, expected_);
-    if (filled_ == buffer_.size()) {
-      if (start_ > 0) {
-        buffer_.erase(0, start_);
-        filled_ -= start_;
-        start_ = 0;
-      }
-      const std::size_t wanted = std::max({kFirstBuffer, filled_ * 2, std::min(expected_, limit)});
-      if (filled_ >= limit) break;  // full: the rest stays in the socket until the owner has consumed some
-      buffer_.resize(std::min(wanted, limit));
-    }
+  const std::size_t filled_before = filled_ - start_;
+  const bool failed = ReceiveRound() == ReadResult::kFailed;
+  const bool received = filled_ - start_ > filled_before;
+  if (received) last_received_at_ = last_activity_at_ = Now();
+  if (!read_paused_ && (std::exchange(read_scheduled_, false) || received)) owner_.OnData(*this);
+  if (state_ != State::kOpen) return;
+  if (failed || peer_ended_) return Fail();
+  // A full buffer waits for Consume: scheduled again and again meanwhile, the loop would spin.
+  const bool is_full = filled_ - start_ >= ReadLimit();
+  if (MayRead() && !is_full) loop_.ScheduleAgain(handle_);
+}
+
+Connection::ReadResult Connection::ReceiveRound() {
+  std::size_t received = 0;
+  while (MayRead() && received < kMaxReadPerRound) {
+    if (filled_ == buffer_.size() && !MakeReadSpace()) return ReadResult::kOk;
     const ssize_t count = ::recv(fd_.Get(), buffer_.data() + filled_, buffer_.size() - filled_, 0);
     if (count > 0) {
       filled_ += static_cast<std::size_t>(count);
-      got += static_cast<std::size_t>(count);
-    } else if (count < 0 && errno == EINTR) {
-      continue;
-    } else {
-      more_ = false;
-      failed = count < 0 && errno != EAGAIN;
-      ended_ = ended_ || count == 0;
+      received += static_cast<std::size_t>(count);
+    } else if (count == 0 || errno != EINTR) {
+      more_in_socket_ = false;
+      peer_ended_ = peer_ended_ || count == 0;
+      return count < 0 && errno != EAGAIN ? ReadResult::kFailed : ReadResult::kOk;
     }
   }
-  if (got > 0) spoke_ = heard_ = Now();
-  if (!held_ && (std::exchange(resume_, false) || got > 0)) owner_.OnBytes(*this);
-  if (state_ != State::kOpen) return;
-  if (failed || ended_) return Fail();
-  // A full buffer waits for Consume: told again and again meanwhile, the loop would spin.
-  const bool full = filled_ - start_ >= std::max(limits_.read, expected_);
-  if (more_ && !held_ && !closing_ && !full) loop_.Again(handle_);
+  return ReadResult::kOk;
+}
+
+// False: the buffer is full up to the limit, and the rest stays in the socket until the owner consumes some.
+bool Connection::MakeReadSpace() {
+  if (start_ > 0) {
+    buffer_.erase(0, start_);
+    filled_ -= start_;
+    start_ = 0;
+  }
+  const std::size_t limit = ReadLimit();
+  if (filled_ >= limit) return false;
+  const std::size_t wanted = std::max({kInitialBufferBytes, filled_ * 2, std::min(expected_, limit)});
+  buffer_.resize(std::min(wanted, limit));
+  return true;
 }
 
 void Connection::Consume(std::size_t bytes) {
   start_ += bytes;
-  if (bytes > 0 && more_ && !held_ && !closing_ && state_ == State::kOpen) loop_.Again(handle_);
+  if (bytes > 0 && MayRead() && state_ == State::kOpen) loop_.ScheduleAgain(handle_);
   if (start_ < filled_) return;
   start_ = filled_ = 0;
   expected_ = 0;
-  if (buffer_.size() > kKeptBuffer) {
+  if (buffer_.size() > kMaxIdleBufferBytes) {
     buffer_.clear();
     buffer_.shrink_to_fit();
   }
 }
 
-void Connection::Resume() {
-  resume_ = true;
-  if (state_ == State::kOpen) loop_.Again(handle_);
+void Connection::ScheduleRead() {
+  read_scheduled_ = true;
+  if (state_ == State::kOpen) loop_.ScheduleAgain(handle_);
 }
 
-void Connection::HoldReading(bool hold) {
-  if (held_ && !hold && (more_ || resume_) && state_ == State::kOpen) loop_.Again(handle_);
-  held_ = hold;
+void Connection::SetReadPaused(bool paused) {
+  const bool resumes = read_paused_ && !paused;
+  if (resumes && (more_in_socket_ || read_scheduled_) && state_ == State::kOpen) {
+    loop_.ScheduleAgain(handle_);
+  }
+  read_paused_ = paused;
 }
 
 bool Connection::Write(std::string_view head, std::string_view body, std::string_view tail) {
   if (state_ == State::kClosed) return false;
+  const bool can_send = state_ == State::kOpen && Backlog() == 0;
+  std::size_t sent = can_send ? SendNow(head, body, tail) : 0;
   const std::size_t total = head.size() + body.size() + tail.size();
-  std::size_t sent = 0;
-  if (state_ == State::kOpen && Backlog() == 0) {
-    iovec parts[3] = {{const_cast<char*>(head.data()), head.size()},
-                      {const_cast<char*>(body.data()), body.size()},
-                      {const_cast<char*>(tail.data()), tail.size()}};
-    msghdr message{};
-    message.msg_iov = parts;
-    message.msg_iovlen = 3;
-    // MSG_NOSIGNAL: a peer that has gone must not end the process by SIGPIPE. Errors show on the next read.
-    const ssize_t count = ::sendmsg(fd_.Get(), &message, MSG_NOSIGNAL);
-    if (count > 0) sent = static_cast<std::size_t>(count);
-  }
-  queued_ += total;
-  sent_ += sent;
+  bytes_queued_ += total;
+  bytes_sent_ += sent;
   if (sent == total) return true;
-  if (Backlog() > limits_.write) {
+  if (Backlog() > limits_.max_write_bytes) {
     Close();
     return false;
   }
-  for (std::string_view part : {head, body, tail}) {
-    const std::size_t skip = std::min(sent, part.size());
-    sent -= skip;
-    queue_.append(part.substr(skip));
+  for (const std::string_view part : {head, body, tail}) {
+    const std::size_t already_sent = std::min(sent, part.size());
+    sent -= already_sent;
+    queue_.append(part.substr(already_sent));
   }
   return true;
 }
 
+// Returns the number of bytes that the socket took; an error shows on the next read.
+std::size_t Connection::SendNow(std::string_view head, std::string_view body, std::string_view tail) {
+  std::array<iovec, 3> parts{ToIovec(head), ToIovec(body), ToIovec(tail)};
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  // MSG_NOSIGNAL: a peer that has gone must not end the process by SIGPIPE.
+  const ssize_t count = ::sendmsg(fd_.Get(), &message, MSG_NOSIGNAL);
+  return count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
 // False: the connection failed or was closed.
 bool Connection::Flush() {
-  const bool had = Backlog() > 0;
+  const bool had_backlog = Backlog() > 0;
+  if (!SendQueue()) return false;
+  if (queue_start_ == queue_.size()) {
+    std::string().swap(queue_);
+    queue_start_ = 0;
+    if (closing_ && !lingering_) Linger();
+    if (had_backlog) owner_.OnDrained(*this);
+  } else if (queue_start_ > queue_.size() / 2) {
+    queue_.erase(0, queue_start_);
+    queue_start_ = 0;
+  }
+  return state_ == State::kOpen;
+}
+
+// Hands the queue to the socket until it is full. False: the connection failed.
+bool Connection::SendQueue() {
   while (queue_start_ < queue_.size()) {
     const ssize_t count =
         ::send(fd_.Get(), queue_.data() + queue_start_, queue_.size() - queue_start_, MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR) continue;
-    if (count < 0 && errno == EAGAIN) break;
+    if (count < 0 && errno == EAGAIN) return true;
     if (count < 0) {
       Fail();
       return false;
     }
     queue_start_ += static_cast<std::size_t>(count);
-    sent_ += static_cast<std::uint64_t>(count);
+    bytes_sent_ += static_cast<std::uint64_t>(count);
   }
-  if (queue_start_ == queue_.size()) {
-    std::string().swap(queue_);
-    queue_start_ = 0;
-    if (closing_ && !lingering_) Linger();
-    if (had) owner_.OnDrained(*this);
-  } else if (queue_start_ > queue_.size() / 2) {
-    queue_.erase(0, queue_start_);
-    queue_start_ = 0;
-  }
-  return state_ == State::kOpen;
+  return true;
 }
 
 void Connection::Fail() {
@@ -194,32 +232,32 @@
 void Connection::Close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
-  if (failing_) loop_.Timers().Cancel(*failing_);
+  if (failure_timer_) loop_.Timers().Cancel(*failure_timer_);
   if (fd_ && handle_ != 0) loop_.Remove(handle_, fd_.Get());
   fd_.Reset();
 }
 
-bool Connection::HasArrived() const {
-  char byte;
+bool Connection::HasPendingInput() const {
+  char byte = 0;
   return state_ == State::kOpen && ::recv(fd_.Get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void Connection::Abort() {
-  const linger now{1, 0};
-  if (fd_) ::setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  const linger no_wait{1, 0};
+  if (fd_) ::setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
   Close();
 }
 
-void Connection::CloseWhenDrained() {
+void Connection::ShutdownWhenDrained() {
   closing_ = true;
   if (Backlog() == 0 && state_ == State::kOpen) Linger();
 }
 
 void Connection::Linger() {
   if (!std::exchange(lingering_, true)) ::shutdown(fd_.Get(), SHUT_WR);
-  char block[4096];
+  std::array<char, kDiscardBlockBytes> discarded;
   while (true) {
-    const ssize_t count = ::recv(fd_.Get(), block, sizeof block, 0);
+    const ssize_t count = ::recv(fd_.Get(), discarded.data(), discarded.size(), 0);
     if (count > 0 || (count < 0 && errno == EINTR)) continue;
     if (count == 0 || errno != EAGAIN) Close();
     return;
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -1,172 +1,233 @@
-// Connections to servers, kept by the server's number and used again. It knows no protocol: what stands for
-// an exchange on a connection is the user's `State`.
+// Connections to servers, kept by the server's number and used again. It knows no protocol: what stands for a
+// stream (one request and its response) on a connection is the user's `State`.
 #pragma once
 
 #include <algorithm>
 #include <list>
 #include <unordered_map>
+#include <vector>
 
 #include "net/connection.hpp"
 
 namespace tinspan::net {
 
-struct PoolRules {
+/// How a pool opens, shares and closes its connections.
+struct ConnectionPoolOptions {
+  /// A connection that is not open after this time is reported lost.
   Micros connect_timeout{400'000};
-  Micros idle_close{30'000'000};
-  // A connection not heard on for so long is not trusted with anything new: a machine that has vanished
-  // leaves it open and silent, while a new one proves within the connect timeout that nothing ran.
-  Micros trust{2'000'000};
-  std::size_t exchanges = 100;  // at once on one connection
-  // So many go on one connection before another is opened: what breaks or stalls takes few along.
-  std::size_t spread = 100;
-  // One that owes something and has been silent for so long, while the server spoke on another, gets nothing
-  // new where there is another way.
-  Micros doubt{150'000};
-  std::size_t most = 0;  // connections to all servers before those are filled that there are; 0: no bound
+  /// A connection without a stream is closed after this time.
+  Micros idle_timeout{30'000'000};
+  /// A connection that was silent for longer gets no new stream: a host that has vanished leaves it open and
+  /// silent, while a new connection proves within the connect timeout that nothing ran.
+  Micros max_idle_before_reconnect{2'000'000};
+  /// Streams on one connection at once, at most.
+  std::size_t max_streams = 100;
+  /// Streams on one connection before another is opened: what breaks or stalls takes few along.
+  std::size_t preferred_streams = 100;
+  /// A connection that owes a response and was silent for longer, while its server was heard on another, gets
+  /// no new stream where there is another way.
+  Micros stall_threshold{150'000};
+  /// Connections to all servers together before those are filled that there are; 0: no bound.
+  std::size_t max_connections = 0;
   Connection::Limits limits;
 };
 
+/// A pool for one event loop. A PooledConnection stays valid from Acquire until the Sweep at the end of the
+/// round in which it was closed. Not thread-safe.
 template <class State>
-class Pool {
+class ConnectionPool {
  public:
-  class Link;
-  class User {
+  class PooledConnection;
+
+  /// What the user of a pool is told of its connections.
+  class Callbacks {
    public:
-    virtual void OnLinkOpen(Link&) = 0;
-    virtual void OnLinkBytes(Link&) = 0;
-    virtual void OnLinkDrained(Link&) {}
-    virtual void OnLinkLost(Link&) = 0;  // failed, timed out or ended by the peer; told once
+    virtual void OnConnectionOpen(PooledConnection& pooled) = 0;
+    /// More bytes stand in `pooled.connection.Unread()`.
+    virtual void OnConnectionData(PooledConnection& pooled) = 0;
+    /// All that was written has been taken by the socket.
+    virtual void OnConnectionDrained(PooledConnection&) {}
+    /// The connection failed, timed out or was ended by the peer; called once.
+    virtual void OnConnectionLost(PooledConnection& pooled) = 0;
 
    protected:
-    ~User() = default;
+    ~Callbacks() = default;
   };
 
-  class Link final : public Connection::Owner {
+  /// One connection with the user's state of it.
+  class PooledConnection final : public Connection::Owner {
    public:
-    Link(Pool& pool, std::uint64_t server, const Endpoint& to)
-        : server(server), to(to), connection(pool.loop_, to, *this, pool.rules_.limits), pool_(pool) {}
+    PooledConnection(ConnectionPool& pool, std::uint64_t server_number, const Endpoint& address)
+        : server(server_number),
+          endpoint(address),
+          connection(pool.loop_, address, *this, pool.options_.limits),
+          pool_(pool) {}
+
     const std::uint64_t server;
-    const Endpoint to;
+    const Endpoint endpoint;
     State state;
-    std::size_t open = 0;  // exchanges under way, counted by Take and Release
-    bool retired = false;  // nothing new; closed with its last exchange
-    Micros used{0};
-    Micros asked{0};  // since when something has been owed on it
+    std::size_t active_streams = 0;  // counted by Acquire and Release
+    bool is_retired = false;         // gets no new stream; closed with its last one
+    Micros last_used_at{0};
+    Micros awaiting_since{0};  // since when at least one response has been owed
     Connection connection;
 
-    // Since when it owes something and says nothing; 0: it does not.
+    /// Since when it owes a response and is silent; 0: it is not.
     Micros SilentSince() const {
-      if (open == 0 || !connection.IsOpen() || connection.IsHeld()) return Micros{0};
-      return std::max(asked, connection.LastHeard());
+      if (active_streams == 0 || !connection.IsOpen() || connection.IsReadPaused()) return Micros{0};
+      return std::max(awaiting_since, connection.LastActivityAt());
     }
 
    private:
-    friend class Pool;
+    friend class ConnectionPool;
+
     void OnOpen(Connection&) override {
-      pool_.loop_.Timers().Cancel(timeout_);
-      pool_.user_.OnLinkOpen(*this);
+      pool_.loop_.Timers().Cancel(connect_timer_);
+      pool_.callbacks_.OnConnectionOpen(*this);
     }
-    void OnBytes(Connection&) override { pool_.user_.OnLinkBytes(*this); }
-    void OnDrained(Connection&) override { pool_.user_.OnLinkDrained(*this); }
+    void OnData(Connection&) override { pool_.callbacks_.OnConnectionData(*this); }
+    void OnDrained(Connection&) override { pool_.callbacks_.OnConnectionDrained(*this); }
     void OnClosed(Connection&) override {
-      pool_.loop_.Timers().Cancel(timeout_);
-      retired = true;
-      pool_.user_.OnLinkLost(*this);
+      pool_.loop_.Timers().Cancel(connect_timer_);
+      is_retired = true;
+      pool_.callbacks_.OnConnectionLost(*this);
     }
-    Pool& pool_;
-    TimerQueue::Id timeout_{};
+
+    ConnectionPool& pool_;
+    TimerQueue::Id connect_timer_{};
   };
 
-  Pool(EventLoop& loop, PoolRules rules, User& user) : loop_(loop), rules_(rules), user_(user) {}
-  ~Pool() {
-    for (Link& link : links_) loop_.Timers().Cancel(link.timeout_);
+  ConnectionPool(EventLoop& loop, ConnectionPoolOptions options, Callbacks& callbacks)
+      : loop_(loop), options_(options), callbacks_(callbacks) {}
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+  ~ConnectionPool() {
+    for (PooledConnection& pooled : connections_) loop_.Timers().Cancel(pooled.connect_timer_);
   }
 
-  // A link for one more exchange; `fits` may pass over some. Give it back with Release.
+  /// A connection for one more stream, open or still connecting; `fits` may pass over some that there are.
+  /// Give the stream back with Release.
   template <class Fits>
-  Link& Take(std::uint64_t server, const Endpoint& to, Micros now, Fits&& fits) {
-    Micros heard{0};  // on any connection to it; that one opens is no word of its server
-    for (const Link* const link : by_server_[server]) {
-      heard = std::max(heard, link->connection.LastBytes());
-    }
-    Link* spare = nullptr;
-    for (Link* const link : by_server_[server]) {
-      if (link->retired || link->open >= rules_.exchanges) continue;
-      const bool stale = link->connection.IsOpen() && now - link->connection.LastHeard() > rules_.trust;
-      if (stale || !(link->to == to)) {
-        Retire(*link);
-      } else if (fits(*link)) {
-        const Micros silent = link->SilentSince();
-        const bool doubtful = silent > Micros{0} && now - silent > rules_.doubt && heard > silent;
-        if (link->open < rules_.spread && !doubtful) return Use(*link, now);
-        if (spare == nullptr || link->open < spare->open) spare = link;
-      }
+  PooledConnection& Acquire(std::uint64_t server, const Endpoint& endpoint, Micros now, Fits&& fits) {
+    PooledConnection* fallback = nullptr;
+    PooledConnection* const preferred = FindReusable(server, endpoint, now, fits, fallback);
+    if (preferred != nullptr) return StartStream(*preferred, now);
+    if (options_.max_connections > 0 && connections_.size() >= options_.max_connections) {
+      if (fallback != nullptr) return StartStream(*fallback, now);
+      RetireLongestIdle();
     }
-    if (rules_.most > 0 && links_.size() >= rules_.most) {
-      if (spare != nullptr) return Use(*spare, now);
-      RetireIdle();
-    }
-    Link& link = links_.emplace_back(*this, server, to);
-    by_server_[server].push_back(&link);
-    Use(link, now);
-    link.timeout_ = loop_.Timers().Set(now + rules_.connect_timeout, [this, &link](Micros) {
-      link.connection.Close();
-      link.retired = true;
-      user_.OnLinkLost(link);
-    });
-    return link;
+    return StartStream(Connect(server, endpoint, now), now);
   }
-  void Release(Link& link, Micros now) {
-    if (link.open > 0) --link.open;
-    link.used = now;
+  /// Ends one stream.
+  void Release(PooledConnection& pooled, Micros now) {
+    if (pooled.active_streams > 0) --pooled.active_streams;
+    pooled.last_used_at = now;
   }
-  void Retire(Link& link) { link.retired = true; }
+  /// The connection gets no new stream and is closed with its last one.
+  void Retire(PooledConnection& pooled) { pooled.is_retired = true; }
+  /// The same for all connections to a server.
   void RetireServer(std::uint64_t server) {
     const auto found = by_server_.find(server);
     if (found == by_server_.end()) return;
-    for (Link* const link : found->second) Retire(*link);
+    for (PooledConnection* const pooled : found->second) Retire(*pooled);
   }
-  // Closes idle and retired links; what is closed is freed here and nowhere else, so that a link stays valid
-  // for a whole round. Call once a round.
+  /// Closes idle and retired connections. What is closed is freed here and nowhere else, so that a connection
+  /// stays valid for a whole round. Call once a round.
   void Sweep(Micros now) {
-    for (auto link = links_.begin(); link != links_.end();) {
-      const bool idle = link->open == 0 && (link->retired || now - link->used > rules_.idle_close);
-      if (!idle && !(link->connection.IsClosed() && link->open == 0)) {
-        ++link;
+    for (auto pooled = connections_.begin(); pooled != connections_.end();) {
+      pooled = IsDisposable(*pooled, now) ? Erase(pooled) : std::next(pooled);
+    }
+  }
+  std::list<PooledConnection>& Connections() { return connections_; }
+
+ private:
+  using Position = typename std::list<PooledConnection>::iterator;
+
+  // The first connection that may take one more stream without doubt. `fallback`: of those that are usable
+  // but busy or stalled, the one with the fewest streams. Connections that must not be used again are
+  // retired.
+  template <class Fits>
+  PooledConnection* FindReusable(std::uint64_t server, const Endpoint& endpoint, Micros now, Fits& fits,
+                                 PooledConnection*& fallback) {
+    std::vector<PooledConnection*>& candidates = by_server_[server];
+    const Micros last_received_at = LastReceivedFrom(candidates);
+    for (PooledConnection* const pooled : candidates) {
+      if (pooled->is_retired || pooled->active_streams >= options_.max_streams) continue;
+      if (IsStale(*pooled, now) || !(pooled->endpoint == endpoint)) {
+        Retire(*pooled);
         continue;
       }
-      loop_.Timers().Cancel(link->timeout_);
-      auto& siblings = by_server_[link->server];
-      siblings.erase(std::find(siblings.begin(), siblings.end(), &*link));
-      if (siblings.empty()) by_server_.erase(link->server);
-      link = links_.erase(link);
+      if (!fits(*pooled)) continue;
+      if (pooled->active_streams < options_.preferred_streams && !IsStalled(*pooled, last_received_at, now)) {
+        return pooled;
+      }
+      if (fallback == nullptr || pooled->active_streams < fallback->active_streams) fallback = pooled;
+    }
+    return nullptr;
+  }
+  // When bytes last came on any of them; that a connection opens is no sign of its server.
+  static Micros LastReceivedFrom(const std::vector<PooledConnection*>& candidates) {
+    Micros last_received_at{0};
+    for (const PooledConnection* const pooled : candidates) {
+      last_received_at = std::max(last_received_at, pooled->connection.LastReceivedAt());
     }
+    return last_received_at;
+  }
+  bool IsStale(const PooledConnection& pooled, Micros now) const {
+    return pooled.connection.IsOpen() &&
+           now - pooled.connection.LastActivityAt() > options_.max_idle_before_reconnect;
+  }
+  bool IsStalled(const PooledConnection& pooled, Micros last_received_at, Micros now) const {
+    const Micros silent = pooled.SilentSince();
+    return silent > Micros{0} && now - silent > options_.stall_threshold && last_received_at > silent;
   }
-  std::list<Link>& Links() { return links_; }
 
- private:
-  static Link& Use(Link& link, Micros now) {
-    if (link.open++ == 0) link.asked = now;
-    link.used = now;
-    return link;
+  PooledConnection& Connect(std::uint64_t server, const Endpoint& endpoint, Micros now) {
+    PooledConnection& pooled = connections_.emplace_back(*this, server, endpoint);
+    by_server_[server].push_back(&pooled);
+    pooled.connect_timer_ =
+        loop_.Timers().Set(now + options_.connect_timeout, [this, &pooled](Micros) { OnTimeout(pooled); });
+    return pooled;
+  }
+  void OnTimeout(PooledConnection& pooled) {
+    pooled.connection.Close();
+    pooled.is_retired = true;
+    callbacks_.OnConnectionLost(pooled);
+  }
+  static PooledConnection& StartStream(PooledConnection& pooled, Micros now) {
+    if (pooled.active_streams++ == 0) pooled.awaiting_since = now;
+    pooled.last_used_at = now;
+    return pooled;
   }
-  // Makes room for another connection by the one that has been idle longest.
-  void RetireIdle() {
-    Link* oldest = nullptr;
-    for (Link& link : links_) {
-      if (link.open > 0 || link.retired) continue;
-      if (oldest == nullptr || link.used < oldest->used) oldest = &link;
+  // Makes way for another connection by the one that has been without a stream longest.
+  void RetireLongestIdle() {
+    PooledConnection* longest_idle = nullptr;
+    for (PooledConnection& pooled : connections_) {
+      if (pooled.active_streams > 0 || pooled.is_retired) continue;
+      if (longest_idle == nullptr || pooled.last_used_at < longest_idle->last_used_at) longest_idle = &pooled;
     }
-    if (oldest == nullptr) return;
-    oldest->connection.Close();
-    Retire(*oldest);
+    if (longest_idle == nullptr) return;
+    longest_idle->connection.Close();
+    Retire(*longest_idle);
+  }
+  bool IsDisposable(const PooledConnection& pooled, Micros now) const {
+    if (pooled.active_streams > 0) return false;
+    return pooled.is_retired || pooled.connection.IsClosed() ||
+           now - pooled.last_used_at > options_.idle_timeout;
+  }
+  Position Erase(Position pooled) {
+    loop_.Timers().Cancel(pooled->connect_timer_);
+    std::vector<PooledConnection*>& siblings = by_server_[pooled->server];
+    siblings.erase(std::find(siblings.begin(), siblings.end(), &*pooled));
+    if (siblings.empty()) by_server_.erase(pooled->server);
+    return connections_.erase(pooled);
   }
 
   EventLoop& loop_;
-  PoolRules rules_;
-  User& user_;
-  std::list<Link> links_;
-  std::unordered_map<std::uint64_t, std::vector<Link*>> by_server_;
+  ConnectionPoolOptions options_;
+  Callbacks& callbacks_;
+  std::list<PooledConnection> connections_;
+  std::unordered_map<std::uint64_t, std::vector<PooledConnection*>> by_server_;
 };
 
 }  // namespace tinspan::net
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -2,81 +2,63 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
-#include <map>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "net/clock.hpp"
 #include "net/fd.hpp"
+#include "net/timer_queue.hpp"
 
 namespace tinspan::net {
 
-// Callbacks by time; those of one time run in the order they were set.
-class TimerQueue {
- public:
-  using Id = std::pair<Micros, std::uint64_t>;
-  Id Set(Micros at, std::function<void(Micros now)> call) {
-    const Id id{at, serial_++};
-    calls_.emplace(id, std::move(call));
-    return id;
-  }
-  void Cancel(const Id& id) { calls_.erase(id); }
-  void Run(Micros now) {
-    while (!calls_.empty() && calls_.begin()->first.first <= now) {
-      const auto call = std::move(calls_.begin()->second);
-      calls_.erase(calls_.begin());
-      call(now);
-    }
-  }
-  std::optional<Micros> Next() const {
-    return calls_.empty() ? std::nullopt : std::optional(calls_.begin()->first.first);
-  }
-
- private:
-  std::map<Id, std::function<void(Micros)>> calls_;
-  std::uint64_t serial_ = 0;
-};
-
+/// Waits for descriptors and notifies their sinks, each at most once a round. One thread owns the loop and
+/// all that is registered with it.
 class EventLoop {
  public:
-  class Sink {  // what is told that its descriptor is ready
+  /// What is notified that its descriptor is ready.
+  class Sink {
    public:
+    /// `events` as epoll(7) names them, those of the whole round together.
     virtual void OnReady(std::uint32_t events) = 0;
 
    protected:
     ~Sink() = default;
   };
+  /// Names one registration.
   using Handle = std::uint64_t;
 
+  /// Throws std::system_error.
   EventLoop();
-  // Handles are never used twice, so that an event gathered for a descriptor that was closed meanwhile (and
-  // whose number may serve another by now) reaches nobody.
+
+  /// Registers `fd`, edge-triggered; the caller still owns it, and `sink` has to outlive the registration.
+  /// Handles are never used twice, so that an event gathered for a descriptor that was closed meanwhile (and
+  /// whose number may serve another by now) reaches nobody. Throws std::system_error.
   Handle Add(int fd, std::uint32_t events, Sink& sink);
   void Remove(Handle handle, int fd);
-  // The sink is told again in the next round without waiting: it stopped before the descriptor was dry, and
-  // an edge-triggered epoll will not say so again.
-  void Again(Handle handle);
-  // Waits for at most `wait` and tells every sink that is ready, each once.
+  /// The sink is notified again in the next round, which does not wait: it stopped before the descriptor was
+  /// drained, and an edge-triggered epoll will not say so again.
+  void ScheduleAgain(Handle handle);
+  /// Waits for at most `wait` and notifies every sink that is ready, each once. Throws std::system_error.
   void Poll(Micros wait);
 
   TimerQueue& Timers() { return timers_; }
 
  private:
-  struct Ready {
+  struct ReadyEvent {
     Handle handle;
     std::uint32_t events;
   };
-  void Gather(int millis);
-  void Note(Handle handle, std::uint32_t events);
+
+  void Gather(int timeout_ms);
+  void AddReady(Handle handle, std::uint32_t events);
 
   Fd epoll_;
-  Handle last_ = 0;
-  std::vector<Ready> ready_;  // of the round at hand, in the order told
-  std::unordered_map<Handle, std::size_t> places_;
+  Handle last_handle_ = 0;
   std::unordered_map<Handle, Sink*> sinks_;
-  std::vector<Handle> again_;
+  std::vector<Handle> scheduled_again_;
+  // Of the round at hand, in the order in which sinks are notified, with the position of each handle.
+  std::vector<ReadyEvent> ready_;
+  std::unordered_map<Handle, std::size_t> ready_positions_;
   TimerQueue timers_;
 };
 
--- a/src/net/idle_connection_tracker.hpp
+++ b/src/net/idle_connection_tracker.hpp
@@ -1,8 +1,7 @@
-// Which accepted connections may stay: those that ask for nothing must not keep out the others. It knows ids
-// and times only; its work follows those that are due, not all that are there.
+// Which accepted connections may stay: those that ask for nothing must not keep out the others.
 #pragma once
 
-#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <optional>
@@ -12,81 +11,62 @@
 
 namespace tinspan::net {
 
-struct VisitorRules {
-  std::size_t most = 256;   // at once
-  Micros first{2'500'000};  // after which a newcomer that has sent nothing whole is let go
-  Micros idle{30'000'000};  // the same for one that has its answers and asks no more
+/// Bounds on accepted connections that have no request open.
+struct IdleConnectionLimits {
+  /// Connections that may be open at once, active ones included.
+  std::size_t max_connections = 256;
+  /// A connection that has not sent one complete request within this time after it was accepted expires.
+  Micros first_request_timeout{2'500'000};
+  /// A connection that has its responses and sends no further request for this long expires.
+  Micros idle_timeout{30'000'000};
 };
 
-class Visitors {
+/// Follows the accepted connections of one listener by id and names those that have to go. It owns no
+/// descriptor and reads no clock: the owner of the connections closes what is named here. The cost of a call
+/// follows the connections that are due, not all that are open. Not thread-safe.
+class IdleConnectionTracker {
  public:
-  explicit Visitors(VisitorRules rules) : rules_(rules) {}
+  explicit IdleConnectionTracker(IdleConnectionLimits limits) : limits_(limits) {}
 
-  bool IsFull() const { return entries_.size() >= rules_.most; }
-  // A newcomer remains one, with the time of its coming, until something has been sent to it.
-  void Came(std::uint64_t id, Micros since) { Put(id, newcomers_, since); }
-  void Busy(std::uint64_t id) {  // something is owed to it
-    const auto found = entries_.find(id);
-    if (found != entries_.end()) Take(found->second);
-  }
-  void Idle(std::uint64_t id, Micros now) { Put(id, idle_, now); }
-  void Left(std::uint64_t id) {
-    const auto found = entries_.find(id);
-    if (found == entries_.end()) return;
-    Take(found->second);
-    entries_.erase(found);
-  }
-  // One whose time is up; it is not named again.
-  std::optional<std::uint64_t> Overdue(Micros now) {
-    if (!newcomers_.empty() && now - newcomers_.front().since > rules_.first) return Out(newcomers_);
-    if (!idle_.empty() && now - idle_.front().since > rules_.idle) return Out(idle_);
-    return std::nullopt;
-  }
-  // One to make room for a newcomer: first who has been silent for long since it came, then the longest idle.
-  std::optional<std::uint64_t> Spare(Micros now) {
-    if (!newcomers_.empty() && now - newcomers_.front().since > rules_.first / 4) return Out(newcomers_);
-    if (!idle_.empty()) return Out(idle_);
-    if (!newcomers_.empty()) return Out(newcomers_);
-    return std::nullopt;
-  }
-  // When Overdue will name the next.
-  std::optional<Micros> NextDue() const {
-    std::optional<Micros> due;
-    if (!newcomers_.empty()) due = newcomers_.front().since + rules_.first;
-    if (!idle_.empty()) due = std::min(due.value_or(Micros::max()), idle_.front().since + rules_.idle);
-    return due;
-  }
+  /// Whether another connection would exceed `max_connections`.
+  bool IsFull() const { return entries_.size() >= limits_.max_connections; }
+
+  /// Adds a connection that was accepted at `since`, or puts one back among those that never completed a
+  /// request: it keeps the time at which it was accepted.
+  void OnAccepted(std::uint64_t connection, Micros since);
+  /// A request is open on the connection: it does not expire. Unknown ids are ignored.
+  void MarkActive(std::uint64_t connection);
+  /// The connection has had its responses and waits for the next request since `now`.
+  void MarkIdle(std::uint64_t connection, Micros now);
+  /// Forgets the connection. Unknown ids are ignored.
+  void Remove(std::uint64_t connection);
+
+  /// Removes and returns one connection whose time is up at `now`.
+  std::optional<std::uint64_t> NextExpired(Micros now);
+  /// Removes and returns the connection that has to make way for a new one: first one that has sent no
+  /// complete request for a quarter of `first_request_timeout`, then the one that has been idle longest.
+  /// None: every connection is active.
+  std::optional<std::uint64_t> EvictCandidate(Micros now);
+  /// When NextExpired names the next connection.
+  std::optional<Micros> NextDeadline() const;
 
  private:
-  struct Waiting {
+  struct WaitingConnection {
     std::uint64_t id;
     Micros since;
   };
-  using Queue = std::list<Waiting>;  // the longest waiting in front
+  using Queue = std::list<WaitingConnection>;  // the one that has waited longest in front
   struct Entry {
-    Queue* queue = nullptr;  // none: busy
-    Queue::iterator place;
+    Queue* queue = nullptr;  // null: active
+    Queue::iterator position;
   };
-  void Take(Entry& entry) {
-    if (entry.queue != nullptr) entry.queue->erase(entry.place);
-    entry.queue = nullptr;
-  }
-  void Put(std::uint64_t id, Queue& queue, Micros now) {
-    Entry& entry = entries_[id];
-    Take(entry);
-    auto place = queue.end();
-    if (!queue.empty() && now < queue.back().since) {  // one that was busy and is none the less a newcomer
-      place = std::find_if(queue.begin(), queue.end(), [now](const Waiting& one) { return one.since > now; });
-    }
-    entry = {&queue, queue.insert(place, {id, now})};
-  }
-  std::uint64_t Out(Queue& queue) {
-    const std::uint64_t id = queue.front().id;
-    Left(id);
-    return id;
-  }
-  VisitorRules rules_;
-  Queue newcomers_;
+
+  static void Unlink(Entry& entry);
+  void Enqueue(std::uint64_t connection, Queue& queue, Micros since);
+  std::uint64_t PopFront(Queue& queue);
+
+  IdleConnectionLimits limits_;
+  Queue without_request_;
   Queue idle_;
   std::unordered_map<std::uint64_t, Entry> entries_;
 };
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -1,30 +1,42 @@
 // A listening socket that goes on when descriptors run out.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 
+#include "net/endpoint.hpp"
 #include "net/event_loop.hpp"
 
 namespace tinspan::net {
 
+/// Accepts TCP connections at one address and hands them to its owner.
 class Listener final : public EventLoop::Sink {
  public:
-  using Taker = std::function<void(Fd)>;
-  // Throws std::system_error where the address cannot be had.
-  // `shared`: SO_REUSEPORT, so that a second process of a zero-downtime upgrade listens at the same address.
-  Listener(EventLoop& loop, const Endpoint& at, Taker taker, bool shared = false);
+  /// Takes over an accepted, non-blocking socket.
+  using AcceptCallback = std::function<void(Fd)>;
+
+  /// `shared`: SO_REUSEPORT, so that a second process of a zero-downtime upgrade listens at the same address.
+  /// Throws std::system_error where the address cannot be had.
+  Listener(EventLoop& loop, const Endpoint& address, AcceptCallback on_accept, bool shared = false);
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
   ~Listener() { Close(); }
-  // Takes what waits to be accepted first: a close would reset it, with requests that were written whole.
-  void CloseTakingAll();
+
+  /// Accepts what waits in the backlog, then closes: a plain close would reset it, with requests that were
+  /// written in full.
+  void CloseAfterAccepting();
   void Close();
   bool IsOpen() const { return static_cast<bool>(fd_); }
+  /// The port bound, also where the address asked for port 0.
   std::uint16_t Port() const;
 
   void OnReady(std::uint32_t events) override;
 
  private:
+  bool RejectOne();
+
   EventLoop& loop_;
-  Taker taker_;
+  AcceptCallback on_accept_;
   Fd fd_;
   Fd reserve_;  // given up to accept and close a connection when descriptors have run out
   EventLoop::Handle handle_ = 0;
--- a/src/net/response_timeout_estimator.hpp
+++ b/src/net/response_timeout_estimator.hpp
@@ -1,46 +1,32 @@
-// How long an answer may stay away before its connection is doubted: what answers took lately, with their
-// spread, as TCP sets its retransmission time-out (RFC 6298). A fixed time takes every connection for dead
-// where all answers are slow alike, as when a whole fleet's copies are fetched anew. No descriptor and no
-// clock; it promises a value between `least` and `most`.
+// How long a response may stay away before its connection is suspected.
 #pragma once
 
-#include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace tinspan::net {
 
-class Patience {
+/// Estimates a timeout from what responses took lately and how far that varied, as TCP sets its
+/// retransmission timeout (RFC 6298, section 2). A fixed timeout would take every connection for dead where
+/// all responses are slow alike, as when a whole fleet's copies are fetched anew. No descriptor and no clock.
+class ResponseTimeoutEstimator {
  public:
   using Micros = std::chrono::microseconds;
-  Patience(Micros least, Micros most) : least_(least), most_(most) {}
 
-  // An answer came after so long, its own sending time not counted. Below 0 counts as 0.
-  void Took(Micros time) {
-    const double took = static_cast<double>(std::max(time, Micros{0}).count());
-    if (!known_) {
-      known_ = true;
-      mean_ = took;
-      spread_ = took / 2;
-      return;
-    }
-    spread_ += kSpreadWeight * (std::abs(took - mean_) - spread_);
-    mean_ += kMeanWeight * (took - mean_);
-  }
-  Micros Now() const {
-    if (!known_) return least_;
-    return std::clamp(Micros{static_cast<Micros::rep>(mean_ + kSpreads * spread_)}, least_, most_);
-  }
+  /// Timeout() stays within [`min_timeout`, `max_timeout`].
+  ResponseTimeoutEstimator(Micros min_timeout, Micros max_timeout)
+      : min_timeout_(min_timeout), max_timeout_(max_timeout) {}
+
+  /// A response came after `elapsed`, the time that its own bytes take left out. Below 0 counts as 0.
+  void AddSample(Micros elapsed);
+  /// The timeout that holds now; `min_timeout` until the first sample.
+  Micros Timeout() const;
 
  private:
-  static constexpr double kMeanWeight = 0.125;  // alpha, beta and K of RFC 6298
-  static constexpr double kSpreadWeight = 0.25;
-  static constexpr double kSpreads = 4;
-  Micros least_;
-  Micros most_;
-  bool known_ = false;
-  double mean_ = 0;    // microseconds
-  double spread_ = 0;  // mean deviation, microseconds
+  Micros min_timeout_;
+  Micros max_timeout_;
+  bool has_sample_ = false;
+  double smoothed_us_ = 0;   // SRTT of RFC 6298
+  double variation_us_ = 0;  // RTTVAR of RFC 6298
 };
 
 }  // namespace tinspan::net
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,7 +5,6 @@
 #include <random>
 
 #include "fixture.hpp"
-#include "net/response_timeout_estimator.hpp"
 
 namespace tinspan {
 namespace {
@@ -278,21 +277,5 @@
   }
 }
 
-// Guards against a fleet that breaks its connections, with all that is asked on them, where all answers are
-// slow.
-TEST(FleetPatience, FollowsWhatAnswersTakeWithinItsBounds) {
-  net::Patience patience(200ms, 2s);
-  EXPECT_EQ(patience.Now(), 200ms);
-  for (int i = 0; i < 50; ++i) patience.Took(50ms);
-  EXPECT_EQ(patience.Now(), 200ms);  // never under its least
-  for (int i = 0; i < 20; ++i) patience.Took(i % 2 == 0 ? 600ms : 300ms);
-  EXPECT_GT(patience.Now(), 800ms);
-  EXPECT_LT(patience.Now(), 2s);
-  for (int i = 0; i < 20; ++i) patience.Took(60s);
-  EXPECT_EQ(patience.Now(), 2s);
-  for (int i = 0; i < 100; ++i) patience.Took(-5ms);  // a clock that went back
-  EXPECT_EQ(patience.Now(), 200ms);
-}
-
 }  // namespace
 }  // namespace tinspan
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -312,10 +312,10 @@
         Course::Verdict(answer->id, answer->status == CompletionStatus::kServed
                                         ? (late ? (stale ? Ending::kLateStale : Ending::kLate)
                                                 : (stale ? Ending::kStale : Ending::kInTime))
-                                    : answer->status == CompletionStatus::kTruncated  ? Ending::kBroken
+                                    : answer->status == CompletionStatus::kTruncated ? Ending::kBroken
                                     : answer->deadline_exceeded                      ? Ending::kOverdue
-                                    : answer->status == CompletionStatus::kRejected ? Ending::kRefused
-                                                                           : Ending::kFailed);
+                                    : answer->status == CompletionStatus::kRejected  ? Ending::kRefused
+                                                                                     : Ending::kFailed);
       }
     }
     for (const core::Event& event : events) {
