--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -21,11 +21,11 @@
 }
 
 // The program ends by itself no earlier than SIGKILL could come, whichever way the deadline is read.
-front::StopTimes Stop(const config::Common& config) {
-  front::StopTimes times;
-  times.most = std::max(config.longest, Micros{3'000'000}) + Micros{600'000};
+front::ShutdownTimes Stop(const config::Common& config) {
+  front::ShutdownTimes times;
+  times.max_duration = std::max(config.longest, Micros{3'000'000}) + Micros{600'000};
   // "The longest deadline, taken as 3 s where it is longer, plus 0.7 s" (ops days and PROTOCOL).
-  times.killed = std::min(config.longest, Micros{3'000'000}) + Micros{700'000};
+  times.kill_expected = std::min(config.longest, Micros{3'000'000}) + Micros{700'000};
   return times;
 }
 
@@ -119,11 +119,11 @@
 }
 
 front::AttachedServices BesideOf(members::Node* node, lease::Agent* agent) {
-  front::AttachedServices beside;
-  if (node == nullptr) return beside;
-  beside.views.members = [node] { return node->Lines(); };
-  if (agent != nullptr) beside.views.leases = [agent] { return agent->Lines(); };
-  beside.figures = [node, agent](ops::Figures& figures) {
+  front::AttachedServices attached;
+  if (node == nullptr) return attached;
+  attached.views.members = [node] { return node->Lines(); };
+  if (agent != nullptr) attached.views.leases = [agent] { return agent->Lines(); };
+  attached.add_stats = [node, agent](ops::Figures& figures) {
     const members::View& view = node->Seen();
     const members::Figures& counted = view.Counted();
     const members::Wire& wire = node->Counted();
@@ -149,12 +149,12 @@
     figures.more.push_back({"fleet_send_errors_total", "counter", wire.send_errors});
     if (agent != nullptr) AddFigures(*agent, figures);
   };
-  beside.on_drain = [node, agent] {
+  attached.on_drain = [node, agent] {
     if (agent != nullptr) agent->Leave();  // first: voters are told while the view still speaks
     node->Leave();
   };
   if (agent != nullptr && agent->Spreads()) {
-    beside.purged = [agent](const core::PurgeReceived& told) {
+    attached.on_purge = [agent](const core::PurgeReceived& told) {
       lease::Job job;
       job.group = static_cast<std::uint64_t>(told.group);
       if (told.object) job.object = static_cast<std::uint64_t>(*told.object);
@@ -163,8 +163,10 @@
       }
     };
   }
-  beside.failing = [node](std::vector<std::uint64_t> failing) { node->Report(std::move(failing)); };
-  return beside;
+  attached.on_failing_servers = [node](std::vector<std::uint64_t> failing) {
+    node->Report(std::move(failing));
+  };
+  return attached;
 }
 
 template <class Front, class Config>
--- a/src/core/observer.hpp
+++ b/src/core/observer.hpp
@@ -1,5 +1,4 @@
-// Who looks on while the core works: it is told each round and each turn in the program's life, and answers
-// nothing. It must not block and must not throw.
+// Who is notified of what the core does: the flight recorder.
 #pragma once
 
 #include <cstdint>
@@ -7,40 +6,50 @@
 #include <string>
 #include <string_view>
 
-#include "core/request_coordinator.hpp"
+#include "core/commands.hpp"
+#include "core/events.hpp"
 
 namespace tinspan::core {
 
+/// A turn in the life of the program.
 enum class LifecycleEvent {
   kStarted,
   kSignalReceived,
-  kStopping,
-  kStopped,
-  kShutdownTimedOut,
+  kStopping,          // a graceful shutdown has begun
+  kStopped,           // all requests were answered
+  kShutdownTimedOut,  // it ended with requests open
   kReloaded,
-  kReloadRejected,
-  kServing
+  kReloadRejected,  // the configuration could not be used; the one before holds
+  kServing,
 };
 
+/// Is notified after each round and at each turn. It answers nothing, must not block and must not throw.
 class Observer {
  public:
+  Observer() = default;
+  Observer(const Observer&) = delete;
+  Observer& operator=(const Observer&) = delete;
   virtual ~Observer() = default;
-  // After RequestCoordinator::Handle, and before the commands are carried out. `now`: the wall clock.
+  /// Called after RequestCoordinator::Handle and before the commands are carried out. `now` is the wall
+  /// clock's; `open_requests` have no final answer yet.
   virtual void OnRound(Micros now, std::span<const Event> events, const Commands& commands,
-                       std::size_t open) = 0;
-  // `signal`: its number with kSignalled; `open`: requests without their final answer.
+                       std::size_t open_requests) = 0;
+  /// `signal` is the signal's number with kSignalReceived, else 0.
   virtual void OnLifecycleEvent(Micros now, LifecycleEvent event, int signal, std::string_view text,
-                                std::size_t open) = 0;
-  // The longest that it may be until the next OnRound.
+                                std::size_t open_requests) = 0;
+  /// The longest that it may be until the next OnRound.
   virtual Micros MaxWait(Micros now) const = 0;
 };
 
-// What has been observed lately, as bytes for whoever looks on from afar (record/recorder.hpp).
+/// What was observed lately, as bytes for who watches from elsewhere (record/recorder.hpp).
 class RecordFeed {
  public:
+  RecordFeed() = default;
+  RecordFeed(const RecordFeed&) = delete;
+  RecordFeed& operator=(const RecordFeed&) = delete;
   virtual ~RecordFeed() = default;
-  // All since `offset`, which becomes the offset to ask from next; where that much is not kept any more (or
-  // it was never given out), from the oldest that is, and with all that is needed to read it.
+  /// Everything since `offset`, which becomes the offset to ask from next. Where that much is not kept any
+  /// more (or was never given out): from the oldest that is, with all that is needed to read it.
   virtual std::string Since(std::uint64_t& offset) const = 0;
 };
 
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -1,350 +1,355 @@
 #include "core/request_coordinator.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace tinspan::core {
 namespace {
 
-template <class Strong>
-std::uint64_t Number(Strong id) {
-  return static_cast<std::uint64_t>(id);
-}
+// The time that an answer takes to be written after its deadline here, before SIGKILL.
+constexpr Micros kLastWriteTime{150'000};
+// Nobody waits longer than this many times the whole time of its class: what claims to would be kept for
+// days.
+constexpr int kMaxDeadlineMultiple = 2;
+// How many times the time after which no older copy is left anywhere a purge is remembered.
+constexpr int kPurgeRetentionMultiple = 4;
+
 bool ProvesNotRun(Outcome outcome) {
   return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
          outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
 }
-Actions& StartActions() {
-  static thread_local Actions
-      actions;  // scratch for the Router's constructor; emptied by RequestCoordinator's
+
+Actions& ConstructorActions() {
+  static thread_local Actions actions;  // scratch for the Router's constructor
   actions.clear();
   return actions;
 }
 
+// The settings of a request's class, or null where the settings do not have it.
+const ClassSettings* FindClass(const Settings& settings, ClassId class_id) {
+  const auto position = static_cast<std::size_t>(class_id);
+  return position < settings.classes.size() ? &settings.classes[position] : nullptr;
+}
+
 }  // namespace
 
+bool RequestCoordinator::Request::HasOutstandingAttempt() const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const Attempt& attempt) { return attempt.is_outstanding; });
+}
+
 RequestCoordinator::RequestCoordinator(const Settings& settings, std::uint64_t seed, Micros now,
                                        CoordinatorOptions options)
-    : settings_(settings), options_(options), now_(now), router_(settings, seed, now, StartActions()) {}
+    : settings_(settings), options_(options), now_(now), router_(settings, seed, now, ConstructorActions()) {}
 
 void RequestCoordinator::Handle(Micros now, std::span<const Event> events, Commands& out) {
   now_ = std::max(now_, now);
   out_ = &out;
-  for (const Event& event : events) std::visit([this](const auto& one) { On(one); }, event);
-  RunDue();
+  for (const Event& event : events) {
+    std::visit([this](const auto& typed_event) { On(typed_event); }, event);
+  }
+  RunDueTasks();
   out_ = nullptr;
 }
 
-void RequestCoordinator::SetShutdownDeadline(Micros at) {
-  ends_by_ = at;
-  std::vector<std::uint64_t> open;  // in their order, so that equal events give equal commands
+void RequestCoordinator::SetShutdownDeadline(Micros killed_at) {
+  killed_at_ = killed_at;
+  std::vector<RequestId> shortened;
   for (auto& [id, request] : requests_) {
-    if (request.answered || request.deadline <= LastAnswer()) continue;
-    request.deadline = LastAnswer();
-    open.push_back(id);
+    if (request.is_answered || request.deadline <= LastAnswerAt()) continue;
+    request.deadline = LastAnswerAt();
+    shortened.push_back(id);
   }
-  std::sort(open.begin(), open.end());
-  for (const std::uint64_t id : open) At(LastAnswer(), Due::What::kDeadline, id);
+  std::sort(shortened.begin(), shortened.end());  // so that equal events give equal commands
+  for (const RequestId id : shortened) schedule_.AddRequestDeadline(LastAnswerAt(), id);
 }
 
-std::optional<Micros> RequestCoordinator::NextDeadline() const {
-  return due_.empty() ? std::nullopt : std::optional(due_.top().at);
+void RequestCoordinator::Retune(const Settings& settings) {
+  settings_ = settings;
+  router_.Retune(settings);
 }
 
 // ---- Events. ----
 
 void RequestCoordinator::On(const RequestReceived& event) {
-  const auto [place, added] = requests_.try_emplace(Number(event.id));
+  const auto [position, added] = requests_.try_emplace(event.id);
   if (!added) return;
-  Request& request = place->second;
-  request.came = event;
-  request.most_attempts = settings_.max_attempts;
-  // Nobody waits longer than twice its class's whole time: what claims to would be kept for days.
-  const std::size_t kind = static_cast<std::size_t>(event.class_id);
-  const Micros whole = kind < settings_.classes.size() ? settings_.classes[kind].deadline : Micros{0};
-  Micros allow = whole > Micros{0} ? std::min(event.time_left, 2 * whole) : event.time_left;
-  if (ends_by_) allow = std::clamp(LastAnswer() - now_, Micros{0}, allow);
-  const Micros left = std::max(allow - options_.response_margin, Micros{0});
-  request.deadline = now_ + left;
-  ++open_;
-  At(request.deadline, Due::What::kDeadline, Number(event.id));
-  Ask(RequestEvent{.id = event.id,
-                   .time_left = left,
-                   .class_id = event.class_id,
-                   .group = event.group,
-                   .object = event.object,
-                   .part = event.part,
-                   .size_kb = event.size_kb,
-                   .is_retry = event.is_retry});
-  Forget(event.id);
+  Request& request = position->second;
+  request.received = event;
+  request.max_attempts = settings_.max_attempts;
+  const Micros time_left = std::max(AllowedTime(event) - options_.response_margin, Micros{0});
+  request.deadline = now_ + time_left;
+  ++open_requests_;
+  schedule_.AddRequestDeadline(request.deadline, event.id);
+  NotifyRouter(RequestEvent{.id = event.id,
+                            .time_left = time_left,
+                            .class_id = event.class_id,
+                            .group = event.group,
+                            .object = event.object,
+                            .part = event.part,
+                            .size_kb = event.size_kb,
+                            .is_retry = event.is_retry});
+  ForgetIfDone(event.id);
+}
+
+Micros RequestCoordinator::AllowedTime(const RequestReceived& event) const {
+  const ClassSettings* const settings = FindClass(settings_, event.class_id);
+  Micros allowed = event.time_left;
+  if (settings != nullptr && settings->deadline > Micros{0}) {
+    allowed = std::min(allowed, kMaxDeadlineMultiple * settings->deadline);
+  }
+  return killed_at_ ? std::clamp(LastAnswerAt() - now_, Micros{0}, allowed) : allowed;
 }
 
 void RequestCoordinator::On(const ClientDisconnected& event) {
   Request* const request = Find(event.id);
-  if (request == nullptr || request->answered) return;
-  request->answered = true;
-  --open_;
-  Ask(ClientDisconnectedEvent{event.id});  // calls off what is out
+  if (request == nullptr || request->is_answered) return;
+  request->is_answered = true;
+  --open_requests_;
+  NotifyRouter(ClientDisconnectedEvent{event.id});  // cancels what is outstanding
   // What the Router leaves running has nobody to go to.
-  for (std::uint32_t i = 0; Find(event.id) != nullptr && i < request->tries.size(); ++i) {
-    if (!request->tries[i].out) continue;
-    out_->push_back(AbortAttempt{event.id, i});
-    End(event.id, *request, i, {.outcome = Outcome::kCancelled});
+  for (std::uint32_t attempt = 0; Find(event.id) != nullptr && attempt < request->attempts.size();
+       ++attempt) {
+    if (!request->attempts[attempt].is_outstanding) continue;
+    out_->emplace_back(AbortAttempt{event.id, attempt});
+    CompleteAttempt(event.id, *request, attempt, {.outcome = Outcome::kCancelled});
   }
-  Forget(event.id);
+  ForgetIfDone(event.id);
 }
 
 void RequestCoordinator::On(const ResponseStarted& event) {
   Request* const request = Find(event.id);
-  if (request == nullptr || event.attempt >= request->tries.size()) return;
-  Try& one = request->tries[event.attempt];
-  if (!one.out || request->answered || request->begun) return;
-  if (event.issued_at && Purged(*request, one.sent, *event.issued_at)) {
-    out_->push_back(AbortAttempt{event.id, event.attempt});
-    return End(event.id, *request, event.attempt, {.outcome = Outcome::kError});
+  if (request == nullptr || event.attempt >= request->attempts.size()) return;
+  const Attempt& attempt = request->attempts[event.attempt];
+  if (!attempt.is_outstanding || request->is_answered || request->started_attempt) return;
+  if (event.issued_at && IsPurged(*request, attempt, *event.issued_at)) {
+    out_->emplace_back(AbortAttempt{event.id, event.attempt});
+    return CompleteAttempt(event.id, *request, event.attempt, {.outcome = Outcome::kError});
   }
-  request->begun = event.attempt;
-  out_->push_back(ForwardResponse{event.id, event.attempt});
-  Ask(ResponseStartedEvent{event.id, event.attempt});
+  request->started_attempt = event.attempt;
+  out_->emplace_back(ForwardResponse{event.id, event.attempt});
+  NotifyRouter(ResponseStartedEvent{event.id, event.attempt});
 }
 
 void RequestCoordinator::On(const AttemptCompleted& event) {
   Request* const request = Find(event.id);
-  if (request == nullptr || event.attempt >= request->tries.size()) return;
-  if (!request->tries[event.attempt].out) return;  // given up before
-  End(event.id, *request, event.attempt, event);
+  if (request == nullptr || event.attempt >= request->attempts.size()) return;
+  if (!request->attempts[event.attempt].is_outstanding) return;  // aborted before
+  CompleteAttempt(event.id, *request, event.attempt, event);
 }
 
 void RequestCoordinator::On(const EndpointsUpdated& event) {
-  const auto tell = [this](Standing& standing, Availability availability) {
-    // Draining, then gone: the time runs from the first word.
-    const bool first = standing.availability == Availability::kUp;
-    if (availability != Availability::kUp && first) standing.told = now_;
-    standing.availability = availability;
-  };
-  if (event.kind == EndpointsEvent::Kind::kFull || event.kind == EndpointsEvent::Kind::kStale) {
-    for (auto& [id, standing] : standings_) {
-      const auto same = [number = id](const EndpointInfo& member) { return Number(member.id) == number; };
-      if (std::none_of(event.endpoints.begin(), event.endpoints.end(), same))
-        tell(standing, Availability::kRemoved);
-    }
-  }
-  for (const EndpointInfo& member : event.endpoints) tell(standings_[Number(member.id)], member.availability);
-  Ask(EndpointsEvent{event.kind, event.endpoints});
+  endpoints_.Update(now_, event);
+  NotifyRouter(EndpointsEvent{event.kind, event.endpoints});
 }
 
 void RequestCoordinator::On(const PurgeReceived& event) {
-  auto& table = event.object ? purged_objects_ : purged_groups_;
-  const auto key = event.object ? Number(*event.object) : Number(event.group);
-  const auto [place, added] = table.try_emplace(key, Purge{event.purged_at, now_});
-  if (!added && event.purged_at > place->second.at) place->second = {event.purged_at, now_};
-  Ask(PurgeEvent{
+  purges_.Add(now_, event);
+  NotifyRouter(PurgeEvent{
       .age = std::max(now_ - event.purged_at, Micros{0}), .group = event.group, .object = event.object});
 }
 
-void RequestCoordinator::RunDue() {
-  while (!due_.empty() && due_.top().at <= now_) {
-    const Due due = due_.top();
-    due_.pop();
-    if (due.what == Due::What::kRouter) {
-      Ask(TimerEvent{due.token});
-      continue;
-    }
-    const RequestId id{due.token};
-    Request* const request = Find(id);
-    if (request == nullptr) continue;
-    if (due.what == Due::What::kAttempt) {
-      if (!request->tries[due.attempt].out || request->begun == due.attempt) continue;
-      out_->push_back(AbortAttempt{id, due.attempt});
-      End(id, *request, due.attempt, {.outcome = Outcome::kTimedOut});
-    } else if (!request->answered && !request->begun) {
-      // The Router answers at its own deadline, a tick earlier. Should it ever not, the client is still owed.
-      Finish(id, *request, CompleteRequest{.id = id, .status = CompletionStatus::kFailed});
-      Ask(ClientDisconnectedEvent{id});
-      Forget(id);
+void RequestCoordinator::RunDueTasks() {
+  while (const std::optional<ScheduledTask> task = schedule_.TakeDue(now_)) {
+    switch (task->kind) {
+      case ScheduledTask::Kind::kRouterTimer:
+        NotifyRouter(TimerEvent{task->token});
+        break;
+      case ScheduledTask::Kind::kAttemptTimeout:
+        OnAttemptTimeout(RequestId{task->token}, task->attempt);
+        break;
+      case ScheduledTask::Kind::kRequestDeadline:
+        OnRequestDeadline(RequestId{task->token});
+        break;
     }
   }
-  if (now_ < next_forget_) return;
-  next_forget_ = now_ + options_.sweep_interval;
-  const auto old = [this](const auto& entry) {
-    return now_ - entry.second.at > 4 * settings_.purge_retention;
-  };
-  std::erase_if(purged_objects_, old);
-  std::erase_if(purged_groups_, old);
-  std::erase_if(standings_, [this](const auto& entry) {
-    return entry.second.availability == Availability::kRemoved &&
-           now_ - entry.second.told > Micros{60'000'000};
-  });
+  ForgetOutdated();
+}
+
+void RequestCoordinator::OnAttemptTimeout(RequestId id, std::uint32_t attempt) {
+  Request* const request = Find(id);
+  if (request == nullptr) return;
+  if (!request->attempts[attempt].is_outstanding || request->started_attempt == attempt) return;
+  out_->emplace_back(AbortAttempt{id, attempt});
+  CompleteAttempt(id, *request, attempt, {.outcome = Outcome::kTimedOut});
+}
+
+// The Router answers at its own deadline, an event interval earlier. Should it ever not, an answer is owed.
+void RequestCoordinator::OnRequestDeadline(RequestId id) {
+  Request* const request = Find(id);
+  if (request == nullptr || request->is_answered || request->started_attempt) return;
+  Complete(*request, CompleteRequest{.id = id, .status = CompletionStatus::kFailed});
+  NotifyRouter(ClientDisconnectedEvent{id});
+  ForgetIfDone(id);
+}
+
+void RequestCoordinator::ForgetOutdated() {
+  if (now_ < next_sweep_at_) return;
+  next_sweep_at_ = now_ + options_.sweep_interval;
+  purges_.Forget(now_, kPurgeRetentionMultiple * settings_.purge_retention);
+  endpoints_.ForgetRemoved(now_);
 }
 
 // ---- What the Router wants done. ----
 
 template <class RouterEvent>
-void RequestCoordinator::Ask(const RouterEvent& event) {
+void RequestCoordinator::NotifyRouter(const RouterEvent& event) {
   Actions actions;
   router_.Handle(now_, event, actions);
-  for (const Action& action : actions) std::visit([this](const auto& one) { Do(one); }, action);
-  // Outcomes of what was called off or could not be sent follow once the actions at hand are done, as on the
+  for (const Action& action : actions) {
+    std::visit([this](const auto& typed_action) { Execute(typed_action); }, action);
+  }
+  // Outcomes of what was cancelled or could not be sent follow once the actions at hand are done, as on the
   // simulator's wire.
-  while (!called_off_.empty()) {
-    const AttemptCompleted ended = called_off_.front();
-    called_off_.erase(called_off_.begin());
-    Request* const request = Find(ended.id);
-    if (request != nullptr) End(ended.id, *request, ended.attempt, ended);
+  while (!pending_results_.empty()) {
+    const AttemptCompleted result = pending_results_.front();
+    pending_results_.erase(pending_results_.begin());
+    Request* const request = Find(result.id);
+    if (request != nullptr) CompleteAttempt(result.id, *request, result.attempt, result);
   }
 }
 
-void RequestCoordinator::Do(const SendAttempt& order) {
-  Request* const request = Find(order.id);
+void RequestCoordinator::Execute(const SendAttempt& action) {
+  Request* const request = Find(action.id);
   if (request == nullptr) return;
-  const auto number = static_cast<std::uint32_t>(request->tries.size());
-  const bool another =
-      std::any_of(request->tries.begin(), request->tries.end(), [](auto& t) { return t.out; });
-  request->tries.push_back({order.server, order.source, now_, true});
-  Micros until =
-      order.expires_at > Micros{0} ? std::min(order.expires_at, request->deadline) : request->deadline;
-  const bool allowed = !request->answered && !another && number < request->most_attempts && until > now_ &&
-                       !PastDrain(now_, order.server) && !PastDrain(now_, order.source);
-  if (!allowed) {
-    called_off_.push_back({.id = order.id, .attempt = number, .outcome = Outcome::kNotSent});
+  const auto number = static_cast<std::uint32_t>(request->attempts.size());
+  const Micros expires_at =
+      action.expires_at > Micros{0} ? std::min(action.expires_at, request->deadline) : request->deadline;
+  const bool may_start = MayStart(*request, action, expires_at);
+  request->attempts.push_back({.server = action.server, .source = action.source, .sent_at = now_});
+  if (!may_start) {
+    pending_results_.push_back({.id = action.id, .attempt = number, .outcome = Outcome::kNotSent});
     return;
   }
-  At(until, Due::What::kAttempt, Number(order.id), number);
-  StartAttempt send{order, number};
-  send.action.expires_at = until;
-  out_->push_back(std::move(send));
+  schedule_.AddAttemptTimeout(expires_at, action.id, number);
+  StartAttempt command{action, number};
+  command.action.expires_at = expires_at;
+  out_->emplace_back(command);
 }
 
-void RequestCoordinator::Do(const CancelAttempt& order) {
-  Request* const request = Find(order.id);
-  if (request == nullptr || order.attempt >= request->tries.size()) return;
-  if (!request->tries[order.attempt].out) return;
-  if (request->begun == order.attempt && !request->answered) return;  // a begun answer is not called off
-  out_->push_back(AbortAttempt{order.id, order.attempt});
-  called_off_.push_back({.id = order.id, .attempt = order.attempt, .outcome = Outcome::kCancelled});
+void RequestCoordinator::Execute(const CancelAttempt& action) {
+  Request* const request = Find(action.id);
+  if (request == nullptr || action.attempt >= request->attempts.size()) return;
+  if (!request->attempts[action.attempt].is_outstanding) return;
+  // A response that is being forwarded is not cancelled.
+  if (request->started_attempt == action.attempt && !request->is_answered) return;
+  out_->emplace_back(AbortAttempt{action.id, action.attempt});
+  pending_results_.push_back({.id = action.id, .attempt = action.attempt, .outcome = Outcome::kCancelled});
 }
 
-void RequestCoordinator::Do(const Reject& order) {
-  Request* const request = Find(order.id);
+void RequestCoordinator::Execute(const Reject& action) {
+  Request* const request = Find(action.id);
   if (request == nullptr) return;
-  Finish(order.id, *request,
-         CompleteRequest{
-             .id = order.id, .status = CompletionStatus::kRejected, .retry_after = order.retry_after});
+  Complete(*request,
+           CompleteRequest{
+               .id = action.id, .status = CompletionStatus::kRejected, .retry_after = action.retry_after});
 }
 
-void RequestCoordinator::Do(const Fail& order) {
-  Request* const request = Find(order.id);
-  if (request != nullptr)
-    Finish(order.id, *request, CompleteRequest{.id = order.id, .status = CompletionStatus::kFailed});
+void RequestCoordinator::Execute(const Fail& action) {
+  Request* const request = Find(action.id);
+  if (request == nullptr) return;
+  Complete(*request, CompleteRequest{.id = action.id, .status = CompletionStatus::kFailed});
 }
 
-void RequestCoordinator::Do(const SetTimer& order) { At(order.at, Due::What::kRouter, order.token); }
+void RequestCoordinator::Execute(const SetTimer& action) {
+  schedule_.AddRouterTimer(action.at, action.token);
+}
 
-// ---- Requests. ----
+// ---- The life of a request. ----
 
 RequestCoordinator::Request* RequestCoordinator::Find(RequestId id) {
-  const auto found = requests_.find(Number(id));
+  const auto found = requests_.find(id);
   return found == requests_.end() ? nullptr : &found->second;
 }
 
 // The only place where a final answer is given.
-void RequestCoordinator::Finish(RequestId, Request& request, CompleteRequest answer) {
-  if (request.answered) return;
-  request.answered = true;
-  --open_;
+void RequestCoordinator::Complete(Request& request, CompleteRequest answer) {
+  if (request.is_answered) return;
+  request.is_answered = true;
+  --open_requests_;
   answer.deadline_exceeded = now_ + 2 * settings_.event_interval >= request.deadline;
-  out_->push_back(answer);
-}
-
-void RequestCoordinator::End(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted how) {
-  Try& one = request.tries[attempt];
-  if (!one.out) return;
-  one.out = false;
-  one.may_have_run = !ProvesNotRun(how.outcome);
-  bool served = how.outcome == Outcome::kServed;
-  const bool begun = request.begun == attempt;
-  // Whatever a server says of a purge, no copy older than one that had to be heeded goes out.
-  if (served && !begun && how.issued_at && Purged(request, one.sent, *how.issued_at)) {
-    how.outcome = Outcome::kError;
-    served = false;
+  out_->emplace_back(answer);
+}
+
+void RequestCoordinator::CompleteAttempt(RequestId id, Request& request, std::uint32_t attempt,
+                                         AttemptCompleted result) {
+  Attempt& completed = request.attempts[attempt];
+  if (!completed.is_outstanding) return;
+  completed.is_outstanding = false;
+  completed.may_have_run = !ProvesNotRun(result.outcome);
+  const bool was_started = request.started_attempt == attempt;
+  // Whatever a server says of a purge, no copy older than one that had to be applied goes out.
+  if (result.outcome == Outcome::kServed && !was_started && result.issued_at &&
+      IsPurged(request, completed, *result.issued_at)) {
+    result.outcome = Outcome::kError;
+  }
+  const bool is_served = result.outcome == Outcome::kServed;
+  if (is_served || was_started) {
+    const CompletionStatus status = is_served ? CompletionStatus::kServed : CompletionStatus::kTruncated;
+    Complete(request, CompleteRequest{.id = id, .status = status, .attempt = attempt});
   }
-  if (served)
-    Finish(id, request, CompleteRequest{.id = id, .status = CompletionStatus::kServed, .attempt = attempt});
-  if (begun && !served)
-    Finish(id, request,
-           CompleteRequest{.id = id, .status = CompletionStatus::kTruncated, .attempt = attempt});
-  Ask(OutcomeEvent{.id = id,
-                   .attempt = attempt,
-                   .outcome = how.outcome,
-                   .elapsed = now_ - one.sent,
-                   .is_finished = request.answered,
-                   .note = how.note,
-                   .fill_wait = how.fill_wait,
-                   .load = how.load});
-  Forget(id);
-}
-
-// Drops a request that has its answer and nothing out.
-void RequestCoordinator::Forget(RequestId id) {
-  const auto found = requests_.find(Number(id));
-  if (found == requests_.end() || !found->second.answered) return;
-  const auto& tries = found->second.tries;
-  if (std::none_of(tries.begin(), tries.end(), [](const Try& one) { return one.out; }))
-    requests_.erase(found);
-}
-
-void RequestCoordinator::At(Micros at, Due::What what, std::uint64_t token, std::uint32_t attempt) {
-  due_.push({at, serial_++, what, token, attempt});
+  NotifyRouter(OutcomeEvent{.id = id,
+                            .attempt = attempt,
+                            .outcome = result.outcome,
+                            .elapsed = now_ - completed.sent_at,
+                            .is_finished = request.is_answered,
+                            .note = result.note,
+                            .fill_wait = result.fill_wait,
+                            .load = result.load});
+  ForgetIfDone(id);
+}
+
+// Drops a request that has its answer and nothing outstanding.
+void RequestCoordinator::ForgetIfDone(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || !found->second.is_answered) return;
+  if (!found->second.HasOutstandingAttempt()) requests_.erase(found);
+}
+
+// ---- The rules at the moment of sending. ----
+
+bool RequestCoordinator::MayStart(const Request& request, const SendAttempt& action,
+                                  Micros expires_at) const {
+  if (request.is_answered || request.HasOutstandingAttempt()) return false;
+  if (request.attempts.size() >= request.max_attempts || expires_at <= now_) return false;
+  return !IsPastDrain(now_, action.server) && !IsPastDrain(now_, action.source);
 }
 
 bool RequestCoordinator::CanSend(Micros now, RequestId id, std::uint32_t attempt) const {
-  const auto found = requests_.find(Number(id));
-  if (found == requests_.end() || found->second.answered || attempt >= found->second.tries.size())
-    return false;
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return false;
   const Request& request = found->second;
-  const Try& one = request.tries[attempt];
-  if (!one.out || now >= request.deadline) return false;
-  if (PastDrain(now, one.server) || PastDrain(now, one.source)) return false;
+  if (request.is_answered || attempt >= request.attempts.size() || now >= request.deadline) return false;
+  const Attempt& waiting = request.attempts[attempt];
+  if (!waiting.is_outstanding) return false;
+  if (IsPastDrain(now, waiting.server) || IsPastDrain(now, waiting.source)) return false;
   if (!MayRepeat(now, request, attempt)) return false;
-  // A purge told since the decision: the age that was asked for does not heed it.
-  const auto told_since = [&](const auto& table, std::uint64_t key) {
-    const auto purge = table.find(key);
-    return purge != table.end() && purge->second.told > one.sent &&
-           now - purge->second.told >= settings_.purge_window / 2;
-  };
-  return !told_since(purged_objects_, Number(request.came.object)) &&
-         !told_since(purged_groups_, Number(request.came.group));
-}
-
-// Guards against a key that lapses while the connection for a repeat comes up: the Router looked at the
-// window when it decided, and the server would run the request a second time.
+  return !purges_.IsOutdated(request.received.group, request.received.object, waiting.sent_at, now,
+                             settings_.purge_window);
+}
+
+// The rule on effects at the moment of writing: whether an earlier attempt may have run, and the class allows
+// no further one any more. Guards against a key that lapses while the connection for a repeat comes up: the
+// Router looked at the window when it decided, and the server would run the request a second time.
 bool RequestCoordinator::MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const {
-  const std::size_t kind = static_cast<std::size_t>(request.came.class_id);
-  if (kind >= settings_.classes.size()) return true;
-  const ClassSettings& one = settings_.classes[kind];
-  if (one.effect == Effect::kIdempotent) return true;
-  const auto end = request.tries.begin() + attempt;
-  const auto first = std::find_if(request.tries.begin(), end, [](const Try& t) { return t.may_have_run; });
-  if (first == end) return true;
-  return one.effect == Effect::kIdempotencyKey && now - first->sent < one.idempotency_window;
-}
-
-bool RequestCoordinator::PastDrain(Micros now, ServerId server) const {
-  const auto found = standings_.find(Number(server));
-  if (found == standings_.end()) return true;  // never listed
-  // Half of the grace is ours: the rest is left for the write.
-  return found->second.availability != Availability::kUp &&
-         now - found->second.told >= settings_.drain_window / 2;
-}
-
-bool RequestCoordinator::Purged(const Request& request, Micros sent, Micros issued) const {
-  const auto older = [&](const auto& table, std::uint64_t key) {
-    const auto purge = table.find(key);
-    return purge != table.end() && issued < purge->second.at &&
-           sent - purge->second.told >= settings_.purge_window;
-  };
-  return older(purged_objects_, Number(request.came.object)) ||
-         older(purged_groups_, Number(request.came.group));
+  const ClassSettings* const settings = FindClass(settings_, request.received.class_id);
+  if (settings == nullptr || settings->effect == Effect::kIdempotent) return true;
+  const auto end = request.attempts.begin() + attempt;
+  const auto first_run = std::find_if(request.attempts.begin(), end,
+                                      [](const Attempt& earlier) { return earlier.may_have_run; });
+  if (first_run == end) return true;
+  return settings->effect == Effect::kIdempotencyKey &&
+         now - first_run->sent_at < settings->idempotency_window;
 }
 
+bool RequestCoordinator::IsPastDrain(Micros now, ServerId server) const {
+  return endpoints_.IsPastDrain(now, server, settings_.drain_window);
+}
+
+bool RequestCoordinator::IsPurged(const Request& request, const Attempt& attempt, Micros issued_at) const {
+  return purges_.IsPurged(request.received.group, request.received.object, attempt.sent_at, issued_at,
+                          settings_.purge_window);
+}
+
+Micros RequestCoordinator::LastAnswerAt() const { return *killed_at_ - kLastWriteTime; }
+
 }  // namespace tinspan::core
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -1,228 +1,126 @@
-// The core of the doorman: requests, their deadlines and attempts, members, purges, and the Router that
-// decides. It knows no wire and no descriptor: a front hands it what happened and carries out what comes
-// back.
-//
-// It keeps the promises that do not depend on any decision: exactly one final answer for each request, at its
-// deadline at the latest; one attempt out at a time; no answer from an attempt that was given up; nothing
-// sent to or filled from a server past its drain time; no copy older than a purge heeded by then.
+// The core of an instance: requests, their deadlines and attempts, the endpoints, purges, and the Router that
+// decides. It knows no wire and no descriptor: a front reports what happened and carries out what comes back.
 #pragma once
 
 #include <cstdint>
 #include <optional>
-#include <queue>
 #include <span>
-#include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
+#include "core/commands.hpp"
+#include "core/endpoint_states.hpp"
+#include "core/events.hpp"
+#include "core/purge_log.hpp"
+#include "core/schedule.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan::core {
 
-// ---- Events. ----
-struct RequestReceived {
-  RequestId id{};       // from RequestCoordinator::NextRequestId
-  Micros time_left{0};  // from now until the client gives up
-  ClassId class_id{};
-  GroupId group{};
-  ObjectId object{};
-  std::uint32_t part = 0;
-  double size_kb = 0;
-  bool is_retry = false;
-};
-struct ClientDisconnected {  // nothing is owed any more
-  RequestId id{};
-};
-struct AttemptSent {  // it had to wait for a connection, and has gone out only now
-  RequestId id{};
-  std::uint32_t attempt = 0;
-};
-struct ResponseStarted {  // the answer's first bytes are here and may be passed on from now
-  RequestId id{};
-  std::uint32_t attempt = 0;
-  std::optional<Micros> issued_at{};  // when the origin gave the copy out
-};
-struct AttemptCompleted {
-  RequestId id{};
-  std::uint32_t attempt = 0;
-  Outcome outcome = Outcome::kServed;
-  FillNote note = FillNote::kNone;
-  std::optional<Micros> fill_wait{};
-  LoadReport load{};
-  std::optional<Micros> issued_at{};
-};
-struct EndpointsUpdated {
-  struct EndpointName {
-    std::string name;
-    std::string address;
-  };
-  EndpointsEvent::Kind kind = EndpointsEvent::Kind::kFull;
-  std::vector<EndpointInfo> endpoints{};
-  // For the record only; what is empty is not told.
-  std::vector<EndpointName> names{};  // of the member at the same place
-  std::string source{};               // such as "changelog"
-  std::uint64_t version = 0;          // the source's own number of what it told
-};
-struct PurgeReceived {
-  Micros purged_at{0};  // when the purge was made
-  GroupId group{};
-  std::optional<ObjectId> object{};  // none: the whole group
-};
-struct ConnectionLost {  // of a server, with requests open on it; each of them is told by AttemptCompleted
-  ServerId server{};
-  std::size_t open_requests = 0;
-};
-using Event = std::variant<RequestReceived, ClientDisconnected, ResponseStarted, AttemptCompleted,
-                           EndpointsUpdated, PurgeReceived, ConnectionLost, AttemptSent>;
-
-// ---- Commands, to be carried out in order. ----
-struct StartAttempt {
-  SendAttempt action;
-  std::uint32_t attempt = 0;
-};
-struct AbortAttempt {  // the attempt is given up; whatever still comes of it is dropped
-  RequestId id{};
-  std::uint32_t attempt = 0;
-};
-struct ForwardResponse {  // the attempt's answer is the client's: pass on what there is and what comes
-  RequestId id{};
-  std::uint32_t attempt = 0;
-};
-enum class CompletionStatus {
-  kServed,     // by the attempt named
-  kTruncated,  // the answer had begun and cannot be finished: the client must see that
-  kRejected,   // trying again is harmless
-  kFailed,
-};
-struct CompleteRequest {  // final; each request that came gets one, unless its client left
-  RequestId id{};
-  CompletionStatus status = CompletionStatus::kFailed;
-  std::uint32_t attempt = 0;
-  Micros retry_after{0};           // 0: no advice
-  bool deadline_exceeded = false;  // the time was up, whatever the verdict
-};
-struct LogMessage {
-  std::string text;
-};
-using Command = std::variant<StartAttempt, AbortAttempt, ForwardResponse, CompleteRequest, LogMessage>;
-using Commands = std::vector<Command>;
-
 struct CoordinatorOptions {
-  // Taken off what a client allows: `allow` counts from when the client sent, and the answer has still to be
-  // written and to reach it.
+  /// Taken off what a client allows: its time runs from when it sent, and the answer has still to be written
+  /// and to reach it.
   Micros response_margin{2'000};
-  // A begun answer may take as long as it keeps moving; without any bytes for so long it is broken off by the
-  // front. Here only: how long an attempt without a deadline may be remembered.
+  /// How often outdated purges and removed endpoints are forgotten.
   Micros sweep_interval{1'000'000};
 };
 
+/// Owns the open requests. Whatever the Router decides, it keeps these promises: exactly one final answer for
+/// each request, at its deadline at the latest; one attempt out at a time; no answer from an attempt that was
+/// aborted; nothing sent to or filled from a server past its drain window; no copy older than a purge that
+/// had to be applied by then. Not thread-safe; it reads no clock.
 class RequestCoordinator {
  public:
+  /// Throws std::invalid_argument on settings that make no sense.
   RequestCoordinator(const Settings& settings, std::uint64_t seed, Micros now, CoordinatorOptions options);
 
   RequestId NextRequestId() { return RequestId{++last_id_}; }
-  // SIGKILL may come at `at`: every request, open already or to come, is allowed at most until shortly
-  // before, so that none is found unanswered: a client that is told may ask elsewhere, one that is cut off
-  // waits.
-  void SetShutdownDeadline(Micros at);
-  // Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
-  void Retune(const Settings& settings) {
-    settings_ = settings;
-    router_.Retune(settings);
-  }
-  // Handles all that has come in since the last call, then what is due by the clock.
+  /// SIGKILL may come at `killed_at`: every request, open already or to come, gets its answer shortly before
+  /// at the latest. A client that is told may ask elsewhere, one that is cut off waits.
+  void SetShutdownDeadline(Micros killed_at);
+  /// Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
+  void Retune(const Settings& settings);
+  /// Handles all that has come in since the last call, then what is due by the clock. Commands are appended.
   void Handle(Micros now, std::span<const Event> events, Commands& out);
-  // Whether a send that had to wait (for a connection) may still go out. A front asks right before it writes.
+  /// Whether an attempt that had to wait (for a connection) may still go out. A front asks right before it
+  /// writes: what has happened since the decision may forbid it.
   bool CanSend(Micros now, RequestId id, std::uint32_t attempt) const;
-  // When Handle wants to be called again, if nothing happens before.
-  std::optional<Micros> NextDeadline() const;
-  std::size_t OpenRequests() const { return open_; }  // without their final answer yet
+  /// When Handle has to be called again, if nothing happens before.
+  std::optional<Micros> NextDeadline() const { return schedule_.Next(); }
+  /// Requests without their final answer yet.
+  std::size_t OpenRequests() const { return open_requests_; }
 
  private:
-  struct Try {
+  struct Attempt {
     ServerId server{};
     ServerId source{};
-    Micros sent{0};
-    bool out = true;
-    bool may_have_run = false;  // ended, by an outcome that does not prove the opposite
+    Micros sent_at{0};
+    bool is_outstanding = true;
+    bool may_have_run = false;  // completed, by an outcome that does not prove the opposite
   };
   struct Request {
-    RequestReceived came;
+    RequestReceived received;
     Micros deadline{0};
-    std::uint32_t most_attempts = 0;  // as the settings said when it came
-    bool answered = false;
-    std::optional<std::uint32_t> begun;
-    std::vector<Try> tries;
-  };
-  struct Due {
-    Micros at;
-    std::uint64_t serial;
-    enum class What { kRouter, kAttempt, kDeadline } what;
-    std::uint64_t token;  // kRouter: the module's, else the request
-    std::uint32_t attempt;
-    bool operator<(const Due& o) const { return at != o.at ? at > o.at : serial > o.serial; }
-  };
-  struct Standing {  // what we were told last of a server
-    Availability availability = Availability::kUp;
-    Micros told{0};
-  };
-  struct Purge {
-    Micros at{0};
-    Micros told{0};
+    std::uint32_t max_attempts = 0;  // as the settings said when it came
+    bool is_answered = false;
+    std::optional<std::uint32_t> started_attempt;  // whose response is being forwarded
+    std::vector<Attempt> attempts;
+
+    bool HasOutstandingAttempt() const;
   };
 
+  // Events.
   void On(const RequestReceived& event);
   void On(const ClientDisconnected& event);
   void On(const ResponseStarted& event);
   void On(const AttemptCompleted& event);
   void On(const EndpointsUpdated& event);
   void On(const PurgeReceived& event);
-  void On(const AttemptSent&) {}     // the attempt's time runs from its order
-  void On(const ConnectionLost&) {}  // of no weight for any decision: what was open on it is told one by one
-  void RunDue();
+  void On(const AttemptSent&) {}     // an attempt's time runs from the decision
+  void On(const ConnectionLost&) {}  // what was open on it is reported one by one
+  void RunDueTasks();
+  void OnAttemptTimeout(RequestId id, std::uint32_t attempt);
+  void OnRequestDeadline(RequestId id);
+  void ForgetOutdated();
 
+  // What the Router is told, and what it wants done.
   template <class RouterEvent>
-  void Ask(const RouterEvent& event);
-  void Do(const SendAttempt& order);
-  void Do(const CancelAttempt& order);
-  void Do(const Reject& order);
-  void Do(const Fail& order);
-  void Do(const SetTimer& order);
-  void Do(const Subscribe&) {}  // the change log is always followed
-  void Do(const LogLine& order) { out_->push_back(LogMessage{order.text}); }
+  void NotifyRouter(const RouterEvent& event);
+  void Execute(const SendAttempt& action);
+  void Execute(const CancelAttempt& action);
+  void Execute(const Reject& action);
+  void Execute(const Fail& action);
+  void Execute(const SetTimer& action);
+  void Execute(const Subscribe&) {}  // the endpoint watch is always followed
+  void Execute(const LogLine& action) { out_->emplace_back(LogMessage{action.text}); }
 
+  // The life of a request.
   Request* Find(RequestId id);
-  Micros LastAnswer() const { return *ends_by_ - kLastWrite; }
-  void Finish(RequestId id, Request& request, CompleteRequest answer);
-  void End(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted how);
-  void Forget(RequestId id);
-  void At(Micros at, Due::What what, std::uint64_t token, std::uint32_t attempt = 0);
-  bool PastDrain(Micros now, ServerId server) const;
-  // The rule on effects at the moment of writing: an earlier attempt may have run, and the class allows no
-  // further one any more.
-  bool MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const;
-  // Whether a copy given out at `issued` is older than a purge that an attempt sent at `sent` had to heed.
-  bool Purged(const Request& request, Micros sent, Micros issued) const;
+  Micros AllowedTime(const RequestReceived& event) const;
+  void Complete(Request& request, CompleteRequest answer);
+  void CompleteAttempt(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted result);
+  void ForgetIfDone(RequestId id);
 
-  // The time an answer takes to be written after its deadline here, before SIGKILL.
-  static constexpr Micros kLastWrite{150'000};
+  // The rules at the moment of sending.
+  bool MayStart(const Request& request, const SendAttempt& action, Micros expires_at) const;
+  bool IsPastDrain(Micros now, ServerId server) const;
+  bool MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const;
+  bool IsPurged(const Request& request, const Attempt& attempt, Micros issued_at) const;
+  Micros LastAnswerAt() const;
 
   Settings settings_;
-  std::optional<Micros> ends_by_;
+  std::optional<Micros> killed_at_;
   CoordinatorOptions options_;
   Micros now_{0};
   Commands* out_ = nullptr;
   std::uint64_t last_id_ = 0;
-  std::size_t open_ = 0;
-  std::unordered_map<std::uint64_t, Request> requests_;
-  std::unordered_map<std::uint64_t, Standing> standings_;
-  std::unordered_map<std::uint64_t, Purge> purged_objects_;
-  std::unordered_map<std::uint64_t, Purge> purged_groups_;
-  Micros next_forget_{0};
-  std::priority_queue<Due> due_;
-  std::uint64_t serial_ = 0;
-  std::vector<AttemptCompleted> called_off_;  // outcomes that the Router is told after the actions at hand
+  std::size_t open_requests_ = 0;
+  std::unordered_map<RequestId, Request> requests_;
+  EndpointStates endpoints_;
+  PurgeLog purges_;
+  Micros next_sweep_at_{0};
+  Schedule schedule_;
+  std::vector<AttemptCompleted> pending_results_;  // which the Router is told after the actions at hand
   Router router_;
 };
 
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -391,7 +391,7 @@
   }
 }
 
-bool Clients::Drained() const {
+bool Clients::IsDrained() const {
   return clients_.empty();  // those that linger have kRest at most then
 }
 
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -49,7 +49,7 @@
   // Told each operator's purge that is taken here.
   void SetPurged(std::function<void(const core::PurgeReceived&)> purged) { purged_ = std::move(purged); }
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
-  bool Drained() const;
+  bool IsDrained() const;
   void EndRound(Micros now);
   std::uint16_t Port() const { return listener_.Port(); }
 
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -65,17 +65,17 @@
         loop, *config.ops, service_,
         [this] {
           ops::Figures figures;
-          if (attached_.figures) attached_.figures(figures);
+          if (attached_.add_stats) attached_.add_stats(figures);
           return figures;
         },
         views_);
   }
 }
 
-void HttpFront::Carry(net::Micros now, const core::Command& command) {
-  if (const auto* send = std::get_if<core::StartAttempt>(&command)) return upstream_.Carry(now, *send);
-  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return upstream_.Carry(now, *stop);
-  if (const auto* relay = std::get_if<core::ForwardResponse>(&command)) return upstream_.Carry(now, *relay);
+void HttpFront::Execute(net::Micros now, const core::Command& command) {
+  if (const auto* send = std::get_if<core::StartAttempt>(&command)) return upstream_.Execute(now, *send);
+  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return upstream_.Execute(now, *stop);
+  if (const auto* relay = std::get_if<core::ForwardResponse>(&command)) return upstream_.Execute(now, *relay);
   if (const auto* answer = std::get_if<core::CompleteRequest>(&command)) return Answer(*answer);
   if (const auto* line = std::get_if<core::LogMessage>(&command)) {
     log::Info("router.line", {}, "router: {}", line->text);
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -19,7 +19,7 @@
   HttpFront(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
             std::vector<core::Event>& events);
 
-  void Carry(net::Micros now, const core::Command& command) override;
+  void Execute(net::Micros now, const core::Command& command) override;
   void EndRound(net::Micros now) override;
   void Drain(net::Micros accept_until) override {
     if (attached_.on_drain) attached_.on_drain();
@@ -27,17 +27,17 @@
     clients_.Drain(accept_until);
   }
   bool Reload() override;  // the keys: how they are rotated
-  bool Drained() const override { return clients_.Drained(); }
+  bool IsDrained() const override { return clients_.IsDrained(); }
   void SetFeed(const core::RecordFeed* feed) { clients_.SetFeed(feed); }
   std::uint16_t Port() const { return clients_.Port(); }
   std::optional<std::uint16_t> OpsPort() const {
     return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
   }
-  void SetAttachedServices(front::AttachedServices beside) {
-    views_ = beside.views;
-    upstream_.Failing().ReportTo(beside.failing);
-    clients_.SetPurged(beside.purged);
-    attached_ = std::move(beside);
+  void SetAttachedServices(front::AttachedServices attached) {
+    views_ = attached.views;
+    upstream_.Failing().ReportTo(attached.on_failing_servers);
+    clients_.SetPurged(attached.on_purge);
+    attached_ = std::move(attached);
   }
 
  private:
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -61,7 +61,7 @@
       events_(events),
       pool_(loop, Rules(config), *this) {}
 
-void Upstream::Carry(Micros now, const core::StartAttempt& command) {
+void Upstream::Execute(Micros now, const core::StartAttempt& command) {
   const auto address = addresses_.find(command.action.server);
   if (clients_.Find(command.action.id) == nullptr || address == addresses_.end()) {
     events_.push_back(core::AttemptCompleted{
@@ -151,7 +151,7 @@
 
 void Upstream::Break(PooledConnection& pooled, Outcome outcome) {
   if (!pooled.state.busy) return;
-  failing_.Note(net::Now(), pooled.server);
+  failing_.Add(net::Now(), pooled.server);
   Tell(pooled, {.outcome = outcome});
   pooled.state.keep = false;
   Free(pooled);
@@ -166,7 +166,7 @@
   Break(pooled, whole ? Outcome::kReset : Outcome::kConnectFailed);
 }
 
-void Upstream::Carry(Micros, const core::AbortAttempt& command) {
+void Upstream::Execute(Micros, const core::AbortAttempt& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
   PooledConnection& pooled = *found->second.pooled;
@@ -175,7 +175,7 @@
   Free(pooled);
 }
 
-void Upstream::Carry(Micros, const core::ForwardResponse& command) {
+void Upstream::Execute(Micros, const core::ForwardResponse& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
   PooledConnection& pooled = *found->second.pooled;
--- a/src/front/http/upstream.hpp
+++ b/src/front/http/upstream.hpp
@@ -54,9 +54,9 @@
     addresses_.erase(id);  // over a long day many come and go
   }
 
-  void Carry(Micros now, const core::StartAttempt& command);
-  void Carry(Micros now, const core::AbortAttempt& command);
-  void Carry(Micros now, const core::ForwardResponse& command);
+  void Execute(Micros now, const core::StartAttempt& command);
+  void Execute(Micros now, const core::AbortAttempt& command);
+  void Execute(Micros now, const core::ForwardResponse& command);
   void EndRound(Micros now);
   front::UpstreamFailureLog& Failing() { return failing_; }
 
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -49,7 +49,7 @@
   void SendAway(bool away) { away_ = away; }
   // The names of the classes by place, after a retune (setup::Retune); the last place of a name is taken.
   void SetClasses(Names classes) { classes_ = std::move(classes); }
-  bool Drained() const { return clients_.empty(); }
+  bool IsDrained() const { return clients_.empty(); }
   std::uint16_t Port() const { return listener_.Port(); }
   std::size_t Backlog() const;
   std::size_t Open() const {
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -10,16 +10,16 @@
   figures.pending = clients_.Open();
   figures.members = caches_.Members();
   figures.members_unavailable = changes_.Draining();
-  if (attached_.figures) attached_.figures(figures);
+  if (attached_.add_stats) attached_.add_stats(figures);
   return figures;
 }
 
-void PlatformFront::Carry(Micros now, const core::Command& command) {
+void PlatformFront::Execute(Micros now, const core::Command& command) {
   if (const auto* send = std::get_if<core::StartAttempt>(&command)) {
     ++counted_.upstream;
-    return caches_.Carry(now, *send);
+    return caches_.Execute(now, *send);
   }
-  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return caches_.Carry(now, *stop);
+  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return caches_.Execute(now, *stop);
   if (const auto* line = std::get_if<core::LogMessage>(&command))
     return log::Info("router.line", {}, "router: {}", line->text);
   const auto* const answer = std::get_if<core::CompleteRequest>(&command);
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -24,13 +24,13 @@
       door_.emplace(
           loop, *config.ops, service_, [this] { return Figures(); }, views_);
   }
-  void SetAttachedServices(front::AttachedServices beside) {
-    views_ = beside.views;
-    caches_.Failing().ReportTo(beside.failing);
-    attached_ = std::move(beside);
+  void SetAttachedServices(front::AttachedServices attached) {
+    views_ = attached.views;
+    caches_.Failing().ReportTo(attached.on_failing_servers);
+    attached_ = std::move(attached);
   }
 
-  void Carry(Micros now, const core::Command& command) override;
+  void Execute(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
   void Drain(Micros accept_until) override {
     if (attached_.on_drain) attached_.on_drain();
@@ -38,7 +38,7 @@
     clients_.Drain(accept_until);
   }
   bool Reload() override;
-  bool Drained() const override { return clients_.Drained(); }
+  bool IsDrained() const override { return clients_.IsDrained(); }
   std::uint16_t Port() const { return clients_.Port(); }
   std::optional<std::uint16_t> OpsPort() const {
     return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -113,7 +113,7 @@
   for (const ServerId id : gone) Forsake(id);
 }
 
-void UpstreamConnections::Carry(Micros now, const core::StartAttempt& command) {
+void UpstreamConnections::Execute(Micros now, const core::StartAttempt& command) {
   const RequestId id = command.action.id;
   const Asked* const asked = clients_.Find(id);
   const auto address = addresses_.find(command.action.server);
@@ -194,7 +194,7 @@
     due_.push_back({&pooled, std::move(ref), true});
 }
 
-void UpstreamConnections::Carry(Micros now, const core::AbortAttempt& command) {
+void UpstreamConnections::Execute(Micros now, const core::AbortAttempt& command) {
   const auto found = out_.find(command.id);
   if (found == out_.end() || found->second.send.attempt != command.attempt) return;
   PooledConnection& pooled = *found->second.pooled;
@@ -259,7 +259,7 @@
   const Micros now = net::Now();
   // No descriptor was left: that is ours to answer for, and says nothing of the server.
   const bool unmade = pooled.connection.FailedLocally();
-  if (!open.empty() && !unmade) failing_.Note(now, pooled.server);
+  if (!open.empty() && !unmade) failing_.Add(now, pooled.server);
   for (const auto& [ref, exchange] : open) {
     // Not all bytes taken by the socket, or never connected: it cannot have reached the server whole.
     const bool whole = exchange.written > 0 && pooled.connection.BytesSent() >= exchange.written;
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -57,8 +57,8 @@
   void ForsakeAllBut(const std::unordered_set<ServerId>& named);
   std::size_t Members() const { return addresses_.size(); }
 
-  void Carry(Micros now, const core::StartAttempt& command);
-  void Carry(Micros now, const core::AbortAttempt& command);
+  void Execute(Micros now, const core::StartAttempt& command);
+  void Execute(Micros now, const core::AbortAttempt& command);
   // The answer of the attempt that was reported served in this round, or nothing.
   const Served* Answer(RequestId id) const;
 
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -13,8 +13,125 @@
 #include "log/log.hpp"
 
 namespace tinspan::front {
+namespace {
+
 using net::Micros;
 
+constexpr Micros kMaxWait{1'000'000};
+constexpr Micros kMaxWaitWhileStopping{20'000};
+
+// One run of the loop, from the start to the end of a graceful shutdown.
+class Runner {
+ public:
+  Runner(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
+         std::vector<core::Event>& events, ShutdownTimes times, core::Observer* observer)
+      : loop_(loop),
+        signals_(signals),
+        coordinator_(coordinator),
+        front_(front),
+        events_(events),
+        times_(times),
+        observer_(observer) {}
+
+  void Run() {
+    // What was known at the start is handled before any client is heard.
+    RunRound();
+    while (!IsOver()) {
+      const Micros wait = NextWait();
+      loop_.Poll(events_.empty() ? wait : Micros{0});
+      RunRound();
+    }
+  }
+
+ private:
+  Micros NextWait() const;
+  void RunRound();
+  void HandleSignals();
+  void BeginShutdown();
+  bool IsOver();
+  void Notify(core::LifecycleEvent event, int signal = 0) const;
+
+  net::EventLoop& loop_;
+  Signals& signals_;
+  core::RequestCoordinator& coordinator_;
+  Front& front_;
+  std::vector<core::Event>& events_;
+  ShutdownTimes times_;
+  core::Observer* observer_;
+  Micros now_{0};  // of the round at hand
+  std::optional<Micros> stopping_since_;
+  core::Commands commands_;
+  std::vector<core::Event> batch_;
+};
+
+Micros Runner::NextWait() const {
+  Micros wait = stopping_since_ ? kMaxWaitWhileStopping : kMaxWait;
+  const Micros now = net::Now();
+  for (const auto& next : {coordinator_.NextDeadline(), loop_.Timers().Next()}) {
+    if (next) wait = std::min(wait, std::max(*next - now, Micros{0}));
+  }
+  return observer_ == nullptr ? wait : std::min(wait, observer_->MaxWait(now));
+}
+
+void Runner::RunRound() {
+  now_ = net::Now();
+  loop_.Timers().Run(now_);
+  batch_.clear();
+  batch_.swap(events_);
+  commands_.clear();
+  coordinator_.Handle(now_, batch_, commands_);
+  if (observer_ != nullptr) observer_->OnRound(now_, batch_, commands_, coordinator_.OpenRequests());
+  for (const core::Command& command : commands_) front_.Execute(now_, command);
+  front_.EndRound(now_);
+  HandleSignals();
+}
+
+void Runner::HandleSignals() {
+  if (signals_.last_signal != 0) {
+    Notify(core::LifecycleEvent::kSignalReceived, std::exchange(signals_.last_signal, 0));
+  }
+  if (std::exchange(signals_.reload_requested, false)) {
+    const bool reloaded = front_.Reload();
+    Notify(reloaded ? core::LifecycleEvent::kReloaded : core::LifecycleEvent::kReloadRejected);
+  }
+  if (signals_.stop_requested && !stopping_since_) BeginShutdown();
+}
+
+void Runner::BeginShutdown() {
+  stopping_since_ = now_;
+  log::Info("stop.begun", {{"open", coordinator_.OpenRequests()}}, "stopping: {} requests open",
+            coordinator_.OpenRequests());
+  Notify(core::LifecycleEvent::kStopping);
+  coordinator_.SetShutdownDeadline(now_ + times_.kill_expected);
+  front_.Drain(now_ + times_.accept_window);
+}
+
+bool Runner::IsOver() {
+  if (!stopping_since_) return false;
+  const Micros elapsed = now_ - *stopping_since_;
+  const bool is_idle = coordinator_.OpenRequests() == 0 && events_.empty() && front_.IsDrained();
+  if (elapsed >= times_.accept_window && is_idle) {
+    log::Info("stop.done", {{"open", 0}}, "stopped, all that was taken is answered");
+    Notify(core::LifecycleEvent::kStopped);
+    return true;
+  }
+  if (elapsed >= times_.max_duration) {
+    Notify(core::LifecycleEvent::kShutdownTimedOut);
+    log::Warn("stop.cut", {{"open", coordinator_.OpenRequests()}}, "stopped with {} requests open",
+              coordinator_.OpenRequests());
+    return true;
+  }
+  return false;
+}
+
+void Runner::Notify(core::LifecycleEvent event, int signal) const {
+  if (observer_ != nullptr) {
+    observer_->OnLifecycleEvent(now_, event, signal, {}, coordinator_.OpenRequests());
+  }
+}
+
+}  // namespace
+
 Signals::Signals(net::EventLoop& loop) : loop_(loop) {
   sigset_t set;
   sigemptyset(&set);
@@ -26,68 +143,20 @@
   if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
   handle_ = loop_.Add(fd_.Get(), EPOLLIN, *this);
 }
+
 Signals::~Signals() { loop_.Remove(handle_, fd_.Get()); }
 
 void Signals::OnReady(std::uint32_t) {
   signalfd_siginfo info;
   while (::read(fd_.Get(), &info, sizeof info) == sizeof info) {
-    (info.ssi_signo == SIGHUP ? reload : stop) = true;
-    last = static_cast<int>(info.ssi_signo);
+    (info.ssi_signo == SIGHUP ? reload_requested : stop_requested) = true;
+    last_signal = static_cast<int>(info.ssi_signo);
   }
 }
 
 void Run(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
-         std::vector<core::Event>& events, StopTimes times, core::Observer* observer) {
-  const auto tell = [&](Micros now, core::LifecycleEvent what, int signal = 0) {
-    if (observer != nullptr) observer->OnLifecycleEvent(now, what, signal, {}, coordinator.OpenRequests());
-  };
-  std::optional<Micros> stopping;
-  core::Commands commands;
-  std::vector<core::Event> batch;
-  bool first = true;  // what was known at the start is handled before any client is heard
-  while (true) {
-    Micros wait{stopping ? 20'000 : 1'000'000};
-    const Micros before = net::Now();
-    for (const auto& next : {coordinator.NextDeadline(), loop.Timers().Next()}) {
-      if (next) wait = std::min(wait, std::max(*next - before, Micros{0}));
-    }
-    if (observer != nullptr) wait = std::min(wait, observer->MaxWait(before));
-    if (!std::exchange(first, false)) loop.Poll(events.empty() ? wait : Micros{0});
-    const Micros now = net::Now();
-    loop.Timers().Run(now);
-    batch.clear();
-    batch.swap(events);
-    commands.clear();
-    coordinator.Handle(now, batch, commands);
-    if (observer != nullptr) observer->OnRound(now, batch, commands, coordinator.OpenRequests());
-    for (const core::Command& command : commands) front.Carry(now, command);
-    front.EndRound(now);
-
-    if (signals.last != 0) tell(now, core::LifecycleEvent::kSignalReceived, std::exchange(signals.last, 0));
-    if (std::exchange(signals.reload, false)) {
-      tell(now, front.Reload() ? core::LifecycleEvent::kReloaded : core::LifecycleEvent::kReloadRejected);
-    }
-    if (signals.stop && !stopping) {
-      stopping = now;
-      log::Info("stop.begun", {{"open", coordinator.OpenRequests()}}, "stopping: {} requests open",
-                coordinator.OpenRequests());
-      tell(now, core::LifecycleEvent::kStopping);
-      coordinator.SetShutdownDeadline(now + times.killed);
-      front.Drain(now + times.accept);
-    }
-    if (stopping && now - *stopping >= times.accept && coordinator.OpenRequests() == 0 && events.empty() &&
-        front.Drained()) {
-      log::Info("stop.done", {{"open", 0}}, "stopped, all that was taken is answered");
-      tell(now, core::LifecycleEvent::kStopped);
-      return;
-    }
-    if (stopping && now - *stopping >= times.most) {
-      tell(now, core::LifecycleEvent::kShutdownTimedOut);
-      log::Warn("stop.cut", {{"open", coordinator.OpenRequests()}}, "stopped with {} requests open",
-                coordinator.OpenRequests());
-      return;
-    }
-  }
+         std::vector<core::Event>& events, ShutdownTimes times, core::Observer* observer) {
+  Runner(loop, signals, coordinator, front, events, times, observer).Run();
 }
 
 }  // namespace tinspan::front
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -1,5 +1,4 @@
-// The program's loop, the same for either front: gather what is ready, hand it to the core in one go, carry
-// out what came back.
+// The program's event loop, the same for either front.
 #pragma once
 
 #include <cstddef>
@@ -14,18 +13,21 @@
 
 namespace tinspan::front {
 
-// SIGTERM, SIGINT and SIGHUP as events of the loop. Made before the program says that it serves: a signal
-// sent on that word must not meet the default action, which ends the process. Throws std::system_error.
+/// SIGTERM, SIGINT and SIGHUP as events of the loop. Made before the program says that it serves: a signal
+/// sent on that word must not meet the default action, which ends the process.
 class Signals final : public net::EventLoop::Sink {
  public:
+  /// Throws std::system_error.
   explicit Signals(net::EventLoop& loop);
-  ~Signals();
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
+  ~Signals();
+
   void OnReady(std::uint32_t events) override;
-  bool stop = false;
-  bool reload = false;
-  int last = 0;  // the number of the signal that came last
+
+  bool stop_requested = false;
+  bool reload_requested = false;
+  int last_signal = 0;  // the number of the signal that came last; 0: none since it was read
 
  private:
   net::EventLoop& loop_;
@@ -33,37 +35,45 @@
   net::EventLoop::Handle handle_ = 0;
 };
 
+/// The wire round a RequestCoordinator: it reports what comes in as events and carries commands out.
 class Front {
  public:
+  Front() = default;
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
   virtual ~Front() = default;
-  virtual void Carry(net::Micros now, const core::Command& command) = 0;
-  // Once a round, after all commands: slices handed out in it end here.
+  virtual void Execute(net::Micros now, const core::Command& command) = 0;
+  /// Called once a round, after all commands: slices of buffers handed out in the round end here.
   virtual void EndRound(net::Micros now) = 0;
-  // The stop has begun: go on accepting until `accept_until`, then close what is idle.
+  /// Begins a graceful shutdown: goes on accepting until `accept_until`, then closes what is idle.
   virtual void Drain(net::Micros accept_until) = 0;
-  virtual bool Reload() { return true; }  // SIGHUP; false: what holds stays as it was, and the log says why
-  virtual bool Drained() const = 0;       // nothing taken is left unanswered or unwritten
+  /// SIGHUP. False: what holds stays as it was, and the log says why.
+  virtual bool Reload() { return true; }
+  /// Whether nothing that was accepted is left unanswered or unwritten.
+  virtual bool IsDrained() const = 0;
 };
 
-// Parts that run beside a front (the fleet view, leases): what the operators' door shows of them, their
-// figures in `stats`, and what they are told by the front. Each may be empty.
+/// Services that run beside a front (fleet membership, leases): what the admin listener shows of them, their
+/// statistics, and what the front tells them. Each may be empty.
 struct AttachedServices {
   ops::Views views;
-  std::function<void(ops::Figures&)> figures;
-  std::function<void()> on_drain;                           // SIGTERM came
-  std::function<void(std::vector<std::uint64_t>)> failing;  // servers seen fail lately, once a second
-  std::function<void(const core::PurgeReceived&)> purged;   // an operator's purge was taken here
+  std::function<void(ops::Figures&)> add_stats;
+  std::function<void()> on_drain;                                      // a graceful shutdown began
+  std::function<void(std::vector<std::uint64_t>)> on_failing_servers;  // seen lately, once a second
+  std::function<void(const core::PurgeReceived&)> on_purge;            // an operator's, taken here
 };
 
-struct StopTimes {
-  net::Micros accept{700'000};    // how long clients may still come after SIGTERM
-  net::Micros most{6'600'000};    // after which the program ends whatever is left
-  net::Micros killed{3'700'000};  // after which SIGKILL may come
+/// Bounds of a graceful shutdown, from SIGTERM on.
+struct ShutdownTimes {
+  net::Micros accept_window{700'000};    // how long new connections are still accepted
+  net::Micros max_duration{6'600'000};   // after which the program ends whatever is left
+  net::Micros kill_expected{3'700'000};  // after which SIGKILL may come
 };
 
-// Runs until SIGTERM or SIGINT and what was taken is finished. `events` is where the front's parts put what
-// they gather; `observer` may be none.
+/// Runs rounds of the loop (gather what is ready, hand it to the coordinator in one go, carry out what comes
+/// back) until a graceful shutdown is done. `events` is where the front's parts put what they gather.
+/// `observer` may be null.
 void Run(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
-         std::vector<core::Event>& events, StopTimes times, core::Observer* observer);
+         std::vector<core::Event>& events, ShutdownTimes times, core::Observer* observer);
 
 }  // namespace tinspan::front
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -55,7 +55,7 @@
   bool FailedLocally() const { return failed_locally_; }
 
   /// What came in and was not consumed. The slice stays valid until the next Consume() or event round.
-  std::string_view Unread() const { return std::string_view(buffer_).substr(start_, filled_ - start_); }
+  std::string_view Unread() const { return std::string_view{buffer_}.substr(start_, filled_ - start_); }
   /// Drops `bytes` at the front of Unread().
   void Consume(std::size_t bytes);
   /// The message at the front of Unread() takes `bytes` in all: the read limit is raised to hold it.
