Move the lease state machine, the purge fan-out and their tests to files of their units

lease.* held the node with its voter and candidate parts, fanout.* the distribution of purges; the tests get a folder so that they can be split by unit. Moves and includes only.

--- a/src/lease/agent.hpp
+++ b/src/lease/agent.hpp
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "lease/codec.hpp"
-#include "lease/fanout.hpp"
+#include "lease/purge_distributor.hpp"
 #include "lease/kv_store.hpp"
-#include "lease/lease.hpp"
+#include "lease/lease_node.hpp"
 #include "lease/publisher.hpp"
 #include "members/node.hpp"
 
--- a/src/lease/codec.hpp
+++ b/src/lease/codec.hpp
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <variant>
 
-#include "lease/fanout.hpp"
-#include "lease/lease.hpp"
+#include "lease/purge_distributor.hpp"
+#include "lease/lease_node.hpp"
 
 namespace tinspan::lease {
 
--- a/src/lease/history.hpp
+++ b/src/lease/history.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "lease/lease.hpp"
+#include "lease/lease_node.hpp"
 
 namespace tinspan::lease {
 
--- a/src/lease/lease.cpp
+++ b/src/lease/lease_node.cpp
@@ -1,4 +1,4 @@
-#include "lease/lease.hpp"
+#include "lease/lease_node.hpp"
 
 #include <xxhash.h>
 
--- a/src/lease/publisher.hpp
+++ b/src/lease/publisher.hpp
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-#include "lease/lease.hpp"
+#include "lease/lease_node.hpp"
 
 namespace tinspan::lease {
 
--- a/src/lease/fanout.cpp
+++ b/src/lease/purge_distributor.cpp
@@ -1,4 +1,4 @@
-#include "lease/fanout.hpp"
+#include "lease/purge_distributor.hpp"
 
 #include <algorithm>
 
--- a/src/lease/fanout.hpp
+++ b/src/lease/purge_distributor.hpp
@@ -19,7 +19,7 @@
 #include <vector>
 
 #include "lease/history.hpp"
-#include "lease/lease.hpp"
+#include "lease/lease_node.hpp"
 
 namespace tinspan::lease {
 
--- a/tests/lease_test.cpp
+++ b/tests/lease/lease_node_test.cpp
@@ -1,6 +1,6 @@
 // The leases' state machine under simulated time: each hard case of issue 22 played, and random schedules of
 // faults, loss, reordering and clocks that run apart, after which the history must hold.
-#include "lease/lease.hpp"
+#include "lease/lease_node.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
