--- a/bench/lease_scale.cpp
+++ b/bench/lease_scale.cpp
@@ -1,14 +1,18 @@
-// Leases at size, in simulated time: the very Peer and View that the program runs. Five voters, three
-// candidates named by each member's own view of the fleet. Prints one row a size for docs/design/leases.md.
+// Leases by the size of the fleet, in simulated time, with the LeaseNode and View that the program runs: five
+// voters, and three candidates that each member selects from its own view of the fleet. Prints one row a size
+// for docs/design/leases.md.
 //
 //   lease_scale [SIZE ...] [--seed N] [--kills N]     default: 300 2000, 5 kills
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
+#include <optional>
+#include <string>
 #include <vector>
 
+#include "lease/candidate_selection.hpp"
 #include "lease/sim.hpp"
 #include "members/sim.hpp"
 
@@ -19,135 +23,194 @@
 namespace lease = tinspan::lease;
 namespace members = tinspan::members;
 
-constexpr std::size_t kCandidates = 3;
+constexpr std::size_t kCandidateCount = 3;
+constexpr std::size_t kVoterCount = 5;
+constexpr int kMinSize = 5;
+constexpr Micros kPublishInterval = 5s;
+constexpr Micros kStep = 100ms;
+constexpr Micros kSettleTime = 60s;
+constexpr Micros kMeasuredTime = 60s;
+constexpr Micros kTimeBetweenKills = 30s;
+constexpr Micros kMaxTakeoverTime = 120s;
+// A change of the endpoint list each so often, as during a release; a watcher polls two lists at each.
+constexpr Micros kListChangeInterval = 10s;
+constexpr std::uint64_t kPollsPerChange = 2;
 
 double Seconds(Micros span) { return static_cast<double>(span.count()) / 1e6; }
 
-// Both simulations side by side, in steps; a member's view says whether it tries for the duty.
-class Both {
+// The simulations of the fleet view and of the leases, run side by side in steps; a member's view decides
+// whether it is a candidate.
+class Simulation {
  public:
-  Both(int count, std::uint64_t seed)
-      : view_(members::Options{}, seed), lease_(lease::Options{}, 5, 5s, seed + 1), stale_(count, true) {
-    for (int i = 0; i < count; ++i) {
-      view_.Add("", {0, 1, 2}, true);
-      lease_.Add();
+  Simulation(int member_count, std::uint64_t seed)
+      : views_(members::Options{}, seed),
+        leases_(lease::LeaseOptions{}, kVoterCount, kPublishInterval, seed + 1),
+        has_view_changed_(member_count, true) {
+    for (int i = 0; i < member_count; ++i) {
+      views_.Add("", {0, 1, 2}, true);
+      leases_.Add();
     }
-    view_.on_change = [this](int observer, const members::Change&, Micros) { stale_[observer] = true; };
+    views_.on_change = [this](int observer, const members::Change&, Micros) {
+      has_view_changed_[observer] = true;
+    };
   }
+
   void RunFor(Micros span) {
-    for (Micros done{0}; done < span; done += 100ms) {
-      view_.RunFor(100ms);
-      for (std::size_t i = 0; i < stale_.size(); ++i) {
-        const int member = static_cast<int>(i);
-        if (!stale_[i] || !lease_.Running(member)) continue;
-        stale_[i] = false;
-        std::vector<std::string> alive;
-        for (const auto& [name, seen] : view_.ViewOf(member).Members()) {
-          if (seen.state == members::State::kAlive) alive.push_back(name);
-        }
-        const auto chosen = lease::Candidates(lease::sim::Fleet::kDuty, alive, kCandidates);
-        lease_.Want(member, std::find(chosen.begin(), chosen.end(), lease_.NameOf(member)) != chosen.end());
-      }
-      lease_.RunFor(100ms);
-      Watch();
+    for (Micros done{0}; done < span; done += kStep) {
+      views_.RunFor(kStep);
+      UpdateCandidacies();
+      leases_.RunFor(kStep);
+      CountPolls();
     }
   }
+
   void Kill(int member) {
-    view_.Kill(member);
-    lease_.Kill(member);
-  }
-  const lease::sim::Fleet& Lease() const { return lease_; }
-  int Running() const {
-    int running = 0;
-    for (std::size_t i = 0; i < stale_.size(); ++i) running += lease_.Running(static_cast<int>(i));
-    return running;
+    views_.Kill(member);
+    leases_.Kill(member);
   }
 
-  // Calls for lists: each watcher waits 30 s for a change and asks health and catalogue at each (a change
-  // each 10 s, as in a release); a new watcher asks both.
-  std::uint64_t calls_one = 0, calls_all = 0;
-  Micros unwatched{0};
+  const lease::sim::Fleet& Leases() const { return leases_; }
+
+  // Polls for endpoint lists: if the holder alone watches for changes, and if every member does. A new
+  // watcher polls all lists.
+  std::uint64_t polls_of_holder = 0;
+  std::uint64_t polls_of_all = 0;
+  // For how long no member held the lease.
+  Micros time_without_holder{0};
 
  private:
-  void Watch() {
-    const int holder = lease_.Holder();
-    const std::int64_t tick = lease_.Now() / 100ms;
-    if (holder < 0) {
-      unwatched += 100ms;
+  void UpdateCandidacies() {
+    for (std::size_t i = 0; i < has_view_changed_.size(); ++i) {
+      const int member = static_cast<int>(i);
+      if (!has_view_changed_[i] || !leases_.IsRunning(member)) continue;
+      has_view_changed_[i] = false;
+      const auto selected =
+          lease::SelectCandidates(lease::sim::Fleet::kLease, AliveInViewOf(member), kCandidateCount);
+      const std::string name = leases_.NameOf(member);
+      leases_.SetCandidacy(member, std::find(selected.begin(), selected.end(), name) != selected.end());
+    }
+  }
+
+  std::vector<std::string> AliveInViewOf(int member) const {
+    std::vector<std::string> alive;
+    for (const auto& [name, seen] : views_.ViewOf(member).Members()) {
+      if (seen.state == members::State::kAlive) alive.push_back(name);
+    }
+    return alive;
+  }
+
+  std::uint64_t RunningCount() const {
+    std::uint64_t running = 0;
+    for (std::size_t i = 0; i < has_view_changed_.size(); ++i) {
+      if (leases_.IsRunning(static_cast<int>(i))) ++running;
+    }
+    return running;
+  }
+
+  void CountPolls() {
+    const auto holder = leases_.Holder();
+    if (!holder) {
+      time_without_holder += kStep;
     } else if (holder != watcher_) {
-      calls_one += 2;
+      polls_of_holder += kPollsPerChange;
       watcher_ = holder;
     }
-    if (tick % 100 == 0) {
-      calls_one += holder < 0 ? 0 : 2;
-      calls_all += 2 * static_cast<std::uint64_t>(Running());
-    }
+    const std::int64_t step = leases_.Now() / kStep;
+    if (step % (kListChangeInterval / kStep) != 0) return;
+    polls_of_holder += holder ? kPollsPerChange : 0;
+    polls_of_all += kPollsPerChange * RunningCount();
   }
-  members::sim::Fleet view_;
-  lease::sim::Fleet lease_;
-  std::vector<bool> stale_;
-  int watcher_ = -1;
+
+  members::sim::Fleet views_;
+  lease::sim::Fleet leases_;
+  std::vector<bool> has_view_changed_;
+  std::optional<int> watcher_;
 };
 
-void Measure(int count, std::uint64_t seed, int kills) {
-  Both both(count, seed);
-  both.RunFor(60s);
-  if (both.Lease().Holder() < 0) {
-    std::printf("| %d | nobody holds after 60 s |\n", count);
-    return;
-  }
-  both.calls_one = both.calls_all = 0;
-  both.unwatched = Micros{0};
-  const std::uint64_t before = both.Lease().Messages();
-  const Micros began = both.Lease().Now();
-  both.RunFor(60s);
-  const double messages = static_cast<double>(both.Lease().Messages() - before) / 60;
-  std::vector<double> taken;
+// Kills the holder so many times. Returns how many seconds each lease took to be held again, in ascending
+// order.
+std::vector<double> MeasureTakeovers(Simulation& simulation, int kills) {
+  const lease::sim::Fleet& leases = simulation.Leases();
+  std::vector<double> takeovers;
   for (int i = 0; i < kills; ++i) {
-    const int holder = both.Lease().Holder();
-    if (holder < 0) break;
-    const Micros killed = both.Lease().Now();
-    both.Kill(holder);
-    while (both.Lease().Holder() < 0 && both.Lease().Now() - killed < 120s) both.RunFor(100ms);
-    taken.push_back(Seconds(both.Lease().Now() - killed));
-    both.RunFor(30s);
+    const auto holder = leases.Holder();
+    if (!holder) break;
+    const Micros killed_at = leases.Now();
+    simulation.Kill(*holder);
+    while (!leases.Holder() && leases.Now() - killed_at < kMaxTakeoverTime) simulation.RunFor(kStep);
+    takeovers.push_back(Seconds(leases.Now() - killed_at));
+    simulation.RunFor(kTimeBetweenKills);
   }
-  std::sort(taken.begin(), taken.end());
-  const double minutes = Seconds(both.Lease().Now() - began) / 60;
-  const auto broken = both.Lease().Seen().Broken();
-  std::printf("| %d | %.1f | %.4f | %.1f, %.1f, %.1f | %.0f | %.1f | %.1f | %s |\n", count, messages,
-              messages / count, taken.front(), taken[taken.size() / 2], taken.back(),
-              static_cast<double>(both.calls_all) / minutes, static_cast<double>(both.calls_one) / minutes,
-              100 * Seconds(both.unwatched) / (60 * minutes), broken ? broken->c_str() : "kept");
-  std::fflush(stdout);
+  std::sort(takeovers.begin(), takeovers.end());
+  return takeovers;
 }
 
-}  // namespace
+void Measure(int member_count, std::uint64_t seed, int kills) {
+  Simulation simulation(member_count, seed);
+  const lease::sim::Fleet& leases = simulation.Leases();
+  simulation.RunFor(kSettleTime);
+  if (!leases.Holder()) {
+    std::printf("| %d | nobody holds after 60 s |\n", member_count);
+    return;
+  }
+  simulation.polls_of_holder = 0;
+  simulation.polls_of_all = 0;
+  simulation.time_without_holder = Micros{0};
+  const std::uint64_t messages_before = leases.MessageCount();
+  const Micros began_at = leases.Now();
+  simulation.RunFor(kMeasuredTime);
+  const double message_rate =
+      static_cast<double>(leases.MessageCount() - messages_before) / Seconds(kMeasuredTime);
+  const std::vector<double> takeovers = MeasureTakeovers(simulation, kills);
+  const double minutes = Seconds(leases.Now() - began_at) / 60;
+  const auto violation = leases.RecordedHistory().FindViolation();
+  std::printf("| %d | %.1f | %.4f | %.1f, %.1f, %.1f | %.0f | %.1f | %.1f | %s |\n", member_count,
+              message_rate, message_rate / member_count, takeovers.front(), takeovers[takeovers.size() / 2],
+              takeovers.back(), static_cast<double>(simulation.polls_of_all) / minutes,
+              static_cast<double>(simulation.polls_of_holder) / minutes,
+              100 * Seconds(simulation.time_without_holder) / (60 * minutes),
+              violation ? violation->c_str() : "kept");
+  std::fflush(stdout);
+}
 
-int main(int argc, char** argv) {
+struct Arguments {
   std::vector<int> sizes;
   std::uint64_t seed = 1;
   int kills = 5;
-  for (int i = 1; i < argc; ++i) {
-    if (std::strcmp(argv[i], "--seed") == 0 && i + 1 < argc) {
-      seed = std::strtoull(argv[++i], nullptr, 10);
-    } else if (std::strcmp(argv[i], "--kills") == 0 && i + 1 < argc) {
-      kills = std::max(std::atoi(argv[++i]), 1);
+};
+
+// Nothing where the command line is not valid; the reason is printed.
+std::optional<Arguments> ParseArguments(const std::vector<std::string>& words) {
+  Arguments arguments;
+  for (std::size_t i = 0; i < words.size(); ++i) {
+    const bool has_value = i + 1 < words.size();
+    if (words[i] == "--seed" && has_value) {
+      arguments.seed = std::strtoull(words[++i].c_str(), nullptr, 10);
+    } else if (words[i] == "--kills" && has_value) {
+      arguments.kills = std::max(std::atoi(words[++i].c_str()), 1);
     } else {
-      const int size = std::atoi(argv[i]);
-      if (size < 5) {
-        std::fprintf(stderr, "lease_scale: '%s' is no size of 5 or more\n", argv[i]);
-        return 2;
+      const int size = std::atoi(words[i].c_str());
+      if (size < kMinSize) {
+        std::fprintf(stderr, "lease_scale: '%s' is no size of %d or more\n", words[i].c_str(), kMinSize);
+        return std::nullopt;
       }
-      sizes.push_back(size);
+      arguments.sizes.push_back(size);
     }
   }
-  if (sizes.empty()) sizes = {300, 2'000};
+  if (arguments.sizes.empty()) arguments.sizes = {300, 2'000};
+  return arguments;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto arguments = ParseArguments(std::vector<std::string>(argv + 1, argv + argc));
+  if (!arguments) return 2;
   std::printf(
       "| members | messages/s, whole fleet | a member | taken up after a kill, s (least, median, most) | "
       "calls for "
       "lists a minute, all watching | one watching | %% of time unwatched | history |\n"
       "|---|---|---|---|---|---|---|---|\n");
-  for (const int size : sizes) Measure(size, seed, kills);
+  for (const int size : arguments->sizes) Measure(size, arguments->seed, arguments->kills);
   return 0;
 }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -77,6 +77,9 @@
   return std::make_unique<members::Node>(loop, std::move(options));
 }
 
+// A candidate abandons a ballot after this part of a lease.
+constexpr int kBallotsPerLease = 8;
+
 // The leases where the file asks for them; as the fleet view, off on the platform's days.
 std::unique_ptr<lease::Agent> MakeLeases(net::EventLoop& loop, const config::Common& config,
                                          members::Node* node) {
@@ -84,43 +87,45 @@
   const config::Leases& told = *config.leases;
   lease::AgentOptions options;
   options.lease.voters = told.voters;
-  options.lease.length = told.length;
-  options.lease.drift = told.drift;
-  options.lease.attempt = told.length / 8;
-  options.lease.start_alone = told.start_alone;
-  options.candidates = told.candidates;
-  if (told.publish) options.publish.emplace(told.publish->store, told.publish->key, told.publish->every);
-  options.purge = told.purge;
+  options.lease.lease_duration = told.length;
+  options.lease.max_clock_drift = told.drift;
+  options.lease.ballot_timeout = told.length / kBallotsPerLease;
+  options.lease.can_start_alone = told.start_alone;
+  options.candidate_count = told.candidates;
+  if (told.publish) {
+    options.health_publication.emplace(told.publish->store, told.publish->key, told.publish->every);
+  }
+  options.distributes_purges = told.purge;
   options.seed = config.seed ^ 0x6c6561736573ull ^ XXH3_64bits(config.name.data(), config.name.size());
   return std::make_unique<lease::Agent>(loop, *node, std::move(options));
 }
 
 void AddFigures(const lease::Agent& agent, ops::Figures& figures) {
-  const lease::Figures& counted = agent.Seen().Counted();
+  const lease::LeaseStats& stats = agent.Leases().Stats();
   const auto add = [&](const char* name, std::uint64_t value) {
     figures.more.push_back({name, "counter", value});
   };
-  add("lease_messages_out_total", counted.sent);
-  add("lease_messages_in_total", counted.received);
-  add("lease_messages_refused_total", agent.Refused());
-  add("lease_ballots_total", counted.ballots);
-  add("lease_granted_total", counted.granted);
-  add("lease_renewed_total", counted.renewed);
-  add("lease_lapsed_total", counted.lapsed);
-  if (agent.Published()) {
-    add("lease_published_total", agent.Published()->Published());
-    add("lease_fenced_total", agent.Published()->Fenced());
-    add("lease_store_failures_total", agent.Published()->Failures());
+  add("lease_messages_out_total", stats.messages_sent);
+  add("lease_messages_in_total", stats.messages_received);
+  add("lease_messages_refused_total", agent.RejectedMessages());
+  add("lease_ballots_total", stats.ballots);
+  add("lease_granted_total", stats.grants);
+  add("lease_renewed_total", stats.renewals);
+  add("lease_lapsed_total", stats.expirations);
+  if (const auto& publisher = agent.HealthPublisher()) {
+    add("lease_published_total", publisher->PublishedCount());
+    add("lease_fenced_total", publisher->FencedCount());
+    add("lease_store_failures_total", publisher->FailureCount());
   }
-  add("purges_passed_on_total", agent.Spread().Applied());
-  add("purges_refused_total", agent.Spread().Refused());
+  add("purges_passed_on_total", agent.Purges().AppliedCount());
+  add("purges_refused_total", agent.Purges().RejectedCount());
 }
 
 front::Beside BesideOf(members::Node* node, lease::Agent* agent) {
   front::Beside beside;
   if (node == nullptr) return beside;
   beside.views.members = [node] { return node->Lines(); };
-  if (agent != nullptr) beside.views.leases = [agent] { return agent->Lines(); };
+  if (agent != nullptr) beside.views.leases = [agent] { return agent->StatusLines(); };
   beside.figures = [node, agent](ops::Figures& figures) {
     const members::View& view = node->Seen();
     const members::Figures& counted = view.Counted();
@@ -151,13 +156,13 @@
     if (agent != nullptr) agent->Leave();  // first: voters are told while the view still speaks
     node->Leave();
   };
-  if (agent != nullptr && agent->Spreads()) {
+  if (agent != nullptr && agent->DistributesPurges()) {
     beside.purged = [agent](const core::PurgeTold& told) {
-      lease::Job job;
-      job.group = static_cast<std::uint64_t>(told.group);
-      if (told.object) job.object = static_cast<std::uint64_t>(*told.object);
-      if (!agent->Purged(std::move(job))) {
-        log::Warn("purge.not_passed_on", {}, "a purge is not passed on: too many are under way");
+      lease::Purge purge;
+      purge.group = static_cast<std::uint64_t>(told.group);
+      if (told.object) purge.object = static_cast<std::uint64_t>(*told.object);
+      if (agent->SubmitPurge(std::move(purge)) == lease::SubmitResult::kTooManyOpen) {
+        log::Warn("purge.not_passed_on", {}, "a purge is not distributed: too many are open");
       }
     };
   }
@@ -175,11 +180,11 @@
   const std::unique_ptr<members::Node> fleet = MakeMembers(loop, config);  // outlives the front that asks it
   const std::unique_ptr<lease::Agent> leases = MakeLeases(loop, config, fleet.get());
   if (leases) {
-    leases->SetApply([&events](const lease::Job& job) {
+    leases->SetPurgeHandler([&events](const lease::Purge& purge) {
       core::PurgeTold told;
-      told.at = net::Now() - job.age;
-      told.group = GroupId{job.group};
-      if (job.object) told.object = ObjectId{*job.object};
+      told.at = net::Now() - purge.age;
+      told.group = GroupId{purge.group};
+      if (purge.object) told.object = ObjectId{*purge.object};
       events.push_back(told);
     });
   }
--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -3,22 +3,45 @@
 #include <time.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
-#include <set>
 
+#include "lease/candidate_selection.hpp"
+#include "lease/health_record.hpp"
 #include "log/log.hpp"
 
 namespace tinspan::lease {
 namespace {
 
-Options WithDuties(const AgentOptions& told) {
-  Options options = told.lease;
-  options.duties.clear();
-  if (told.publish) options.duties.push_back(kHealth);
-  if (told.purge) options.duties.push_back(kPurge);
+// Of messages that cannot be decoded the log names the first and then each of this many.
+constexpr std::uint64_t kRejectedPerLogLine = 1'000;
+// Added to each timer, so that it does not fire just before what it waits for is due.
+constexpr Micros kTimerMargin{500};
+
+LeaseOptions WithLeaseNames(const AgentOptions& agent_options) {
+  LeaseOptions options = agent_options.lease;
+  options.lease_names.clear();
+  if (agent_options.health_publication) options.lease_names.emplace_back(kHealthLease);
+  if (agent_options.distributes_purges) options.lease_names.emplace_back(kPurgeLease);
   return options;
 }
 
+void LogChange(const LeaseChange& change) {
+  const std::uint64_t token = ToNumber(change.token);
+  switch (change.kind) {
+    case LeaseChange::Kind::kGranted:
+      log::Info("lease.granted", {{"duty", change.lease}, {"token", token}},
+                "leases: {} granted to this member, token {}", change.lease, token);
+      break;
+    case LeaseChange::Kind::kExpired:
+      log::Warn("lease.lapsed", {{"duty", change.lease}, {"token", token}}, "leases: {} expired, token {}",
+                change.lease, token);
+      break;
+    case LeaseChange::Kind::kReleased:
+      log::Info("lease.released", {{"duty", change.lease}, {"token", token}}, "leases: {} released, token {}",
+                change.lease, token);
+      break;
+  }
+}
+
 }  // namespace
 
 Micros Agent::Now() {
@@ -31,235 +54,247 @@
   return static_cast<std::uint64_t>(std::max<std::int64_t>(net::Now().count() / 1000, 1));
 }
 
-Agent::Agent(net::EventLoop& loop, members::Node& node, AgentOptions options)
+Agent::Agent(net::EventLoop& loop, members::Node& members, AgentOptions options)
     : loop_(loop),
-      node_(node),
+      members_(members),
       options_(std::move(options)),
-      peer_(WithDuties(options_), node_.Seen().Self().name, options_.seed, Now()),
-      fanout_(node_.Seen().Self().name, WallMs(), options_.purge_keep) {
-  if (options_.publish) {
-    publisher_.emplace(options_.publish->every);
-    store_.emplace(loop, options_.publish->store, options_.publish->key, kStoreLimit,
-                   [this](const KvStore::Answer& answer) { OnStore(answer); });
+      lease_node_(WithLeaseNames(options_), members_.Seen().Self().name, options_.seed, Now()),
+      purge_distributor_(members_.Seen().Self().name, WallMs(), options_.purge_retention) {
+  if (const auto& publication = options_.health_publication) {
+    publisher_.emplace(publication->interval);
+    store_.emplace(loop, publication->store, publication->key, kStoreTimeout,
+                   [this](const StoreResult& result) { OnStoreResult(result); });
   }
-  node_.SetCarried([this](const std::string& from, const std::string& bytes) { OnCarried(from, bytes); });
-  log::Info("lease.started", {{"voter", peer_.IsVoter()}, {"voters", options_.lease.voters.size()}},
-            "leases: {} of {} voters", peer_.IsVoter() ? "one" : "none", options_.lease.voters.size());
-  Round();
+  members_.SetCarried(
+      [this](const std::string& sender, const std::string& bytes) { OnMessage(sender, bytes); });
+  const bool is_voter = lease_node_.IsVoter();
+  log::Info("lease.started", {{"voter", is_voter}, {"voters", options_.lease.voters.size()}},
+            "leases: {} of {} voters", is_voter ? "one" : "none", options_.lease.voters.size());
+  OnTimer();
 }
 
 Agent::~Agent() {
-  node_.SetCarried({});
+  members_.SetCarried({});
   if (timer_) loop_.Timers().Cancel(*timer_);
 }
 
-void Agent::OnCarried(const std::string& from, const std::string& bytes) {
-  std::string why;
-  const auto message = Decode(bytes, from, why);
+void Agent::OnMessage(const std::string& sender, const std::string& bytes) {
+  const auto message = Decode(bytes, sender);
   if (!message) {
-    if (++refused_ == 1 || refused_ % 1000 == 0) {
-      log::Warn("lease.message_refused", {{"reason", why}, {"count", refused_}},
-                "leases: a message refused ({}), {} so far", why, refused_);
-    }
+    OnUndecodable(message.error());
     return;
   }
   const Micros now = Now();
-  if (const auto* fan = std::get_if<FanMessage>(&*message)) {
-    if (options_.purge) fanout_.Receive(now, *fan, peer_.Holds(kPurge, now));
+  if (const auto* const purge_message = std::get_if<PurgeMessage>(&*message)) {
+    if (options_.distributes_purges) {
+      purge_distributor_.Receive(now, *purge_message, lease_node_.HeldToken(kPurgeLease, now));
+    }
   } else {
-    peer_.Receive(now, std::get<Message>(*message));
+    lease_node_.Receive(now, std::get<Message>(*message));
   }
   Flush();
 }
 
-bool Agent::Purged(Job job) {
-  if (!fanout_.Begin(Now(), std::move(job))) return false;
-  Flush();
-  return true;
+void Agent::OnUndecodable(const DecodeError& error) {
+  ++rejected_messages_;
+  if (rejected_messages_ != 1 && rejected_messages_ % kRejectedPerLogLine != 0) return;
+  log::Warn("lease.message_refused", {{"reason", error.detail}, {"count", rejected_messages_}},
+            "leases: a message rejected ({}), {} so far", error.detail, rejected_messages_);
+}
+
+SubmitResult Agent::SubmitPurge(Purge purge) {
+  const SubmitResult result = purge_distributor_.Submit(Now(), std::move(purge));
+  if (result == SubmitResult::kAccepted) Flush();
+  return result;
 }
 
-// Who lives and what they claim, as the view has it: who tries for a duty, and who holds it, comes of that.
-void Agent::Look(Micros now) {
-  next_look_ = now + kLook;
-  alive_.clear();
-  std::vector<Claimed> claims;
-  for (const auto& [name, member] : node_.Seen().Members()) {
+// Who is alive, and who claims a lease, as the fleet view has it: candidates and known holders follow from
+// that.
+void Agent::RefreshFromView(Micros now) {
+  next_view_at_ = now + kViewInterval;
+  alive_members_.clear();
+  std::vector<LeaseClaim> claims;
+  for (const auto& [name, member] : members_.Seen().Members()) {
     if (member.state == members::State::kDead || member.state == members::State::kLeft) continue;
-    if (member.state == members::State::kAlive) alive_.push_back(name);
+    if (member.state == members::State::kAlive) alive_members_.push_back(name);
     for (const members::Claim& claim : member.duties)
       claims.push_back({claim.duty, name, Token{claim.token}});
   }
-  peer_.Claims(claims);
-  const std::string& self = node_.Seen().Self().name;
-  for (const std::string& duty : peer_.Told().duties) {
-    const std::vector<std::string> chosen = Candidates(duty, alive_, options_.candidates);
-    peer_.Want(duty, !leaving_ && std::find(chosen.begin(), chosen.end(), self) != chosen.end(), now);
+  lease_node_.ObserveClaims(claims);
+  const std::string& self = members_.Seen().Self().name;
+  for (const std::string& lease : lease_node_.Options().lease_names) {
+    const auto selected = SelectCandidates(lease, alive_members_, options_.candidate_count);
+    const bool is_selected = std::find(selected.begin(), selected.end(), self) != selected.end();
+    lease_node_.SetCandidacy(lease, is_selected && !is_leaving_, now);
   }
 }
 
-void Agent::Round() {
+// Whether the node runs. It is constructed anew when the port is bound here: a voter's silence starts then.
+bool Agent::StartOnceBound(Micros now) {
+  if (is_started_) return true;
+  if (!members_.Started()) return false;
+  is_started_ = true;
+  lease_node_ = LeaseNode(WithLeaseNames(options_), members_.Seen().Self().name, options_.seed, now);
+  return true;
+}
+
+void Agent::OnTimer() {
   const Micros now = Now();
-  if (!begun_) {
-    if (!node_.Started()) return Arm();
-    begun_ = true;
-    peer_ = Peer(WithDuties(options_), node_.Seen().Self().name, options_.seed, now);
+  if (!StartOnceBound(now)) {
+    ScheduleTimer();
+    return;
   }
-  if (now >= next_look_) Look(now);
-  peer_.Tick(now, WallMs());
+  if (now >= next_view_at_) RefreshFromView(now);
+  lease_node_.Tick(now, WallMs());
   Flush();
 }
 
 void Agent::Flush() {
-  for (const Out& out : peer_.TakeOut()) node_.Carry(out.to, Encode(out.message));
-  bool changed = false;
-  for (const Change& change : peer_.TakeChanges()) {
-    changed = true;
-    const std::uint64_t token = Number(change.token);
-    switch (change.what) {
-      case Change::What::kGranted:
-        log::Info("lease.granted", {{"duty", change.duty}, {"token", token}},
-                  "leases: {} is ours under token {}", change.duty, token);
-        break;
-      case Change::What::kLapsed:
-        log::Warn("lease.lapsed", {{"duty", change.duty}, {"token", token}},
-                  "leases: {} lapsed, token {} is used no more", change.duty, token);
-        break;
-      case Change::What::kReleased:
-        log::Info("lease.released", {{"duty", change.duty}, {"token", token}}, "leases: {} let go, token {}",
-                  change.duty, token);
-        break;
-    }
+  for (const OutboundMessage& outbound : lease_node_.DrainMessages()) {
+    members_.Carry(outbound.recipient, Encode(outbound.message));
   }
-  if (changed) {
-    std::vector<members::Claim> claims;
-    for (const std::string& duty : peer_.Told().duties) {
-      if (const auto token = peer_.Holds(duty, Now())) claims.push_back({duty, Number(*token)});
-    }
-    node_.Claims(std::move(claims));
+  const std::vector<LeaseChange> changes = lease_node_.DrainChanges();
+  for (const LeaseChange& change : changes) LogChange(change);
+  if (!changes.empty()) PublishClaims();
+  PublishHealth();
+  if (options_.distributes_purges) RunPurgeDistribution();
+  ScheduleTimer();
+}
+
+// Publishes the leases held here through the fleet view.
+void Agent::PublishClaims() {
+  std::vector<members::Claim> claims;
+  for (const std::string& lease : lease_node_.Options().lease_names) {
+    if (const auto token = lease_node_.HeldToken(lease, Now())) claims.push_back({lease, ToNumber(*token)});
   }
-  Act();
-  if (options_.purge) Spreading();
-  Arm();
+  members_.Claims(std::move(claims));
 }
 
-void Agent::Spreading() {
+void Agent::RunPurgeDistribution() {
   const Micros now = Now();
-  fanout_.Fenced(peer_.HighestClaimed(kPurge));
-  fanout_.Tick(now, peer_.KnownOf(kPurge, now).holder, peer_.Holds(kPurge, now), alive_);
-  for (const FanOut& out : fanout_.TakeOut()) node_.Carry(out.to, Encode(out.message));
-  for (const Job& job : fanout_.TakeApplied()) {
-    const std::uint64_t token = Number(fanout_.Highest());
-    log::Info("purge.passed_on", {{"job", job.id}, {"token", token}}, "a purge from {} applied, token {}",
-              job.id, token);
-    if (apply_) apply_(job);
+  purge_distributor_.ObserveToken(lease_node_.HighestClaimedToken(kPurgeLease));
+  purge_distributor_.Tick(now, lease_node_.StatusOf(kPurgeLease, now).holder,
+                          lease_node_.HeldToken(kPurgeLease, now), alive_members_);
+  for (const OutboundPurgeMessage& outbound : purge_distributor_.DrainMessages()) {
+    members_.Carry(outbound.recipient, Encode(outbound.message));
   }
-  if (const auto held = peer_.Holds(kPurge, now); held && fanout_.Newer() > *held) {
-    log::Warn("lease.fenced", {{"duty", kPurge}, {"token", Number(fanout_.Newer())}},
-              "leases: {} is done under a newer token, {}", kPurge, Number(fanout_.Newer()));
-    peer_.Heard(kPurge, fanout_.Newer());
-    peer_.Drop(kPurge, now);
+  ApplyPurges();
+  AbandonIfSuperseded(now);
+}
+
+void Agent::ApplyPurges() {
+  for (const Purge& purge : purge_distributor_.DrainPurgesToApply()) {
+    const std::uint64_t token = ToNumber(purge_distributor_.HighestToken());
+    log::Info("purge.passed_on", {{"job", purge.id}, {"token", token}},
+              "purge {} of another member applied, token {}", purge.id, token);
+    if (purge_handler_) purge_handler_(purge);
   }
 }
 
-void Agent::Act() {
+void Agent::AbandonIfSuperseded(Micros now) {
+  const auto held = lease_node_.HeldToken(kPurgeLease, now);
+  const Token newer_token = purge_distributor_.SupersedingToken();
+  if (held && newer_token > *held) AbandonLease(kPurgeLease, newer_token, now);
+}
+
+void Agent::AbandonLease(const char* lease, Token newer_token, Micros now) {
+  const std::uint64_t token = ToNumber(newer_token);
+  log::Warn("lease.fenced", {{"duty", lease}, {"token", token}},
+            "leases: {} is held elsewhere under a newer token, {}", lease, token);
+  lease_node_.ObserveToken(lease, newer_token);
+  lease_node_.Abandon(lease, now);
+}
+
+void Agent::PublishHealth() {
   if (!publisher_) return;
   const Micros now = Now();
-  const auto ask = publisher_->Next(now, peer_.Holds(kHealth, now));
-  if (!ask) return;
-  store_->Call(*ask, ask->what == Ask::What::kWrite ? Record(*ask) : std::string());
+  const auto request = publisher_->NextRequest(now, lease_node_.HeldToken(kHealthLease, now));
+  if (!request) return;
+  if (const auto* const write = std::get_if<WriteRequest>(&*request)) {
+    store_->Write(*write, BuildHealthRecord(members_.Seen(), *write, WallMs()));
+  } else {
+    store_->Read();
+  }
 }
 
-void Agent::OnStore(const KvStore::Answer& answer) {
-  const Micros now = Now();
-  if (!answer.failed.empty()) {
-    publisher_->OnFailed(now);
-    if (answer.failed != last_failure_) {  // each failure's first
-      log::Warn("lease.store_failed", {{"reason", answer.failed}}, "leases: the store: {}; asked again later",
-                answer.failed);
+// Called from within the store's connection: the next request goes out by the timer.
+void Agent::OnStoreResult(const StoreResult& result) {
+  if (!result) {
+    OnStoreFailed(result.error());
+  } else {
+    last_store_failure_.clear();
+    if (const auto* const stored = std::get_if<StoredRecord>(&*result)) {
+      OnRecordRead(*stored);
+    } else {
+      publisher_->OnWritten();
     }
-    last_failure_ = answer.failed;
-    return Arm();
   }
-  last_failure_.clear();
-  if (answer.written) {
-    publisher_->OnWrite();
-  } else if (answer.stood && publisher_->OnRead(now, *answer.stood)) {
-    const std::uint64_t theirs = Number(answer.stood->token);
-    log::Warn("lease.fenced", {{"duty", kHealth}, {"token", theirs}},
-              "leases: {} is written under a newer token, {}", kHealth, theirs);
-    peer_.Heard(kHealth, answer.stood->token);
-    peer_.Drop(kHealth, now);
+  ScheduleTimer();
+}
+
+// The log names each failure once until another one, or a success, comes in between.
+void Agent::OnStoreFailed(const StoreError& error) {
+  publisher_->OnFailed(Now());
+  if (error.detail != last_store_failure_) {
+    log::Warn("lease.store_failed", {{"reason", error.detail}}, "leases: the store failed: {}; to be retried",
+              error.detail);
   }
-  Arm();  // the next step in a round of its own: this is called from within the store's connection
+  last_store_failure_ = error.detail;
 }
 
-std::string Agent::Record(const Ask& ask) const {
-  const members::View& view = node_.Seen();
-  nlohmann::json record;
-  record["number"] = ask.number;
-  record["token"] = Number(ask.token);
-  record["holder"] = view.Self().name;
-  record["at_ms"] = WallMs();
-  // The record stays small however large the fleet: a store takes so much for one, and so does a connection.
-  std::set<std::uint64_t> failing;
-  nlohmann::json unwell = nlohmann::json::object();
-  for (const auto& [name, member] : view.Members()) {
-    for (const std::uint64_t server : member.failing) {
-      if (failing.size() < kMostNamed) failing.insert(server);
-    }
-    if (member.state != members::State::kAlive && unwell.size() < kMostNamed)
-      unwell[name] = members::Name(member.state);
+void Agent::OnRecordRead(const StoredRecord& stored) {
+  const Micros now = Now();
+  if (publisher_->OnRead(now, stored) == RecordCheck::kSuperseded) {
+    AbandonLease(kHealthLease, stored.token, now);
   }
-  using members::State;
-  record["members"] = {{"alive", view.Count(State::kAlive)},
-                       {"suspect", view.Count(State::kSuspect)},
-                       {"dead", view.Count(State::kDead)},
-                       {"left", view.Count(State::kLeft)}};
-  record["unwell"] = unwell;
-  record["servers_seen_failing"] = failing;
-  return record.dump();
 }
 
-void Agent::Arm() {
+void Agent::ScheduleTimer() {
   if (timer_) loop_.Timers().Cancel(*timer_);
   const Micros now = Now();
-  Micros due = begun_ ? std::min(peer_.NextDue(), next_look_) : Micros::max();
-  if (publisher_ && peer_.Holds(kHealth, now)) due = std::min(due, publisher_->NextDue());
-  if (options_.purge) due = std::min(due, fanout_.NextDue());
-  const Micros wait = std::clamp(due - now, Micros{0}, kLook);
-  timer_ = loop_.Timers().Set(net::Now() + wait + Micros{500}, [this](Micros) {
+  Micros deadline = is_started_ ? std::min(lease_node_.NextDeadline(), next_view_at_) : Micros::max();
+  if (publisher_ && lease_node_.HeldToken(kHealthLease, now)) {
+    deadline = std::min(deadline, publisher_->NextDeadline());
+  }
+  if (options_.distributes_purges) deadline = std::min(deadline, purge_distributor_.NextDeadline());
+  const Micros delay = std::clamp(deadline - now, Micros{0}, kViewInterval);
+  timer_ = loop_.Timers().Set(net::Now() + delay + kTimerMargin, [this](Micros) {
     timer_.reset();
-    Round();
+    OnTimer();
   });
 }
 
 void Agent::Leave() {
-  leaving_ = true;
-  if (!begun_) return;
-  peer_.ReleaseAll(Now());
+  is_leaving_ = true;
+  if (!is_started_) return;
+  lease_node_.ReleaseAll(Now());
   Flush();
 }
 
-std::string Agent::Lines() const {
-  std::string out;
-  for (const std::string& duty : peer_.Told().duties) {
-    const Known known = peer_.KnownOf(duty, Now());
-    const char* const here = known.ours            ? "holder"
-                             : !peer_.IsVoter()    ? "member"
-                             : peer_.Serving(duty) ? "voter"
-                                                   : "voter-silent";
-    out += duty + " " + (known.holder.empty() ? "-" : known.holder) + " " +
-           std::to_string(Number(known.token)) + " " + std::to_string(known.left.count() / 1000) + " " + here;
-    if (duty == kHealth) {
-      out += " number=" + std::to_string(publisher_->Position()) +
-             " store=" + (last_failure_.empty() ? "well" : "failing");
-    } else {
-      out += " open=" + std::to_string(fanout_.Open()) + " applied=" + std::to_string(fanout_.Applied()) +
-             " refused=" + std::to_string(fanout_.Refused());
-    }
-    out += "\n";
+std::string Agent::RoleIn(const std::string& lease, const LeaseStatus& status) const {
+  if (status.is_held_here) return "holder";
+  if (!lease_node_.IsVoter()) return "member";
+  return lease_node_.IsServing(lease) ? "voter" : "voter-silent";
+}
+
+std::string Agent::StatusLine(const std::string& lease) const {
+  const LeaseStatus status = lease_node_.StatusOf(lease, Now());
+  const std::string line = lease + " " + (status.holder.empty() ? "-" : status.holder) + " " +
+                           std::to_string(ToNumber(status.token)) + " " +
+                           std::to_string(status.remaining.count() / 1000) + " " + RoleIn(lease, status);
+  if (lease == kHealthLease) {
+    return line + " number=" + std::to_string(publisher_->LastNumber()) +
+           " store=" + (last_store_failure_.empty() ? "well" : "failing");
   }
-  return out;
+  return line + " open=" + std::to_string(purge_distributor_.OpenCount()) +
+         " applied=" + std::to_string(purge_distributor_.AppliedCount()) +
+         " refused=" + std::to_string(purge_distributor_.RejectedCount());
+}
+
+std::string Agent::StatusLines() const {
+  std::string lines;
+  for (const std::string& lease : lease_node_.Options().lease_names) lines += StatusLine(lease) + "\n";
+  return lines;
 }
 
 }  // namespace tinspan::lease
--- a/src/lease/agent.hpp
+++ b/src/lease/agent.hpp
@@ -1,95 +1,114 @@
-// The leases in the program: the peer's messages over the fleet view's datagrams, its timer, its figures and
-// log lines, and the duty `health`: a record of the fleet's health in the operators' store. What is decided
-// comes from lease::Peer and lease::Publisher; this part carries it.
+// Runs a member's lease node in the program: its messages over the fleet view's datagrams, its timer and log
+// lines, the publication of the fleet's health to the operators' store, and the distribution of purges. What
+// is decided comes from LeaseNode, Publisher and PurgeDistributor; this part does their I/O.
 //
-// Guarded against: a machine that was suspended (the clock is CLOCK_BOOTTIME, which counts that time), a
-// process that was stopped (the lease is looked at anew right before each call goes out), messages that are
-// bad or in another's name (counted and dropped), a store that is down (the lease is kept, the figures say
-// so), and an upgrade: while the process before this one has the port it still votes under our name, so the
-// peer's life, and with it a voter's silence, begins when the port is ours.
+// Safe against: a machine that was suspended (the clock is CLOCK_BOOTTIME, which counts that time), a process
+// that was stopped (the lease is checked right before each request goes out), invalid messages (counted and
+// dropped), a store that is down (the lease is kept, the figures report it), and an upgrade: while the
+// process before this one has the port it still votes under the same name, so the node, and with it a voter's
+// silence, starts when the port is bound here.
 #pragma once
 
-#include <memory>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "lease/codec.hpp"
-#include "lease/purge_distributor.hpp"
 #include "lease/kv_store.hpp"
 #include "lease/lease_node.hpp"
 #include "lease/publisher.hpp"
+#include "lease/purge_distributor.hpp"
 #include "members/node.hpp"
 
 namespace tinspan::lease {
 
 struct AgentOptions {
-  Options lease;               // its duties are set here
-  std::size_t candidates = 3;  // members that try for a duty at a time
-  struct Publish {             // the duty `health`
+  // Where the holder of kHealthLease publishes.
+  struct HealthPublication {
     net::Endpoint store;
     std::string key;
-    Micros every{5'000'000};  // between two records
+    Micros interval{5'000'000};
   };
-  std::optional<Publish> publish;
-  bool purge = false;             // the duty `purge`
-  Micros purge_keep{60'000'000};  // how long a purge is passed on
+
+  LeaseOptions lease;                                   // `lease_names` is set by the agent
+  std::size_t candidate_count = 3;                      // members that try for a lease at a time
+  std::optional<HealthPublication> health_publication;  // none: kHealthLease is off
+  bool distributes_purges = false;                      // whether kPurgeLease is on
+  Micros purge_retention{60'000'000};                   // how long a purge is distributed
   std::uint64_t seed = 0;
 };
 
 class Agent {
  public:
-  static constexpr Micros kLook{250'000};  // how often the view is asked who is a candidate
-  static constexpr Micros kStoreLimit{1'000'000};
-  static constexpr std::size_t kMostNamed = 64;  // of members unwell, and of servers failing, in a record
-  using Apply = std::function<void(const Job&)>;
-  Agent(net::EventLoop& loop, members::Node& node, AgentOptions options);
+  static constexpr Micros kViewInterval{250'000};  // between looks at the fleet view
+  static constexpr Micros kStoreTimeout{1'000'000};
+  using PurgeHandler = std::function<void(const Purge&)>;
+
+  // `loop` and `members` must outlive the agent.
+  Agent(net::EventLoop& loop, members::Node& members, AgentOptions options);
   ~Agent();
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
+  Agent(Agent&&) = delete;
+  Agent& operator=(Agent&&) = delete;
 
-  void Leave();  // lets go of all; no candidate from here on
-  // Told each purge that came from another doorman, to be applied here.
-  void SetApply(Apply apply) { apply_ = std::move(apply); }
-  bool Spreads() const { return options_.purge; }
-  // An operator's purge, taken and applied here; false: too many are under way.
-  bool Purged(Job job);
+  // Releases all leases; this member is no candidate from here on.
+  void Leave();
+  // `handler` is called for each purge of another member, to apply it here.
+  void SetPurgeHandler(PurgeHandler handler) { purge_handler_ = std::move(handler); }
+  bool DistributesPurges() const { return options_.distributes_purges; }
+  // Distributes an operator's purge that was applied here.
+  SubmitResult SubmitPurge(Purge purge);
 
-  const Peer& Seen() const { return peer_; }
-  const std::optional<Publisher>& Published() const { return publisher_; }
-  const Fanout& Spread() const { return fanout_; }
-  std::uint64_t Refused() const { return refused_; }  // messages
-  // A line a duty: DUTY HOLDER TOKEN LEFT_MS ROLE, then for health number=N store=well or failing, for purge
+  const LeaseNode& Leases() const { return lease_node_; }
+  const std::optional<Publisher>& HealthPublisher() const { return publisher_; }
+  const PurgeDistributor& Purges() const { return purge_distributor_; }
+  // Messages that could not be decoded.
+  std::uint64_t RejectedMessages() const { return rejected_messages_; }
+  // A line a lease: NAME HOLDER TOKEN LEFT_MS ROLE, then for health number=N store=well or failing, for purge
   // open=N applied=N refused=N; unknown parts are - or 0.
-  std::string Lines() const;
+  std::string StatusLines() const;
 
  private:
   static Micros Now();
   static std::uint64_t WallMs();
-  void OnCarried(const std::string& from, const std::string& bytes);
-  void Look(Micros now);
-  void Round();
+
+  void OnMessage(const std::string& sender, const std::string& bytes);
+  void OnUndecodable(const DecodeError& error);
+  void OnTimer();
+  void ScheduleTimer();
+  bool StartOnceBound(Micros now);
+  void RefreshFromView(Micros now);
   void Flush();
-  void Act();
-  void Spreading();
-  void OnStore(const KvStore::Answer& answer);
-  void Arm();
-  std::string Record(const Ask& ask) const;
+  void PublishClaims();
+  void PublishHealth();
+  void OnStoreResult(const StoreResult& result);
+  void OnStoreFailed(const StoreError& error);
+  void OnRecordRead(const StoredRecord& stored);
+  void RunPurgeDistribution();
+  void ApplyPurges();
+  void AbandonIfSuperseded(Micros now);
+  void AbandonLease(const char* lease, Token newer_token, Micros now);
+  std::string StatusLine(const std::string& lease) const;
+  std::string RoleIn(const std::string& lease, const LeaseStatus& status) const;
 
   net::EventLoop& loop_;
-  members::Node& node_;
+  members::Node& members_;
   AgentOptions options_;
-  bool begun_ = false;  // the port is ours
-  Peer peer_;
+  bool is_started_ = false;  // the port is bound here
+  LeaseNode lease_node_;
   std::optional<Publisher> publisher_;
   std::optional<KvStore> store_;
-  Fanout fanout_;
-  Apply apply_;
-  std::vector<std::string> alive_;  // in the view, when it was looked at last
-  std::string last_failure_;
-  Micros next_look_{0};
-  bool leaving_ = false;
-  std::uint64_t refused_ = 0;
+  PurgeDistributor purge_distributor_;
+  PurgeHandler purge_handler_;
+  std::vector<std::string> alive_members_;  // at the last look at the view
+  std::string last_store_failure_;
+  Micros next_view_at_{0};
+  bool is_leaving_ = false;
+  std::uint64_t rejected_messages_ = 0;
   std::optional<net::TimerQueue::Id> timer_;
 };
 
--- a/src/lease/history.cpp
+++ b/src/lease/history.cpp
@@ -5,77 +5,75 @@
 namespace tinspan::lease {
 namespace {
 
-std::string Text(Token token) { return std::to_string(Number(token)); }
+std::string Text(Token token) { return std::to_string(ToNumber(token)); }
 
 }  // namespace
 
-void History::Held(Token token, const std::string& holder, Micros from, Micros to) {
-  const auto [at, fresh] = spans_.try_emplace(token, Span{holder, from, to});
-  if (fresh) return;
-  if (at->second.holder != holder) {
-    shared_ = "token " + Text(token) + " is held by " + at->second.holder + " and by " + holder;
+void History::RecordHold(Token token, const std::string& holder, Micros from, Micros until) {
+  const auto [entry, is_new] = spans_.try_emplace(token, Span{holder, from, until});
+  if (is_new) return;
+  Span& span = entry->second;
+  if (span.holder != holder) {
+    shared_token_ = "token " + Text(token) + " is held by " + span.holder + " and by " + holder;
   }
-  at->second.from = std::min(at->second.from, from);
-  at->second.to = std::max(at->second.to, to);
+  span.from = std::min(span.from, from);
+  span.until = std::max(span.until, until);
 }
 
-void History::Ended(Token token, Micros at) {
+void History::RecordEnd(Token token, Micros ended_at) {
   const auto found = spans_.find(token);
-  if (found != spans_.end()) found->second.to = std::min(found->second.to, at);
+  if (found != spans_.end()) found->second.until = std::min(found->second.until, ended_at);
 }
 
-void History::Effect(Token token, std::uint64_t number, bool taken) {
-  if (!taken) {
-    ++refused_;
-    return;
+void History::RecordAcceptedWrite(Token token, std::uint64_t number) {
+  ++accepted_writes_;
+  if (write_violation_) return;
+  if (token < last_token_) {
+    write_violation_ = "a write of token " + Text(token) + " was accepted after one of " + Text(last_token_);
+  } else if (number != last_number_ + 1) {
+    write_violation_ =
+        "write " + std::to_string(number) + " was accepted after " + std::to_string(last_number_);
   }
-  ++taken_;
-  if (broken_) return;
-  if (token < last_) {
-    broken_ = "an effect of token " + Text(token) + " was taken after one of " + Text(last_);
-  } else if (number != number_ + 1) {
-    broken_ = "effect " + std::to_string(number) + " was taken after " + std::to_string(number_);
-  }
-  last_ = token;
-  number_ = number;
+  last_token_ = token;
+  last_number_ = number;
 }
 
-std::vector<History::Dated> History::ByTime() const {
-  std::vector<Dated> dated(spans_.begin(), spans_.end());
-  std::sort(dated.begin(), dated.end(),
-            [](const Dated& a, const Dated& b) { return a.second.from < b.second.from; });
-  return dated;
+std::vector<History::TokenSpan> History::SpansByTime() const {
+  std::vector<TokenSpan> spans(spans_.begin(), spans_.end());
+  std::sort(spans.begin(), spans.end(), [](const TokenSpan& left, const TokenSpan& right) {
+    return left.second.from < right.second.from;
+  });
+  return spans;
 }
 
-std::optional<std::string> History::Overlap() const {
-  if (shared_) return shared_;
-  const std::vector<Dated> dated = ByTime();
-  for (std::size_t i = 1; i < dated.size(); ++i) {
-    const auto& [before, first] = dated[i - 1];
-    const auto& [after, second] = dated[i];
-    if (second.from < first.to) {
-      return "token " + Text(after) + " (" + second.holder + ") was held from " +
-             std::to_string(second.from.count()) + ", before token " + Text(before) + " (" + first.holder +
-             ") ended at " + std::to_string(first.to.count());
-    }
+std::optional<std::string> History::FindOverlap() const {
+  if (shared_token_) return shared_token_;
+  const std::vector<TokenSpan> spans = SpansByTime();
+  for (std::size_t i = 1; i < spans.size(); ++i) {
+    const auto& [earlier_token, earlier] = spans[i - 1];
+    const auto& [later_token, later] = spans[i];
+    if (later.from >= earlier.until) continue;
+    return "token " + Text(later_token) + " (" + later.holder + ") was held from " +
+           std::to_string(later.from.count()) + ", before token " + Text(earlier_token) + " (" +
+           earlier.holder + ") ended at " + std::to_string(earlier.until.count());
   }
   return std::nullopt;
 }
 
-std::optional<std::string> History::OutOfOrder() const {
-  const std::vector<Dated> dated = ByTime();
-  for (std::size_t i = 1; i < dated.size(); ++i) {
-    if (dated[i].first < dated[i - 1].first) {
-      return "token " + Text(dated[i].first) + " was granted after " + Text(dated[i - 1].first);
+std::optional<std::string> History::FindTokenOrderViolation() const {
+  const std::vector<TokenSpan> spans = SpansByTime();
+  for (std::size_t i = 1; i < spans.size(); ++i) {
+    if (spans[i].first < spans[i - 1].first) {
+      return "token " + Text(spans[i].first) + " was granted after " + Text(spans[i - 1].first);
     }
   }
   return std::nullopt;
 }
 
-std::optional<std::string> History::Broken() const {
-  if (auto broken = Overlap()) return broken;
-  if (auto broken = OutOfOrder()) return broken;
-  return Effects();
+std::optional<std::string> History::FindViolation() const {
+  if (auto violation = FindOverlap()) return violation;
+  if (auto violation = FindTokenOrderViolation()) return violation;
+  return FindWriteViolation();
 }
 
 }  // namespace tinspan::lease
--- a/src/lease/history.hpp
+++ b/src/lease/history.hpp
@@ -1,68 +1,65 @@
-// What was done under leases, and whether it may have been: the invariants that a fleet's history must keep.
-// Without I/O; fed by simulations, by tests with real processes, and by whoever keeps such records.
+// A record of which leases were held and what was written under them, and the invariants that it has to
+// satisfy. Without I/O; fed by simulations and by tests with real processes.
 //
-// Kept: one token has one holder; the spans in which two tokens were held do not overlap, and the later span
-// has the higher token; of the effects that a receiver took, no token is lower than one before it; their
-// numbers go up by one, so that none is lost and none is done twice.
+// Invariants: a token has one holder; the spans during which two tokens were held do not overlap, and the
+// later span has the higher token; of the writes that a receiver accepted, none has a token below an earlier
+// one's; their numbers rise by one, so that none is lost and none is done twice.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "lease/lease_node.hpp"
+#include "lease/token.hpp"
 
 namespace tinspan::lease {
 
+// The history of one lease. Times are true time, not any member's clock.
 class History {
  public:
-  // `holder` counts on `token` from `from` to `to` (true time); again with a later `to` when it renews.
-  void Held(Token token, const std::string& holder, Micros from, Micros to);
-  void Ended(Token token, Micros at);  // let go before its time
-  void Effect(Token token, std::uint64_t number, bool taken);
+  // `holder` relies on `token` from `from` until `until`; to be called again with a later `until` on each
+  // renewal.
+  void RecordHold(Token token, const std::string& holder, Micros from, Micros until);
+  // The hold ended before its time.
+  void RecordEnd(Token token, Micros ended_at);
+  // A receiver accepted a write.
+  void RecordAcceptedWrite(Token token, std::uint64_t number);
+  // A receiver rejected a write.
+  void RecordRejectedWrite() { ++rejected_writes_; }
 
-  // The first invariant that does not hold, in words: of all, or of one kind.
-  std::optional<std::string> Broken() const;
-  std::optional<std::string> Overlap() const;     // two held at once
-  std::optional<std::string> OutOfOrder() const;  // a later span with a lower token
-  std::optional<std::string> Effects() const { return broken_; }
-  std::size_t Grants() const { return spans_.size(); }
-  std::size_t Taken() const { return taken_; }
-  std::size_t Refused() const { return refused_; }
+  // The first violated invariant of all, as text; none: all are satisfied.
+  std::optional<std::string> FindViolation() const;
+  // Two tokens held at once, or one token held by two members.
+  std::optional<std::string> FindOverlap() const;
+  // A later span with a lower token.
+  std::optional<std::string> FindTokenOrderViolation() const;
+  // Accepted writes out of order.
+  std::optional<std::string> FindWriteViolation() const { return write_violation_; }
+
+  std::size_t GrantCount() const { return spans_.size(); }
+  std::size_t AcceptedWrites() const { return accepted_writes_; }
+  std::size_t RejectedWrites() const { return rejected_writes_; }
 
  private:
   struct Span {
     std::string holder;
-    Micros from{0}, to{0};
+    Micros from{0};
+    Micros until{0};
   };
-  using Dated = std::pair<Token, Span>;
-  std::vector<Dated> ByTime() const;
+  using TokenSpan = std::pair<Token, Span>;
+  std::vector<TokenSpan> SpansByTime() const;
 
   std::map<Token, Span> spans_;
-  std::optional<std::string> shared_;  // one token, two holders
-  std::optional<std::string> broken_;
-  Token last_ = kNoToken;
-  std::uint64_t number_ = 0;
-  std::size_t taken_ = 0, refused_ = 0;
-};
-
-// The receiving side's half of fencing: the highest token admitted, by duty. An older one is refused.
-class Fence {
- public:
-  bool Admit(const std::string& duty, Token token) {
-    Token& highest = highest_[duty];
-    if (token < highest) return false;
-    highest = token;
-    return true;
-  }
-  Token Highest(const std::string& duty) const {
-    const auto found = highest_.find(duty);
-    return found == highest_.end() ? kNoToken : found->second;
-  }
-
- private:
-  std::map<std::string, Token> highest_;
+  std::optional<std::string> shared_token_;  // a token with two holders, as text
+  std::optional<std::string> write_violation_;
+  Token last_token_ = kNoToken;
+  std::uint64_t last_number_ = 0;
+  std::size_t accepted_writes_ = 0;
+  std::size_t rejected_writes_ = 0;
 };
 
 }  // namespace tinspan::lease
--- a/src/lease/kv_store.cpp
+++ b/src/lease/kv_store.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -11,23 +12,33 @@
 namespace tinspan::lease {
 namespace {
 
-constexpr net::Connection::Limits kLimits{.read = 256 << 10, .write = 64 << 10};
+constexpr net::Connection::Limits kConnectionLimits{.read = 256 << 10, .write = 64 << 10};
+constexpr std::size_t kMaxValueBytes = 64 << 10;  // of a record in base64
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
 
-std::string FromBase64(const std::string& text) {
-  if (text.size() % 4 != 0 || text.size() > 64 << 10) throw std::runtime_error("Value: expected base64");
-  std::string out(text.size() / 4 * 3, '\0');
-  const int n =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+// Base64 turns blocks of three bytes into four characters, the last of them with up to two '='.
+constexpr std::size_t kBase64BlockBytes = 3;
+constexpr std::size_t kBase64BlockChars = 4;
+constexpr std::size_t kMaxBase64Padding = 2;
+
+std::string DecodeBase64(const std::string& text) {
+  if (text.size() % kBase64BlockChars != 0 || text.size() > kMaxValueBytes) {
+    throw std::runtime_error("Value: expected base64");
+  }
+  std::string decoded(text.size() / kBase64BlockChars * kBase64BlockBytes, '\0');
+  const int decoded_size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(decoded.data()),
                       reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-  if (n < 0) throw std::runtime_error("Value: expected base64");
-  const std::size_t pad = text.size() - text.find_last_not_of('=') - 1;
-  out.resize(static_cast<std::size_t>(n) - std::min<std::size_t>(pad, 2));
-  return out;
+  if (decoded_size < 0) throw std::runtime_error("Value: expected base64");
+  const std::size_t padding = text.size() - text.find_last_not_of('=') - 1;
+  decoded.resize(static_cast<std::size_t>(decoded_size) - std::min(padding, kMaxBase64Padding));
+  return decoded;
 }
 
-std::uint64_t Whole(const nlohmann::json& in, const char* key) {
-  const auto found = in.find(key);
-  if (found == in.end() || !found->is_number_unsigned()) {
+std::uint64_t UnsignedField(const nlohmann::json& object, const char* key) {
+  const auto found = object.find(key);
+  if (found == object.end() || !found->is_number_unsigned()) {
     throw std::runtime_error(std::string(key) + ": expected a whole number from 0");
   }
   return found->get<std::uint64_t>();
@@ -35,50 +46,64 @@
 
 }  // namespace
 
-Stored ReadRecord(std::string_view json) {
-  const nlohmann::json told = nlohmann::json::parse(json, nullptr, false);
-  if (!told.is_array() || told.size() != 1 || !told[0].is_object()) {
-    throw std::runtime_error("the answer: expected an array with one record");
+StoredRecord ParseRecord(std::string_view json) {
+  const nlohmann::json response = nlohmann::json::parse(json, nullptr, false);
+  if (!response.is_array() || response.size() != 1 || !response[0].is_object()) {
+    throw std::runtime_error("the response: expected an array with one record");
   }
-  const nlohmann::json& record = told[0];
-  Stored stored;
-  stored.index = Whole(record, "ModifyIndex");
-  stored.token = Token{Whole(record, "Flags")};
-  if (stored.token > kMostToken) throw std::runtime_error("Flags: expected a token of 2^62 at most");
-  const auto value = record.find("Value");
-  if (value == record.end() || !value->is_string()) throw std::runtime_error("Value: expected a text");
-  const nlohmann::json ours = nlohmann::json::parse(FromBase64(value->get<std::string>()), nullptr, false);
-  if (!ours.is_object()) throw std::runtime_error("Value: expected a record of ours, a JSON object");
-  stored.number = Whole(ours, "number");
+  const nlohmann::json& entry = response[0];
+  StoredRecord stored;
+  stored.index = UnsignedField(entry, "ModifyIndex");
+  stored.token = Token{UnsignedField(entry, "Flags")};
+  if (stored.token > kMaxToken) throw std::runtime_error("Flags: expected a token of 2^62 at most");
+  const auto value = entry.find("Value");
+  if (value == entry.end() || !value->is_string()) throw std::runtime_error("Value: expected a text");
+  const nlohmann::json record =
+      nlohmann::json::parse(DecodeBase64(value->get<std::string>()), nullptr, false);
+  if (!record.is_object()) throw std::runtime_error("Value: expected a record of ours, a JSON object");
+  stored.number = UnsignedField(record, "number");
   return stored;
 }
 
-KvStore::KvStore(net::EventLoop& loop, const net::Endpoint& store, std::string key, Micros limit,
-                 Answered answered)
-    : loop_(loop), store_(store), key_(std::move(key)), limit_(limit), answered_(std::move(answered)) {}
+KvStore::KvStore(net::EventLoop& loop, const net::Endpoint& endpoint, std::string key, Micros timeout,
+                 ResultHandler on_result)
+    : loop_(loop),
+      endpoint_(endpoint),
+      key_(std::move(key)),
+      timeout_(timeout),
+      on_result_(std::move(on_result)) {}
 
 KvStore::~KvStore() {
   if (timer_) loop_.Timers().Cancel(*timer_);
 }
 
-void KvStore::Call(const Ask& ask, const std::string& text) {
-  old_.reset();
-  write_ = ask.what == Ask::What::kWrite;
-  const std::string host = " HTTP/1.1\r\nHost: " + store_.Text() + "\r\n";
-  if (write_) {
-    request_ = "PUT /v1/kv/" + key_ + "?cas=" + std::to_string(ask.index) +
-               "&flags=" + std::to_string(Number(ask.token)) + host +
-               "Content-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) +
-               "\r\n\r\n" + text;
-  } else {
-    request_ = "GET /v1/kv/" + key_ + host + "\r\n";
-  }
-  timer_ = loop_.Timers().Set(net::Now() + limit_, [this](Micros) {
+std::string KvStore::RequestHead(const std::string& method_and_target) const {
+  return method_and_target + " HTTP/1.1\r\nHost: " + endpoint_.Text() + "\r\n";
+}
+
+void KvStore::Read() { Send(Method::kRead, RequestHead("GET /v1/kv/" + key_) + "\r\n"); }
+
+void KvStore::Write(const WriteRequest& request, const std::string& body) {
+  const std::string query =
+      "?cas=" + std::to_string(request.expected_index) + "&flags=" + std::to_string(ToNumber(request.token));
+  Send(Method::kWrite, RequestHead("PUT /v1/kv/" + key_ + query) +
+                           "Content-Type: application/json\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void KvStore::Send(Method method, std::string request) {
+  closed_connection_.reset();
+  method_ = method;
+  request_ = std::move(request);
+  timer_ = loop_.Timers().Set(net::Now() + timeout_, [this](Micros) {
     timer_.reset();
-    Failed("no answer");
+    Fail(StoreError::Code::kTimeout, "no response");
   });
-  if (connection_ && connection_->IsOpen()) return OnOpen(*connection_);
-  connection_ = std::make_unique<net::Connection>(loop_, store_, *this, kLimits);
+  if (connection_ && connection_->IsOpen()) {
+    OnOpen(*connection_);
+    return;
+  }
+  connection_ = std::make_unique<net::Connection>(loop_, endpoint_, *this, kConnectionLimits);
 }
 
 void KvStore::OnOpen(net::Connection& connection) {
@@ -86,56 +111,63 @@
 }
 
 void KvStore::OnBytes(net::Connection& connection) {
-  if (request_.empty()) return LetGo();  // it speaks unasked
+  if (request_.empty()) {  // unsolicited bytes
+    CloseConnection();
+    return;
+  }
   http::Response response;
   std::size_t expect = 0;
   const http::Taken taken = http::TakeResponse(connection.Unread(), response, expect);
   if (taken == http::Taken::kMore) return;
-  if (taken == http::Taken::kUnreadable) return Failed("an answer that cannot be read");
+  if (taken == http::Taken::kUnreadable) {
+    Fail(StoreError::Code::kUnreadableResponse, "unreadable response");
+    return;
+  }
   connection.Consume(response.length);
-  if (!response.keep) LetGo();
-  const int code = response.status;
-  const std::string& body = response.body;
-  Answer answer;
+  if (!response.keep) CloseConnection();
+  Finish(ReadResponse(response.status, response.body));
+}
+
+StoreResult KvStore::ReadResponse(int status, const std::string& body) const {
+  const bool is_read = method_ == Method::kRead;
+  if (is_read && status == kStatusNotFound) return StoredRecord{};
+  const bool is_write_result = body == "true" || body == "false";
+  if (status != kStatusOk || (!is_read && !is_write_result)) {
+    return tl::unexpected(
+        StoreError{StoreError::Code::kUnexpectedStatus, "status " + std::to_string(status)});
+  }
+  if (!is_read) return WriteCompleted{};
   try {
-    if (write_ && code == 200 && (body == "true" || body == "false")) {
-      answer.written = true;
-    } else if (!write_ && code == 404) {
-      answer.stood = Stored{};
-    } else if (!write_ && code == 200) {
-      answer.stood = ReadRecord(body);
-    } else {
-      answer.failed = "status " + std::to_string(code);
-    }
+    return ParseRecord(body);
   } catch (const std::exception& error) {
-    answer.failed = error.what();
+    return tl::unexpected(StoreError{StoreError::Code::kInvalidRecord, error.what()});
   }
-  Finish(answer);
 }
 
 void KvStore::OnClosed(net::Connection&) {
-  if (request_.empty()) return LetGo();
-  Failed("connection lost");
+  if (request_.empty()) {
+    CloseConnection();
+    return;
+  }
+  Fail(StoreError::Code::kConnectionLost, "connection lost");
 }
 
-void KvStore::LetGo() {
+void KvStore::CloseConnection() {
   if (!connection_) return;
   connection_->Close();
-  old_ = std::move(connection_);
+  closed_connection_ = std::move(connection_);
 }
 
-void KvStore::Failed(const std::string& why) {
-  LetGo();  // a late answer must not be read as the next call's
-  Answer answer;
-  answer.failed = why;
-  Finish(answer);
+void KvStore::Fail(StoreError::Code code, const std::string& detail) {
+  CloseConnection();  // a late response must not be read as the next request's
+  Finish(tl::unexpected(StoreError{code, detail}));
 }
 
-void KvStore::Finish(const Answer& answer) {
+void KvStore::Finish(const StoreResult& result) {
   if (timer_) loop_.Timers().Cancel(*timer_);
   timer_.reset();
   request_.clear();
-  answered_(answer);
+  on_result_(result);
 }
 
 }  // namespace tinspan::lease
--- a/src/lease/publisher.cpp
+++ b/src/lease/publisher.cpp
@@ -3,46 +3,56 @@
 #include <algorithm>
 
 namespace tinspan::lease {
+namespace {
 
-std::optional<Ask> Publisher::Next(Micros now, std::optional<Token> held) {
-  if (out_ || !held) return std::nullopt;
-  if (*held != held_) {  // a new grant: look first, then claim at once
-    held_ = *held;
-    read_ = false;
-    failed_ = 0;
-    due_ = now;
+constexpr int kMaxBackoffDoublings = 5;
+
+bool IsSameRecord(const StoredRecord& stored, const WriteRequest& write) {
+  return stored.token == write.token && stored.number == write.number;
+}
+
+}  // namespace
+
+std::optional<StoreRequest> Publisher::NextRequest(Micros now, std::optional<Token> held) {
+  if (is_pending_ || !held) return std::nullopt;
+  if (*held != held_token_) {  // a new grant: read, then claim the record at once
+    held_token_ = *held;
+    is_record_known_ = false;
+    failures_in_a_row_ = 0;
+    next_request_at_ = now;
   }
-  if (now < due_) return std::nullopt;
-  out_ = true;
-  if (!read_) return Ask{Ask::What::kRead, 0, held_, 0};
-  read_ = false;
-  wrote_ = number_ + 1;
-  wrote_under_ = held_;
-  return Ask{Ask::What::kWrite, stored_.index, held_, wrote_};
+  if (now < next_request_at_) return std::nullopt;
+  is_pending_ = true;
+  if (!is_record_known_) return ReadRequest{};
+  is_record_known_ = false;
+  unconfirmed_write_ = WriteRequest{stored_.index, held_token_, last_number_ + 1};
+  return *unconfirmed_write_;
 }
 
-bool Publisher::OnRead(Micros now, const Stored& stored) {
-  out_ = false;
-  failed_ = 0;
+// After a confirmed write the next one is due an interval later, on the index that was read now; otherwise it
+// is due at once.
+RecordCheck Publisher::OnRead(Micros now, const StoredRecord& stored) {
+  is_pending_ = false;
+  failures_in_a_row_ = 0;
   stored_ = stored;
-  number_ = stored.number;
-  const bool ours = wrote_ != 0 && stored.token == wrote_under_ && stored.number == wrote_;
-  if (wrote_ != 0 && !ours && stored.token > wrote_under_) ++fenced_;
-  wrote_ = 0;
-  published_ += ours;
-  // Where our own write stands, the next one is due later, on the index read now; else it is due at once.
-  const bool newer = stored.token > held_;
-  read_ = !newer;
-  due_ = ours || newer ? now + every_ : now;
-  return newer;
+  last_number_ = stored.number;
+  const bool is_confirmed = unconfirmed_write_ && IsSameRecord(stored, *unconfirmed_write_);
+  if (is_confirmed) ++published_count_;
+  if (unconfirmed_write_ && stored.token > unconfirmed_write_->token) ++fenced_count_;
+  unconfirmed_write_.reset();
+  const bool is_superseded = stored.token > held_token_;
+  is_record_known_ = !is_superseded;
+  next_request_at_ = is_confirmed || is_superseded ? now + interval_ : now;
+  return is_superseded ? RecordCheck::kSuperseded : RecordCheck::kCurrent;
 }
 
 void Publisher::OnFailed(Micros now) {
-  out_ = false;
-  read_ = false;
-  ++failures_;
-  due_ = now + std::min(kMostWait, kFirstWait * (std::int64_t{1} << std::min(failed_, 5)));
-  ++failed_;
+  is_pending_ = false;
+  is_record_known_ = false;
+  ++failure_count_;
+  const std::int64_t factor = std::int64_t{1} << std::min(failures_in_a_row_, kMaxBackoffDoublings);
+  next_request_at_ = now + std::min(kMaxBackoff, kMinBackoff * factor);
+  ++failures_in_a_row_;
 }
 
 }  // namespace tinspan::lease
--- a/src/lease/purge_distributor.cpp
+++ b/src/lease/purge_distributor.cpp
@@ -3,159 +3,198 @@
 #include <algorithm>
 
 namespace tinspan::lease {
+namespace {
 
-Job Fanout::Aged(const Job& job, Micros born, Micros now) const {
-  Job aged = job;
-  aged.age = now - born;
+Purge WithAge(const Purge& purge, Micros submitted_at, Micros now) {
+  Purge aged = purge;
+  aged.age = now - submitted_at;
   return aged;
 }
 
-void Fanout::Send(const std::string& to, FanKind kind, Token token, Job job) {
-  FanMessage message;
-  message.kind = kind;
-  message.from = self_;
-  message.token = token;
-  message.job = std::move(job);
-  out_.push_back({to, std::move(message)});
+bool IsOrigin(const std::string& member, const std::string& purge_id) {
+  return purge_id.starts_with(member + "/");
 }
 
-bool Fanout::Remember(const std::string& id) {
-  if (!applied_.insert(id).second) return false;
-  applied_order_.push_back(id);
-  if (applied_order_.size() > kMostApplied) {
-    applied_.erase(applied_order_.front());
-    applied_order_.pop_front();
+}  // namespace
+
+PurgeDistributor::PurgeDistributor(std::string self, std::uint64_t incarnation, Micros retention)
+    : self_(std::move(self)), incarnation_(incarnation), retention_(retention) {}
+
+void PurgeDistributor::Send(const std::string& recipient, PurgeMessageBody body) {
+  messages_.push_back({recipient, {self_, std::move(body)}});
+}
+
+// Whether the id was new.
+bool PurgeDistributor::RememberApplied(const std::string& id) {
+  if (!applied_ids_.insert(id).second) return false;
+  applied_ids_by_age_.push_back(id);
+  if (applied_ids_by_age_.size() > kMaxAppliedIds) {
+    applied_ids_.erase(applied_ids_by_age_.front());
+    applied_ids_by_age_.pop_front();
   }
   return true;
 }
 
-bool Fanout::Begin(Micros now, Job job) {
-  if (mine_.size() >= kMostJobs) return false;
-  job.id = self_ + "/" + std::to_string(start_) + "." + std::to_string(++last_);
-  Remember(job.id);
-  Mine& mine = mine_[job.id];
-  mine.job = std::move(job);
-  mine.born = mine.due = now;
-  return true;
+void PurgeDistributor::ApplyOnce(Purge purge) {
+  if (!RememberApplied(purge.id)) return;
+  ++applied_count_;
+  purges_to_apply_.push_back(std::move(purge));
+}
+
+SubmitResult PurgeDistributor::Submit(Micros now, Purge purge) {
+  if (own_purges_.size() >= kMaxOpenPurges) return SubmitResult::kTooManyOpen;
+  purge.id = self_ + "/" + std::to_string(incarnation_) + "." + std::to_string(++last_number_);
+  RememberApplied(purge.id);
+  OwnPurge& own = own_purges_[purge.id];
+  own.purge = std::move(purge);
+  own.submitted_at = now;
+  own.next_hand_over_at = now;
+  return SubmitResult::kAccepted;
+}
+
+void PurgeDistributor::StartDistribution(Micros now, const Purge& purge, Micros submitted_at) {
+  if (distributions_.contains(purge.id) || distributions_.size() >= kMaxOpenPurges) return;
+  Distribution& distribution = distributions_[purge.id];
+  distribution.purge = purge;
+  distribution.submitted_at = submitted_at;
+  distribution.next_round_at = now;
 }
 
-void Fanout::TakeOn(Micros now, const Job& job, Micros born) {
-  if (work_.contains(job.id) || work_.size() >= kMostJobs) return;
-  Work& work = work_[job.id];
-  work.job = job;
-  work.born = born;
-  work.next = now;
-}
-
-void Fanout::Receive(Micros now, const FanMessage& message, std::optional<Token> held) {
-  const Job& job = message.job;
-  const Micros age = std::clamp(job.age, Micros{0}, keep_);
-  switch (message.kind) {
-    case FanKind::kHand:
-      if (!held || age >= keep_) return;  // it will be handed to whoever holds
-      TakeOn(now, job, now - age);
-      if (!work_.contains(job.id)) return;  // too many: handed again later
-      // The origin has it, and nobody else hands it on.
-      if (job.id.starts_with(message.from + "/")) work_[job.id].done.insert(message.from);
-      Send(message.from, FanKind::kTaken, *held, Job{job.id, 0, {}, {}});
-      return;
-    case FanKind::kTaken:
-      if (const auto mine = mine_.find(job.id); mine != mine_.end()) mine->second.taken = true;
-      return;
-    case FanKind::kApply:
-      if (!fence_.Admit(kPurge, message.token)) {
-        ++refused_;
-        Send(message.from, FanKind::kOlder, fence_.Highest(kPurge), Job{job.id, 0, {}, {}});
-        return;
-      }
-      if (Remember(job.id)) {
-        ++applied_count_;
-        apply_.push_back(job);
-      }
-      Send(message.from, FanKind::kApplied, message.token, Job{job.id, 0, {}, {}});
-      return;
-    case FanKind::kApplied:
-      // Only from whom it was sent to: names that nobody has would fill the memory.
-      if (const auto work = work_.find(job.id);
-          held && work != work_.end() && work->second.sent.erase(message.from) > 0) {
-        work->second.done.insert(message.from);
-      }
-      return;
-    case FanKind::kOlder:
-      if (held && message.token > *held) newer_ = std::max(newer_, message.token);
-      return;
+void PurgeDistributor::Receive(Micros now, const PurgeMessage& message, std::optional<Token> held) {
+  std::visit([&](const auto& body) { Handle(now, message.sender, held, body); }, message.body);
+}
+
+// Without a reply (no hold here, or too many purges) the origin hands the purge over again later.
+void PurgeDistributor::Handle(Micros now, const std::string& sender, std::optional<Token> held,
+                              const HandOverPurge& request) {
+  const Purge& purge = request.purge;
+  const Micros age = std::clamp(purge.age, Micros{0}, retention_);
+  if (!held || age >= retention_) return;
+  StartDistribution(now, purge, now - age);
+  const auto distribution = distributions_.find(purge.id);
+  if (distribution == distributions_.end()) return;
+  if (IsOrigin(sender, purge.id)) distribution->second.applied_by.insert(sender);
+  Send(sender, HandOverAccepted{*held, purge.id});
+}
+
+void PurgeDistributor::Handle(Micros, const std::string&, std::optional<Token>,
+                              const HandOverAccepted& reply) {
+  const auto own = own_purges_.find(reply.purge_id);
+  if (own != own_purges_.end()) own->second.is_hand_over_accepted = true;
+}
+
+void PurgeDistributor::Handle(Micros, const std::string& sender, std::optional<Token>,
+                              const ApplyPurge& request) {
+  if (!fence_.Admit(kPurgeLease, request.token)) {
+    ++rejected_count_;
+    Send(sender, TokenSuperseded{HighestToken(), request.purge.id});
+    return;
   }
+  ApplyOnce(request.purge);
+  Send(sender, PurgeApplied{request.token, request.purge.id});
+}
+
+// Acknowledgements count only from members that the purge was sent to: invented names would fill the memory.
+void PurgeDistributor::Handle(Micros, const std::string& sender, std::optional<Token> held,
+                              const PurgeApplied& reply) {
+  const auto found = distributions_.find(reply.purge_id);
+  if (!held || found == distributions_.end()) return;
+  Distribution& distribution = found->second;
+  if (distribution.sent_at.erase(sender) > 0) distribution.applied_by.insert(sender);
 }
 
-void Fanout::Tick(Micros now, const std::string& holder, std::optional<Token> held,
-                  const std::vector<std::string>& alive) {
-  if (held != under_) {  // what was done under another token is begun anew, from what origins hand on
-    work_.clear();
-    under_ = held;
+void PurgeDistributor::Handle(Micros, const std::string&, std::optional<Token> held,
+                              const TokenSuperseded& reply) {
+  if (!held || reply.newer_token <= *held) return;
+  superseding_token_ = std::max(superseding_token_, reply.newer_token);
+}
+
+// Distributions under an earlier token are started anew from what the origins hand over again.
+void PurgeDistributor::Tick(Micros now, const std::string& holder, std::optional<Token> held,
+                            const std::vector<std::string>& alive) {
+  if (held != distribution_token_) {
+    distributions_.clear();
+    distribution_token_ = held;
   }
-  for (auto at = mine_.begin(); at != mine_.end();) {
-    Mine& mine = at->second;
-    if (now - mine.born >= keep_) {
-      at = mine_.erase(at);
-      continue;
-    }
+  ProcessOwnPurges(now, holder, held);
+  if (held) RunRound(now, *held, alive);
+}
+
+void PurgeDistributor::ProcessOwnPurges(Micros now, const std::string& holder, std::optional<Token> held) {
+  std::erase_if(own_purges_,
+                [&](const auto& entry) { return now - entry.second.submitted_at >= retention_; });
+  for (auto& [id, own] : own_purges_) {
     if (held) {
-      TakeOn(now, mine.job, mine.born);
-      mine.taken = true;
-      if (const auto work = work_.find(at->first); work != work_.end()) work->second.done.insert(self_);
-      mine.due = now + kAgain;
-    } else if (now >= mine.due && !holder.empty() && holder != self_) {
-      Send(holder, FanKind::kHand, kNoToken, Aged(mine.job, mine.born, now));
-      // Once taken it is handed on slowly, so that a holder that comes after the one that took it has it too.
-      mine.due = now + (mine.taken ? kAgain : kRetry);
-    } else if (now >= mine.due) {
-      mine.due = now + kRetry;  // nobody is known to hold it yet
+      DistributeOwn(now, own);
+    } else if (now >= own.next_hand_over_at) {
+      HandOver(now, holder, own);
     }
-    ++at;
   }
-  if (held) Spread(now, *held, alive);
 }
 
-// A purge that all have is looked at once a kAgain, for who comes alive; one that some have not, each kRetry.
-void Fanout::Spread(Micros now, Token held, const std::vector<std::string>& alive) {
-  std::size_t sent = 0, looked = 0;
-  for (auto at = work_.begin(); at != work_.end();) {
-    Work& work = at->second;
-    if (now - work.born >= keep_) {
-      at = work_.erase(at);
+void PurgeDistributor::DistributeOwn(Micros now, OwnPurge& own) {
+  StartDistribution(now, own.purge, own.submitted_at);
+  own.is_hand_over_accepted = true;
+  own.next_hand_over_at = now + kRefreshInterval;
+  const auto distribution = distributions_.find(own.purge.id);
+  if (distribution != distributions_.end()) distribution->second.applied_by.insert(self_);
+}
+
+// A purge that was accepted is handed over again, less often, in case another member has become the holder.
+void PurgeDistributor::HandOver(Micros now, const std::string& holder, OwnPurge& own) {
+  own.next_hand_over_at = now + kRetryInterval;
+  if (holder.empty() || holder == self_) return;
+  Send(holder, HandOverPurge{WithAge(own.purge, own.submitted_at, now)});
+  if (own.is_hand_over_accepted) own.next_hand_over_at = now + kRefreshInterval;
+}
+
+void PurgeDistributor::RunRound(Micros now, Token held, const std::vector<std::string>& alive) {
+  std::erase_if(distributions_,
+                [&](const auto& entry) { return now - entry.second.submitted_at >= retention_; });
+  RoundUsage usage;
+  for (auto& [id, distribution] : distributions_) {
+    if (now < distribution.next_round_at) continue;
+    if (usage.IsExhausted()) break;
+    Distribute(now, held, alive, distribution, usage);
+  }
+}
+
+void PurgeDistributor::Distribute(Micros now, Token held, const std::vector<std::string>& alive,
+                                  Distribution& distribution, RoundUsage& usage) {
+  bool is_complete = true;
+  for (const std::string& member : alive) {
+    ++usage.visits;
+    if (distribution.applied_by.contains(member)) continue;
+    if (member == self_) {
+      distribution.applied_by.insert(self_);
+      ApplyOnce(WithAge(distribution.purge, distribution.submitted_at, now));
       continue;
     }
-    const auto here = at++;
-    if (now < work.next || sent >= kMostRound || looked >= kMostLooked) continue;
-    bool all = true;
-    for (const std::string& member : alive) {
-      ++looked;
-      if (work.done.contains(member)) continue;
-      if (member == self_) {
-        work.done.insert(self_);
-        if (Remember(here->first)) {
-          ++applied_count_;
-          apply_.push_back(Aged(work.job, work.born, now));
-        }
-        continue;
-      }
-      all = false;
-      const auto [last, fresh] = work.sent.try_emplace(member, now);
-      if (!fresh && now - last->second < kRetry) continue;
-      last->second = now;
-      Send(member, FanKind::kApply, held, Aged(work.job, work.born, now));
-      if (++sent >= kMostRound) break;
-    }
-    // A burst that was cut short goes on soon: bursts, not floods.
-    work.next = now + (all ? kAgain : sent >= kMostRound ? kBurst : kRetry);
+    is_complete = false;
+    if (SendToMember(now, held, member, distribution)) ++usage.messages;
+    if (!usage.HasMessagesLeft()) break;
   }
+  const Micros retry_interval = usage.HasMessagesLeft() ? kRetryInterval : kBurstInterval;
+  distribution.next_round_at = now + (is_complete ? kRefreshInterval : retry_interval);
 }
 
-Micros Fanout::NextDue() const {
-  Micros due = Micros::max();
-  for (const auto& [id, mine] : mine_) due = std::min(due, mine.due);
-  for (const auto& [id, work] : work_) due = std::min(due, work.next);
-  return due;
+// Whether a message was sent: not if the last one may still be acknowledged.
+bool PurgeDistributor::SendToMember(Micros now, Token held, const std::string& member,
+                                    Distribution& distribution) {
+  const auto [last_sent, is_first] = distribution.sent_at.try_emplace(member, now);
+  if (!is_first && now - last_sent->second < kRetryInterval) return false;
+  last_sent->second = now;
+  Send(member, ApplyPurge{held, WithAge(distribution.purge, distribution.submitted_at, now)});
+  return true;
+}
+
+Micros PurgeDistributor::NextDeadline() const {
+  Micros deadline = Micros::max();
+  for (const auto& [id, own] : own_purges_) deadline = std::min(deadline, own.next_hand_over_at);
+  for (const auto& [id, distribution] : distributions_) {
+    deadline = std::min(deadline, distribution.next_round_at);
+  }
+  return deadline;
 }
 
 }  // namespace tinspan::lease
--- a/src/lease/sim.cpp
+++ b/src/lease/sim.cpp
@@ -4,143 +4,205 @@
 #include <tuple>
 
 namespace tinspan::lease::sim {
+namespace {
 
-Fleet::Fleet(Options options, std::size_t voters, Micros every, std::uint64_t seed)
-    : options_(std::move(options)), every_(every), random_(seed) {
-  options_.duties = {kDuty};
+// A member's tick is scheduled at least this far ahead, so that a deadline that cannot be met yet (a
+// candidate with nothing to publish) does not stop time.
+constexpr Micros kMinTickDelay{1'000};
+// A member gives a request to the store up after this; its write may still be accepted later.
+constexpr Micros kStoreTimeout{500'000};
+
+}  // namespace
+
+bool Fleet::Event::operator>(const Event& other) const {
+  return std::tie(at, order) > std::tie(other.at, other.order);
+}
+
+Fleet::Fleet(LeaseOptions options, std::size_t voter_count, Micros publish_interval, std::uint64_t seed)
+    : options_(std::move(options)), publish_interval_(publish_interval), random_(seed) {
+  options_.lease_names = {kLease};
   options_.voters.clear();
-  for (std::size_t i = 0; i < voters; ++i) options_.voters.push_back("m" + std::to_string(i));
+  for (std::size_t i = 0; i < voter_count; ++i) options_.voters.push_back("m" + std::to_string(i));
+}
+
+// A member's own clock: only its rate differs from true time, since its zero has no meaning.
+Micros Fleet::LocalTime(const Member& member) const {
+  return Micros{static_cast<std::int64_t>(static_cast<double>(now_.count()) * member.clock_rate)};
+}
+
+Micros Fleet::TrueTime(const Member& member, Micros local) const {
+  return Micros{static_cast<std::int64_t>(static_cast<double>(local.count()) / member.clock_rate)};
+}
+
+std::uint64_t Fleet::WallMs(const Member& member) const {
+  const std::int64_t wall_ms = (now_ + member.wall_clock_offset).count() / 1000;
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(wall_ms, 1));
+}
+
+Micros Fleet::RandomDelay() {
+  std::uniform_int_distribution<std::int64_t> delays(link_.min_delay.count(), link_.max_delay.count());
+  return Micros{delays(random_)};
 }
 
-int Fleet::Add(double rate, Micros wall_off) {
-  const int member = static_cast<int>(nodes_.size());
-  nodes_.emplace_back();
-  nodes_.back().name = "m" + std::to_string(member);
-  nodes_.back().rate = rate;
-  nodes_.back().wall_off = wall_off;
-  Begin(member);
-  return member;
+bool Fleet::RandomChance(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
 }
 
-void Fleet::Begin(int member) {
-  Node& node = nodes_[member];
-  node.peer = std::make_unique<Peer>(options_, node.name, random_(), Local(node));
-  node.publisher = std::make_unique<Publisher>(every_);
-  node.running = true;
-  node.paused_until = Micros{0};
-  node.waiting.clear();
-  ++node.life;
-  node.peer->Want(kDuty, node.wanted, Local(node));
-  Schedule(member);
+int Fleet::Add(double clock_rate, Micros wall_clock_offset) {
+  const int index = static_cast<int>(members_.size());
+  Member& member = members_.emplace_back();
+  member.name = "m" + std::to_string(index);
+  member.clock_rate = clock_rate;
+  member.wall_clock_offset = wall_clock_offset;
+  Start(index);
+  return index;
 }
 
-void Fleet::Want(int member, bool wanted) {
-  Node& node = nodes_[member];
-  node.wanted = wanted;
-  if (!node.running) return;
-  node.peer->Want(kDuty, wanted, Local(node));
-  Schedule(member);
+void Fleet::Start(int member) {
+  Member& started = members_[member];
+  started.node = std::make_unique<LeaseNode>(options_, started.name, random_(), LocalTime(started));
+  started.publisher = std::make_unique<Publisher>(publish_interval_);
+  started.is_running = true;
+  started.paused_until = Micros{0};
+  started.deferred.clear();
+  ++started.incarnation;
+  started.node->SetCandidacy(kLease, started.is_candidate, LocalTime(started));
+  ScheduleTick(member);
+}
+
+void Fleet::SetCandidacy(int member, bool is_candidate) {
+  Member& changed = members_[member];
+  changed.is_candidate = is_candidate;
+  if (!changed.is_running) return;
+  changed.node->SetCandidacy(kLease, is_candidate, LocalTime(changed));
+  ScheduleTick(member);
 }
 
 void Fleet::Kill(int member) {
-  Node& node = nodes_[member];
-  if (const auto held = node.peer->Holds(kDuty, Local(node))) history_.Ended(*held, now_);
-  node.running = false;
-  ++node.life;
+  Member& killed = members_[member];
+  if (const auto held = killed.node->HeldToken(kLease, LocalTime(killed))) history_.RecordEnd(*held, now_);
+  killed.is_running = false;
+  ++killed.incarnation;
 }
-void Fleet::Restart(int member) { Begin(member); }
-void Fleet::Pause(int member, Micros until) { nodes_[member].paused_until = until; }
+
+void Fleet::Restart(int member) { Start(member); }
+
+void Fleet::Pause(int member, Micros until) { members_[member].paused_until = until; }
+
 void Fleet::Leave(int member) {
-  Node& node = nodes_[member];
-  node.wanted = false;
-  if (!node.running) return;
-  node.peer->ReleaseAll(Local(node));
+  Member& leaving = members_[member];
+  leaving.is_candidate = false;
+  if (!leaving.is_running) return;
+  leaving.node->ReleaseAll(LocalTime(leaving));
   Flush(member);
 }
-void Fleet::CutStore(int member, bool cut) { nodes_[member].store_cut = cut; }
-void Fleet::SlowStore(int member, Micros longest) { nodes_[member].store_delay = longest; }
-void Fleet::Split(const std::vector<int>& side) {
-  const std::set<int> in(side.begin(), side.end());
-  for (int a = 0; a < static_cast<int>(nodes_.size()); ++a) {
-    for (int b = 0; b < static_cast<int>(nodes_.size()); ++b) {
-      if (in.contains(a) != in.contains(b)) cut_.insert({a, b});
+
+void Fleet::Partition(const std::vector<int>& side) {
+  const std::set<int> inside(side.begin(), side.end());
+  const int count = static_cast<int>(members_.size());
+  for (int from = 0; from < count; ++from) {
+    for (int recipient = 0; recipient < count; ++recipient) {
+      if (inside.contains(from) != inside.contains(recipient)) CutLink(from, recipient);
     }
   }
 }
+
 void Fleet::Heal() {
-  cut_.clear();
-  for (Node& node : nodes_) {
-    node.store_cut = false;
-    node.store_delay = Micros{0};
+  cut_links_.clear();
+  for (Member& member : members_) {
+    member.is_store_cut = false;
+    member.max_store_delay = Micros{0};
   }
 }
 
-int Fleet::Holder() const {
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (nodes_[i].running && nodes_[i].peer->Holds(kDuty, Local(nodes_[i]))) return static_cast<int>(i);
+std::optional<int> Fleet::Holder() const {
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    const Member& member = members_[i];
+    if (member.is_running && member.node->HeldToken(kLease, LocalTime(member))) return static_cast<int>(i);
   }
-  return -1;
+  return std::nullopt;
 }
 
-Micros Fleet::Delay() {
-  return Micros{
-      std::uniform_int_distribution<std::int64_t>(link_.least.count(), link_.most.count())(random_)};
+void Fleet::Schedule(Micros run_at, std::function<void()> run) {
+  events_.push(Event{run_at, ++event_count_, std::move(run)});
 }
 
-void Fleet::AsMember(int member, std::uint64_t life, std::function<void()> run) {
-  Node& node = nodes_[member];
-  if (!node.running || node.life != life) return;
-  if (node.paused_until > now_) {
-    node.waiting.push_back(std::move(run));
+void Fleet::RunAs(int member, std::uint64_t incarnation, std::function<void()> run) {
+  Member& runner = members_[member];
+  if (!runner.is_running || runner.incarnation != incarnation) return;
+  if (runner.paused_until > now_) {
+    runner.deferred.push_back(std::move(run));
     return;
   }
   run();
   Flush(member);
 }
 
-void Fleet::Schedule(int member) {
-  Node& node = nodes_[member];
-  Micros own = node.peer->NextDue();
-  if (node.peer->Holds(kDuty, Local(node))) own = std::min(own, node.publisher->NextDue());
-  const Micros due = own == Micros::max() ? now_ + options_.length : True(node, own) + Micros{1};
-  const std::uint64_t generation = ++node.generation, life = node.life;
-  // At least a little later, so that a due time that cannot be met yet (nothing to publish) does not spin.
-  At(std::max({due, node.paused_until, now_ + Micros{1'000}}), [this, member, generation, life] {
-    Node& one = nodes_[member];
-    if (!one.running || one.life != life || one.generation != generation) return;
-    if (one.paused_until > now_) return Schedule(member);
-    // As after a stop: what waited in the socket comes first.
-    for (const auto& waited : std::exchange(one.waiting, {})) waited();
-    one.peer->Tick(Local(one), Wall(one));
-    Flush(member);
-  });
+void Fleet::ScheduleTick(int member) {
+  Member& scheduled = members_[member];
+  Micros deadline = scheduled.node->NextDeadline();
+  if (scheduled.node->HeldToken(kLease, LocalTime(scheduled))) {
+    deadline = std::min(deadline, scheduled.publisher->NextDeadline());
+  }
+  const bool has_deadline = deadline != Micros::max();
+  const Micros due =
+      has_deadline ? TrueTime(scheduled, deadline) + Micros{1} : now_ + options_.lease_duration;
+  const std::uint64_t schedule = ++scheduled.schedule;
+  const std::uint64_t incarnation = scheduled.incarnation;
+  Schedule(std::max({due, scheduled.paused_until, now_ + kMinTickDelay}),
+           [this, member, schedule, incarnation] {
+             const Member& ticking = members_[member];
+             const bool is_void = ticking.incarnation != incarnation || ticking.schedule != schedule;
+             if (ticking.is_running && !is_void) RunTick(member);
+           });
 }
 
-void Fleet::Flush(int member) {
-  Node& node = nodes_[member];
-  const auto held = node.peer->Holds(kDuty, Local(node));
-  for (const Change& change : node.peer->TakeChanges()) {
-    if (change.what == Change::What::kReleased) history_.Ended(change.token, now_);
+// As after a real pause, what was received meanwhile comes first.
+void Fleet::RunTick(int member) {
+  Member& ticking = members_[member];
+  if (ticking.paused_until > now_) {
+    ScheduleTick(member);
+    return;
   }
-  if (held) {
-    history_.Held(*held, node.name, now_,
-                  True(node, node.peer->KnownOf(kDuty, Local(node)).left + Local(node)));
+  for (const auto& handle : std::exchange(ticking.deferred, {})) handle();
+  ticking.node->Tick(LocalTime(ticking), WallMs(ticking));
+  Flush(member);
+}
+
+void Fleet::RecordHold(const Member& member) {
+  const Micros local_now = LocalTime(member);
+  const LeaseStatus status = member.node->StatusOf(kLease, local_now);
+  history_.RecordHold(status.token, member.name, now_, TrueTime(member, status.remaining + local_now));
+}
+
+void Fleet::Flush(int member) {
+  Member& flushed = members_[member];
+  const Micros local_now = LocalTime(flushed);
+  const auto held = flushed.node->HeldToken(kLease, local_now);
+  for (const LeaseChange& change : flushed.node->DrainChanges()) {
+    if (change.kind == LeaseChange::Kind::kReleased) history_.RecordEnd(change.token, now_);
   }
-  if (const auto ask = node.publisher->Next(Local(node), held)) Call(member, *ask);
-  for (Out& out : node.peer->TakeOut()) {
-    ++messages_;
-    const int to = std::stoi(out.to.substr(1));
-    if (to >= static_cast<int>(nodes_.size()) || cut_.contains({member, to})) continue;
-    const int copies = 1 + (std::uniform_real_distribution<double>(0, 1)(random_) < link_.copies);
-    for (int i = 0; i < copies; ++i) {
-      if (std::uniform_real_distribution<double>(0, 1)(random_) < link_.loss) continue;
-      At(now_ + Delay(), [this, to, message = out.message] {
-        AsMember(to, nodes_[to].life,
-                 [this, to, message] { nodes_[to].peer->Receive(Local(nodes_[to]), message); });
+  if (held) RecordHold(flushed);
+  if (const auto request = flushed.publisher->NextRequest(local_now, held)) CallStore(member, *request);
+  for (const OutboundMessage& outbound : flushed.node->DrainMessages()) SendMessage(member, outbound);
+  ScheduleTick(member);
+}
+
+void Fleet::SendMessage(int sender, const OutboundMessage& outbound) {
+  ++message_count_;
+  const int recipient = std::stoi(outbound.recipient.substr(1));
+  const bool is_known = recipient < static_cast<int>(members_.size());
+  if (!is_known || cut_links_.contains({sender, recipient})) return;
+  const int copies = RandomChance(link_.duplication) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (RandomChance(link_.loss)) continue;
+    Schedule(now_ + RandomDelay(), [this, recipient, message = outbound.message] {
+      RunAs(recipient, members_[recipient].incarnation, [this, recipient, message] {
+        const Member& receiver = members_[recipient];
+        receiver.node->Receive(LocalTime(receiver), message);
       });
-    }
+    });
   }
-  Schedule(member);
 }
 
 void Fleet::RunFor(Micros span) {
@@ -154,46 +216,60 @@
   now_ = end;
 }
 
-// To the store and back: either way may be lost or cut; the store itself never fails. A call is given up
-// after half a second: its answer is heard no more, and its write may still be taken later.
-void Fleet::Call(int member, const Ask& ask) {
-  ++store_calls_;
-  const std::uint64_t life = nodes_[member].life, call = ++nodes_[member].call;
-  const auto lost = [this, member] {
-    return nodes_[member].store_cut || std::uniform_real_distribution<double>(0, 1)(random_) < link_.loss;
-  };
-  const bool there = !lost(), back = !lost();
-  // As `member`, once, while this call is still the one it waits for.
-  const auto answered = [this, member, life, call](std::function<void(Node&)> then) {
-    AsMember(member, life, [this, member, call, then = std::move(then)] {
-      Node& node = nodes_[member];
-      if (node.call != call || !node.publisher->Waiting()) return;
-      then(node);
-    });
-  };
-  At(now_ + Micros{500'000},
-     [this, answered] { answered([this](Node& node) { node.publisher->OnFailed(Local(node)); }); });
-  if (!there) return;
-  const Micros slow{
-      std::uniform_int_distribution<std::int64_t>(0, nodes_[member].store_delay.count())(random_)};
-  At(now_ + Delay() + slow, [this, ask, back, answered] {
-    if (ask.what == Ask::What::kWrite) {
-      const bool taken = ask.index == stored_.index;
-      history_.Effect(ask.token, ask.number, taken);
-      if (taken) stored_ = {stored_.index + 1, ask.token, ask.number};
-    }
-    if (!back) return;
-    At(now_ + Delay(), [this, ask, answered, stood = stored_] {
-      answered([this, ask, stood](Node& node) {
-        if (ask.what == Ask::What::kWrite) return node.publisher->OnWrite();
-        if (node.publisher->OnRead(Local(node), stood)) {
-          node.peer->Heard(kDuty, stood.token);
-          if (const auto held = node.peer->Holds(kDuty, Local(node))) history_.Ended(*held, now_);
-          node.peer->Drop(kDuty, Local(node));
-        }
-      });
+bool Fleet::IsStoreMessageLost(int member) {
+  return members_[member].is_store_cut || RandomChance(link_.loss);
+}
+
+// Either direction may be lost; the store itself never fails.
+void Fleet::CallStore(int member, const StoreRequest& request) {
+  ++store_request_count_;
+  Member& caller = members_[member];
+  const bool is_request_lost = IsStoreMessageLost(member);
+  const bool is_response_lost = IsStoreMessageLost(member);
+  const StoreCall call{member, caller.incarnation, ++caller.store_request, request, is_response_lost};
+  Schedule(now_ + kStoreTimeout, [this, call] {
+    Respond(call, [this](Member& waiting) { waiting.publisher->OnFailed(LocalTime(waiting)); });
+  });
+  if (is_request_lost) return;
+  std::uniform_int_distribution<std::int64_t> delays(0, caller.max_store_delay.count());
+  const Micros extra_delay{delays(random_)};
+  Schedule(now_ + RandomDelay() + extra_delay, [this, call] { ReachStore(call); });
+}
+
+void Fleet::ReachStore(const StoreCall& call) {
+  const auto* const write = std::get_if<WriteRequest>(&call.request);
+  if (write != nullptr && write->expected_index == stored_.index) {
+    history_.RecordAcceptedWrite(write->token, write->number);
+    stored_ = {stored_.index + 1, write->token, write->number};
+  } else if (write != nullptr) {
+    history_.RecordRejectedWrite();
+  }
+  if (call.is_response_lost) return;
+  Schedule(now_ + RandomDelay(), [this, call, is_write = write != nullptr, stored = stored_] {
+    Respond(call, [this, is_write, stored](Member& waiting) {
+      if (is_write) {
+        waiting.publisher->OnWritten();
+      } else {
+        OnRecordRead(waiting, stored);
+      }
     });
   });
 }
 
+// Runs `handle` as the caller, if it still waits for this very request.
+void Fleet::Respond(const StoreCall& call, std::function<void(Member&)> handle) {
+  RunAs(call.member, call.incarnation, [this, call, handle = std::move(handle)] {
+    Member& caller = members_[call.member];
+    if (caller.store_request == call.id && caller.publisher->IsPending()) handle(caller);
+  });
+}
+
+void Fleet::OnRecordRead(Member& member, const StoredRecord& stored) {
+  const Micros local_now = LocalTime(member);
+  if (member.publisher->OnRead(local_now, stored) == RecordCheck::kCurrent) return;
+  member.node->ObserveToken(kLease, stored.token);
+  if (const auto held = member.node->HeldToken(kLease, local_now)) history_.RecordEnd(*held, now_);
+  member.node->Abandon(kLease, local_now);
+}
+
 }  // namespace tinspan::lease::sim
--- /dev/null
+++ b/tests/lease/lease_fixture.hpp
@@ -0,0 +1,111 @@
+// What the lease tests share: options with short spans, a simulated fleet in which every member is a
+// candidate, and the responses that voters send to a node under test.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lease/lease_node.hpp"
+#include "lease/sim.hpp"
+
+namespace tinspan::lease {
+
+// A lease of a second and ballots of an eighth of it; no voters and no lease names.
+inline LeaseOptions ShortLeaseOptions() {
+  using namespace std::chrono_literals;
+  LeaseOptions options;
+  options.lease_duration = 1s;
+  options.ballot_timeout = 125ms;
+  return options;
+}
+
+// The same for a single node, with the lease kHealthLease and three voters.
+inline LeaseOptions ThreeVoterOptions() {
+  LeaseOptions options = ShortLeaseOptions();
+  options.voters = {"a", "b", "c"};
+  options.lease_names = {kHealthLease};
+  return options;
+}
+
+// A fleet whose members are all candidates.
+class CandidateFleet : public sim::Fleet {
+ public:
+  static constexpr Micros kPublishInterval{200'000};
+
+  // The first `clock_rates.size()` members have clocks of those rates.
+  CandidateFleet(int member_count, std::size_t voter_count, std::uint64_t seed = 1,
+                 const std::vector<double>& clock_rates = {})
+      : Fleet(ShortLeaseOptions(), voter_count, kPublishInterval, seed) {
+    for (int i = 0; i < member_count; ++i) {
+      Add(i < static_cast<int>(clock_rates.size()) ? clock_rates[i] : 1.0);
+    }
+    for (int i = 0; i < member_count; ++i) SetCandidacy(i, true);
+  }
+};
+
+// Runs until a member other than `excluded` holds the lease. Returns how long it took, or `limit`.
+inline Micros RunUntilHeld(sim::Fleet& fleet, Micros limit, int excluded = -1) {
+  constexpr Micros kStep{10'000};
+  for (Micros waited{0}; waited < limit; waited += kStep) {
+    const auto holder = fleet.Holder();
+    if (holder && *holder != excluded) return waited;
+    fleet.RunFor(kStep);
+  }
+  return limit;
+}
+
+inline void ExpectNoViolation(const sim::Fleet& fleet) {
+  const auto violation = fleet.RecordedHistory().FindViolation();
+  EXPECT_FALSE(violation) << *violation;
+}
+
+// The body of the first message that the node sends now, which must be of that kind.
+template <class Body>
+Body TakeFirst(LeaseNode& node) {
+  return std::get<Body>(node.DrainMessages().at(0).message.body);
+}
+
+// Hands the node a message about kHealthLease from `sender`.
+inline void Deliver(LeaseNode& node, Micros now, const std::string& sender, MessageBody body) {
+  node.Receive(now, Message{kHealthLease, sender, std::move(body)});
+}
+
+// A node of the member `self` that tries for kHealthLease and has started its first ballot.
+class CandidateNode : public testing::Test {
+ protected:
+  static constexpr Micros kStartedAt{125'000};
+  static constexpr std::uint64_t kWallMs = 1'000;
+
+  CandidateNode() {
+    node.SetCandidacy(kHealthLease, true, Micros{0});
+    node.Tick(kStartedAt, kWallMs);
+    prepare = TakeFirst<Prepare>(node);
+  }
+
+  void Promised(Micros now, const std::string& voter) {
+    Deliver(node, now, voter, Promise{prepare.ballot, prepare.request_id});
+  }
+  void Accepted(Micros now, const std::string& voter, const Propose& propose) {
+    Deliver(node, now, voter, Accept{propose.ballot, propose.request_id});
+  }
+  // Promises of a majority; the proposal that follows.
+  Propose ReachProposal(Micros now) {
+    Promised(now, "a");
+    Promised(now, "b");
+    return TakeFirst<Propose>(node);
+  }
+  // When the hold known at `now` ends.
+  Micros HeldUntil(Micros now) const { return now + node.StatusOf(kHealthLease, now).remaining; }
+
+  LeaseOptions options = ThreeVoterOptions();
+  LeaseNode node{options, "self", 1, Micros{0}};
+  Prepare prepare;
+};
+
+}  // namespace tinspan::lease
--- /dev/null
+++ b/tests/lease/purge_distributor_test.cpp
@@ -0,0 +1,211 @@
+// The distribution of purges among members without a network: messages arrive at once unless they are lost.
+#include "lease/purge_distributor.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace tinspan::lease {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kNobody = -1;
+
+Purge PurgeOf(std::uint64_t group, std::optional<std::uint64_t> object = std::nullopt) {
+  return {"", group, object, Micros{0}};
+}
+
+// The members m0, m1, ... of a fleet.
+class DistributorFleet {
+ public:
+  explicit DistributorFleet(int count) : applied_(count) {
+    for (int i = 0; i < count; ++i) {
+      names_.push_back("m" + std::to_string(i));
+      members_.emplace_back(names_.back(), 1, 60s);
+    }
+  }
+
+  // Runs all members that are not down; `holder` holds the lease under `token`, or nobody does.
+  void RunFor(Micros span, int holder, Token token) {
+    constexpr Micros kStep{50'000};
+    holder_ = holder;
+    token_ = token;
+    for (const Micros end = now_ + span; now_ < end; now_ += kStep) {
+      for (int i = 0; i < static_cast<int>(members_.size()); ++i) {
+        if (down_.contains(i)) continue;
+        members_[i].Tick(now_, holder == kNobody ? "" : names_[holder], HeldBy(i), names_);
+        DeliverFrom(i);
+      }
+    }
+  }
+
+  SubmitResult Submit(int origin, Purge purge) { return members_[origin].Submit(now_, std::move(purge)); }
+  void SetDown(std::set<int> members) { down_ = std::move(members); }
+  // Which messages are lost, by sender and recipient.
+  void SetLoss(std::function<bool(int, int)> is_lost) { is_lost_ = std::move(is_lost); }
+
+  PurgeDistributor& MemberAt(int member) { return members_[member]; }
+  // How many purges were to be applied at that member.
+  std::size_t AppliedAt(int member) const { return applied_[member].size(); }
+  std::size_t MessageCount() const { return message_count_; }
+  std::size_t OpenCount() const {
+    std::size_t open = 0;
+    for (const PurgeDistributor& member : members_) open += member.OpenCount();
+    return open;
+  }
+
+ private:
+  std::optional<Token> HeldBy(int member) const {
+    return member == holder_ ? std::optional(token_) : std::nullopt;
+  }
+
+  void DeliverFrom(int sender) {
+    for (const OutboundPurgeMessage& outbound : members_[sender].DrainMessages()) {
+      const int recipient = std::stoi(outbound.recipient.substr(1));
+      ++message_count_;
+      if (down_.contains(recipient) || is_lost_(sender, recipient)) continue;
+      members_[recipient].Receive(now_, outbound.message, HeldBy(recipient));
+      DeliverFrom(recipient);
+    }
+    for (const Purge& purge : members_[sender].DrainPurgesToApply()) applied_[sender].push_back(purge.id);
+  }
+
+  Micros now_{0};
+  int holder_ = kNobody;
+  Token token_ = kNoToken;
+  std::vector<std::string> names_;
+  std::vector<PurgeDistributor> members_;
+  std::vector<std::vector<std::string>> applied_;
+  std::set<int> down_;
+  std::function<bool(int, int)> is_lost_ = [](int, int) { return false; };
+  std::size_t message_count_ = 0;
+};
+
+TEST(PurgeDistributor, WaitsForAHolder) {
+  DistributorFleet fleet(5);
+  ASSERT_EQ(fleet.Submit(3, PurgeOf(7, 9)), SubmitResult::kAccepted);
+  fleet.RunFor(50ms, kNobody, kNoToken);
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(fleet.AppliedAt(i), 0u) << i;
+}
+
+// The origin itself has applied the purge before it submits it.
+TEST(PurgeDistributor, PurgeIsAppliedOnceAtEachOtherMember) {
+  DistributorFleet fleet(5);
+  fleet.Submit(3, PurgeOf(7, 9));
+  fleet.RunFor(50ms, kNobody, kNoToken);
+  fleet.RunFor(5s, 1, Token{5});
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(fleet.AppliedAt(i), i == 3 ? 0u : 1u) << i;
+}
+
+// An applied purge is handed over once a second and acknowledged; nothing else is sent.
+TEST(PurgeDistributor, AppliedPurgeCostsFewMessages) {
+  DistributorFleet fleet(5);
+  fleet.Submit(3, PurgeOf(7, 9));
+  fleet.RunFor(5s, 1, Token{5});
+  const std::size_t sent = fleet.MessageCount();
+  fleet.RunFor(10s, 1, Token{5});
+  EXPECT_LE(fleet.MessageCount() - sent, 24u);
+}
+
+TEST(PurgeDistributor, PurgeIsDroppedAfterItsRetention) {
+  DistributorFleet fleet(5);
+  fleet.Submit(3, PurgeOf(7, 9));
+  fleet.RunFor(5s, 1, Token{5});
+  EXPECT_GT(fleet.OpenCount(), 0u);
+  fleet.RunFor(60s, 1, Token{5});
+  EXPECT_EQ(fleet.OpenCount(), 0u);
+}
+
+// The holder dies when it has reached two of five members; one of the others is down until later.
+TEST(PurgeDistributor, NextHolderCompletesADistribution) {
+  DistributorFleet fleet(5);
+  fleet.SetLoss([](int sender, int recipient) { return sender == 1 && recipient >= 3; });
+  fleet.Submit(0, PurgeOf(7));
+  fleet.RunFor(1s, 1, Token{5});
+  EXPECT_EQ(fleet.AppliedAt(2), 1u);
+  EXPECT_EQ(fleet.AppliedAt(3), 0u);
+  fleet.SetDown({1, 4});
+  fleet.SetLoss([](int, int) { return false; });
+  fleet.RunFor(3s, 2, Token{6});
+  EXPECT_EQ(fleet.AppliedAt(3), 1u);
+  fleet.SetDown({1});
+  fleet.RunFor(3s, 2, Token{6});
+  EXPECT_EQ(fleet.AppliedAt(4), 1u);
+  EXPECT_EQ(fleet.AppliedAt(2), 1u);
+}
+
+// A holder that was paused continues under its old token: it is rejected, and learns of the newer token.
+TEST(PurgeDistributor, HolderWithAStaleTokenIsRejected) {
+  DistributorFleet fleet(3);
+  fleet.Submit(0, PurgeOf(7));
+  fleet.RunFor(1s, 1, Token{6});
+  EXPECT_EQ(fleet.AppliedAt(2), 1u);
+  fleet.Submit(0, PurgeOf(8));
+  fleet.RunFor(200ms, 0, Token{5});
+  EXPECT_EQ(fleet.AppliedAt(2), 1u);
+  EXPECT_GE(fleet.MemberAt(2).RejectedCount(), 1u);
+  EXPECT_EQ(fleet.MemberAt(0).SupersedingToken(), Token{6});
+  fleet.RunFor(1s, 1, Token{7});
+  EXPECT_EQ(fleet.AppliedAt(2), 2u);
+}
+
+// A token that is claimed in the fleet view is enough to reject whoever held before.
+TEST(PurgeDistributor, ObservedTokenRejectsAnEarlierHolder) {
+  DistributorFleet fleet(2);
+  fleet.MemberAt(1).ObserveToken(Token{9});
+  fleet.Submit(0, PurgeOf(7));
+  fleet.RunFor(1s, 0, Token{8});
+  EXPECT_EQ(fleet.AppliedAt(1), 0u);
+  EXPECT_EQ(fleet.MemberAt(0).SupersedingToken(), Token{9});
+}
+
+TEST(PurgeDistributor, OwnPurgesAreBounded) {
+  PurgeDistributor origin("m0", 1, 60s);
+  std::size_t accepted = 0;
+  for (int i = 0; i < 1'000; ++i) accepted += origin.Submit(0s, PurgeOf(1)) == SubmitResult::kAccepted;
+  EXPECT_EQ(accepted, PurgeDistributor::kMaxOpenPurges);
+}
+
+TEST(PurgeDistributor, PurgesOfOthersAreBounded) {
+  PurgeDistributor holder("m1", 1, 60s);
+  for (int i = 0; i < 10'000; ++i) {
+    const std::string origin = "x" + std::to_string(i);
+    holder.Receive(0s, {origin, HandOverPurge{{origin + "/1", 1, std::nullopt, Micros{0}}}}, Token{4});
+    const Purge purge{"y/" + std::to_string(i), 1, std::nullopt, Micros{0}};
+    holder.Receive(0s, {"x", ApplyPurge{Token{4}, purge}}, std::nullopt);
+  }
+  EXPECT_LE(holder.OpenCount(), PurgeDistributor::kMaxOpenPurges);
+}
+
+// Hundreds of purges among hundreds of members: no round sends more than its limit, and in the end each purge
+// was sent once to each member that acknowledges it. Acknowledgements of a member that was sent nothing do
+// not count.
+TEST(PurgeDistributor, ManyPurgesAreDistributedInBursts) {
+  PurgeDistributor holder("m0", 1, 60s);
+  std::vector<std::string> alive;
+  for (int i = 0; i < 300; ++i) alive.push_back("m" + std::to_string(i));
+  for (std::size_t i = 0; i < PurgeDistributor::kMaxOpenPurges; ++i) {
+    ASSERT_EQ(holder.Submit(0s, PurgeOf(i)), SubmitResult::kAccepted);
+  }
+  std::size_t acknowledged = 0;
+  std::size_t largest_round = 0;
+  for (Micros now{0}; now < 30s; now += 5ms) {
+    holder.Tick(now, "m0", Token{5}, alive);
+    const std::vector<OutboundPurgeMessage> round = holder.DrainMessages();
+    largest_round = std::max(largest_round, round.size());
+    for (const OutboundPurgeMessage& outbound : round) {
+      const PurgeApplied reply{Token{5}, std::get<ApplyPurge>(outbound.message.body).purge.id};
+      holder.Receive(now, {"stranger", reply}, Token{5});
+      holder.Receive(now, {outbound.recipient, reply}, Token{5});
+      ++acknowledged;
+    }
+  }
+  EXPECT_EQ(largest_round, PurgeDistributor::kMaxMessagesPerRound);
+  EXPECT_EQ(acknowledged, PurgeDistributor::kMaxOpenPurges * 299);
+}
+
+}  // namespace
+}  // namespace tinspan::lease
--- a/tests/net/kv_standin.hpp
+++ b/tests/net/kv_standin.hpp
@@ -28,11 +28,11 @@
   // What is broken in the order of all that was taken, in words; and how many writes were refused.
   std::optional<std::string> Broken() const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return history_.Effects();
+    return history_.FindWriteViolation();
   }
   std::size_t Refused() const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return history_.Refused();
+    return history_.RejectedWrites();
   }
   // The next write is held until Release (as by a slow network): its writer waits, and may be stopped
   // meanwhile.
@@ -118,8 +118,12 @@
     if (put) {
       const bool taken = After(head, "cas=") == record_.index;
       const std::uint64_t flags = After(head, "flags="), number = After(body, "\"number\":");
-      history_.Effect(tinspan::lease::Token{flags}, number, taken);
-      if (taken) record_ = {record_.index + 7, flags, number, body};
+      if (taken) {
+        history_.RecordAcceptedWrite(tinspan::lease::Token{flags}, number);
+        record_ = {record_.index + 7, flags, number, body};
+      } else {
+        history_.RecordRejectedWrite();
+      }
       answer = taken ? "true" : "false";
       if (drop_.exchange(false)) {
         ::close(caller.fd);
--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -49,7 +49,7 @@
     // least, with the slowest true time that its clock allows.
     if (held.role == "holder") {
       const Micros from = Steady(), to = before + Micros{held.left * 900};
-      if (from < to) history.Held(Token{held.token}, fleet.all[member].name, from, to);
+      if (from < to) history.RecordHold(Token{held.token}, fleet.all[member].name, from, to);
     }
     return held;
   }
@@ -86,7 +86,7 @@
     }
   }
   void Unbroken() {
-    for (const auto& broken : {history.Broken(), store.Broken()}) {
+    for (const auto& broken : {history.FindViolation(), store.Broken()}) {
       if (broken) std::fprintf(stderr, "history: %s\n", broken->c_str());
       CHECK(!broken);
     }
@@ -188,7 +188,7 @@
   five.Taken(first);
   const std::uint64_t old = five.Token_(first);
   five.Writes(old - 1, 3);
-  five.history.Ended(Token{old}, Steady());
+  five.history.RecordEnd(Token{old}, Steady());
   five.fleet.Kill(first);
   const std::uint64_t number = five.store.Stored().number;
   const long long took = five.Taken(second);
@@ -264,9 +264,9 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(kLengthMs));
   five.Writes(old - 1, 3);
   five.fleet.all[first].program->Signal(SIGTERM);
-  five.history.Ended(Token{old}, Steady());
+  five.history.RecordEnd(Token{old}, Steady());
   CHECK(five.fleet.all[first].program->Wait() == 0);
-  CHECK(five.fleet.all[first].program->log.find("let go") != std::string::npos);
+  CHECK(five.fleet.all[first].program->log.find("health released, token") != std::string::npos);
   five.fleet.all[first].program.reset();
   const long long took = five.Taken(second);
   Report("a stopping holder's duty handed on", took);
