Bring the lease module and its tests through clang-tidy

Short parameter names, a C array, literal suffixes and tests with too many branches: the scenarios share fixtures (a paused holder, a fleet that lost its state, a large fleet), and two scenarios are now two tests each.

--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -1,8 +1,7 @@
 #include "lease/agent.hpp"
 
-#include <time.h>
-
 #include <algorithm>
+#include <ctime>
 
 #include "lease/candidate_selection.hpp"
 #include "lease/health_record.hpp"
--- a/src/lease/purge_distributor.cpp
+++ b/src/lease/purge_distributor.cpp
@@ -25,9 +25,9 @@
 }
 
 // Whether the id was new.
-bool PurgeDistributor::RememberApplied(const std::string& id) {
-  if (!applied_ids_.insert(id).second) return false;
-  applied_ids_by_age_.push_back(id);
+bool PurgeDistributor::RememberApplied(const std::string& purge_id) {
+  if (!applied_ids_.insert(purge_id).second) return false;
+  applied_ids_by_age_.push_back(purge_id);
   if (applied_ids_by_age_.size() > kMaxAppliedIds) {
     applied_ids_.erase(applied_ids_by_age_.front());
     applied_ids_by_age_.pop_front();
@@ -61,7 +61,7 @@
 }
 
 void PurgeDistributor::Receive(Micros now, const PurgeMessage& message, std::optional<Token> held) {
-  std::visit([&](const auto& body) { Handle(now, message.sender, held, body); }, message.body);
+  std::visit([&](const auto& body) { this->Handle(now, message.sender, held, body); }, message.body);
 }
 
 // Without a reply (no hold here, or too many purges) the origin hands the purge over again later.
--- a/src/lease/purge_distributor.hpp
+++ b/src/lease/purge_distributor.hpp
@@ -118,7 +118,7 @@
                   RoundUsage& usage);
   bool SendToMember(Micros now, Token held, const std::string& member, Distribution& distribution);
   void ApplyOnce(Purge purge);
-  bool RememberApplied(const std::string& id);
+  bool RememberApplied(const std::string& purge_id);
 
   std::string self_;
   std::uint64_t incarnation_;
--- a/src/lease/sim.cpp
+++ b/src/lease/sim.cpp
@@ -30,7 +30,7 @@
   return Micros{static_cast<std::int64_t>(static_cast<double>(now_.count()) * member.clock_rate)};
 }
 
-Micros Fleet::TrueTime(const Member& member, Micros local) const {
+Micros Fleet::TrueTime(const Member& member, Micros local) {
   return Micros{static_cast<std::int64_t>(static_cast<double>(local.count()) / member.clock_rate)};
 }
 
--- a/src/lease/sim.hpp
+++ b/src/lease/sim.hpp
@@ -114,13 +114,13 @@
   };
 
   Micros LocalTime(const Member& member) const;
-  Micros TrueTime(const Member& member, Micros local) const;
+  static Micros TrueTime(const Member& member, Micros local);
   std::uint64_t WallMs(const Member& member) const;
   Micros RandomDelay();
   bool RandomChance(double probability);
   bool IsStoreMessageLost(int member);
 
-  void Schedule(Micros at, std::function<void()> run);
+  void Schedule(Micros run_at, std::function<void()> run);
   void ScheduleTick(int member);
   void RunTick(int member);
   // Runs as `member`, after its pause if it is paused; not at all if that incarnation has ended.
--- a/tests/lease/candidate_selection_test.cpp
+++ b/tests/lease/candidate_selection_test.cpp
@@ -10,6 +10,7 @@
 
 std::vector<std::string> FiftyMembers() {
   std::vector<std::string> names;
+  names.reserve(50);
   for (int i = 0; i < 50; ++i) names.push_back("n" + std::to_string(i));
   return names;
 }
@@ -17,7 +18,7 @@
 TEST(SelectCandidates, DoesNotDependOnTheOrderOfMembers) {
   std::vector<std::string> names = FiftyMembers();
   const auto selected = SelectCandidates("health", names, 3);
-  ASSERT_EQ(selected.size(), 3u);
+  ASSERT_EQ(selected.size(), 3U);
   std::reverse(names.begin(), names.end());
   EXPECT_EQ(SelectCandidates("health", names, 3), selected);
 }
@@ -27,7 +28,7 @@
 }
 
 TEST(SelectCandidates, SelectsAllOfASmallFleet) {
-  EXPECT_EQ(SelectCandidates("health", {"a"}, 3).size(), 1u);
+  EXPECT_EQ(SelectCandidates("health", {"a"}, 3).size(), 1U);
 }
 
 }  // namespace
--- a/tests/lease/lease_fixture.hpp
+++ b/tests/lease/lease_fixture.hpp
@@ -60,6 +60,12 @@
   return limit;
 }
 
+// Runs until a member holds the lease, which must take less than `limit`. Returns that member.
+inline int RunUntilFirstHolder(sim::Fleet& fleet, Micros limit) {
+  EXPECT_LT(RunUntilHeld(fleet, 2 * limit), limit);
+  return fleet.Holder().value();
+}
+
 inline void ExpectNoViolation(const sim::Fleet& fleet) {
   const auto violation = fleet.RecordedHistory().FindViolation();
   EXPECT_FALSE(violation) << *violation;
--- a/tests/lease/lease_node_test.cpp
+++ b/tests/lease/lease_node_test.cpp
@@ -13,22 +13,41 @@
 
 constexpr Micros kOneHour{3'600'000'000};
 
+void ExpectEveryVoterKnowsTheHolder(const Fleet& fleet, int voter_count) {
+  const std::string holder = fleet.NameOf(fleet.Holder().value());
+  for (int i = 0; i < voter_count; ++i) {
+    EXPECT_EQ(fleet.NodeOf(i).StatusOf(Fleet::kLease, fleet.Now()).holder, holder) << "voter " << i;
+  }
+}
+
+// Pauses whoever holds, again and again, for longer than a lease.
+void PauseHolders(Fleet& fleet, int times) {
+  for (int i = 0; i < times; ++i) {
+    if (const auto holder = fleet.Holder()) fleet.Pause(*holder, fleet.Now() + 1'200ms);
+    fleet.RunFor(1'500ms);
+  }
+}
+
+void RestartAll(Fleet& fleet, int member_count) {
+  for (int i = 0; i < member_count; ++i) fleet.Kill(i);
+  for (int i = 0; i < member_count; ++i) fleet.Restart(i);
+}
+
 TEST(LeaseNode, OneMemberHoldsAndRenews) {
   CandidateFleet fleet(5, 5);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
-  const auto holder = fleet.Holder();
+  const int holder = RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(20s);
   EXPECT_EQ(fleet.Holder(), holder);
-  EXPECT_EQ(fleet.RecordedHistory().GrantCount(), 1u);
+  EXPECT_EQ(fleet.RecordedHistory().GrantCount(), 1U);
   ExpectNoViolation(fleet);
 }
 
 // A record each 200 ms; each takes a write and a read.
 TEST(LeaseNode, HolderPublishesAtItsInterval) {
   CandidateFleet fleet(5, 5);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
+  RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(20s);
-  EXPECT_GT(fleet.RecordedHistory().AcceptedWrites(), 80u);
+  EXPECT_GT(fleet.RecordedHistory().AcceptedWrites(), 80U);
   EXPECT_LE(fleet.StoreRequestCount(), 2 * fleet.RecordedHistory().AcceptedWrites() + 2);
 }
 
@@ -37,48 +56,58 @@
 // who holds.
 TEST(LeaseNode, EveryVoterEventuallyGrantsTheHolder) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
     CandidateFleet fleet(5, 5, seed);
     fleet.SetLinkQuality({0, 0, 100us, 40ms});  // slow enough for two candidates to prepare at once
-    ASSERT_LT(RunUntilHeld(fleet, 10s), 6s) << seed;
+    RunUntilFirstHolder(fleet, 6s);
     fleet.RunFor(2s);
-    const auto holder = fleet.Holder();
-    ASSERT_TRUE(holder) << seed;
-    for (int i = 0; i < 5; ++i) {
-      EXPECT_EQ(fleet.NodeOf(i).StatusOf(Fleet::kLease, fleet.Now()).holder, fleet.NameOf(*holder))
-          << "seed " << seed << ", voter " << i;
-    }
+    ExpectEveryVoterKnowsTheHolder(fleet, 5);
     ExpectNoViolation(fleet);
   }
 }
 
 TEST(LeaseNode, KilledHolderIsSucceededWithinALeaseAndItsNumbersContinue) {
   CandidateFleet fleet(5, 5);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
+  const int holder = RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(3s);
+  EXPECT_EQ(fleet.Holder(), holder);
   const std::uint64_t number = fleet.Stored().number;
-  fleet.Kill(fleet.Holder().value());
+  fleet.Kill(holder);
   EXPECT_LT(RunUntilHeld(fleet, 10s), 1s + 250ms);
   fleet.RunFor(2s);
   EXPECT_GT(fleet.Stored().number, number);
-  EXPECT_GT(fleet.RecordedHistory().GrantCount(), 1u);
+  EXPECT_GT(fleet.RecordedHistory().GrantCount(), 1U);
   ExpectNoViolation(fleet);
 }
 
-TEST(LeaseNode, PausedHolderDoesNotActUnderItsOldToken) {
-  CandidateFleet fleet(5, 5);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
-  fleet.RunFor(1s);
-  const int first = fleet.Holder().value();
-  const Token old_token = fleet.Stored().token;
-  fleet.Pause(first, fleet.Now() + 3s);
-  fleet.RunFor(2s);
-  const auto second = fleet.Holder();
-  ASSERT_NE(second, first);
-  const Token next_token = fleet.Stored().token;
-  EXPECT_GT(next_token, old_token);
+// A fleet whose first holder is paused for three seconds and has been succeeded by another member.
+class PausedHolderTest : public testing::Test {
+ protected:
+  PausedHolderTest() {
+    first_holder = RunUntilFirstHolder(fleet, 5s);
+    fleet.RunFor(1s);
+    first_token = fleet.Stored().token;
+    fleet.Pause(first_holder, fleet.Now() + 3s);
+    fleet.RunFor(2s);
+  }
+
+  CandidateFleet fleet{5, 5};
+  int first_holder = 0;
+  Token first_token = kNoToken;
+};
+
+TEST_F(PausedHolderTest, IsSucceededUnderAHigherToken) {
+  ASSERT_TRUE(fleet.Holder());
+  EXPECT_NE(fleet.Holder(), first_holder);
+  EXPECT_GT(fleet.Stored().token, first_token);
+}
+
+TEST_F(PausedHolderTest, DoesNotActUnderItsOldTokenOnceItContinues) {
+  const auto second_holder = fleet.Holder();
+  const Token second_token = fleet.Stored().token;
   fleet.RunFor(3s);
-  EXPECT_EQ(fleet.Holder(), second);
-  EXPECT_EQ(fleet.Stored().token, next_token);
+  EXPECT_EQ(fleet.Holder(), second_holder);
+  EXPECT_EQ(fleet.Stored().token, second_token);
   ExpectNoViolation(fleet);
 }
 
@@ -86,21 +115,18 @@
 TEST(LeaseNode, DriftingClocksNeverLetTwoMembersHold) {
   for (const double rate : {1.1, 0.9}) {
     CandidateFleet fleet(3, 3, 7, {rate, 2 - rate, 1.0});
-    ASSERT_LT(RunUntilHeld(fleet, 10s), 6s);
-    for (int i = 0; i < 20; ++i) {
-      if (const auto holder = fleet.Holder()) fleet.Pause(*holder, fleet.Now() + 1'200ms);
-      fleet.RunFor(1'500ms);
-    }
-    EXPECT_GT(fleet.RecordedHistory().GrantCount(), 5u);
+    RunUntilFirstHolder(fleet, 6s);
+    PauseHolders(fleet, 20);
+    EXPECT_GT(fleet.RecordedHistory().GrantCount(), 5U);
     ExpectNoViolation(fleet);
   }
 }
 
 TEST(LeaseNode, ReleaseHandsTheLeaseOverAtOnce) {
   CandidateFleet fleet(5, 5);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
+  const int first = RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(2s);  // the voters have rejected the other candidates, and remember them
-  const int first = fleet.Holder().value();
+  EXPECT_EQ(fleet.Holder(), first);
   fleet.Leave(first);
   EXPECT_LT(RunUntilHeld(fleet, 5s, first), 100ms);
   ExpectNoViolation(fleet);
@@ -110,9 +136,8 @@
 // meanwhile.
 TEST(LeaseNode, RestartedVoterIsSilentForALease) {
   CandidateFleet fleet(3, 3);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
+  const int holder = RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(1s);
-  const int holder = fleet.Holder().value();
   const int restarted = (holder + 1) % 3;
   fleet.Kill(restarted);
   fleet.Restart(restarted);
@@ -134,39 +159,48 @@
   const int behind = fleet.Add();
   fleet.CutLink(ahead, 2);
   fleet.SetCandidacy(ahead, true);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 6s);
-  ASSERT_EQ(fleet.Holder(), ahead);
+  ASSERT_EQ(RunUntilFirstHolder(fleet, 6s), ahead);
   fleet.CutStore(behind, true);  // it cannot learn the token from the store either
   fleet.Kill(ahead);
   fleet.Kill(0);
   fleet.Restart(0);
   fleet.CutLink(behind, 1);
   fleet.SetCandidacy(behind, true);
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 5s);
-  EXPECT_EQ(fleet.Holder(), behind);
+  EXPECT_EQ(RunUntilFirstHolder(fleet, 5s), behind);
   ExpectNoViolation(fleet);
 }
 
-// All state is lost and every clock is an hour back, so that the store's token is newer than the fleet's: the
-// first member that reads it abandons the lease, and the next ballot is above it.
-TEST(LeaseNode, FleetThatLostItsStateAndClocksRisesAboveTheStoresToken) {
-  Fleet fleet(ShortLeaseOptions(), 3, 200ms, 5);
-  for (int i = 0; i < 3; ++i) fleet.Add(1.0, i == 0 ? kOneHour : Micros{0});
-  fleet.SetCandidacy(0, true);  // only the one that is an hour ahead
-  ASSERT_LT(RunUntilHeld(fleet, 10s), 6s);
-  fleet.RunFor(1s);
-  const StoredRecord before = fleet.Stored();
-  for (int i = 0; i < 3; ++i) fleet.Kill(i);
-  fleet.SetCandidacy(0, false);
-  fleet.SetCandidacy(1, true);
-  for (int i = 0; i < 3; ++i) fleet.Restart(i);
-  fleet.RunFor(10s);
-  EXPECT_GT(fleet.Stored().token, before.token);
-  EXPECT_GT(fleet.Stored().number, before.number);
+// A fleet whose first member, the only candidate, was an hour ahead and wrote; then all members lost their
+// state, and another one, with the right clock, is the candidate: the store's token is newer than any the
+// fleet knows.
+class LostStateTest : public testing::Test {
+ protected:
+  LostStateTest() {
+    for (int i = 0; i < 3; ++i) fleet.Add(1.0, i == 0 ? kOneHour : Micros{0});
+    fleet.SetCandidacy(0, true);
+    RunUntilFirstHolder(fleet, 6s);
+    fleet.RunFor(1s);
+    stored_before = fleet.Stored();
+    fleet.SetCandidacy(0, false);
+    fleet.SetCandidacy(1, true);
+    RestartAll(fleet, 3);
+    fleet.RunFor(10s);
+  }
+
+  Fleet fleet{ShortLeaseOptions(), 3, 200ms, 5};
+  StoredRecord stored_before;
+};
+
+// The member that reads the store's token abandons its lease, and its next ballot is above that.
+TEST_F(LostStateTest, HolderRisesAboveTheStoresToken) {
+  EXPECT_GT(fleet.Stored().token, stored_before.token);
+  EXPECT_GT(fleet.Stored().number, stored_before.number);
+}
+
+TEST_F(LostStateTest, StoreOrdersWhatTheClocksCouldNot) {
+  EXPECT_TRUE(fleet.RecordedHistory().FindTokenOrderViolation());
   EXPECT_FALSE(fleet.RecordedHistory().FindOverlap());
   EXPECT_FALSE(fleet.RecordedHistory().FindWriteViolation());
-  // What the clocks alone could not order, the store did.
-  EXPECT_TRUE(fleet.RecordedHistory().FindTokenOrderViolation());
 }
 
 }  // namespace
--- a/tests/lease/lease_schedules_test.cpp
+++ b/tests/lease/lease_schedules_test.cpp
@@ -40,6 +40,7 @@
 template <>
 struct Arbitrary<tinspan::lease::Fault> {
   // More than half of the faults hit whoever holds.
+  // NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks the function up by this name.
   static Gen<tinspan::lease::Fault> arbitrary() {
     using tinspan::lease::Fault;
     return gen::build<Fault>(
--- a/tests/lease/publisher_test.cpp
+++ b/tests/lease/publisher_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace tinspan::lease {
 namespace {
 
@@ -17,6 +20,14 @@
     return std::get<WriteRequest>(publisher.NextRequest(now, kHeld).value());
   }
 
+  // Fails the request that is due next. Returns the time until the one after it.
+  Micros FailNextRequest() {
+    const Micros now = publisher.NextDeadline();
+    EXPECT_TRUE(publisher.NextRequest(now, kHeld));
+    publisher.OnFailed(now);
+    return publisher.NextDeadline() - now;
+  }
+
   static constexpr Token kHeld{7};
   Publisher publisher{5s};
 };
@@ -25,9 +36,9 @@
 
 TEST_F(PublisherTest, ClaimsTheRecordAfterReadingIt) {
   const WriteRequest write = WriteAfterRead(1s, {40, Token{6}, 11});
-  EXPECT_EQ(write.expected_index, 40u);
+  EXPECT_EQ(write.expected_index, 40U);
   EXPECT_EQ(write.token, kHeld);
-  EXPECT_EQ(write.number, 12u);
+  EXPECT_EQ(write.number, 12U);
 }
 
 TEST_F(PublisherTest, RequestsNothingWhileOneIsPending) {
@@ -42,11 +53,11 @@
   publisher.OnWritten();
   ASSERT_TRUE(publisher.NextRequest(1s, kHeld));
   publisher.OnRead(1s, {41, kHeld, 12});
-  EXPECT_EQ(publisher.PublishedCount(), 1u);
+  EXPECT_EQ(publisher.PublishedCount(), 1U);
   EXPECT_FALSE(publisher.NextRequest(1s, kHeld));
   const auto next = std::get<WriteRequest>(publisher.NextRequest(6s, kHeld).value());
-  EXPECT_EQ(next.expected_index, 41u);
-  EXPECT_EQ(next.number, 13u);
+  EXPECT_EQ(next.expected_index, 41U);
+  EXPECT_EQ(next.number, 13U);
 }
 
 // The write was not accepted, as the read shows: it is repeated at once under the number that follows the
@@ -55,8 +66,8 @@
   WriteAfterRead(1s, {40, Token{6}, 11});
   publisher.OnFailed(1s);
   const WriteRequest repeated = WriteAfterRead(publisher.NextDeadline(), {41, Token{6}, 12});
-  EXPECT_EQ(repeated.number, 13u);
-  EXPECT_EQ(publisher.PublishedCount(), 0u);
+  EXPECT_EQ(repeated.number, 13U);
+  EXPECT_EQ(publisher.PublishedCount(), 0U);
 }
 
 TEST_F(PublisherTest, RecordUnderANewerTokenSupersedesTheHold) {
@@ -64,23 +75,17 @@
   publisher.OnWritten();
   ASSERT_TRUE(publisher.NextRequest(1s, kHeld));
   EXPECT_EQ(publisher.OnRead(1s, {41, Token{8}, 12}), RecordCheck::kSuperseded);
-  EXPECT_EQ(publisher.FencedCount(), 1u);
+  EXPECT_EQ(publisher.FencedCount(), 1U);
 }
 
 TEST_F(PublisherTest, BacksOffWhileTheStoreFails) {
-  Micros now = 1s;
-  Micros last_backoff{0};
-  for (int i = 0; i < 10; ++i) {
-    ASSERT_TRUE(publisher.NextRequest(now, kHeld));
-    publisher.OnFailed(now);
-    const Micros backoff = publisher.NextDeadline() - now;
-    EXPECT_GE(backoff, last_backoff);
-    EXPECT_LE(backoff, Publisher::kMaxBackoff);
-    last_backoff = backoff;
-    now = publisher.NextDeadline();
-  }
-  EXPECT_EQ(last_backoff, Publisher::kMaxBackoff);
-  EXPECT_EQ(publisher.FailureCount(), 10u);
+  std::vector<Micros> backoffs;
+  backoffs.reserve(10);
+  for (int i = 0; i < 10; ++i) backoffs.push_back(FailNextRequest());
+  EXPECT_EQ(backoffs.front(), Publisher::kMinBackoff);
+  EXPECT_TRUE(std::is_sorted(backoffs.begin(), backoffs.end()));
+  EXPECT_EQ(backoffs.back(), Publisher::kMaxBackoff);
+  EXPECT_EQ(publisher.FailureCount(), 10U);
 }
 
 }  // namespace
--- a/tests/lease/purge_distributor_test.cpp
+++ b/tests/lease/purge_distributor_test.cpp
@@ -48,8 +48,13 @@
   void SetLoss(std::function<bool(int, int)> is_lost) { is_lost_ = std::move(is_lost); }
 
   PurgeDistributor& MemberAt(int member) { return members_[member]; }
-  // How many purges were to be applied at that member.
-  std::size_t AppliedAt(int member) const { return applied_[member].size(); }
+  // How many purges were to be applied at each member.
+  std::vector<std::size_t> AppliedCounts() const {
+    std::vector<std::size_t> counts;
+    counts.reserve(applied_.size());
+    for (const auto& purges : applied_) counts.push_back(purges.size());
+    return counts;
+  }
   std::size_t MessageCount() const { return message_count_; }
   std::size_t OpenCount() const {
     std::size_t open = 0;
@@ -84,11 +89,13 @@
   std::size_t message_count_ = 0;
 };
 
+using Counts = std::vector<std::size_t>;
+
 TEST(PurgeDistributor, WaitsForAHolder) {
   DistributorFleet fleet(5);
   ASSERT_EQ(fleet.Submit(3, PurgeOf(7, 9)), SubmitResult::kAccepted);
   fleet.RunFor(50ms, kNobody, kNoToken);
-  for (int i = 0; i < 5; ++i) EXPECT_EQ(fleet.AppliedAt(i), 0u) << i;
+  EXPECT_EQ(fleet.AppliedCounts(), (Counts{0, 0, 0, 0, 0}));
 }
 
 // The origin itself has applied the purge before it submits it.
@@ -97,7 +104,7 @@
   fleet.Submit(3, PurgeOf(7, 9));
   fleet.RunFor(50ms, kNobody, kNoToken);
   fleet.RunFor(5s, 1, Token{5});
-  for (int i = 0; i < 5; ++i) EXPECT_EQ(fleet.AppliedAt(i), i == 3 ? 0u : 1u) << i;
+  EXPECT_EQ(fleet.AppliedCounts(), (Counts{1, 1, 1, 0, 1}));
 }
 
 // An applied purge is handed over once a second and acknowledged; nothing else is sent.
@@ -107,34 +114,32 @@
   fleet.RunFor(5s, 1, Token{5});
   const std::size_t sent = fleet.MessageCount();
   fleet.RunFor(10s, 1, Token{5});
-  EXPECT_LE(fleet.MessageCount() - sent, 24u);
+  EXPECT_LE(fleet.MessageCount() - sent, 24U);
 }
 
 TEST(PurgeDistributor, PurgeIsDroppedAfterItsRetention) {
   DistributorFleet fleet(5);
   fleet.Submit(3, PurgeOf(7, 9));
   fleet.RunFor(5s, 1, Token{5});
-  EXPECT_GT(fleet.OpenCount(), 0u);
+  EXPECT_GT(fleet.OpenCount(), 0U);
   fleet.RunFor(60s, 1, Token{5});
-  EXPECT_EQ(fleet.OpenCount(), 0u);
+  EXPECT_EQ(fleet.OpenCount(), 0U);
 }
 
-// The holder dies when it has reached two of five members; one of the others is down until later.
+// The holder dies when it has reached one of the three other members; one of the rest is down until later.
 TEST(PurgeDistributor, NextHolderCompletesADistribution) {
   DistributorFleet fleet(5);
   fleet.SetLoss([](int sender, int recipient) { return sender == 1 && recipient >= 3; });
   fleet.Submit(0, PurgeOf(7));
   fleet.RunFor(1s, 1, Token{5});
-  EXPECT_EQ(fleet.AppliedAt(2), 1u);
-  EXPECT_EQ(fleet.AppliedAt(3), 0u);
+  EXPECT_EQ(fleet.AppliedCounts(), (Counts{0, 1, 1, 0, 0}));
   fleet.SetDown({1, 4});
   fleet.SetLoss([](int, int) { return false; });
   fleet.RunFor(3s, 2, Token{6});
-  EXPECT_EQ(fleet.AppliedAt(3), 1u);
+  EXPECT_EQ(fleet.AppliedCounts(), (Counts{0, 1, 1, 1, 0}));
   fleet.SetDown({1});
   fleet.RunFor(3s, 2, Token{6});
-  EXPECT_EQ(fleet.AppliedAt(4), 1u);
-  EXPECT_EQ(fleet.AppliedAt(2), 1u);
+  EXPECT_EQ(fleet.AppliedCounts(), (Counts{0, 1, 1, 1, 1}));
 }
 
 // A holder that was paused continues under its old token: it is rejected, and learns of the newer token.
@@ -142,14 +147,14 @@
   DistributorFleet fleet(3);
   fleet.Submit(0, PurgeOf(7));
   fleet.RunFor(1s, 1, Token{6});
-  EXPECT_EQ(fleet.AppliedAt(2), 1u);
+  EXPECT_EQ(fleet.AppliedCounts()[2], 1U);
   fleet.Submit(0, PurgeOf(8));
   fleet.RunFor(200ms, 0, Token{5});
-  EXPECT_EQ(fleet.AppliedAt(2), 1u);
-  EXPECT_GE(fleet.MemberAt(2).RejectedCount(), 1u);
+  EXPECT_EQ(fleet.AppliedCounts()[2], 1U);
+  EXPECT_GE(fleet.MemberAt(2).RejectedCount(), 1U);
   EXPECT_EQ(fleet.MemberAt(0).SupersedingToken(), Token{6});
   fleet.RunFor(1s, 1, Token{7});
-  EXPECT_EQ(fleet.AppliedAt(2), 2u);
+  EXPECT_EQ(fleet.AppliedCounts()[2], 2U);
 }
 
 // A token that is claimed in the fleet view is enough to reject whoever held before.
@@ -158,7 +163,7 @@
   fleet.MemberAt(1).ObserveToken(Token{9});
   fleet.Submit(0, PurgeOf(7));
   fleet.RunFor(1s, 0, Token{8});
-  EXPECT_EQ(fleet.AppliedAt(1), 0u);
+  EXPECT_EQ(fleet.AppliedCounts()[1], 0U);
   EXPECT_EQ(fleet.MemberAt(0).SupersedingToken(), Token{9});
 }
 
@@ -180,31 +185,42 @@
   EXPECT_LE(holder.OpenCount(), PurgeDistributor::kMaxOpenPurges);
 }
 
-// Hundreds of purges among hundreds of members: no round sends more than its limit, and in the end each purge
-// was sent once to each member that acknowledges it. Acknowledgements of a member that was sent nothing do
-// not count.
-TEST(PurgeDistributor, ManyPurgesAreDistributedInBursts) {
-  PurgeDistributor holder("m0", 1, 60s);
-  std::vector<std::string> alive;
-  for (int i = 0; i < 300; ++i) alive.push_back("m" + std::to_string(i));
-  for (std::size_t i = 0; i < PurgeDistributor::kMaxOpenPurges; ++i) {
-    ASSERT_EQ(holder.Submit(0s, PurgeOf(i)), SubmitResult::kAccepted);
+// A holder of as many purges as it takes, among 300 members that acknowledge each message at once.
+class LargeFleetTest : public testing::Test {
+ protected:
+  LargeFleetTest() {
+    alive.reserve(kMemberCount);
+    for (int i = 0; i < kMemberCount; ++i) alive.push_back("m" + std::to_string(i));
+    for (std::size_t i = 0; i < PurgeDistributor::kMaxOpenPurges; ++i) {
+      EXPECT_EQ(holder.Submit(0s, PurgeOf(i)), SubmitResult::kAccepted);
+    }
+  }
+
+  // Acknowledgements of a member that was sent nothing must not count.
+  void Acknowledge(Micros now, const OutboundPurgeMessage& outbound) {
+    const PurgeApplied reply{Token{5}, std::get<ApplyPurge>(outbound.message.body).purge.id};
+    holder.Receive(now, {"stranger", reply}, Token{5});
+    holder.Receive(now, {outbound.recipient, reply}, Token{5});
   }
-  std::size_t acknowledged = 0;
+
+  static constexpr int kMemberCount = 300;
+  PurgeDistributor holder{"m0", 1, 60s};
+  std::vector<std::string> alive;
+};
+
+// No round sends more than its limit, and in the end each purge was sent once to each other member.
+TEST_F(LargeFleetTest, ManyPurgesAreDistributedInBursts) {
+  std::size_t message_count = 0;
   std::size_t largest_round = 0;
   for (Micros now{0}; now < 30s; now += 5ms) {
     holder.Tick(now, "m0", Token{5}, alive);
     const std::vector<OutboundPurgeMessage> round = holder.DrainMessages();
     largest_round = std::max(largest_round, round.size());
-    for (const OutboundPurgeMessage& outbound : round) {
-      const PurgeApplied reply{Token{5}, std::get<ApplyPurge>(outbound.message.body).purge.id};
-      holder.Receive(now, {"stranger", reply}, Token{5});
-      holder.Receive(now, {outbound.recipient, reply}, Token{5});
-      ++acknowledged;
-    }
+    message_count += round.size();
+    for (const OutboundPurgeMessage& outbound : round) Acknowledge(now, outbound);
   }
   EXPECT_EQ(largest_round, PurgeDistributor::kMaxMessagesPerRound);
-  EXPECT_EQ(acknowledged, PurgeDistributor::kMaxOpenPurges * 299);
+  EXPECT_EQ(message_count, PurgeDistributor::kMaxOpenPurges * (kMemberCount - 1));
 }
 
 }  // namespace
