--- a/src/lease/agent.hpp
+++ b/src/lease/agent.hpp
@@ -26,7 +26,7 @@
 namespace tinspan::lease {
 
 struct AgentOptions {
-  // Where the holder of kHealthLease publishes.
+  /// Where the holder of kHealthLease publishes.
   struct HealthPublication {
     net::Endpoint store;
     std::string key;
@@ -47,7 +47,7 @@
   static constexpr Micros kStoreTimeout{1'000'000};
   using PurgeHandler = std::function<void(const Purge&)>;
 
-  // `loop` and `members` must outlive the agent.
+  /// `loop` and `members` must outlive the agent.
   Agent(net::EventLoop& loop, members::Node& members, AgentOptions options);
   ~Agent();
   Agent(const Agent&) = delete;
@@ -55,21 +55,21 @@
   Agent(Agent&&) = delete;
   Agent& operator=(Agent&&) = delete;
 
-  // Releases all leases; this member is no candidate from here on.
+  /// Releases all leases; this member is no candidate from here on.
   void Leave();
-  // `handler` is called for each purge of another member, to apply it here.
+  /// `handler` is called for each purge of another member, to apply it here.
   void SetPurgeHandler(PurgeHandler handler) { purge_handler_ = std::move(handler); }
   bool DistributesPurges() const { return options_.distributes_purges; }
-  // Distributes an operator's purge that was applied here.
+  /// Distributes an operator's purge that was applied here.
   SubmitResult SubmitPurge(Purge purge);
 
   const LeaseNode& Leases() const { return lease_node_; }
   const std::optional<Publisher>& HealthPublisher() const { return publisher_; }
   const PurgeDistributor& Purges() const { return purge_distributor_; }
-  // Messages that could not be decoded.
+  /// Messages that could not be decoded.
   std::uint64_t RejectedMessages() const { return rejected_messages_; }
-  // A line a lease: NAME HOLDER TOKEN LEFT_MS ROLE, then for health number=N store=well or failing, for purge
-  // open=N applied=N refused=N; unknown parts are - or 0.
+  /// A line a lease: NAME HOLDER TOKEN LEFT_MS ROLE, then for health number=N store=well or failing, for
+  /// purge open=N applied=N refused=N; unknown parts are - or 0.
   std::string StatusLines() const;
 
  private:
--- a/src/lease/codec.hpp
+++ b/src/lease/codec.hpp
@@ -13,10 +13,10 @@
 
 namespace tinspan::lease {
 
-// The version that is sent; messages of another one are rejected.
+/// The version that is sent; messages of another one are rejected.
 constexpr std::uint32_t kWireVersion = 1;
 
-// Why bytes are not a usable message.
+/// Why bytes are not a usable message.
 struct DecodeError {
   enum class Code {
     kMalformed,           // protobuf that does not parse
@@ -33,10 +33,10 @@
 
 using AnyMessage = std::variant<Message, PurgeMessage>;
 
-// The message as bytes. The sender is not part of them: whatever carries the bytes names it.
+/// The message as bytes. The sender is not part of them: whatever carries the bytes names it.
 std::string Encode(const Message& message);
 std::string Encode(const PurgeMessage& message);
-// The message that `sender` encoded, or why it cannot be used.
+/// The message that `sender` encoded, or why it cannot be used.
 tl::expected<AnyMessage, DecodeError> Decode(std::string_view bytes, const std::string& sender);
 
 }  // namespace tinspan::lease
--- a/src/lease/fence.hpp
+++ b/src/lease/fence.hpp
@@ -8,10 +8,10 @@
 
 namespace tinspan::lease {
 
-// The highest token admitted of each lease.
+/// The highest token admitted of each lease.
 class Fence {
  public:
-  // Whether an act under `token` is admitted: no higher one of that lease was seen before.
+  /// Whether an act under `token` is admitted: no higher one of that lease was seen before.
   bool Admit(const std::string& lease, Token token) {
     Token& highest = highest_[lease];
     if (token < highest) return false;
@@ -19,7 +19,7 @@
     return true;
   }
 
-  // The highest token admitted of that lease; kNoToken before the first.
+  /// The highest token admitted of that lease; kNoToken before the first.
   Token Highest(const std::string& lease) const {
     const auto found = highest_.find(lease);
     return found == highest_.end() ? kNoToken : found->second;
--- a/src/lease/history.hpp
+++ b/src/lease/history.hpp
@@ -18,26 +18,26 @@
 
 namespace tinspan::lease {
 
-// The history of one lease. Times are true time, not any member's clock.
+/// The history of one lease. Times are true time, not any member's clock.
 class History {
  public:
-  // `holder` relies on `token` from `from` until `until`; to be called again with a later `until` on each
-  // renewal.
+  /// `holder` relies on `token` from `from` until `until`; to be called again with a later `until` on each
+  /// renewal.
   void RecordHold(Token token, const std::string& holder, Micros from, Micros until);
-  // The hold ended before its time.
+  /// The hold ended before its time.
   void RecordEnd(Token token, Micros ended_at);
-  // A receiver accepted a write.
+  /// A receiver accepted a write.
   void RecordAcceptedWrite(Token token, std::uint64_t number);
-  // A receiver rejected a write.
+  /// A receiver rejected a write.
   void RecordRejectedWrite() { ++rejected_writes_; }
 
-  // The first violated invariant of all, as text; none: all are satisfied.
+  /// The first violated invariant of all, as text; none: all are satisfied.
   std::optional<std::string> FindViolation() const;
-  // Two tokens held at once, or one token held by two members.
+  /// Two tokens held at once, or one token held by two members.
   std::optional<std::string> FindOverlap() const;
-  // A later span with a lower token.
+  /// A later span with a lower token.
   std::optional<std::string> FindTokenOrderViolation() const;
-  // Accepted writes out of order.
+  /// Accepted writes out of order.
   std::optional<std::string> FindWriteViolation() const { return write_violation_; }
 
   std::size_t GrantCount() const { return spans_.size(); }
--- a/src/lease/kv_store.cpp
+++ b/src/lease/kv_store.cpp
@@ -12,7 +12,7 @@
 namespace tinspan::lease {
 namespace {
 
-constexpr net::Connection::Limits kConnectionLimits{.read = 256 << 10, .write = 64 << 10};
+constexpr net::Connection::Limits kConnectionLimits{.max_read_bytes = 256 << 10, .max_write_bytes = 64 << 10};
 constexpr std::size_t kMaxValueBytes = 64 << 10;  // of a record in base64
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -110,7 +110,7 @@
   if (!request_.empty()) connection.Write(request_);
 }
 
-void KvStore::OnBytes(net::Connection& connection) {
+void KvStore::OnData(net::Connection& connection) {
   if (request_.empty()) {  // unsolicited bytes
     CloseConnection();
     return;
--- a/src/lease/kv_store.hpp
+++ b/src/lease/kv_store.hpp
@@ -21,14 +21,14 @@
 
 namespace tinspan::lease {
 
-// Why a request to the store failed.
+/// Why a request to the store failed.
 struct StoreError {
   enum class Code { kTimeout, kConnectionLost, kUnreadableResponse, kUnexpectedStatus, kInvalidRecord };
   Code code;
   std::string detail;  // for the log
 };
 
-// The response to a write. Whether it was accepted is known from the next read.
+/// The response to a write. Whether it was accepted is known from the next read.
 struct WriteCompleted {};
 
 using StoreResponse = std::variant<StoredRecord, WriteCompleted>;
@@ -38,8 +38,8 @@
  public:
   using ResultHandler = std::function<void(const StoreResult&)>;
 
-  // Requests to the record `key` of the store at `endpoint`; each fails after `timeout`. `on_result` is
-  // called once for each request, from within the event loop. `loop` must outlive this object.
+  /// Requests to the record `key` of the store at `endpoint`; each fails after `timeout`. `on_result` is
+  /// called once for each request, from within the event loop. `loop` must outlive this object.
   KvStore(net::EventLoop& loop, const net::Endpoint& endpoint, std::string key, Micros timeout,
           ResultHandler on_result);
   ~KvStore();
@@ -48,13 +48,13 @@
   KvStore(KvStore&&) = delete;
   KvStore& operator=(KvStore&&) = delete;
 
-  // Sends a read; only while no request is pending.
+  /// Sends a read; only while no request is pending.
   void Read();
-  // Sends a write of the record `body` (JSON); only while no request is pending.
+  /// Sends a write of the record `body` (JSON); only while no request is pending.
   void Write(const WriteRequest& request, const std::string& body);
 
   void OnOpen(net::Connection& connection) override;
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
@@ -79,7 +79,7 @@
   Method method_ = Method::kRead;
 };
 
-// Parses the response to a read. Throws std::runtime_error, naming the field, if it is not a record of ours.
+/// Parses the response to a read. Throws std::runtime_error, naming the field, if it is not a record of ours.
 StoredRecord ParseRecord(std::string_view json);
 
 }  // namespace tinspan::lease
--- a/src/lease/lease_node.hpp
+++ b/src/lease/lease_node.hpp
@@ -25,7 +25,7 @@
 
 namespace tinspan::lease {
 
-// What this member knows of a lease, for operators.
+/// What this member knows of a lease, for operators.
 struct LeaseStatus {
   std::string holder;  // empty: not known
   Token token = kNoToken;
@@ -35,42 +35,43 @@
 
 class LeaseNode {
  public:
-  // A node of the member `self` that starts at `now`; `seed` starts its random generator.
+  /// A node of the member `self` that starts at `now`; `seed` starts its random generator.
   LeaseNode(LeaseOptions options, std::string self, std::uint64_t seed, Micros now);
 
-  // Whether this member tries for the lease. Ending the candidacy ends no hold; it is not renewed by a new
-  // ballot.
+  /// Whether this member tries for the lease. Ending the candidacy ends no hold; it is not renewed by a new
+  /// ballot.
   void SetCandidacy(const std::string& lease, bool is_candidate, Micros now);
-  // Handles a message; one about a lease that is not configured here is ignored.
+  /// Handles a message; one about a lease that is not configured here is ignored.
   void Receive(Micros now, const Message& message);
-  // Does what is due. `wall_ms` is the wall clock in milliseconds.
+  /// Does what is due. `wall_ms` is the wall clock in milliseconds.
   void Tick(Micros now, std::uint64_t wall_ms);
-  // When Tick has to be called next; Micros::max() if never.
+  /// When Tick has to be called next; Micros::max() if never.
   Micros NextDeadline() const;
 
-  // Records a token that a receiver has seen in use: the next ballot is above it.
+  /// Records a token that a receiver has seen in use: the next ballot is above it.
   void ObserveToken(const std::string& lease, Token token);
-  // Records all claims that the fleet view holds now. A claim below an earlier one's token is not believed,
-  // and no ballot goes below a claim; claims of leases that are not configured here are ignored.
+  /// Records all claims that the fleet view holds now. A claim below an earlier one's token is not believed,
+  /// and no ballot goes below a claim; claims of leases that are not configured here are ignored.
   void ObserveClaims(const std::vector<LeaseClaim>& claims);
-  // Ends the hold without notifying the voters: a receiver has rejected its token as superseded.
+  /// Ends the hold without notifying the voters: a receiver has rejected its token as superseded.
   void Abandon(const std::string& lease, Micros now);
-  // Ends all candidacies and holds and notifies the voters.
+  /// Ends all candidacies and holds and notifies the voters.
   void ReleaseAll(Micros now);
 
-  // The token to act under at `now`, or none. To be asked before each act: the process may have been stopped
-  // since the last time.
+  /// The token to act under at `now`, or none. To be asked before each act: the process may have been stopped
+  /// since the last time.
   std::optional<Token> HeldToken(const std::string& lease, Micros now) const;
-  // What is known of the lease: as held or granted here or as a voter reported it; failing these, as claimed.
+  /// What is known of the lease: as held or granted here or as a voter reported it; failing these, as
+  /// claimed.
   LeaseStatus StatusOf(const std::string& lease, Micros now) const;
-  // The highest token ever claimed in the fleet view.
+  /// The highest token ever claimed in the fleet view.
   Token HighestClaimedToken(const std::string& lease) const;
-  // Whether this member is a voter.
+  /// Whether this member is a voter.
   bool IsVoter() const { return context_.IsVoter(context_.Self()); }
-  // Whether this member is a voter that has recovered and answers candidates.
+  /// Whether this member is a voter that has recovered and answers candidates.
   bool IsServing(const std::string& lease) const;
 
-  // What is to be sent, and what changed, since the last call.
+  /// What is to be sent, and what changed, since the last call.
   std::vector<OutboundMessage> DrainMessages() { return context_.DrainMessages(); }
   std::vector<LeaseChange> DrainChanges() { return context_.DrainChanges(); }
 
--- a/src/lease/publisher.hpp
+++ b/src/lease/publisher.hpp
@@ -16,17 +16,17 @@
 
 namespace tinspan::lease {
 
-// The record as the store holds it. Index 0: there is none yet.
+/// The record as the store holds it. Index 0: there is none yet.
 struct StoredRecord {
   std::uint64_t index = 0;  // the store's, changed by each write
   Token token = kNoToken;
   std::uint64_t number = 0;
 };
 
-// Asks the store for the record.
+/// Asks the store for the record.
 struct ReadRequest {};
 
-// Asks the store to replace the record, if its index is still `expected_index`.
+/// Asks the store to replace the record, if its index is still `expected_index`.
 struct WriteRequest {
   std::uint64_t expected_index = 0;
   Token token = kNoToken;
@@ -35,7 +35,7 @@
 
 using StoreRequest = std::variant<ReadRequest, WriteRequest>;
 
-// Whether a record that was read leaves the lease in force.
+/// Whether a record that was read leaves the lease in force.
 enum class RecordCheck {
   kCurrent,
   kSuperseded,  // a newer token has written: the lease is to be abandoned
@@ -46,29 +46,29 @@
   static constexpr Micros kMinBackoff{200'000};
   static constexpr Micros kMaxBackoff{5'000'000};
 
-  // Publishes a record each `interval` while the lease is held.
+  /// Publishes a record each `interval` while the lease is held.
   explicit Publisher(Micros interval) : interval_(interval) {}
 
-  // The request to send to the store now, under the token `held` now; none while another is pending, nothing
-  // is due or no token is held.
+  /// The request to send to the store now, under the token `held` now; none while another is pending, nothing
+  /// is due or no token is held.
   std::optional<StoreRequest> NextRequest(Micros now, std::optional<Token> held);
-  // The response to a read.
+  /// The response to a read.
   RecordCheck OnRead(Micros now, const StoredRecord& stored);
-  // The response to a write. Whether it was accepted or not, the next step is a read, which also returns the
-  // index for the next write.
+  /// The response to a write. Whether it was accepted or not, the next step is a read, which also returns the
+  /// index for the next write.
   void OnWritten() { is_pending_ = false; }
-  // No response, or an unusable one.
+  /// No response, or an unusable one.
   void OnFailed(Micros now);
 
   bool IsPending() const { return is_pending_; }
-  // When NextRequest has to be called next; Micros::max() while a request is pending.
+  /// When NextRequest has to be called next; Micros::max() while a request is pending.
   Micros NextDeadline() const { return is_pending_ ? Micros::max() : next_request_at_; }
 
-  // The number of the record that was last read.
+  /// The number of the record that was last read.
   std::uint64_t LastNumber() const { return last_number_; }
   std::uint64_t PublishedCount() const { return published_count_; }
   std::uint64_t FailureCount() const { return failure_count_; }
-  // Writes that met a record under a newer token.
+  /// Writes that met a record under a newer token.
   std::uint64_t FencedCount() const { return fenced_count_; }
 
  private:
--- a/src/lease/purge_distributor.hpp
+++ b/src/lease/purge_distributor.hpp
@@ -29,7 +29,7 @@
 
 namespace tinspan::lease {
 
-// What became of a submitted purge.
+/// What became of a submitted purge.
 enum class SubmitResult { kAccepted, kTooManyOpen };
 
 class PurgeDistributor {
@@ -43,40 +43,41 @@
       1'000'000};                                 // of what is acknowledged, for new holders and members
   static constexpr Micros kBurstInterval{5'000};  // between rounds that reached their message limit
 
-  // `self` is this member's name, `incarnation` makes its purge ids differ from those of earlier
-  // incarnations, and `retention` is how long a purge is distributed.
+  /// `self` is this member's name, `incarnation` makes its purge ids differ from those of earlier
+  /// incarnations, and `retention` is how long a purge is distributed.
   PurgeDistributor(std::string self, std::uint64_t incarnation, Micros retention);
 
-  // Takes a purge from an operator; its id is set here. The caller has applied it at this member.
+  /// Takes a purge from an operator; its id is set here. The caller has applied it at this member.
   SubmitResult Submit(Micros now, Purge purge);
-  // Handles a message. `held` is this member's token of kPurgeLease if it holds that.
+  /// Handles a message. `held` is this member's token of kPurgeLease if it holds that.
   void Receive(Micros now, const PurgeMessage& message, std::optional<Token> held);
-  // Records a token seen in use elsewhere: holders with an older one are rejected from now on.
+  /// Records a token seen in use elsewhere: holders with an older one are rejected from now on.
   void ObserveToken(Token token) { fence_.Admit(kPurgeLease, token); }
-  // Hands over and distributes what is due. `holder` is the lease's holder as far as is known, or empty;
-  // `held` is this member's token if it holds the lease; `alive` are the members alive in this member's view.
+  /// Hands over and distributes what is due. `holder` is the lease's holder as far as is known, or empty;
+  /// `held` is this member's token if it holds the lease; `alive` are the members alive in this member's
+  /// view.
   void Tick(Micros now, const std::string& holder, std::optional<Token> held,
             const std::vector<std::string>& alive);
-  // When Tick has to be called next; Micros::max() if never.
+  /// When Tick has to be called next; Micros::max() if never.
   Micros NextDeadline() const;
 
-  // What is to be sent, and which purges are to be applied at this member, since the last call.
+  /// What is to be sent, and which purges are to be applied at this member, since the last call.
   std::vector<OutboundPurgeMessage> DrainMessages() { return std::exchange(messages_, {}); }
   std::vector<Purge> DrainPurgesToApply() { return std::exchange(purges_to_apply_, {}); }
 
-  // The highest token seen in use.
+  /// The highest token seen in use.
   Token HighestToken() const { return fence_.Highest(kPurgeLease); }
-  // A token, reported by a member, that is newer than the one held when it was reported; kNoToken: none.
+  /// A token, reported by a member, that is newer than the one held when it was reported; kNoToken: none.
   Token SupersedingToken() const { return superseding_token_; }
-  // Purges under way here, as origin and as holder.
+  /// Purges under way here, as origin and as holder.
   std::size_t OpenCount() const { return own_purges_.size() + distributions_.size(); }
-  // Purges of other members that were applied here.
+  /// Purges of other members that were applied here.
   std::uint64_t AppliedCount() const { return applied_count_; }
-  // Messages rejected because of the holder's stale token.
+  /// Messages rejected because of the holder's stale token.
   std::uint64_t RejectedCount() const { return rejected_count_; }
 
  private:
-  // A purge submitted at this member.
+  /// A purge submitted at this member.
   struct OwnPurge {
     Purge purge;
     Micros submitted_at{0};
@@ -84,7 +85,7 @@
     bool is_hand_over_accepted = false;
   };
 
-  // A purge that this member distributes as the holder.
+  /// A purge that this member distributes as the holder.
   struct Distribution {
     Purge purge;
     Micros submitted_at{0};
@@ -93,7 +94,7 @@
     std::unordered_map<std::string, Micros> sent_at;  // the last message to each other member
   };
 
-  // What a round has used of its limits.
+  /// What a round has used of its limits.
   struct RoundUsage {
     std::size_t messages = 0;
     std::size_t visits = 0;
--- a/src/lease/sim.hpp
+++ b/src/lease/sim.hpp
@@ -21,7 +21,7 @@
 
 namespace tinspan::lease::sim {
 
-// How links between members, and to the store, behave.
+/// How links between members, and to the store, behave.
 struct LinkQuality {
   double loss = 0;         // share of messages lost
   double duplication = 0;  // share of messages that arrive twice
@@ -31,11 +31,11 @@
 
 class Fleet {
  public:
-  // The one lease of the simulation.
+  /// The one lease of the simulation.
   static constexpr const char* kLease = kHealthLease;
 
-  // A fleet of no members yet. They will be named m0, m1, ...; the first `voter_count` of them vote. A holder
-  // publishes each `publish_interval`.
+  /// A fleet of no members yet. They will be named m0, m1, ...; the first `voter_count` of them vote. A
+  /// holder publishes each `publish_interval`.
   Fleet(LeaseOptions options, std::size_t voter_count, Micros publish_interval, std::uint64_t seed);
   ~Fleet() = default;
   Fleet(const Fleet&) = delete;  // its events refer to it
@@ -43,40 +43,40 @@
   Fleet(Fleet&&) = delete;
   Fleet& operator=(Fleet&&) = delete;
 
-  // Adds a member whose clock runs at `clock_rate` of true time and whose wall clock is wrong by
-  // `wall_clock_offset`. Returns its index, by which the functions below name it.
+  /// Adds a member whose clock runs at `clock_rate` of true time and whose wall clock is wrong by
+  /// `wall_clock_offset`. Returns its index, by which the functions below name it.
   int Add(double clock_rate = 1, Micros wall_clock_offset = Micros{0});
   void SetCandidacy(int member, bool is_candidate);
   void Kill(int member);
-  // Starts a killed member again; all of its state is lost.
+  /// Starts a killed member again; all of its state is lost.
   void Restart(int member);
-  // The member does nothing until then; what it receives meanwhile it handles afterwards.
+  /// The member does nothing until then; what it receives meanwhile it handles afterwards.
   void Pause(int member, Micros until);
-  // Ends the member's candidacy and releases what it holds; it continues to run.
+  /// Ends the member's candidacy and releases what it holds; it continues to run.
   void Leave(int member);
 
-  // Faults of links; Heal ends all of them.
+  /// Faults of links; Heal ends all of them.
   void CutLink(int from, int recipient) { cut_links_.insert({from, recipient}); }
   void CutStore(int member, bool is_cut) { members_[member].is_store_cut = is_cut; }
-  // The member's requests to the store take up to `max_delay` longer.
+  /// The member's requests to the store take up to `max_delay` longer.
   void DelayStore(int member, Micros max_delay) { members_[member].max_store_delay = max_delay; }
-  // Cuts all links between the members of `side` and the others.
+  /// Cuts all links between the members of `side` and the others.
   void Partition(const std::vector<int>& side);
   void Heal();
   void SetLinkQuality(const LinkQuality& quality) { link_ = quality; }
 
   void RunFor(Micros span);
-  // True time.
+  /// True time.
   Micros Now() const { return now_; }
   bool IsRunning(int member) const { return members_[member].is_running; }
   const LeaseNode& NodeOf(int member) const { return *members_[member].node; }
   std::string NameOf(int member) const { return members_[member].name; }
-  // The first running member that holds the lease by its own clock.
+  /// The first running member that holds the lease by its own clock.
   std::optional<int> Holder() const;
   const History& RecordedHistory() const { return history_; }
   std::uint64_t MessageCount() const { return message_count_; }
   std::uint64_t StoreRequestCount() const { return store_request_count_; }
-  // What the store holds.
+  /// What the store holds.
   const StoredRecord& Stored() const { return stored_; }
 
  private:
@@ -104,7 +104,7 @@
     bool operator>(const Event& other) const;
   };
 
-  // A request to the store, and how it is to be handled.
+  /// A request to the store, and how it is to be handled.
   struct StoreCall {
     int member;
     std::uint64_t incarnation;
@@ -123,7 +123,7 @@
   void Schedule(Micros run_at, std::function<void()> run);
   void ScheduleTick(int member);
   void RunTick(int member);
-  // Runs as `member`, after its pause if it is paused; not at all if that incarnation has ended.
+  /// Runs as `member`, after its pause if it is paused; not at all if that incarnation has ended.
   void RunAs(int member, std::uint64_t incarnation, std::function<void()> run);
   void Start(int member);
   void Flush(int member);
--- a/src/lease/voter_state.hpp
+++ b/src/lease/voter_state.hpp
@@ -15,37 +15,37 @@
 
 namespace tinspan::lease {
 
-// A lease as one voter has granted it.
+/// A lease as one voter has granted it.
 struct Grant {
   std::string holder;
   Token token = kNoToken;
   Micros expires_at{0};  // by the voter's clock
 };
 
-// Without I/O; `now` is the node's monotonic clock, and messages go out through the context.
+/// Without I/O; `now` is the node's monotonic clock, and messages go out through the context.
 class VoterState {
  public:
-  // The number of rejected candidates that a voter remembers, to notify them when the lease is released.
+  /// The number of rejected candidates that a voter remembers, to notify them when the lease is released.
   static constexpr std::size_t kMaxRejectedCandidates = 8;
 
-  // A voter that starts at `now` and is not serving yet.
+  /// A voter that starts at `now` and is not serving yet.
   VoterState(std::string lease, const LeaseOptions& options, Micros now);
 
-  // Handle a request from the member `sender`. Requests for ballots are ignored until the voter serves.
+  /// Handle a request from the member `sender`. Requests for ballots are ignored until the voter serves.
   void Handle(NodeContext& context, Micros now, const std::string& sender, const Prepare& prepare);
   void Handle(NodeContext& context, Micros now, const std::string& sender, const Propose& propose);
   void Handle(NodeContext& context, Micros now, const std::string& sender, const Release& release);
   void Handle(NodeContext& context, Micros now, const std::string& sender, const RecoveryQuery& query);
   void Handle(NodeContext& context, Micros now, const std::string& sender, const RecoveryReply& reply);
 
-  // Advances recovery; nothing to do once the voter serves. `wall_ms` is the wall clock in milliseconds.
+  /// Advances recovery; nothing to do once the voter serves. `wall_ms` is the wall clock in milliseconds.
   void Tick(NodeContext& context, Micros now, std::uint64_t wall_ms);
-  // When Tick has to be called next; Micros::max() once the voter serves.
+  /// When Tick has to be called next; Micros::max() once the voter serves.
   Micros NextDeadline() const;
 
-  // Whether the voter has recovered and answers candidates.
+  /// Whether the voter has recovered and answers candidates.
   bool IsServing() const { return is_serving_; }
-  // The grant that lasts at `now`, or none.
+  /// The grant that lasts at `now`, or none.
   std::optional<Grant> CurrentGrant(Micros now) const;
 
  private:
@@ -68,7 +68,7 @@
   Grant grant_;  // the one with the highest token ever; may have expired
   std::vector<std::string> rejected_candidates_;
 
-  // Recovery.
+  /// Recovery.
   Micros silent_until_{0};
   Micros can_start_alone_at_{0};
   Micros next_query_at_{0};
