--- a/bench/lease_scale.cpp
+++ b/bench/lease_scale.cpp
@@ -157,12 +157,12 @@
   simulation.polls_of_all = 0;
   simulation.time_without_holder = Micros{0};
   const std::uint64_t messages_before = leases.MessageCount();
-  const Micros began_at = leases.Now();
+  const Micros started_at = leases.Now();
   simulation.RunFor(kMeasuredTime);
   const double message_rate =
       static_cast<double>(leases.MessageCount() - messages_before) / Seconds(kMeasuredTime);
   const std::vector<double> takeovers = MeasureTakeovers(simulation, kills);
-  const double minutes = Seconds(leases.Now() - began_at) / 60;
+  const double minutes = Seconds(leases.Now() - started_at) / 60;
   const auto violation = leases.RecordedHistory().FindViolation();
   std::printf("| %d | %.1f | %.4f | %.1f, %.1f, %.1f | %.0f | %.1f | %.1f | %s |\n", member_count,
               message_rate, message_rate / member_count, takeovers.front(), takeovers[takeovers.size() / 2],
@@ -180,18 +180,18 @@
 };
 
 // Nothing where the command line is not valid; the reason is printed.
-std::optional<Arguments> ParseArguments(const std::vector<std::string>& words) {
+std::optional<Arguments> ParseArguments(const std::vector<std::string>& args) {
   Arguments arguments;
-  for (std::size_t i = 0; i < words.size(); ++i) {
-    const bool has_value = i + 1 < words.size();
-    if (words[i] == "--seed" && has_value) {
-      arguments.seed = std::strtoull(words[++i].c_str(), nullptr, 10);
-    } else if (words[i] == "--kills" && has_value) {
-      arguments.kills = std::max(std::atoi(words[++i].c_str()), 1);
+  for (std::size_t i = 0; i < args.size(); ++i) {
+    const bool has_value = i + 1 < args.size();
+    if (args[i] == "--seed" && has_value) {
+      arguments.seed = std::strtoull(args[++i].c_str(), nullptr, 10);
+    } else if (args[i] == "--kills" && has_value) {
+      arguments.kills = std::max(std::atoi(args[++i].c_str()), 1);
     } else {
-      const int size = std::atoi(words[i].c_str());
+      const int size = std::atoi(args[i].c_str());
       if (size < kMinSize) {
-        std::fprintf(stderr, "lease_scale: '%s' is no size of %d or more\n", words[i].c_str(), kMinSize);
+        std::fprintf(stderr, "lease_scale: '%s' is no size of %d or more\n", args[i].c_str(), kMinSize);
         return std::nullopt;
       }
       arguments.sizes.push_back(size);
--- a/tests/lease/publisher_test.cpp
+++ b/tests/lease/publisher_test.cpp
@@ -85,7 +85,12 @@
   EXPECT_EQ(backoffs.front(), Publisher::kMinBackoff);
   EXPECT_TRUE(std::is_sorted(backoffs.begin(), backoffs.end()));
   EXPECT_EQ(backoffs.back(), Publisher::kMaxBackoff);
-  EXPECT_EQ(publisher.FailureCount(), 10U);
+}
+
+TEST_F(PublisherTest, CountsFailures) {
+  FailNextRequest();
+  FailNextRequest();
+  EXPECT_EQ(publisher.FailureCount(), 2U);
 }
 
 }  // namespace
--- a/tests/lease/purge_distributor_test.cpp
+++ b/tests/lease/purge_distributor_test.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr int kNobody = -1;
+constexpr int kNoHolder = -1;
 
 Purge PurgeOf(std::uint64_t group, std::optional<std::uint64_t> object = std::nullopt) {
   return {"", group, object, Micros{0}};
@@ -36,7 +36,7 @@
     for (const Micros end = now_ + span; now_ < end; now_ += kStep) {
       for (int i = 0; i < static_cast<int>(members_.size()); ++i) {
         if (down_.contains(i)) continue;
-        members_[i].Tick(now_, holder == kNobody ? "" : names_[holder], HeldBy(i), names_);
+        members_[i].Tick(now_, holder == kNoHolder ? "" : names_[holder], HeldBy(i), names_);
         DeliverFrom(i);
       }
     }
@@ -79,7 +79,7 @@
   }
 
   Micros now_{0};
-  int holder_ = kNobody;
+  int holder_ = kNoHolder;
   Token token_ = kNoToken;
   std::vector<std::string> names_;
   std::vector<PurgeDistributor> members_;
@@ -94,7 +94,7 @@
 TEST(PurgeDistributor, WaitsForAHolder) {
   DistributorFleet fleet(5);
   ASSERT_EQ(fleet.Submit(3, PurgeOf(7, 9)), SubmitResult::kAccepted);
-  fleet.RunFor(50ms, kNobody, kNoToken);
+  fleet.RunFor(50ms, kNoHolder, kNoToken);
   EXPECT_EQ(fleet.AppliedCounts(), (Counts{0, 0, 0, 0, 0}));
 }
 
@@ -102,7 +102,7 @@
 TEST(PurgeDistributor, PurgeIsAppliedOnceAtEachOtherMember) {
   DistributorFleet fleet(5);
   fleet.Submit(3, PurgeOf(7, 9));
-  fleet.RunFor(50ms, kNobody, kNoToken);
+  fleet.RunFor(50ms, kNoHolder, kNoToken);
   fleet.RunFor(5s, 1, Token{5});
   EXPECT_EQ(fleet.AppliedCounts(), (Counts{1, 1, 1, 0, 1}));
 }
