--- a/tests/lease/candidate_selection_test.cpp
+++ b/tests/lease/candidate_selection_test.cpp
@@ -18,7 +18,7 @@
 TEST(SelectCandidates, DoesNotDependOnTheOrderOfMembers) {
   std::vector<std::string> names = FiftyMembers();
   const auto selected = SelectCandidates("health", names, 3);
-  ASSERT_EQ(selected.size(), 3U);
+  ASSERT_EQ(selected.size(), 3u);
   std::reverse(names.begin(), names.end());
   EXPECT_EQ(SelectCandidates("health", names, 3), selected);
 }
@@ -28,7 +28,7 @@
 }
 
 TEST(SelectCandidates, SelectsAllOfASmallFleet) {
-  EXPECT_EQ(SelectCandidates("health", {"a"}, 3).size(), 1U);
+  EXPECT_EQ(SelectCandidates("health", {"a"}, 3).size(), 1u);
 }
 
 }  // namespace
--- a/tests/lease/candidate_state_test.cpp
+++ b/tests/lease/candidate_state_test.cpp
@@ -105,7 +105,7 @@
   node.ReleaseAll(200ms);
   EXPECT_FALSE(node.HeldToken(kHealthLease, 200ms));
   const auto messages = node.DrainMessages();
-  ASSERT_EQ(messages.size(), 3U);
+  ASSERT_EQ(messages.size(), 3u);
   for (const OutboundMessage& outbound : messages) {
     EXPECT_EQ(std::get<Release>(outbound.message.body).ballot, propose.ballot);
   }
--- a/tests/lease/codec_test.cpp
+++ b/tests/lease/codec_test.cpp
@@ -110,7 +110,7 @@
 TEST(LeaseCodec, RejectSurvivesTheRoundTrip) {
   const auto reject = RoundTrip<Reject>(MakeMessage(Reject{Token{77}, 9, "n2", 1'500ms}));
   EXPECT_EQ(reject.highest_ballot, Token{77});
-  EXPECT_EQ(reject.request_id, 9U);
+  EXPECT_EQ(reject.request_id, 9u);
   EXPECT_EQ(reject.holder, "n2");
   EXPECT_EQ(reject.remaining, Micros{1'500ms});
 }
@@ -118,30 +118,30 @@
 TEST(LeaseCodec, RecoveryReplySurvivesTheRoundTrip) {
   const auto reply = RoundTrip<RecoveryReply>(MakeMessage(RecoveryReply{Token{80}, 5, "n3", true}));
   EXPECT_EQ(reply.granted, Token{80});
-  EXPECT_EQ(reply.request_id, 5U);
+  EXPECT_EQ(reply.request_id, 5u);
   EXPECT_EQ(reply.holder, "n3");
   EXPECT_TRUE(reply.is_serving);
 }
 
 TEST(LeaseCodec, BallotRequestsSurviveTheRoundTrip) {
   EXPECT_EQ(RoundTrip<Prepare>(MakeMessage(Prepare{kBallot, 300})).ballot, kBallot);
-  EXPECT_EQ(RoundTrip<Propose>(MakeMessage(Propose{kBallot, 300})).request_id, 300U);
+  EXPECT_EQ(RoundTrip<Propose>(MakeMessage(Propose{kBallot, 300})).request_id, 300u);
   EXPECT_EQ(RoundTrip<Promise>(MakeMessage(Promise{kBallot, 300})).ballot, kBallot);
-  EXPECT_EQ(RoundTrip<Accept>(MakeMessage(Accept{kBallot, 300})).request_id, 300U);
+  EXPECT_EQ(RoundTrip<Accept>(MakeMessage(Accept{kBallot, 300})).request_id, 300u);
 }
 
 TEST(LeaseCodec, NotificationsSurviveTheRoundTrip) {
   EXPECT_EQ(RoundTrip<Release>(MakeMessage(Release{Token{78}})).ballot, Token{78});
   EXPECT_EQ(RoundTrip<LeaseFreed>(MakeMessage(LeaseFreed{Token{79}})).highest_ballot, Token{79});
-  EXPECT_EQ(RoundTrip<RecoveryQuery>(MakeMessage(RecoveryQuery{5})).request_id, 5U);
+  EXPECT_EQ(RoundTrip<RecoveryQuery>(MakeMessage(RecoveryQuery{5})).request_id, 5u);
 }
 
 TEST(LeaseCodec, PurgeSurvivesTheRoundTrip) {
   const auto apply = RoundTrip<ApplyPurge>(MakePurgeMessage(ApplyPurge{Token{7}, {"n1/5.1", 3, 9, 250ms}}));
   EXPECT_EQ(apply.token, Token{7});
   EXPECT_EQ(apply.purge.id, "n1/5.1");
-  EXPECT_EQ(apply.purge.group, 3U);
-  EXPECT_EQ(apply.purge.object, 9U);
+  EXPECT_EQ(apply.purge.group, 3u);
+  EXPECT_EQ(apply.purge.object, 9u);
   EXPECT_EQ(apply.purge.age, Micros{250ms});
 }
 
@@ -207,7 +207,7 @@
 }
 
 TEST(LeaseCodec, RejectsUnknownKinds) {
-  for (const std::uint32_t kind : {9U, 15U, 21U, 4'000'000'000U}) {
+  for (const std::uint32_t kind : {9u, 15u, 21u, 4'000'000'000u}) {
     EXPECT_EQ(ErrorOf(BytesOf(kWireVersion, kind)).code, Code::kUnknownKind) << kind;
   }
 }
--- a/tests/lease/lease_node_test.cpp
+++ b/tests/lease/lease_node_test.cpp
@@ -38,7 +38,7 @@
   const int holder = RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(20s);
   EXPECT_EQ(fleet.Holder(), holder);
-  EXPECT_EQ(fleet.RecordedHistory().GrantCount(), 1U);
+  EXPECT_EQ(fleet.RecordedHistory().GrantCount(), 1u);
   ExpectNoViolation(fleet);
 }
 
@@ -47,7 +47,7 @@
   CandidateFleet fleet(5, 5);
   RunUntilFirstHolder(fleet, 5s);
   fleet.RunFor(20s);
-  EXPECT_GT(fleet.RecordedHistory().AcceptedWrites(), 80U);
+  EXPECT_GT(fleet.RecordedHistory().AcceptedWrites(), 80u);
   EXPECT_LE(fleet.StoreRequestCount(), 2 * fleet.RecordedHistory().AcceptedWrites() + 2);
 }
 
@@ -76,7 +76,7 @@
   EXPECT_LT(RunUntilHeld(fleet, 10s), 1s + 250ms);
   fleet.RunFor(2s);
   EXPECT_GT(fleet.Stored().number, number);
-  EXPECT_GT(fleet.RecordedHistory().GrantCount(), 1U);
+  EXPECT_GT(fleet.RecordedHistory().GrantCount(), 1u);
   ExpectNoViolation(fleet);
 }
 
@@ -117,7 +117,7 @@
     CandidateFleet fleet(3, 3, 7, {rate, 2 - rate, 1.0});
     RunUntilFirstHolder(fleet, 6s);
     PauseHolders(fleet, 20);
-    EXPECT_GT(fleet.RecordedHistory().GrantCount(), 5U);
+    EXPECT_GT(fleet.RecordedHistory().GrantCount(), 5u);
     ExpectNoViolation(fleet);
   }
 }
--- a/tests/lease/publisher_test.cpp
+++ b/tests/lease/publisher_test.cpp
@@ -36,9 +36,9 @@
 
 TEST_F(PublisherTest, ClaimsTheRecordAfterReadingIt) {
   const WriteRequest write = WriteAfterRead(1s, {40, Token{6}, 11});
-  EXPECT_EQ(write.expected_index, 40U);
+  EXPECT_EQ(write.expected_index, 40u);
   EXPECT_EQ(write.token, kHeld);
-  EXPECT_EQ(write.number, 12U);
+  EXPECT_EQ(write.number, 12u);
 }
 
 TEST_F(PublisherTest, RequestsNothingWhileOneIsPending) {
@@ -53,11 +53,11 @@
   publisher.OnWritten();
   ASSERT_TRUE(publisher.NextRequest(1s, kHeld));
   publisher.OnRead(1s, {41, kHeld, 12});
-  EXPECT_EQ(publisher.PublishedCount(), 1U);
+  EXPECT_EQ(publisher.PublishedCount(), 1u);
   EXPECT_FALSE(publisher.NextRequest(1s, kHeld));
   const auto next = std::get<WriteRequest>(publisher.NextRequest(6s, kHeld).value());
-  EXPECT_EQ(next.expected_index, 41U);
-  EXPECT_EQ(next.number, 13U);
+  EXPECT_EQ(next.expected_index, 41u);
+  EXPECT_EQ(next.number, 13u);
 }
 
 // The write was not accepted, as the read shows: it is repeated at once under the number that follows the
@@ -66,8 +66,8 @@
   WriteAfterRead(1s, {40, Token{6}, 11});
   publisher.OnFailed(1s);
   const WriteRequest repeated = WriteAfterRead(publisher.NextDeadline(), {41, Token{6}, 12});
-  EXPECT_EQ(repeated.number, 13U);
-  EXPECT_EQ(publisher.PublishedCount(), 0U);
+  EXPECT_EQ(repeated.number, 13u);
+  EXPECT_EQ(publisher.PublishedCount(), 0u);
 }
 
 TEST_F(PublisherTest, RecordUnderANewerTokenSupersedesTheHold) {
@@ -75,7 +75,7 @@
   publisher.OnWritten();
   ASSERT_TRUE(publisher.NextRequest(1s, kHeld));
   EXPECT_EQ(publisher.OnRead(1s, {41, Token{8}, 12}), RecordCheck::kSuperseded);
-  EXPECT_EQ(publisher.FencedCount(), 1U);
+  EXPECT_EQ(publisher.FencedCount(), 1u);
 }
 
 TEST_F(PublisherTest, BacksOffWhileTheStoreFails) {
@@ -90,7 +90,7 @@
 TEST_F(PublisherTest, CountsFailures) {
   FailNextRequest();
   FailNextRequest();
-  EXPECT_EQ(publisher.FailureCount(), 2U);
+  EXPECT_EQ(publisher.FailureCount(), 2u);
 }
 
 }  // namespace
--- a/tests/lease/purge_distributor_test.cpp
+++ b/tests/lease/purge_distributor_test.cpp
@@ -114,16 +114,16 @@
   fleet.RunFor(5s, 1, Token{5});
   const std::size_t sent = fleet.MessageCount();
   fleet.RunFor(10s, 1, Token{5});
-  EXPECT_LE(fleet.MessageCount() - sent, 24U);
+  EXPECT_LE(fleet.MessageCount() - sent, 24u);
 }
 
 TEST(PurgeDistributor, PurgeIsDroppedAfterItsRetention) {
   DistributorFleet fleet(5);
   fleet.Submit(3, PurgeOf(7, 9));
   fleet.RunFor(5s, 1, Token{5});
-  EXPECT_GT(fleet.OpenCount(), 0U);
+  EXPECT_GT(fleet.OpenCount(), 0u);
   fleet.RunFor(60s, 1, Token{5});
-  EXPECT_EQ(fleet.OpenCount(), 0U);
+  EXPECT_EQ(fleet.OpenCount(), 0u);
 }
 
 // The holder dies when it has reached one of the three other members; one of the rest is down until later.
@@ -147,14 +147,14 @@
   DistributorFleet fleet(3);
   fleet.Submit(0, PurgeOf(7));
   fleet.RunFor(1s, 1, Token{6});
-  EXPECT_EQ(fleet.AppliedCounts()[2], 1U);
+  EXPECT_EQ(fleet.AppliedCounts()[2], 1u);
   fleet.Submit(0, PurgeOf(8));
   fleet.RunFor(200ms, 0, Token{5});
-  EXPECT_EQ(fleet.AppliedCounts()[2], 1U);
-  EXPECT_GE(fleet.MemberAt(2).RejectedCount(), 1U);
+  EXPECT_EQ(fleet.AppliedCounts()[2], 1u);
+  EXPECT_GE(fleet.MemberAt(2).RejectedCount(), 1u);
   EXPECT_EQ(fleet.MemberAt(0).SupersedingToken(), Token{6});
   fleet.RunFor(1s, 1, Token{7});
-  EXPECT_EQ(fleet.AppliedCounts()[2], 2U);
+  EXPECT_EQ(fleet.AppliedCounts()[2], 2u);
 }
 
 // A token that is claimed in the fleet view is enough to reject whoever held before.
@@ -163,7 +163,7 @@
   fleet.MemberAt(1).ObserveToken(Token{9});
   fleet.Submit(0, PurgeOf(7));
   fleet.RunFor(1s, 0, Token{8});
-  EXPECT_EQ(fleet.AppliedCounts()[1], 0U);
+  EXPECT_EQ(fleet.AppliedCounts()[1], 0u);
   EXPECT_EQ(fleet.MemberAt(0).SupersedingToken(), Token{9});
 }
 
--- a/tests/lease/voter_state_test.cpp
+++ b/tests/lease/voter_state_test.cpp
@@ -78,7 +78,7 @@
   voter.Handle(context, kNow, "b", RecoveryQuery{3});
   const auto reply = Reply<RecoveryReply>();
   EXPECT_EQ(reply.granted, Token{5'000});
-  EXPECT_EQ(reply.request_id, 3U);
+  EXPECT_EQ(reply.request_id, 3u);
   EXPECT_EQ(reply.holder, "x");
   EXPECT_TRUE(reply.is_serving);
 }
@@ -87,7 +87,7 @@
   voter.Handle(context, kNow, "x", Prepare{Token{5'000}, 1});
   EXPECT_EQ(Reply<Promise>().ballot, Token{5'000});
   voter.Handle(context, kNow, "x", Prepare{Token{5'000}, 2});
-  EXPECT_EQ(Reply<Reject>().request_id, 2U);
+  EXPECT_EQ(Reply<Reject>().request_id, 2u);
 }
 
 TEST_F(VoterStateTest, PromisesNothingWhileAnotherMembersLeaseLasts) {
@@ -142,7 +142,7 @@
   context.DrainMessages();
   voter.Handle(context, kNow + 1ms, "x", Release{Token{5'000}});
   const auto messages = context.DrainMessages();
-  ASSERT_EQ(messages.size(), 1U);
+  ASSERT_EQ(messages.size(), 1u);
   EXPECT_EQ(messages[0].recipient, "y");
   EXPECT_TRUE(std::holds_alternative<LeaseFreed>(messages[0].message.body));
   EXPECT_FALSE(voter.CurrentGrant(kNow + 1ms));
