--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -1,6 +1,6 @@
-// Leases among real doormans: five voters, a relay between them, a store of ours that they write to, and
-// faults put there by the test. Whatever happens, no two hold the duty at once, what the store took is in
-// order, and the duty is taken up again within a bound of the lease's length.
+// Leases among real processes: five voters, a relay between them, a store of ours that they write to, and
+// faults put there by the test. Whatever happens, no two hold the lease at once, what the store took is in
+// order, and the lease is taken over again within a bound of the lease's length.
 #include <filesystem>
 #include <nlohmann/json.hpp>
 
@@ -14,14 +14,14 @@
 using tinspan::lease::Token;
 
 constexpr int kLengthMs = 1'500;
-// To be taken up again: the lease runs out, then a ballot or two; sanitizers included.
-constexpr int kTakenUpMs = 2 * kLengthMs + 3'000;
+// To be taken over again: the lease runs out, then a ballot or two; sanitizers included.
+constexpr int kMaxTakeoverMs = 2 * kLengthMs + 3'000;
 
 Micros Steady() {
   return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-struct Held {
+struct LeaseReport {
   std::string holder, role;
   std::uint64_t token = 0;
   long long left = 0;
@@ -35,16 +35,16 @@
                          R"(","every_ms":100}},)") {}
 
   // What its door says; none: it does not answer (stopped).
-  Held Ask(int member) {
+  LeaseReport QueryLease(int member) {
     const Micros before = Steady();
     ::Peer caller = ::Peer::Connect(fleet.all[member].ops);
     caller.Send("leases\n");
     std::istringstream in(caller.ToEnd());
-    std::string line, duty, left;
+    std::string line, lease, left;
     CHECK(std::getline(in, line) && line == "done" && std::getline(in, line));
     std::istringstream words(line);
-    Held held;
-    CHECK(words >> duty >> held.holder >> held.token >> held.left >> held.role && duty == "health");
+    LeaseReport held;
+    CHECK(words >> lease >> held.holder >> held.token >> held.left >> held.role && lease == "health");
     // It held at some moment from `before` to now, and for `left` from then: so from now to before + left at
     // least, with the slowest true time that its clock allows.
     if (held.role == "holder") {
@@ -58,22 +58,23 @@
     int holder = -1;
     for (int i = 0; i < static_cast<int>(fleet.all.size()); ++i) {
       if (!fleet.all[i].program || without.contains(i)) continue;
-      if (Ask(i).role == "holder") holder = i;
+      if (QueryLease(i).role == "holder") holder = i;
     }
     return holder;
   }
   // Milliseconds until one holds that is not in `but`.
-  long long Taken(int& holder, const std::set<int>& but = {}, const std::set<int>& unasked = {}) {
+  long long WaitForHolder(int& holder, const std::set<int>& excluded = {},
+                          const std::set<int>& unasked = {}) {
     const long long start = UnixMs();
     for (;;) {
       holder = Holder(unasked);
-      if (holder >= 0 && !but.contains(holder)) return UnixMs() - start;
+      if (holder >= 0 && !excluded.contains(holder)) return UnixMs() - start;
       CHECK(UnixMs() - start < kBoundMs);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
   // The store takes records under a token above `token`, so many of them.
-  void Writes(std::uint64_t token, std::uint64_t count) {
+  void WaitForWrites(std::uint64_t token, std::uint64_t count) {
     const long long start = UnixMs();
     std::uint64_t first = 0;
     for (;;) {
@@ -85,13 +86,13 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
-  void Unbroken() {
+  void ExpectNoViolation() {
     for (const auto& broken : {history.FindViolation(), store.Broken()}) {
       if (broken) std::fprintf(stderr, "history: %s\n", broken->c_str());
       CHECK(!broken);
     }
   }
-  std::uint64_t Token_(int member) { return Ask(member).token; }
+  std::uint64_t TokenOf(int member) { return QueryLease(member).token; }
 
   KvStandin store;
   ViewFleet fleet;
@@ -102,17 +103,17 @@
 void OneHoldsAndPublishes() {
   LeaseFleet five(6);  // the sixth has no vote
   int holder = -1;
-  five.Taken(holder);
-  const std::uint64_t token = five.Token_(holder);
-  five.Writes(0, 20);
-  CHECK(five.Holder() == holder && five.Token_(holder) == token);
+  five.WaitForHolder(holder);
+  const std::uint64_t token = five.TokenOf(holder);
+  five.WaitForWrites(0, 20);
+  CHECK(five.Holder() == holder && five.TokenOf(holder) == token);
   const auto stored = five.store.Stored();
   CHECK(stored.flags == token);
   CHECK(stored.text.find("\"holder\":\"" + five.fleet.all[holder].name + "\"") != std::string::npos);
   CHECK(stored.text.find("\"alive\":6") != std::string::npos);
   for (int i = 0; i < 6; ++i) {
     for (const long long end = UnixMs() + kBoundMs;;) {
-      const Held held = five.Ask(i);
+      const LeaseReport held = five.QueryLease(i);
       if (held.holder == five.fleet.all[holder].name && held.token == token) break;
       CHECK(UnixMs() < end);
     }
@@ -123,10 +124,10 @@
         shown.log.find(std::to_string(token)) != std::string::npos);
   // A write that was taken and whose answer was lost is not done twice; a store that is gone ends no lease.
   five.store.DropNextAnswer();
-  five.Writes(token - 1, 10);
+  five.WaitForWrites(token - 1, 10);
   CHECK(five.fleet.Figure(holder, "lease_store_failures_total") >= 1);
   CHECK(five.Holder() == holder);
-  five.Unbroken();
+  five.ExpectNoViolation();
 }
 
 // Stopped past its lease and resumed: another holds meanwhile, and nothing is taken under the old token. It
@@ -134,100 +135,101 @@
 void AStoppedHolderIsFenced() {
   LeaseFleet five;
   int first = -1, second = -1;
-  five.Taken(first);
-  const std::uint64_t old = five.Token_(first);
-  five.Writes(old - 1, 3);
+  five.WaitForHolder(first);
+  const std::uint64_t old = five.TokenOf(first);
+  five.WaitForWrites(old - 1, 3);
   five.store.HoldNextWrite();
   for (const long long end = UnixMs() + kLimitMs; !five.store.Holding();) CHECK(UnixMs() < end);
   five.fleet.all[first].program->Signal(SIGSTOP);
-  const long long took = five.Taken(second, {first}, {first});
-  Report("a stopped holder's duty taken up", took);
-  CHECK(took < kTakenUpMs);
-  const std::uint64_t next = five.Token_(second);
+  const long long took = five.WaitForHolder(second, {first}, {first});
+  Report("a stopped holder's lease taken over", took);
+  CHECK(took < kMaxTakeoverMs);
+  const std::uint64_t next = five.TokenOf(second);
   CHECK(next > old);
   for (const long long end = UnixMs() + kLimitMs; five.store.Stored().flags < next;) CHECK(UnixMs() < end);
   five.store.Release();  // the old write arrives
   five.fleet.all[first].program->Signal(SIGCONT);
-  five.Writes(old, 10);
+  five.WaitForWrites(old, 10);
   CHECK(five.store.Refused() >= 1);
-  CHECK(five.Ask(first).role != "holder");
+  CHECK(five.QueryLease(first).role != "holder");
   CHECK(five.fleet.Figure(first, "lease_lapsed_total") == 1);
   CHECK(five.Holder() == second);
-  five.Unbroken();
+  five.ExpectNoViolation();
 }
 
 // Cut off from all others but not from the store it writes to: it stops, another goes on from its number.
 void ACutOffHolderStops() {
   LeaseFleet five;
   int first = -1, second = -1;
-  five.Taken(first);
-  const std::uint64_t old = five.Token_(first);
-  five.Writes(old - 1, 3);
+  five.WaitForHolder(first);
+  const std::uint64_t old = five.TokenOf(first);
+  five.WaitForWrites(old - 1, 3);
   for (int other = 0; other < 5; ++other) {
     if (other == first) continue;
     five.fleet.relay.Cut(first, other);
     five.fleet.relay.Cut(other, first);
   }
-  const long long took = five.Taken(second, {first});
-  Report("a cut-off holder's duty taken up", took);
-  CHECK(took < kTakenUpMs);
-  five.Writes(old, 5);
-  CHECK(five.Ask(first).role != "holder");
+  const long long took = five.WaitForHolder(second, {first});
+  Report("a cut-off holder's lease taken over", took);
+  CHECK(took < kMaxTakeoverMs);
+  five.WaitForWrites(old, 5);
+  CHECK(five.QueryLease(first).role != "holder");
   five.fleet.relay.Heal();
   CHECK(five.fleet.Settled(kBoundMs) >= 0);
-  five.Writes(old, 5);
+  five.WaitForWrites(old, 5);
   CHECK(five.Holder() == second);
-  five.Unbroken();
+  five.ExpectNoViolation();
 }
 
-// Killed in the middle of its duty: the next goes on from the record that stands, none left out, none twice.
+// Killed in the middle of its lease: the next goes on from the record that stands, none left out, none twice.
 // The one that comes back has forgotten what it promised and is silent first.
 void AKilledHolderIsFollowed() {
   LeaseFleet five;
   int first = -1, second = -1;
-  five.Taken(first);
-  const std::uint64_t old = five.Token_(first);
-  five.Writes(old - 1, 3);
+  five.WaitForHolder(first);
+  const std::uint64_t old = five.TokenOf(first);
+  five.WaitForWrites(old - 1, 3);
   five.history.RecordEnd(Token{old}, Steady());
   five.fleet.Kill(first);
   const std::uint64_t number = five.store.Stored().number;
-  const long long took = five.Taken(second);
-  Report("a killed holder's duty taken up", took);
-  CHECK(took < kTakenUpMs);
-  five.Writes(old, 3);
+  const long long took = five.WaitForHolder(second);
+  Report("a killed holder's lease taken over", took);
+  CHECK(took < kMaxTakeoverMs);
+  five.WaitForWrites(old, 3);
   CHECK(five.store.Stored().number > number);
   five.fleet.Begin(first);
   five.fleet.Ready(first);
-  CHECK(five.Ask(first).role == "voter-silent");
-  for (const long long end = UnixMs() + kBoundMs; five.Ask(first).role != "voter";) CHECK(UnixMs() < end);
-  five.Writes(old, 3);
+  CHECK(five.QueryLease(first).role == "voter-silent");
+  for (const long long end = UnixMs() + kBoundMs; five.QueryLease(first).role != "voter";)
+    CHECK(UnixMs() < end);
+  five.WaitForWrites(old, 3);
   CHECK(five.Holder() == second);
-  five.Unbroken();
+  five.ExpectNoViolation();
 }
 
 // Two on one side, three on the other: the two hold nothing, whoever held before.
 void AMinorityHoldsNothing() {
   LeaseFleet five;
   int first = -1, second = -1;
-  five.Taken(first);
-  const std::uint64_t old = five.Token_(first);
+  five.WaitForHolder(first);
+  const std::uint64_t old = five.TokenOf(first);
   const int with = first == 0 ? 1 : 0;
   for (int a = 0; a < 5; ++a) {
     for (int b = 0; b < 5; ++b) {
       if ((a == first || a == with) != (b == first || b == with)) five.fleet.relay.Cut(a, b);
     }
   }
-  const long long took = five.Taken(second, {first});
-  Report("taken up by the majority", took);
-  CHECK(took < kTakenUpMs && second != with);
-  five.Writes(old, 3);
+  const long long took = five.WaitForHolder(second, {first});
+  Report("taken over by the majority", took);
+  CHECK(took < kMaxTakeoverMs && second != with);
+  five.WaitForWrites(old, 3);
   for (const long long end = UnixMs() + 2 * kLengthMs; UnixMs() < end;) {
-    CHECK(five.Ask(first).role != "holder" && five.Ask(with).role != "holder");
+    CHECK(five.QueryLease(first).role != "holder" && five.QueryLease(with).role != "holder");
     CHECK(five.Holder() == second);
   }
   five.fleet.relay.Heal();
   CHECK(five.fleet.Settled(kBoundMs) >= 0);
-  five.Unbroken();
+  five.ExpectNoViolation();
 }
 
 // One clock a tenth fast, and the holder stopped again and again: never two.
@@ -241,38 +243,38 @@
   int holder = -1;
   std::uint64_t last = 0;
   for (int round = 0; round < 4; ++round) {
-    five.Taken(holder);
-    five.Writes(last, 3);
+    five.WaitForHolder(holder);
+    five.WaitForWrites(last, 3);
     last = five.store.Stored().flags;
     five.fleet.all[holder].program->Signal(SIGSTOP);
     int next = -1;
-    CHECK(five.Taken(next, {holder}, {holder}) < kTakenUpMs);
+    CHECK(five.WaitForHolder(next, {holder}, {holder}) < kMaxTakeoverMs);
     five.fleet.all[holder].program->Signal(SIGCONT);
-    five.Unbroken();
+    five.ExpectNoViolation();
   }
-  five.Writes(last, 3);
-  five.Unbroken();
+  five.WaitForWrites(last, 3);
+  five.ExpectNoViolation();
 }
 
-// Told to stop, it lets the duty go: it is handed on without waiting for the lease to run out.
+// Told to stop, it lets the lease go: it is handed on without waiting for the lease to run out.
 void AStoppingHolderHandsOver() {
   LeaseFleet five;
   int first = -1, second = -1;
-  five.Taken(first);
-  const std::uint64_t old = five.Token_(first);
+  five.WaitForHolder(first);
+  const std::uint64_t old = five.TokenOf(first);
   // The other candidates have asked and were refused: the voters know whom to tell.
   std::this_thread::sleep_for(std::chrono::milliseconds(kLengthMs));
-  five.Writes(old - 1, 3);
+  five.WaitForWrites(old - 1, 3);
   five.fleet.all[first].program->Signal(SIGTERM);
   five.history.RecordEnd(Token{old}, Steady());
   CHECK(five.fleet.all[first].program->Wait() == 0);
   CHECK(five.fleet.all[first].program->log.find("health released, token") != std::string::npos);
   five.fleet.all[first].program.reset();
-  const long long took = five.Taken(second);
-  Report("a stopping holder's duty handed on", took);
+  const long long took = five.WaitForHolder(second);
+  Report("a stopping holder's lease handed on", took);
   CHECK(second != first);
-  five.Writes(old, 3);
-  five.Unbroken();
+  five.WaitForWrites(old, 3);
+  five.ExpectNoViolation();
 }
 
 // Five gateways whose operator's files were written by `tinspan init`, with leases on.
@@ -327,14 +329,14 @@
     one.ops = PortOf(one.program->Line("operators' door at "));
   }
   // What its door says of `purge`: a word named so, or the role.
-  std::string Word(int i, const std::string& name) {
+  std::string StatusField(int i, const std::string& name) {
     ::Peer caller = ::Peer::Connect(all[i].ops);
     caller.Send("leases\n");
     std::istringstream in(caller.ToEnd());
-    std::string line, duty, holder, token, left, role, word;
+    std::string line, lease, holder, token, left, role, word;
     CHECK(std::getline(in, line) && line == "done" && std::getline(in, line));
     std::istringstream words(line);
-    CHECK(words >> duty >> holder >> token >> left >> role && duty == "purge");
+    CHECK(words >> lease >> holder >> token >> left >> role && lease == "purge");
     if (name == "role") return role;
     while (words >> word) {
       if (word.starts_with(name + "=")) return word.substr(name.size() + 1);
@@ -345,7 +347,7 @@
   int Holder() {
     for (const long long end = UnixMs() + kBoundMs;;) {
       for (int i = 0; i < 5; ++i) {
-        if (all[i].program && Word(i, "role") == "holder") return i;
+        if (all[i].program && StatusField(i, "role") == "holder") return i;
       }
       CHECK(UnixMs() < end);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -359,10 +361,10 @@
     CHECK(caller.Until("\r\n").starts_with("HTTP/1.1 204"));
   }
   // Milliseconds until each of `members` has applied so many that came from others.
-  long long Applied(const std::map<int, int>& members) {
+  long long WaitForApplied(const std::map<int, int>& members) {
     const long long start = UnixMs();
     for (const auto& [i, count] : members) {
-      while (Word(i, "applied") != std::to_string(count)) {
+      while (StatusField(i, "applied") != std::to_string(count)) {
         CHECK(UnixMs() - start < kBoundMs);
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
       }
@@ -383,7 +385,7 @@
   std::map<int, int> once;
   for (int i = 0; i < 5; ++i) once[i] = i == origin ? 0 : 1;
   five.Purge(origin, "/scans/estate/book.jpg?page=3");
-  const long long took = five.Applied(once);
+  const long long took = five.WaitForApplied(once);
   Report("a purge applied by the fleet", took);
   CHECK(took < 1'000);
   // The holder reaches the origin alone, and then dies.
@@ -392,29 +394,29 @@
   }
   five.Purge(origin, "/scans/estate/other.jpg");
   once[holder] = 2;
-  five.Applied({{holder, 2}});
+  five.WaitForApplied({{holder, 2}});
   for (int i = 0; i < 5; ++i) {
-    if (i != holder) CHECK(five.Word(i, "applied") == (i == origin ? "0" : "1"));
+    if (i != holder) CHECK(five.StatusField(i, "applied") == (i == origin ? "0" : "1"));
   }
   five.all[holder].program.reset();
   five.relay.Heal();
   for (int i = 0; i < 5; ++i) once[i] = i == origin ? 0 : 2;
   once.erase(holder);
-  const long long finished = five.Applied(once);
+  const long long finished = five.WaitForApplied(once);
   Report("a killed holder's purge finished", finished);
-  CHECK(finished < kTakenUpMs);
+  CHECK(finished < kMaxTakeoverMs);
   CHECK(five.Holder() != holder);
   five.Purge((origin + 1) % 5 == holder ? (origin + 2) % 5 : (origin + 1) % 5, "/pages/third");
-  five.Applied({{origin, 1}});
+  five.WaitForApplied({{origin, 1}});
 }
 
 // An upgrade: the second process of a voter waits for the port longer than a voter is silent, while the first
-// goes on granting under the same name. Its silence begins when the port is its own, or it would grant a duty
-// twice.
+// goes on granting under the same name. Its silence begins when the port is its own, or it would grant a
+// lease twice.
 void AnUpgradedVoterIsSilentFromItsPortOn() {
   LeaseFleet five;
   int holder = -1;
-  five.Taken(holder);
+  five.WaitForHolder(holder);
   const int voter = holder == 4 ? 3 : 4;
   Doorman& one = five.fleet.all[voter];
   std::string text;
@@ -441,15 +443,15 @@
   one.program->Line("members at ");
   one.ops = door;
   const long long began = UnixMs();
-  while (five.Ask(voter).role == "voter-silent") CHECK(UnixMs() - began < kBoundMs);
+  while (five.QueryLease(voter).role == "voter-silent") CHECK(UnixMs() - began < kBoundMs);
   const long long silent = UnixMs() - began;
   Report("an upgraded voter silent", silent);
   CHECK(silent > kLengthMs);
   CHECK(five.Holder() == holder);
-  five.Unbroken();
+  five.ExpectNoViolation();
 }
 
-// Off where the file has no leases; a file that could grant a duty twice is turned down, naming the key.
+// Off where the file has no leases; a file that could grant a lease twice is rejected, naming the key.
 void OffWithoutLeases() {
   ViewFleet off(1);
   ::Peer caller = ::Peer::Connect(off.all[0].ops);
