--- a/src/lease/codec.cpp
+++ b/src/lease/codec.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "lease/lease.pb.h"
-#include "members/view.hpp"
+#include "members/membership_view.hpp"
 
 namespace tinspan::lease {
 namespace {
--- a/src/members/view.cpp
+++ b/src/members/membership_view.cpp
@@ -1,4 +1,4 @@
-#include "members/view.hpp"
+#include "members/membership_view.hpp"
 
 #include <xxhash.h>
 
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "members/codec.hpp"
-#include "members/view.hpp"
+#include "members/membership_view.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
 
--- a/src/members/sim.hpp
+++ b/src/members/sim.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "members/view.hpp"
+#include "members/membership_view.hpp"
 
 namespace tinspan::members::sim {
 
