--- a/src/members/node.cpp
+++ b/src/members/node.cpp
@@ -26,6 +26,7 @@
 #include "members/options.hpp"
 #include "members/types.hpp"
 #include "net/clock.hpp"
+#include "net/endpoint.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
 
@@ -128,7 +129,7 @@
   const Micros now = SteadyNow();
   int received = 0;
   while (received < kMaxDatagramsPerRound && ReceiveDatagram(now)) ++received;
-  if (received == kMaxDatagramsPerRound) loop_.Again(handle_);  // the rest in the next round of the loop
+  if (received == kMaxDatagramsPerRound) loop_.ScheduleAgain(handle_);  // the rest in the next round of the loop
   ProcessOutput();
   ScheduleTick();
 }
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -24,8 +24,10 @@
 #include "members/message.hpp"
 #include "members/options.hpp"
 #include "members/types.hpp"
+#include "net/endpoint.hpp"
 #include "net/event_loop.hpp"
 #include "net/fd.hpp"
+#include "net/timer_queue.hpp"
 
 namespace tinspan::members {
 
