--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -124,9 +124,9 @@
   beside.views.members = [node] { return node->FormatMembers(); };
   if (agent != nullptr) beside.views.leases = [agent] { return agent->Lines(); };
   beside.figures = [node, agent](ops::Figures& figures) {
-    const members::MembershipView& view = node->view();
-    const members::Stats& stats = view.stats();
-    const members::DatagramStats& datagrams = node->stats();
+    const members::MembershipView& view = node->View();
+    const members::MembershipStats& stats = view.Stats();
+    const members::DatagramStats& datagrams = node->Stats();
     using members::State;
     figures.more.push_back({"fleet_members_alive", "gauge", view.Count(State::kAlive)});
     figures.more.push_back({"fleet_members_suspect", "gauge", view.Count(State::kSuspect)});
--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -35,8 +35,8 @@
     : loop_(loop),
       node_(node),
       options_(std::move(options)),
-      peer_(WithDuties(options_), node_.view().Self().name, options_.seed, Now()),
-      fanout_(node_.view().Self().name, WallMs(), options_.purge_keep) {
+      peer_(WithDuties(options_), node_.View().Self().name, options_.seed, Now()),
+      fanout_(node_.View().Self().name, WallMs(), options_.purge_keep) {
   if (options_.publish) {
     publisher_.emplace(options_.publish->every);
     store_.emplace(loop, options_.publish->store, options_.publish->key, kStoreLimit,
@@ -84,14 +84,14 @@
   next_look_ = now + kLook;
   alive_.clear();
   std::vector<Claimed> claims;
-  for (const auto& [name, member] : node_.view().Members()) {
+  for (const auto& [name, member] : node_.View().Members()) {
     if (member.state == members::State::kDead || member.state == members::State::kLeft) continue;
     if (member.state == members::State::kAlive) alive_.push_back(name);
     for (const members::LeaseClaim& claim : member.lease_claims)
       claims.push_back({claim.lease, name, Token{claim.token}});
   }
   peer_.Claims(claims);
-  const std::string& self = node_.view().Self().name;
+  const std::string& self = node_.View().Self().name;
   for (const std::string& duty : peer_.Told().duties) {
     const std::vector<std::string> chosen = Candidates(duty, alive_, options_.candidates);
     peer_.Want(duty, !leaving_ && std::find(chosen.begin(), chosen.end(), self) != chosen.end(), now);
@@ -103,7 +103,7 @@
   if (!begun_) {
     if (!node_.IsStarted()) return Arm();
     begun_ = true;
-    peer_ = Peer(WithDuties(options_), node_.view().Self().name, options_.seed, now);
+    peer_ = Peer(WithDuties(options_), node_.View().Self().name, options_.seed, now);
   }
   if (now >= next_look_) Look(now);
   peer_.Tick(now, WallMs());
@@ -195,7 +195,7 @@
 }
 
 std::string Agent::Record(const Ask& ask) const {
-  const members::MembershipView& view = node_.view();
+  const members::MembershipView& view = node_.View();
   nlohmann::json record;
   record["number"] = ask.number;
   record["token"] = Number(ask.token);
--- a/src/members/anti_entropy.hpp
+++ b/src/members/anti_entropy.hpp
@@ -25,7 +25,7 @@
     const MemberTable& table;
     Outbox& outbox;
     std::mt19937_64& random;
-    Stats& stats;
+    MembershipStats& stats;
   };
   // The first sync is due at once: through the seeds it finds the fleet.
   AntiEntropy(const Dependencies& dependencies, Micros now);
--- a/src/members/dissemination.cpp
+++ b/src/members/dissemination.cpp
@@ -48,7 +48,7 @@
 }
 
 int DisseminationQueue::TransmitLimit() const {
-  const double live = static_cast<double>(table_.LiveCount());
+  const auto live = static_cast<double>(table_.LiveCount());
   const int limit = options_.retransmit_multiplier * static_cast<int>(std::ceil(std::log10(live + 1)));
   return std::max(limit, 1);
 }
--- a/src/members/dissemination.hpp
+++ b/src/members/dissemination.hpp
@@ -17,7 +17,7 @@
 class DisseminationQueue {
  public:
   // All outlive this object.
-  DisseminationQueue(const Options& options, const MemberTable& table, Stats& stats)
+  DisseminationQueue(const Options& options, const MemberTable& table, MembershipStats& stats)
       : options_(options), table_(table), stats_(stats) {}
 
   // Queues the present state of a member, in place of an older one of it.
@@ -33,7 +33,7 @@
 
   const Options& options_;
   const MemberTable& table_;
-  Stats& stats_;
+  MembershipStats& stats_;
   std::map<std::string, int> transmits_by_name_;
   std::set<std::pair<int, std::string>> names_by_transmits_;
 };
--- a/src/members/failure_detector.hpp
+++ b/src/members/failure_detector.hpp
@@ -30,7 +30,7 @@
     LocalHealth& health;
     Outbox& outbox;
     std::mt19937_64& random;
-    Stats& stats;
+    MembershipStats& stats;
   };
   // The first probe starts at a random point of the first interval, so that members started together spread.
   FailureDetector(const Dependencies& dependencies, Micros now);
--- a/src/members/membership_view.hpp
+++ b/src/members/membership_view.hpp
@@ -68,7 +68,7 @@
   std::size_t Count(State state) const { return table_.Count(state); }
   // Lifeguard's local health multiplier: 0 is healthy.
   int LocalHealthMultiplier() const { return health_.Multiplier(); }
-  const Stats& stats() const { return stats_; }
+  const MembershipStats& Stats() const { return stats_; }
   const Digest& CurrentDigest() const { return table_.CurrentDigest(); }
   // How long a suspicion lasts after so many confirmations.
   Micros SuspicionTimeout(std::size_t confirmations) const { return suspicions_.Timeout(confirmations); }
@@ -91,7 +91,7 @@
 
   Options options_;
   std::mt19937_64 random_;
-  Stats stats_;
+  MembershipStats stats_;
   LocalHealth health_;
   MemberTable table_;
   DisseminationQueue dissemination_;
--- a/src/members/node.cpp
+++ b/src/members/node.cpp
@@ -129,7 +129,8 @@
   const Micros now = SteadyNow();
   int received = 0;
   while (received < kMaxDatagramsPerRound && ReceiveDatagram(now)) ++received;
-  if (received == kMaxDatagramsPerRound) loop_.ScheduleAgain(handle_);  // the rest in the next round of the loop
+  if (received == kMaxDatagramsPerRound)
+    loop_.ScheduleAgain(handle_);  // the rest in the next round of the loop
   ProcessOutput();
   ScheduleTick();
 }
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -89,8 +89,8 @@
   void SetPayloadHandler(PayloadHandler handler) { payload_handler_ = std::move(handler); }
 
   // Replaced by a new view when the port is first had; not to be kept.
-  const MembershipView& view() const { return *view_; }
-  const DatagramStats& stats() const { return stats_; }
+  const MembershipView& View() const { return *view_; }
+  const DatagramStats& Stats() const { return stats_; }
   // One line a member: name address zone incarnation state age_ms failing=a,b; this one's first.
   std::string FormatMembers() const;
 
--- a/src/members/types.hpp
+++ b/src/members/types.hpp
@@ -38,6 +38,7 @@
 struct Address {
   std::uint32_t ip = 0;
   std::uint16_t port = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false finding of clang-tidy 14 on a defaulted <=>.
   auto operator<=>(const Address&) const = default;
 };
 
@@ -61,6 +62,7 @@
 struct LeaseClaim {
   std::string lease;
   std::uint64_t token = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false finding of clang-tidy 14 on a defaulted <=>.
   auto operator<=>(const LeaseClaim&) const = default;
 };
 
@@ -91,7 +93,7 @@
 };
 
 // Counters of one view since its start.
-struct Stats {
+struct MembershipStats {
   std::uint64_t probes = 0;
   std::uint64_t acks = 0;
   std::uint64_t indirect_probes = 0;
