--- a/bench/members_scale.cpp
+++ b/bench/members_scale.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -87,7 +88,7 @@
   std::vector<State> states_;
   std::map<std::string, int> member_by_name_;
   long long not_alive_ = 0;
-  int watched_ = -1;
+  std::optional<int> watched_;
   WatchedDeath death_;
 };
 
--- a/src/members/membership_view.cpp
+++ b/src/members/membership_view.cpp
@@ -187,9 +187,9 @@
 void MembershipView::MergeSameState(Member& member, const MemberUpdate& update) {
   const std::string& suspector = update.suspected_by;
   const bool names_other = !suspector.empty() && !table_.IsSelf(suspector);
-  const bool may_confirm = update.state == State::kSuspect && names_other;
+  const bool can_confirm = update.state == State::kSuspect && names_other;
   bool is_changed = false;
-  if (may_confirm && member.suspectors.size() < kMaxSuspectors) {
+  if (can_confirm && member.suspectors.size() < kMaxSuspectors) {
     is_changed = suspicions_.Confirm(member, suspector);
   }
   if (update.report_version > member.report_version) {
--- a/src/members/sim.cpp
+++ b/src/members/sim.cpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -52,7 +53,7 @@
   return found != view.Members().end() && found->second.state == State::kAlive;
 }
 
-bool IsKnownDeparted(const MembershipView& view, const std::string& name) {
+bool IsHeldDeparted(const MembershipView& view, const std::string& name) {
   const auto found = view.Members().find(name);
   return found != view.Members().end() && IsDeparted(found->second.state);
 }
@@ -72,20 +73,21 @@
 
 Address Fleet::AddressOf(int member) { return {kLoopback, static_cast<std::uint16_t>(kFirstPort + member)}; }
 
-int Fleet::MemberAt(Address address) const {
+std::optional<int> Fleet::MemberAt(Address address) const {
   const int member = address.port - kFirstPort;
-  return member >= 0 && member < static_cast<int>(nodes_.size()) ? member : -1;
+  if (member < 0 || member >= static_cast<int>(nodes_.size())) return std::nullopt;
+  return member;
 }
 
-int Fleet::Add(const std::string& zone, const std::vector<int>& seeds, bool knows_fleet) {
+int Fleet::Add(const std::string& zone, const std::vector<int>& seeds, bool is_introduced) {
   const int member = static_cast<int>(nodes_.size());
   Node& node = nodes_.emplace_back();
   node.name = "m" + std::to_string(member) + (zone.empty() ? "" : "." + zone);
-  Start(member, seeds, knows_fleet);
+  Start(member, seeds, is_introduced);
   return member;
 }
 
-void Fleet::Start(int member, const std::vector<int>& seeds, bool knows_fleet) {
+void Fleet::Start(int member, const std::vector<int>& seeds, bool is_introduced) {
   Options options = options_;
   options.seeds.clear();
   for (const int seed : seeds) {
@@ -100,7 +102,7 @@
   node.is_running = true;
   node.paused_until = Micros{0};
   node.socket_backlog.clear();
-  if (knows_fleet) Introduce(member, self);
+  if (is_introduced) Introduce(member, self);
   ScheduleTick(member);
 }
 
@@ -221,12 +223,13 @@
 void Fleet::SendDatagram(int source, Datagram&& datagram) {
   bytes_sent_ += sizer_(datagram.message);
   ++datagrams_sent_;
-  const int destination = MemberAt(datagram.destination);
-  if (destination < 0 || blocked_links_.contains({source, destination})) return;
+  const std::optional<int> destination = MemberAt(datagram.destination);
+  if (!destination || blocked_links_.contains({source, *destination})) return;
   if (std::uniform_real_distribution<double>(0, 1)(random_) < link_.loss) return;
   const auto spread = std::max<std::int64_t>((link_.max_delay - link_.min_delay).count(), 1);
   const Micros jitter{static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(spread))};
-  in_flight_.push({now_ + link_.min_delay + jitter, ++last_order_, destination, std::move(datagram.message)});
+  in_flight_.push(
+      {now_ + link_.min_delay + jitter, ++last_order_, *destination, std::move(datagram.message)});
 }
 
 void Fleet::ScheduleTick(int member) {
@@ -240,9 +243,9 @@
   for (const Node& observer : nodes_) {
     if (!observer.is_running || observer.paused_until > now_) continue;
     for (const Node& subject : nodes_) {
-      const bool is_seen_right =
+      const bool is_correct =
           subject.is_running ? IsAlive(*observer.view, subject.name) : !IsLive(*observer.view, subject.name);
-      if (!is_seen_right) return false;
+      if (!is_correct) return false;
     }
   }
   return true;
@@ -252,7 +255,7 @@
   const auto is_wrongly_dead = [this](const Node& subject) {
     return subject.is_running && std::ranges::any_of(nodes_, [&subject](const Node& observer) {
              return &observer != &subject && observer.is_running &&
-                    IsKnownDeparted(*observer.view, subject.name);
+                    IsHeldDeparted(*observer.view, subject.name);
            });
   };
   return static_cast<std::size_t>(std::ranges::count_if(nodes_, is_wrongly_dead));
--- a/src/members/sim.hpp
+++ b/src/members/sim.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -41,10 +42,10 @@
   // Without a sizer, bytes are counted by EstimatedSize.
   Fleet(Options options, std::uint64_t seed, Link link = {}, MessageSizer sizer = {});
 
-  // Adds a member that starts now, and returns its number; `seeds` are members' numbers. With `knows_fleet`
+  // Adds a member that starts now, and returns its number; `seeds` are members' numbers. With `is_introduced`
   // it and all running members know each other at once (as after a sync), for fleets too large to join one by
   // one.
-  int Add(const std::string& zone = "", const std::vector<int>& seeds = {0}, bool knows_fleet = false);
+  int Add(const std::string& zone = "", const std::vector<int>& seeds = {0}, bool is_introduced = false);
   void Kill(int member);
   // Starts a killed member under its name and address, with an incarnation by the clock and an empty view.
   void Restart(int member);
@@ -108,9 +109,9 @@
   Node& NodeOf(int member) { return nodes_[static_cast<std::size_t>(member)]; }
   const Node& NodeOf(int member) const { return nodes_[static_cast<std::size_t>(member)]; }
   static Address AddressOf(int member);
-  // The member at that address, or -1.
-  int MemberAt(Address address) const;
-  void Start(int member, const std::vector<int>& seeds, bool knows_fleet);
+  // The member at that address, if there is one.
+  std::optional<int> MemberAt(Address address) const;
+  void Start(int member, const std::vector<int>& seeds, bool is_introduced);
   void Introduce(int member, const MemberUpdate& self);
   void DeliverNext();
   void TickNext();
--- a/tests/members/anti_entropy_test.cpp
+++ b/tests/members/anti_entropy_test.cpp
@@ -43,7 +43,7 @@
   AntiEntropy anti_entropy_{{options_, table_, outbox_, random_, stats_}, kStart};
 };
 
-TEST_F(AntiEntropyTest, SyncsWithNobodyWhileAloneWithoutSeeds) {
+TEST_F(AntiEntropyTest, DoesNotSyncWhileAloneWithoutSeeds) {
   EXPECT_TRUE(SyncOnce().empty());
   EXPECT_EQ(stats_.syncs, 0U);
 }
@@ -94,7 +94,7 @@
   EXPECT_EQ(sent[0].message.updates[0].name, "member");
 }
 
-TEST_F(AntiEntropyTest, AReplySaysThatNotAllFitted) {
+TEST_F(AntiEntropyTest, MarksATruncatedReply) {
   AddMembers(200);
   anti_entropy_.OnSync(kStart, kPartner, {Digest{}});
   const std::vector<Datagram> sent = outbox_.Drain();
@@ -117,7 +117,7 @@
   EXPECT_FALSE(anti_entropy_.HasContinuation());
 }
 
-TEST_F(AntiEntropyTest, GoesOnAtOnceAfterATruncatedReply) {
+TEST_F(AntiEntropyTest, ContinuesAtOnceAfterATruncatedReply) {
   anti_entropy_.OnSyncReply(kStart, kPartner, {table_.CurrentDigest(), true});
   EXPECT_TRUE(anti_entropy_.HasContinuation());
   anti_entropy_.Tick(kStart);
--- a/tests/members/dissemination_test.cpp
+++ b/tests/members/dissemination_test.cpp
@@ -58,7 +58,7 @@
   EXPECT_TRUE(NextNames().empty());
 }
 
-TEST_F(DisseminationQueueTest, KeepsToTheBudgetOfBytes) {
+TEST_F(DisseminationQueueTest, StaysWithinTheByteBudget) {
   const std::string long_name(kMaxNameLength - 2, 'n');
   for (int count = 10; count < 40; ++count) AddQueued(long_name + std::to_string(count));
   std::size_t bytes = 0;
@@ -67,7 +67,7 @@
   EXPECT_GT(bytes, options_.update_budget_bytes - 100);
 }
 
-TEST_F(DisseminationQueueTest, KeepsToTheLimitOfUpdates) {
+TEST_F(DisseminationQueueTest, StaysWithinTheUpdateLimit) {
   options_.update_budget_bytes = 100'000;
   for (int count = 0; count < 100; ++count) AddQueued("m" + std::to_string(count));
   EXPECT_EQ(NextNames().size(), kMaxUpdatesPerMessage);
--- a/tests/members/failure_detector_test.cpp
+++ b/tests/members/failure_detector_test.cpp
@@ -56,7 +56,7 @@
   EXPECT_TRUE(outbox_.Drain().empty());
 }
 
-TEST_F(FailureDetectorTest, ProbesNobodyWhileAlone) {
+TEST_F(FailureDetectorTest, DoesNotProbeWhileAlone) {
   detector_.StartDueProbe(kProbeStart);
   EXPECT_TRUE(outbox_.Drain().empty());
   EXPECT_EQ(stats_.probes, 0U);
@@ -82,7 +82,7 @@
   EXPECT_EQ(probed, (std::set<std::string>{"a", "b", "c"}));
 }
 
-TEST_F(FailureDetectorTest, ProbesNoDepartedMember) {
+TEST_F(FailureDetectorTest, DoesNotProbeADepartedMember) {
   SetState(AddMember("dead", 1), State::kDead);
   SetState(AddMember("left", 2), State::kLeft);
   detector_.StartDueProbe(kProbeStart);
@@ -107,7 +107,7 @@
   EXPECT_EQ(stats_.acks, 0U);
 }
 
-TEST_F(FailureDetectorTest, AsksNobodyElseBeforeTheTimeout) {
+TEST_F(FailureDetectorTest, SendsNoIndirectProbeBeforeTheTimeout) {
   AddMember("target", 1);
   StartProbe();
   AddMember("helper", 2);
@@ -115,7 +115,7 @@
   EXPECT_TRUE(outbox_.Drain().empty());
 }
 
-TEST_F(FailureDetectorTest, AsksOthersOnceTheTargetIsSilent) {
+TEST_F(FailureDetectorTest, SendsIndirectProbesAfterTheTimeout) {
   const Address target = AddMember("target", 1).address;
   const Ping ping = StartProbe();
   for (std::uint16_t port = 11; port < 16; ++port) AddMember("helper" + std::to_string(port), port);
--- a/tests/members/member_table_test.cpp
+++ b/tests/members/member_table_test.cpp
@@ -66,14 +66,14 @@
   EXPECT_EQ(table_.CurrentDigest(), before);
 }
 
-TEST_F(MemberTableTest, KeepsADepartedMemberThatReturned) {
+TEST_F(MemberTableTest, DoesNotEraseADepartedMemberThatReturned) {
   Member& member = AddMember("dead", 1);
   SetState(member, State::kDead);
   SetState(member, State::kAlive);
   EXPECT_TRUE(table_.EraseExpired(kStart + options_.dead_retention).empty());
 }
 
-TEST_F(MemberTableTest, KeepsItsOwnMemberThatLeft) {
+TEST_F(MemberTableTest, DoesNotEraseItsOwnMemberThatLeft) {
   SetState(table_.Self(), State::kLeft);
   EXPECT_TRUE(table_.EraseExpired(kStart + options_.dead_retention).empty());
   EXPECT_EQ(table_.Self().state, State::kLeft);
--- a/tests/members/membership_view_test.cpp
+++ b/tests/members/membership_view_test.cpp
@@ -35,7 +35,7 @@
   EXPECT_LT(TimeToConverge(fleet, 30s), 15s);
 }
 
-TEST(MembershipViewTest, LossOfATenthLeavesNobodyWronglyDead) {
+TEST(MembershipViewTest, LossOfATenthCausesNoWrongDeath) {
   sim::Fleet fleet = StartFleet(8, 3, sim::Link{0.1, Micros{100}, Micros{2'000}});
   ASSERT_LT(TimeToConverge(fleet, 20s), 20s);
   fleet.RunFor(60s);
@@ -78,7 +78,7 @@
   EXPECT_LT(TimeToConverge(fleet_, 20s), 10s);
 }
 
-TEST_F(MembershipViewFleetTest, AOneWayLinkMakesNobodyDead) {
+TEST_F(MembershipViewFleetTest, AOneWayLinkCausesNoDeath) {
   fleet_.SetLinkBlocked(1, 2);
   std::size_t declared_dead = 0;
   fleet_.on_change = [&](int, const StateChange& change, Micros) {
@@ -108,18 +108,18 @@
     fleet_.SetLeaseClaims(4, {{"health", 77}});
     fleet_.RunFor(3s);
   }
-  const Member& ReporterSeenBy(int observer) const { return fleet_.ViewOf(observer).Members().at("m4"); }
+  const Member& ReporterIn(int observer) const { return fleet_.ViewOf(observer).Members().at("m4"); }
   // Checks what `observer` holds of the restarted member 4.
   void ExpectNewReport(int observer) const {
-    EXPECT_EQ(ReporterSeenBy(observer).failing_servers, (std::vector<std::uint64_t>{9}));
-    EXPECT_TRUE(ReporterSeenBy(observer).lease_claims.empty());
+    EXPECT_EQ(ReporterIn(observer).failing_servers, (std::vector<std::uint64_t>{9}));
+    EXPECT_TRUE(ReporterIn(observer).lease_claims.empty());
     EXPECT_EQ(fleet_.ViewOf(observer).CurrentDigest(), fleet_.ViewOf(4).CurrentDigest());
   }
 };
 
 TEST_F(MembershipViewReportTest, ReachesTheOthers) {
-  EXPECT_EQ(ReporterSeenBy(1).failing_servers, (std::vector<std::uint64_t>{5}));
-  EXPECT_EQ(ReporterSeenBy(1).lease_claims, (std::vector<LeaseClaim>{{"health", 77}}));
+  EXPECT_EQ(ReporterIn(1).failing_servers, (std::vector<std::uint64_t>{5}));
+  EXPECT_EQ(ReporterIn(1).lease_claims, (std::vector<LeaseClaim>{{"health", 77}}));
 }
 
 // Report versions count from 0 in each incarnation: the new one's report holds over the higher version
@@ -162,7 +162,7 @@
   std::uint64_t number_ = 0;
 };
 
-TEST_F(MembershipViewFloodTest, OfNamesFillsTheTableAtMost) {
+TEST_F(MembershipViewFloodTest, OfNamesIsBoundedByTheTable) {
   Flood(400, [](MemberUpdate& update, std::uint64_t number) { update.name = "n" + std::to_string(number); });
   EXPECT_EQ(view_.Members().size(), kMaxMembers);
 }
