--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -37,7 +37,7 @@
   // What its door says; none: it does not answer (stopped).
   Held Ask(int member) {
     const Micros before = Steady();
-    ::Peer caller = ::Peer::Connect(fleet.all[member].ops);
+    ::Peer caller = ::Peer::Connect(fleet.instances[member].ops_port);
     caller.Send("leases\n");
     std::istringstream in(caller.ToEnd());
     std::string line, duty, left;
@@ -49,15 +49,15 @@
     // least, with the slowest true time that its clock allows.
     if (held.role == "holder") {
       const Micros from = Steady(), to = before + Micros{held.left * 900};
-      if (from < to) history.Held(Token{held.token}, fleet.all[member].name, from, to);
+      if (from < to) history.Held(Token{held.token}, fleet.instances[member].name, from, to);
     }
     return held;
   }
   // Who says that it holds; -1: nobody. Stopped ones are not asked.
   int Holder(const std::set<int>& without = {}) {
     int holder = -1;
-    for (int i = 0; i < static_cast<int>(fleet.all.size()); ++i) {
-      if (!fleet.all[i].program || without.contains(i)) continue;
+    for (int i = 0; i < static_cast<int>(fleet.instances.size()); ++i) {
+      if (!fleet.instances[i].program || without.contains(i)) continue;
       if (Ask(i).role == "holder") holder = i;
     }
     return holder;
@@ -68,7 +68,7 @@
     for (;;) {
       holder = Holder(unasked);
       if (holder >= 0 && !but.contains(holder)) return UnixMs() - start;
-      CHECK(UnixMs() - start < kBoundMs);
+      CHECK(UnixMs() - start < kConvergenceLimitMs);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
@@ -81,7 +81,7 @@
       if (stored.flags > token && first == 0) first = stored.number;
       if (stored.flags > token && stored.number >= first + count) return;
       Holder();
-      CHECK(UnixMs() - start < kBoundMs);
+      CHECK(UnixMs() - start < kConvergenceLimitMs);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
@@ -94,7 +94,7 @@
   std::uint64_t Token_(int member) { return Ask(member).token; }
 
   KvStandin store;
-  ViewFleet fleet;
+  MembershipFleet fleet;
   History history;
 };
 
@@ -108,23 +108,23 @@
   CHECK(five.Holder() == holder && five.Token_(holder) == token);
   const auto stored = five.store.Stored();
   CHECK(stored.flags == token);
-  CHECK(stored.text.find("\"holder\":\"" + five.fleet.all[holder].name + "\"") != std::string::npos);
+  CHECK(stored.text.find("\"holder\":\"" + five.fleet.instances[holder].name + "\"") != std::string::npos);
   CHECK(stored.text.find("\"alive\":6") != std::string::npos);
   for (int i = 0; i < 6; ++i) {
-    for (const long long end = UnixMs() + kBoundMs;;) {
+    for (const long long end = UnixMs() + kConvergenceLimitMs;;) {
       const Held held = five.Ask(i);
-      if (held.holder == five.fleet.all[holder].name && held.token == token) break;
+      if (held.holder == five.fleet.instances[holder].name && held.token == token) break;
       CHECK(UnixMs() < end);
     }
   }
-  Program shown({"leases", "--door", "127.0.0.1:" + std::to_string(five.fleet.all[0].ops)}, {});
+  Program shown({"leases", "--door", "127.0.0.1:" + std::to_string(five.fleet.instances[0].ops_port)}, {});
   CHECK(shown.Wait() == 0);
   CHECK(shown.log.find("health") != std::string::npos &&
         shown.log.find(std::to_string(token)) != std::string::npos);
   // A write that was taken and whose answer was lost is not done twice; a store that is gone ends no lease.
   five.store.DropNextAnswer();
   five.Writes(token - 1, 10);
-  CHECK(five.fleet.Figure(holder, "lease_store_failures_total") >= 1);
+  CHECK(five.fleet.Metric(holder, "lease_store_failures_total") >= 1);
   CHECK(five.Holder() == holder);
   five.Unbroken();
 }
@@ -139,19 +139,19 @@
   five.Writes(old - 1, 3);
   five.store.HoldNextWrite();
   for (const long long end = UnixMs() + kLimitMs; !five.store.Holding();) CHECK(UnixMs() < end);
-  five.fleet.all[first].program->Signal(SIGSTOP);
+  five.fleet.instances[first].program->Signal(SIGSTOP);
   const long long took = five.Taken(second, {first}, {first});
-  Report("a stopped holder's duty taken up", took);
+  ReportDuration("a stopped holder's duty taken up", took);
   CHECK(took < kTakenUpMs);
   const std::uint64_t next = five.Token_(second);
   CHECK(next > old);
   for (const long long end = UnixMs() + kLimitMs; five.store.Stored().flags < next;) CHECK(UnixMs() < end);
   five.store.Release();  // the old write arrives
-  five.fleet.all[first].program->Signal(SIGCONT);
+  five.fleet.instances[first].program->Signal(SIGCONT);
   five.Writes(old, 10);
   CHECK(five.store.Refused() >= 1);
   CHECK(five.Ask(first).role != "holder");
-  CHECK(five.fleet.Figure(first, "lease_lapsed_total") == 1);
+  CHECK(five.fleet.Metric(first, "lease_lapsed_total") == 1);
   CHECK(five.Holder() == second);
   five.Unbroken();
 }
@@ -169,12 +169,12 @@
     five.fleet.relay.Cut(other, first);
   }
   const long long took = five.Taken(second, {first});
-  Report("a cut-off holder's duty taken up", took);
+  ReportDuration("a cut-off holder's duty taken up", took);
   CHECK(took < kTakenUpMs);
   five.Writes(old, 5);
   CHECK(five.Ask(first).role != "holder");
   five.fleet.relay.Heal();
-  CHECK(five.fleet.Settled(kBoundMs) >= 0);
+  CHECK(five.fleet.TimeToConverge(kConvergenceLimitMs) >= 0);
   five.Writes(old, 5);
   CHECK(five.Holder() == second);
   five.Unbroken();
@@ -192,14 +192,15 @@
   five.fleet.Kill(first);
   const std::uint64_t number = five.store.Stored().number;
   const long long took = five.Taken(second);
-  Report("a killed holder's duty taken up", took);
+  ReportDuration("a killed holder's duty taken up", took);
   CHECK(took < kTakenUpMs);
   five.Writes(old, 3);
   CHECK(five.store.Stored().number > number);
-  five.fleet.Begin(first);
-  five.fleet.Ready(first);
+  five.fleet.Start(first);
+  five.fleet.WaitUntilReady(first);
   CHECK(five.Ask(first).role == "voter-silent");
-  for (const long long end = UnixMs() + kBoundMs; five.Ask(first).role != "voter";) CHECK(UnixMs() < end);
+  for (const long long end = UnixMs() + kConvergenceLimitMs; five.Ask(first).role != "voter";)
+    CHECK(UnixMs() < end);
   five.Writes(old, 3);
   CHECK(five.Holder() == second);
   five.Unbroken();
@@ -218,7 +219,7 @@
     }
   }
   const long long took = five.Taken(second, {first});
-  Report("taken up by the majority", took);
+  ReportDuration("taken up by the majority", took);
   CHECK(took < kTakenUpMs && second != with);
   five.Writes(old, 3);
   for (const long long end = UnixMs() + 2 * kLengthMs; UnixMs() < end;) {
@@ -226,7 +227,7 @@
     CHECK(five.Holder() == second);
   }
   five.fleet.relay.Heal();
-  CHECK(five.fleet.Settled(kBoundMs) >= 0);
+  CHECK(five.fleet.TimeToConverge(kConvergenceLimitMs) >= 0);
   five.Unbroken();
 }
 
@@ -234,20 +235,20 @@
 void AFastClockHoldsAlone() {
   LeaseFleet five;
   five.fleet.Kill(2);
-  five.fleet.Begin(2, {{"LD_PRELOAD", TINSPAN_CLOCK},
+  five.fleet.Start(2, {{"LD_PRELOAD", TINSPAN_CLOCK},
                        {"TINSPAN_TEST_RATE", "1.1"},
                        {"ASAN_OPTIONS", "verify_asan_link_order=0"}});
-  five.fleet.Ready(2);
+  five.fleet.WaitUntilReady(2);
   int holder = -1;
   std::uint64_t last = 0;
   for (int round = 0; round < 4; ++round) {
     five.Taken(holder);
     five.Writes(last, 3);
     last = five.store.Stored().flags;
-    five.fleet.all[holder].program->Signal(SIGSTOP);
+    five.fleet.instances[holder].program->Signal(SIGSTOP);
     int next = -1;
     CHECK(five.Taken(next, {holder}, {holder}) < kTakenUpMs);
-    five.fleet.all[holder].program->Signal(SIGCONT);
+    five.fleet.instances[holder].program->Signal(SIGCONT);
     five.Unbroken();
   }
   five.Writes(last, 3);
@@ -263,13 +264,13 @@
   // The other candidates have asked and were refused: the voters know whom to tell.
   std::this_thread::sleep_for(std::chrono::milliseconds(kLengthMs));
   five.Writes(old - 1, 3);
-  five.fleet.all[first].program->Signal(SIGTERM);
+  five.fleet.instances[first].program->Signal(SIGTERM);
   five.history.Ended(Token{old}, Steady());
-  CHECK(five.fleet.all[first].program->Wait() == 0);
-  CHECK(five.fleet.all[first].program->log.find("let go") != std::string::npos);
-  five.fleet.all[first].program.reset();
+  CHECK(five.fleet.instances[first].program->Wait() == 0);
+  CHECK(five.fleet.instances[first].program->log.find("let go") != std::string::npos);
+  five.fleet.instances[first].program.reset();
   const long long took = five.Taken(second);
-  Report("a stopping holder's duty handed on", took);
+  ReportDuration("a stopping holder's duty handed on", took);
   CHECK(second != first);
   five.Writes(old, 3);
   five.Unbroken();
@@ -343,7 +344,7 @@
     return {};
   }
   int Holder() {
-    for (const long long end = UnixMs() + kBoundMs;;) {
+    for (const long long end = UnixMs() + kConvergenceLimitMs;;) {
       for (int i = 0; i < 5; ++i) {
         if (all[i].program && Word(i, "role") == "holder") return i;
       }
@@ -363,7 +364,7 @@
     const long long start = UnixMs();
     for (const auto& [i, count] : members) {
       while (Word(i, "applied") != std::to_string(count)) {
-        CHECK(UnixMs() - start < kBoundMs);
+        CHECK(UnixMs() - start < kConvergenceLimitMs);
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
       }
     }
@@ -384,7 +385,7 @@
   for (int i = 0; i < 5; ++i) once[i] = i == origin ? 0 : 1;
   five.Purge(origin, "/scans/estate/book.jpg?page=3");
   const long long took = five.Applied(once);
-  Report("a purge applied by the fleet", took);
+  ReportDuration("a purge applied by the fleet", took);
   CHECK(took < 1'000);
   // The holder reaches the origin alone, and then dies.
   for (int i = 0; i < 5; ++i) {
@@ -401,7 +402,7 @@
   for (int i = 0; i < 5; ++i) once[i] = i == origin ? 0 : 2;
   once.erase(holder);
   const long long finished = five.Applied(once);
-  Report("a killed holder's purge finished", finished);
+  ReportDuration("a killed holder's purge finished", finished);
   CHECK(finished < kTakenUpMs);
   CHECK(five.Holder() != holder);
   five.Purge((origin + 1) % 5 == holder ? (origin + 2) % 5 : (origin + 1) % 5, "/pages/third");
@@ -416,7 +417,7 @@
   int holder = -1;
   five.Taken(holder);
   const int voter = holder == 4 ? 3 : 4;
-  Doorman& one = five.fleet.all[voter];
+  ProxyInstance& one = five.fleet.instances[voter];
   std::string text;
   std::ifstream in(one.file->path);
   std::getline(in, text, '\0');
@@ -426,7 +427,7 @@
                R"("members":{"fleet":"shop","listen":"127.0.0.1:)" + std::to_string(one.port) + "\"");
   one.file = std::make_unique<TempFile>(text);
   const std::unique_ptr<Program> old = std::move(one.program);
-  five.fleet.Begin(voter);
+  five.fleet.Start(voter);
   one.program->Line("is in use");
   const int door = PortOf(one.program->Line("operators' door at "));
   // Twice a voter's silence and what it would wait alone, before the port is free.
@@ -439,11 +440,11 @@
   old->Signal(SIGTERM);
   CHECK(old->Wait() == 0);
   one.program->Line("members at ");
-  one.ops = door;
+  one.ops_port = door;
   const long long began = UnixMs();
-  while (five.Ask(voter).role == "voter-silent") CHECK(UnixMs() - began < kBoundMs);
+  while (five.Ask(voter).role == "voter-silent") CHECK(UnixMs() - began < kConvergenceLimitMs);
   const long long silent = UnixMs() - began;
-  Report("an upgraded voter silent", silent);
+  ReportDuration("an upgraded voter silent", silent);
   CHECK(silent > kLengthMs);
   CHECK(five.Holder() == holder);
   five.Unbroken();
@@ -451,12 +452,12 @@
 
 // Off where the file has no leases; a file that could grant a duty twice is turned down, naming the key.
 void OffWithoutLeases() {
-  ViewFleet off(1);
-  ::Peer caller = ::Peer::Connect(off.all[0].ops);
+  MembershipFleet off(1);
+  ::Peer caller = ::Peer::Connect(off.instances[0].ops_port);
   caller.Send("leases\n");
   CHECK(caller.Until("\n") == "error leases are off here");
   std::string text;
-  std::ifstream in(off.all[0].file->path);
+  std::ifstream in(off.instances[0].file->path);
   std::getline(in, text, '\0');
   const std::string good =
       R"("leases":{"voters":["a","b","c"],"publish":{"store":"127.0.0.1:8500"}},"settings")";
--- a/tests/net/view_fleet.hpp
+++ b/tests/net/view_fleet.hpp
@@ -1,4 +1,5 @@
-// Real doormans with a fleet view, a relay of ours between them, and what their doors say of the fleet.
+// Real proxy instances with a membership view, a UDP relay between them, and what their operators' interfaces
+// show.
 #pragma once
 
 #include <optional>
@@ -8,128 +9,133 @@
 #include "platform_world.hpp"
 #include "relay.hpp"
 
-constexpr int kBoundMs = 12'000;  // to agree after a fault, at periods of 200 ms, sanitizers included
+// To converge after a fault, at probe intervals of 200 ms, sanitizers included.
+constexpr int kConvergenceLimitMs = 12'000;
 
 inline int PortOf(const std::string& line) { return std::stoi(line.substr(line.rfind(':') + 1)); }
 
-struct Doorman {
+struct ProxyInstance {
   std::string name;
   std::unique_ptr<TempFile> file;
-  std::unique_ptr<Program> program;  // none: down
-  int seat = 0, ops = 0, port = 0;   // its port in the relay, its door, its own datagrams
+  std::unique_ptr<Program> program;            // null: not running
+  int relay_port = 0, ops_port = 0, port = 0;  // in the relay, of its operators' interface, of its datagrams
 };
 
-struct Entry {
+struct MemberEntry {
   std::string state;
   std::uint64_t incarnation = 0;
   std::string failing;
 };
-using Seen = std::map<std::string, Entry>;
+using MemberTable = std::map<std::string, MemberEntry>;
 
-class ViewFleet {
+class MembershipFleet {
  public:
-  // `more`: further keys of every doorman's file, each followed by a comma.
-  explicit ViewFleet(int count, std::string more = "") : more_(std::move(more)) {
+  // `extra_settings`: further keys of every instance's file, each followed by a comma.
+  explicit MembershipFleet(int count, std::string extra_settings = "")
+      : extra_settings_(std::move(extra_settings)) {
     for (int i = 0; i < count; ++i) Add();
-    CHECK(Settled(kBoundMs) >= 0);
+    CHECK(TimeToConverge(kConvergenceLimitMs) >= 0);
   }
   int Add() {
-    const int member = static_cast<int>(all.size());
-    all.emplace_back();
-    all[member].name = "n" + std::to_string(member);
-    all[member].seat = relay.Add();
+    const int member = static_cast<int>(instances.size());
+    instances.emplace_back();
+    instances[member].name = "n" + std::to_string(member);
+    instances[member].relay_port = relay.Add();
     std::string seeds;
     for (int i = 0; i < std::min(member, 3); ++i) {
-      seeds += (i > 0 ? "," : "") + std::string("\"127.0.0.1:") + std::to_string(all[i].seat) + "\"";
+      seeds +=
+          (i > 0 ? "," : "") + std::string("\"127.0.0.1:") + std::to_string(instances[i].relay_port) + "\"";
     }
-    all[member].file = std::make_unique<TempFile>(
+    instances[member].file = std::make_unique<TempFile>(
         R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,)"
         R"("sockets":256},"changelog":")" +
         changelog.Address() + R"(","known":{"seq":1,"results":[)" +
         ::Fleet(1, true, ::Member("s-a", cache.Address())) +
         R"(]},"members":{"fleet":"shop","listen":"127.0.0.1:0","zone":"edge","advertise":"127.0.0.1:)" +
-        std::to_string(all[member].seat) + R"(","seeds":[)" + seeds +
-        R"(],"probe_ms":200,"probe_timeout_ms":100,"sync_ms":1000,"dead_keep_ms":30000},)" + more_ +
+        std::to_string(instances[member].relay_port) + R"(","seeds":[)" + seeds +
+        R"(],"probe_ms":200,"probe_timeout_ms":100,"sync_ms":1000,"dead_keep_ms":30000},)" + extra_settings_ +
         R"("settings":)" + kSettings + "}");
-    Begin(member);
-    Ready(member);
+    Start(member);
+    WaitUntilReady(member);
     return member;
   }
-  void Begin(int member, std::map<std::string, std::string> environment = {}) {
-    Doorman& one = all[member];
-    environment.insert({{"PROXY_NAME", one.name},
+  void Start(int member, std::map<std::string, std::string> environment = {}) {
+    ProxyInstance& instance = instances[member];
+    environment.insert({{"PROXY_NAME", instance.name},
                         {"PROXY_LISTEN", "127.0.0.1:0"},
-                        {"PROXY_CONFIG", one.file->path},
+                        {"PROXY_CONFIG", instance.file->path},
                         {"PROXY_OPS", "127.0.0.1:0"}});
-    one.program = std::make_unique<Program>(std::vector<std::string>{"serve"}, std::move(environment));
+    instance.program = std::make_unique<Program>(std::vector<std::string>{"serve"}, std::move(environment));
   }
-  void Ready(int member) {
-    Doorman& one = all[member];
-    const std::string line = one.program->Line("members at ");
-    one.port = PortOf(line.substr(0, line.find(" advertised")));
-    relay.Seated(member, one.port);
-    one.ops = PortOf(one.program->Line("operators' door at "));
+  void WaitUntilReady(int member) {
+    ProxyInstance& instance = instances[member];
+    const std::string line = instance.program->Line("members at ");
+    instance.port = PortOf(line.substr(0, line.find(" advertised")));
+    relay.Seated(member, instance.port);
+    instance.ops_port = PortOf(instance.program->Line("operators' door at "));
   }
-  void Kill(int member) { all[member].program.reset(); }  // SIGKILL
+  void Kill(int member) { instances[member].program.reset(); }  // SIGKILL
 
-  Seen View(int member) const {
-    Peer caller = Peer::Connect(all[member].ops);
+  MemberTable View(int member) const {
+    Peer caller = Peer::Connect(instances[member].ops_port);
     caller.Send("members\n");
     std::istringstream in(caller.ToEnd());
     std::string line;
     CHECK(std::getline(in, line) && line == "done");
-    Seen seen;
+    MemberTable members;
     while (std::getline(in, line) && line != "end") {
       std::istringstream words(line);
       std::string name, address, zone, age;
-      Entry entry;
+      MemberEntry entry;
       CHECK(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >> entry.failing);
-      seen[name] = entry;
+      members[name] = entry;
     }
-    CHECK(seen.size() <= all.size());
-    return seen;
+    CHECK(members.size() <= instances.size());
+    return members;
   }
-  // What is so: which of them live (and, with `side`, are on that side), as `member` should see it.
-  bool Agrees(int member, const std::set<int>& live) const {
-    const Seen seen = View(member);
-    for (int other = 0; other < static_cast<int>(all.size()); ++other) {
-      const auto found = seen.find(all[other].name);
-      const bool alive = found != seen.end() && found->second.state == "alive";
-      const bool gone = found == seen.end() || found->second.state == "dead" || found->second.state == "left";
+  // Whether `member` sees exactly the members of `live` alive, and the others dead, left or not at all.
+  bool HasConverged(int member, const std::set<int>& live) const {
+    const MemberTable members = View(member);
+    for (int other = 0; other < static_cast<int>(instances.size()); ++other) {
+      const auto found = members.find(instances[other].name);
+      const bool alive = found != members.end() && found->second.state == "alive";
+      const bool gone =
+          found == members.end() || found->second.state == "dead" || found->second.state == "left";
       if (live.contains(other) ? !alive : !gone) return false;
     }
     return true;
   }
-  std::set<int> Live() const {
+  std::set<int> LiveMembers() const {
     std::set<int> live;
-    for (int i = 0; i < static_cast<int>(all.size()); ++i) {
-      if (all[i].program) live.insert(i);
+    for (int i = 0; i < static_cast<int>(instances.size()); ++i) {
+      if (instances[i].program) live.insert(i);
     }
     return live;
   }
-  // Milliseconds until every view of `live` agrees that they alone are alive; -1: not within `most`.
-  long long Settled(long long most, std::optional<std::set<int>> of = std::nullopt) const {
-    const std::set<int> live = of ? *of : Live();
+  // Milliseconds until every member of `of` (all running ones by default) sees just these alive; -1: not
+  // within `limit_ms`.
+  long long TimeToConverge(long long limit_ms, std::optional<std::set<int>> of = std::nullopt) const {
+    const std::set<int> live = of ? *of : LiveMembers();
     const long long start = UnixMs();
     for (;;) {
       bool agreed = true;
-      for (const int member : live) agreed = agreed && Agrees(member, live);
+      for (const int member : live) agreed = agreed && HasConverged(member, live);
       if (agreed) return UnixMs() - start;
-      if (UnixMs() - start > most) return -1;
+      if (UnixMs() - start > limit_ms) return -1;
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
   }
-  // Watches for so long; the longest time that some live member was held dead by some view, in milliseconds.
+  // Watches for `watch` milliseconds; the longest time for which some view held a live member dead.
   long long LongestWronglyDead(long long watch) const {
     std::map<std::pair<int, int>, long long> since;
     long long longest = 0;
     for (const long long start = UnixMs(); UnixMs() - start < watch;) {
-      for (const int member : Live()) {
-        const Seen seen = View(member);
-        for (const int other : Live()) {
-          const auto found = seen.find(all[other].name);
+      for (const int member : LiveMembers()) {
+        const MemberTable members = View(member);
+        for (const int other : LiveMembers()) {
+          const auto found = members.find(instances[other].name);
           const std::pair<int, int> key{member, other};
-          if (found != seen.end() && found->second.state == "dead") {
+          if (found != members.end() && found->second.state == "dead") {
             longest = std::max(longest, UnixMs() - since.emplace(key, UnixMs()).first->second);
           } else {
             since.erase(key);
@@ -140,8 +146,8 @@
     }
     return longest;
   }
-  std::uint64_t Figure(int member, const std::string& name) const {
-    Peer caller = Peer::Connect(all[member].ops);
+  std::uint64_t Metric(int member, const std::string& name) const {
+    Peer caller = Peer::Connect(instances[member].ops_port);
     caller.Send("stats\n");
     const std::string answer = caller.ToEnd();
     const std::size_t at = answer.find("\nproxy_" + name + " ");
@@ -151,10 +157,10 @@
 
   Server cache, changelog;
   Relay relay;
-  std::vector<Doorman> all;
+  std::vector<ProxyInstance> instances;
 
  private:
-  std::string more_;
+  std::string extra_settings_;
 };
 
-inline void Report(const char* what, long long ms) { std::printf("%s: %lld ms\n", what, ms); }
+inline void ReportDuration(const char* what, long long ms) { std::printf("%s: %lld ms\n", what, ms); }
