--- a/tests/net/fleet_view_test.cpp
+++ b/tests/net/fleet_view_test.cpp
@@ -86,7 +86,7 @@
 void ThirtyJoinAtOnce() {
   MembershipFleet fleet(8);
   for (int i = 0; i < 30; ++i) fleet.Add();
-  const long long took = fleet.TimeToConverge(2 * kConvergenceLimitMs);
+  const long long took = fleet.TimeToConverge(2LL * kConvergenceLimitMs);
   CHECK(took >= 0);
   ReportDuration("thirty joins in 38 views", took);
 }
@@ -121,10 +121,10 @@
 void BadDatagramsAreCounted() {
   MembershipFleet fleet(8);
   const int fd = ::socket(AF_INET, SOCK_DGRAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  at.sin_port = htons(static_cast<std::uint16_t>(fleet.instances[0].port));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(fleet.instances[0].port));
   const std::vector<std::string> bad{"",
                                      "GET / HTTP/1.1\r\n\r\n",
                                      std::string("TSM\x01", 4) + std::string(60, '\xff'),
@@ -134,7 +134,7 @@
   // One of each at a time, so that the socket's buffer holds them.
   for (std::uint64_t round = 1; round <= 100; ++round) {
     for (const std::string& one : bad) {
-      CHECK(::sendto(fd, one.data(), one.size(), 0, reinterpret_cast<sockaddr*>(&at), sizeof at) ==
+      CHECK(::sendto(fd, one.data(), one.size(), 0, reinterpret_cast<sockaddr*>(&address), sizeof address) ==
             static_cast<ssize_t>(one.size()));
     }
     const long long end = UnixMs() + kLimitMs;
@@ -183,8 +183,8 @@
   CHECK(off.program->log.find("members") == std::string::npos);
   MembershipFleet fleet(8);
   std::string text;
-  std::ifstream in(fleet.instances[4].file->path);
-  std::getline(in, text, '\0');
+  std::ifstream file(fleet.instances[4].file->path);
+  std::getline(file, text, '\0');
   const std::string any = R"("members":{"fleet":"shop","listen":"127.0.0.1:0")";
   CHECK(text.find(any) != std::string::npos);
   text.replace(
--- a/tests/net/view_fleet.hpp
+++ b/tests/net/view_fleet.hpp
@@ -79,13 +79,16 @@
   MemberTable View(int member) const {
     Peer caller = Peer::Connect(instances[member].ops_port);
     caller.Send("members\n");
-    std::istringstream in(caller.ToEnd());
+    std::istringstream reply(caller.ToEnd());
     std::string line;
-    CHECK(std::getline(in, line) && line == "done");
+    CHECK(std::getline(reply, line) && line == "done");
     MemberTable members;
-    while (std::getline(in, line) && line != "end") {
+    while (std::getline(reply, line) && line != "end") {
       std::istringstream words(line);
-      std::string name, address, zone, age;
+      std::string name;
+      std::string address;
+      std::string zone;
+      std::string age;
       MemberEntry entry;
       CHECK(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >> entry.failing);
       members[name] = entry;
@@ -112,10 +115,10 @@
     }
     return live;
   }
-  // Milliseconds until every member of `of` (all running ones by default) sees just these alive; -1: not
+  // Milliseconds until every member of `subset` (all running ones by default) sees just these alive; -1: not
   // within `limit_ms`.
-  long long TimeToConverge(long long limit_ms, std::optional<std::set<int>> of = std::nullopt) const {
-    const std::set<int> live = of ? *of : LiveMembers();
+  long long TimeToConverge(long long limit_ms, std::optional<std::set<int>> subset = std::nullopt) const {
+    const std::set<int> live = subset ? *subset : LiveMembers();
     const long long start = UnixMs();
     for (;;) {
       bool agreed = true;
@@ -150,9 +153,9 @@
     Peer caller = Peer::Connect(instances[member].ops_port);
     caller.Send("stats\n");
     const std::string answer = caller.ToEnd();
-    const std::size_t at = answer.find("\nproxy_" + name + " ");
-    CHECK(at != std::string::npos);
-    return std::stoull(answer.substr(at + name.size() + 8));
+    const std::size_t position = answer.find("\nproxy_" + name + " ");
+    CHECK(position != std::string::npos);
+    return std::stoull(answer.substr(position + name.size() + 8));
   }
 
   Server cache, changelog;
@@ -163,4 +166,4 @@
   std::string extra_settings_;
 };
 
-inline void ReportDuration(const char* what, long long ms) { std::printf("%s: %lld ms\n", what, ms); }
+inline void ReportDuration(const char* what, long long millis) { std::printf("%s: %lld ms\n", what, millis); }
