--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -57,14 +57,14 @@
     : loop_(loop),
       members_(members),
       options_(std::move(options)),
-      lease_node_(WithLeaseNames(options_), members_.Seen().Self().name, options_.seed, Now()),
-      purge_distributor_(members_.Seen().Self().name, WallMs(), options_.purge_retention) {
+      lease_node_(WithLeaseNames(options_), members_.View().Self().name, options_.seed, Now()),
+      purge_distributor_(members_.View().Self().name, WallMs(), options_.purge_retention) {
   if (const auto& publication = options_.health_publication) {
     publisher_.emplace(publication->interval);
     store_.emplace(loop, publication->store, publication->key, kStoreTimeout,
                    [this](const StoreResult& result) { OnStoreResult(result); });
   }
-  members_.SetCarried(
+  members_.SetPayloadHandler(
       [this](const std::string& sender, const std::string& bytes) { OnMessage(sender, bytes); });
   const bool is_voter = lease_node_.IsVoter();
   log::Info("lease.started", {{"voter", is_voter}, {"voters", options_.lease.voters.size()}},
@@ -73,7 +73,7 @@
 }
 
 Agent::~Agent() {
-  members_.SetCarried({});
+  members_.SetPayloadHandler({});
   if (timer_) loop_.Timers().Cancel(*timer_);
 }
 
@@ -113,14 +113,14 @@
   next_view_at_ = now + kViewInterval;
   alive_members_.clear();
   std::vector<LeaseClaim> claims;
-  for (const auto& [name, member] : members_.Seen().Members()) {
+  for (const auto& [name, member] : members_.View().Members()) {
     if (member.state == members::State::kDead || member.state == members::State::kLeft) continue;
     if (member.state == members::State::kAlive) alive_members_.push_back(name);
-    for (const members::Claim& claim : member.duties)
-      claims.push_back({claim.duty, name, Token{claim.token}});
+    for (const members::LeaseClaim& claim : member.lease_claims)
+      claims.push_back({claim.lease, name, Token{claim.token}});
   }
   lease_node_.ObserveClaims(claims);
-  const std::string& self = members_.Seen().Self().name;
+  const std::string& self = members_.View().Self().name;
   for (const std::string& lease : lease_node_.Options().lease_names) {
     const auto selected = SelectCandidates(lease, alive_members_, options_.candidate_count);
     const bool is_selected = std::find(selected.begin(), selected.end(), self) != selected.end();
@@ -131,9 +131,9 @@
 // Whether the node runs. It is constructed anew when the port is bound here: a voter's silence starts then.
 bool Agent::StartOnceBound(Micros now) {
   if (is_started_) return true;
-  if (!members_.Started()) return false;
+  if (!members_.IsStarted()) return false;
   is_started_ = true;
-  lease_node_ = LeaseNode(WithLeaseNames(options_), members_.Seen().Self().name, options_.seed, now);
+  lease_node_ = LeaseNode(WithLeaseNames(options_), members_.View().Self().name, options_.seed, now);
   return true;
 }
 
@@ -150,7 +150,7 @@
 
 void Agent::Flush() {
   for (const OutboundMessage& outbound : lease_node_.DrainMessages()) {
-    members_.Carry(outbound.recipient, Encode(outbound.message));
+    members_.SendPayload(outbound.recipient, Encode(outbound.message));
   }
   const std::vector<LeaseChange> changes = lease_node_.DrainChanges();
   for (const LeaseChange& change : changes) LogChange(change);
@@ -162,11 +162,11 @@
 
 // Publishes the leases held here through the fleet view.
 void Agent::PublishClaims() {
-  std::vector<members::Claim> claims;
+  std::vector<members::LeaseClaim> claims;
   for (const std::string& lease : lease_node_.Options().lease_names) {
     if (const auto token = lease_node_.HeldToken(lease, Now())) claims.push_back({lease, ToNumber(*token)});
   }
-  members_.Claims(std::move(claims));
+  members_.SetLeaseClaims(std::move(claims));
 }
 
 void Agent::RunPurgeDistribution() {
@@ -175,7 +175,7 @@
   purge_distributor_.Tick(now, lease_node_.StatusOf(kPurgeLease, now).holder,
                           lease_node_.HeldToken(kPurgeLease, now), alive_members_);
   for (const OutboundPurgeMessage& outbound : purge_distributor_.DrainMessages()) {
-    members_.Carry(outbound.recipient, Encode(outbound.message));
+    members_.SendPayload(outbound.recipient, Encode(outbound.message));
   }
   ApplyPurges();
   AbandonIfSuperseded(now);
@@ -210,7 +210,7 @@
   const auto request = publisher_->NextRequest(now, lease_node_.HeldToken(kHealthLease, now));
   if (!request) return;
   if (const auto* const write = std::get_if<WriteRequest>(&*request)) {
-    store_->Write(*write, BuildHealthRecord(members_.Seen(), *write, WallMs()));
+    store_->Write(*write, BuildHealthRecord(members_.View(), *write, WallMs()));
   } else {
     store_->Read();
   }
