Move the decision module to src/routing and its tests to tests/routing

Cause: the module stood in one file at the root of src; it is to be split into units. Formatting after the interface's renaming.

--- a/include/tinspan/router.hpp
+++ b/include/tinspan/router.hpp
@@ -1,5 +1,5 @@
 // The interface of tinspan: what a gateway tells a Router and what it gets back.
-// It holds types only. Every decision is made in src/brain.cpp.
+// It holds types only. Every decision is made in src/routing.
 //
 // Contract. One Router serves one thread; it keeps no globals and reads no clock. The caller supplies
 // the clock with every event (any origin, microseconds); a clock that steps back is read as standing
@@ -185,10 +185,10 @@
   Micros expires_at{0};             // clock time
   Micros max_age{0};                // oldest copy that will do; 0: the class's own limit
   std::uint8_t cache_rank = 0;      // 0 no copy, else the rank 1 to 3
-  bool join_fill = false;                // join a fill under way
+  bool join_fill = false;           // join a fill under way
   bool source_cached_only = false;  // the source gives only what it holds
   bool bypass_parent = false;       // the parent keeps no copy
-  bool revalidate = false;               // an ageing copy is served and fetched anew behind
+  bool revalidate = false;          // an ageing copy is served and fetched anew behind
 };
 struct CancelAttempt {
   RequestId id{};
--- a/src/brain.cpp
+++ b/src/routing/engine.cpp
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <utility>
 
-#include "settings.hpp"
-#include "state.hpp"
+#include "routing/settings_validation.hpp"
+#include "routing/state.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan {
@@ -611,8 +611,9 @@
     if (request.ended) return;
     const ClassSettings& one = ClassOf(request);
     const bool clean = request.ran_at == kNobody && request.Out() == 0;
-    const bool refusable = one.effect == Effect::kIdempotent || clean ||
-                           (one.effect == Effect::kIdempotencyKey && one.idempotency_scope == IdempotencyScope::kAll);
+    const bool refusable =
+        one.effect == Effect::kIdempotent || clean ||
+        (one.effect == Effect::kIdempotencyKey && one.idempotency_scope == IdempotencyScope::kAll);
     request.ended = true;
     if (refusable) {
       Emit(Reject{request.event.id, settings_.has_retry_after ? settings_.max_retry_after : Micros{0}});
@@ -733,7 +734,8 @@
         LearnRoom(server, ratio > kSlow, kRoomCut);
       }
       if (note != FillNote::kNone) At(hit_odds_, attempt.value).Learn(!filled);
-      if (request.event.size_kb <= 0 && (note == FillNote::kHit || settings_.fill_detail == FillDetail::kOff)) {
+      if (request.event.size_kb <= 0 &&
+          (note == FillNote::kHit || settings_.fill_detail == FillDetail::kOff)) {
         MeanSend(request) += kMean * (Sec(event.elapsed) - MeanSend(request));
       }
     } else if (source_failed || note == FillNote::kOriginFailed) {
--- a/src/settings.cpp
+++ b/src/routing/settings_validation.cpp
@@ -1,4 +1,4 @@
-#include "settings.hpp"
+#include "routing/settings_validation.hpp"
 
 #include <stdexcept>
 
--- a/tests/brain_test.cpp
+++ b/tests/routing/engine_test.cpp
@@ -1,7 +1,7 @@
 // The mechanism step by step, the rules at their edges, and each defence, by scripted events.
 #include <stdexcept>
 
-#include "fixture.hpp"
+#include "routing/router_fixture.hpp"
 
 namespace tinspan {
 namespace {
--- a/tests/fleet_test.cpp
+++ b/tests/routing/fleet_test.cpp
@@ -4,8 +4,8 @@
 #include <cmath>
 #include <random>
 
-#include "fixture.hpp"
 #include "net/patience.hpp"
+#include "routing/router_fixture.hpp"
 
 namespace tinspan {
 namespace {
--- a/tests/rules_test.cpp
+++ b/tests/routing/invariants_test.cpp
@@ -3,7 +3,7 @@
 #include <random>
 #include <sstream>
 
-#include "fixture.hpp"
+#include "routing/router_fixture.hpp"
 
 namespace tinspan {
 namespace {
