--- /dev/null
+++ b/src/routing/context.hpp
@@ -0,0 +1,27 @@
+// What the units of one Router share: its settings, its clock and where its actions go.
+#pragma once
+
+#include <utility>
+
+#include "routing/hash.hpp"
+#include "tinspan/router.hpp"
+
+namespace tinspan {
+
+struct Context {
+  Settings settings;
+  Micros now{0};               // the current event's time; never steps back
+  Micros started_at{0};        // when this Router started
+  Actions* actions = nullptr;  // the current event's, owned by the caller of Router::Handle
+
+  const ClassSettings& ClassOf(const RequestEvent& event) const {
+    return settings.classes[ToNumber(event.class_id)];
+  }
+
+  template <class Kind>
+  void Emit(Kind action) {
+    actions->push_back(std::move(action));
+  }
+};
+
+}  // namespace tinspan
--- a/src/routing/engine.cpp
+++ b/src/routing/engine.cpp
@@ -4,46 +4,45 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <deque>
 #include <queue>
 #include <unordered_map>
 #include <utility>
 
+#include "routing/context.hpp"
+#include "routing/evolutive_counter.hpp"
+#include "routing/hash.hpp"
+#include "routing/hit_probability.hpp"
+#include "routing/purge_ledger.hpp"
 #include "routing/settings_validation.hpp"
 #include "routing/state.hpp"
+#include "routing/time_units.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan {
 namespace {
 
 // ---- Constants, each with its reason. Times that are not here come from the settings. ----
-constexpr int kFilters = 4;                 // k: the design's value
-constexpr Micros kSlide{2'000'000};         // tau: the design's value; k * tau is what counts look back on
-constexpr std::size_t kCounters = 1 << 12;  // a filter's counters: many times what one cache gets in tau
-constexpr int kHashes = 3;                  // counters of an object: false positives of some in a thousand
-constexpr double kMissChance = 0.2;         // epsilon: the design's value
-constexpr int kOddsValues = 64;             // summary values told apart; larger ones share the last
-constexpr double kOddsMemory = 64;          // answers after which Pfreq halves its counts, to follow change
-constexpr double kCrowd = 1.5;              // own requests at a cache over its fair part: a crowd
-constexpr double kCrowdFloor = 4;           // so few requests are never a crowd
-constexpr double kLight = 0.25;             // weight of ordinary evidence in the health estimate
-constexpr double kStrong = 0.5;             // weight of evidence that only a dead or silent server gives
-constexpr double kSuspectAt = 0.5;          // suspected from this estimate of failing on...
-constexpr double kTrustAt = 0.25;           // ...until it is back under this
-constexpr double kAlikeMost = 0.9;          // its peers' mean failing is added to that, up to this
-constexpr int kGapGrowth = 8;               // the gap between trials grows to this many first gaps
-constexpr double kTrialRouters = 16;        // where more share a server the first gap is so much longer
-constexpr double kColdPart = 0.5;           // of what would push a cold server over, the part we send
-constexpr double kColdBurst = 0.25;         // of one tipping time's budget, what may go at once
-constexpr double kRoughPart = 0.7;          // part of a roughly told capacity that we count on
-constexpr double kMean = 0.05;              // weight of a new value in running means
-constexpr double kFirstRoom = 16;           // a cache bears so many of all its routers until it has shown
-constexpr double kSlack = 2;         // a router's part has so many standard deviations of chance on top
-constexpr double kLeastRoom = 20;    // of all its routers together, what a server's room never falls under
-constexpr double kJam = 0.05;        // share of late answers that tells a jam from answers lost on the way
-constexpr double kGhost = 0.6;       // of a fill cut off in a jam, what is counted as running on
-constexpr double kGhostMost = 0.4;   // of the room of the link in, what such fills hold at most
-constexpr double kInletPart = 0.15;  // of its caches' first rooms, what a location's link in bears at first
+constexpr double kMissChance = 0.2;   // epsilon: the design's value
+constexpr double kCrowd = 1.5;        // own requests at a cache over its fair part: a crowd
+constexpr double kCrowdFloor = 4;     // so few requests are never a crowd
+constexpr double kLight = 0.25;       // weight of ordinary evidence in the health estimate
+constexpr double kStrong = 0.5;       // weight of evidence that only a dead or silent server gives
+constexpr double kSuspectAt = 0.5;    // suspected from this estimate of failing on...
+constexpr double kTrustAt = 0.25;     // ...until it is back under this
+constexpr double kAlikeMost = 0.9;    // its peers' mean failing is added to that, up to this
+constexpr int kGapGrowth = 8;         // the gap between trials grows to this many first gaps
+constexpr double kTrialRouters = 16;  // where more share a server the first gap is so much longer
+constexpr double kColdPart = 0.5;     // of what would push a cold server over, the part we send
+constexpr double kColdBurst = 0.25;   // of one tipping time's budget, what may go at once
+constexpr double kRoughPart = 0.7;    // part of a roughly told capacity that we count on
+constexpr double kMean = 0.05;        // weight of a new value in running means
+constexpr double kFirstRoom = 16;     // a cache bears so many of all its routers until it has shown
+constexpr double kSlack = 2;          // a router's part has so many standard deviations of chance on top
+constexpr double kLeastRoom = 20;     // of all its routers together, what a server's room never falls under
+constexpr double kJam = 0.05;         // share of late answers that tells a jam from answers lost on the way
+constexpr double kGhost = 0.6;        // of a fill cut off in a jam, what is counted as running on
+constexpr double kGhostMost = 0.4;    // of the room of the link in, what such fills hold at most
+constexpr double kInletPart = 0.15;   // of its caches' first rooms, what a location's link in bears at first
 constexpr Micros kReportLasts{3'000'000};  // after which a report of the link in says nothing any more
 constexpr double kReportWeight = 0.3;      // of a new report among those before it
 constexpr double kLinkOpen = 0.8;          // of what fits at full pace: below it the link in shuts out nobody
@@ -62,108 +61,40 @@
 constexpr double kFurtherShare = 0.3;  // further attempts earned by each fresh request...
 constexpr double kFurtherMost = 20;    // ...and saved up at most
 
-template <class Strong>
-std::uint64_t Number(Strong id) {
-  return static_cast<std::uint64_t>(id);
-}
-double Sec(Micros time) { return std::chrono::duration<double>(time).count(); }
-Micros FromSec(double seconds) { return Micros{std::llround(seconds * 1e6)}; }
-
-// The project's own hash (splitmix64's finish): equal on every machine and at every router.
-std::uint64_t Mix(std::uint64_t a, std::uint64_t b) {
-  std::uint64_t x = a * 0x9e3779b97f4a7c15ull + b + 0x632be59bd9b4e019ull;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
-  return x ^ (x >> 31);
-}
-
-// Pfreq of one summary value: the share of sibling fills that found the object. Starts at one half.
-struct Odds {
-  double found = 0.5;
-  double asked = 1;
-  double Share() const { return found / asked; }
-  void Learn(bool was_found) {
-    const double keep = asked + 1 > kOddsMemory ? 0.5 : 1;
-    found = keep * (found + (was_found ? 1 : 0));
-    asked = keep * (asked + 1);
-  }
-};
-
-Odds& At(std::array<Odds, kOddsValues>& odds, int value) { return odds[std::min(value, kOddsValues - 1)]; }
-
 bool ProvesNotRun(Outcome outcome) {
   return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
          outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
 }
 }  // namespace
 
-// ---- Evolutive counters and Pfreq. ----
-// k count filters of the objects sent to one cache to be kept; the head counts, the oldest is cleared
-// every tau to become head. The linear summary weighs the newest k, the oldest 1.
-class EvolutiveCounter {
- public:
-  void Slide(Micros now) {
-    const std::int64_t epoch = now / kSlide;
-    const std::int64_t steps = std::clamp<std::int64_t>(epoch - epoch_, 0, kFilters);
-    for (std::int64_t i = 0; i < steps; ++i) {
-      head_ = (head_ + 1) % kFilters;
-      filters_[head_].fill(0);
-    }
-    epoch_ = epoch;
-  }
-  void Count(std::uint64_t key) {
-    for (int h = 0; h < kHashes; ++h) {
-      std::uint8_t& counter = filters_[head_][Mix(key, h) % kCounters];
-      if (counter < 255) ++counter;  // saturates, never wraps
-    }
-  }
-  int Summary(std::uint64_t key) const {
-    int least = kFilters * kFilters * 255;
-    for (int h = 0; h < kHashes; ++h) {
-      const std::size_t place = Mix(key, h) % kCounters;
-      int sum = 0;
-      for (int age = 0; age < kFilters; ++age) {
-        sum += (kFilters - age) * filters_[(head_ + kFilters - age) % kFilters][place];
-      }
-      least = std::min(least, sum);
-    }
-    return least;
-  }
-
- private:
-  std::array<std::array<std::uint8_t, kCounters>, kFilters> filters_{};
-  int head_ = 0;
-  std::int64_t epoch_ = 0;
-};
-
 class Router::Brain {
  public:
-  explicit Brain(const Settings& settings) : settings_(settings) {
-    CheckSettings(settings_);
-    for (const ClassSettings& one : settings_.classes) {
-      sends_.push_back(Sec(one.latency_objective));  // until seen, high: errs on the careful side
+  explicit Brain(const Settings& settings) : context_{.settings = settings} {
+    CheckSettings(context_.settings);
+    for (const ClassSettings& one : context_.settings.classes) {
+      sends_.push_back(ToSeconds(one.latency_objective));  // until seen, high: errs on the careful side
     }
   }
 
   // The classes only grow (a changed one comes as a new one); what is open keeps its class and attempts.
   void Retune(const Settings& settings) {
     CheckSettings(settings);
-    settings_ = settings;
-    for (std::size_t i = sends_.size(); i < settings_.classes.size(); ++i)
-      sends_.push_back(Sec(settings_.classes[i].latency_objective));
+    context_.settings = settings;
+    for (std::size_t i = sends_.size(); i < context_.settings.classes.size(); ++i)
+      sends_.push_back(ToSeconds(context_.settings.classes[i].latency_objective));
   }
 
   void Start(Micros now, Actions& out) {
     Begin(now, out);
-    began_ = now_;
-    if (settings_.discovery == Discovery::kPolled) Emit(Subscribe{});
+    context_.started_at = context_.now;
+    if (context_.settings.discovery == Discovery::kPolled) Emit(Subscribe{});
   }
 
   // Every event enters here: the clock never goes back, and outdated purges are dropped.
   void Begin(Micros now, Actions& out) {
-    now_ = std::max(now_, now);
-    out_ = &out;
-    ForgetPurges();
+    context_.now = std::max(context_.now, now);
+    context_.actions = &out;
+    purges_.RemoveExpired();
   }
 
   // ---- Shared hash (rendezvous) order. ----
@@ -173,8 +104,8 @@
     std::vector<std::pair<double, int>> scored;
     for (const int i : Listed(role)) {
       const Server& server = servers_[i];
-      const std::uint64_t hash = Mix(Number(object), Id(server));
-      const double unit = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0;
+      const std::uint64_t hash = MixHash(ToNumber(object), Id(server));
+      const double unit = ToUnitInterval(hash) + 0x1p-54;
       scored.emplace_back(-std::log(unit) / Weight(server), i);
     }
     std::sort(scored.begin(), scored.end());
@@ -185,13 +116,13 @@
   // Usable servers that may be sent to, by role, in the order they were told: made anew when members change,
   // so that a request's cost follows its location's size and not the fleet's.
   const std::vector<int>& Listed(Role role) const { return listed_[static_cast<int>(role)]; }
-  static std::uint64_t Id(const Server& server) { return Number(server.member.id); }
+  static std::uint64_t Id(const Server& server) { return ToNumber(server.member.id); }
   static bool Usable(const Server& server) {
     return server.known && server.member.availability == Availability::kUp;
   }
   double Told(const Server& server) const {  // its size, or 0
-    const bool size =
-        settings_.weight_meaning == WeightMeaning::kSize || settings_.weight_meaning == WeightMeaning::kRough;
+    const bool size = context_.settings.weight_meaning == WeightMeaning::kSize ||
+                      context_.settings.weight_meaning == WeightMeaning::kRough;
     return size ? std::max(0.0, server.member.weight) : 0.0;
   }
   double Weight(const Server& server) const { return Told(server) > 0 ? Told(server) : 1.0; }
@@ -217,22 +148,22 @@
   void Observe(int place, bool bad, double weight) {
     Server& server = servers_[place];
     server.failing += weight * ((bad ? 1.0 : 0.0) - server.failing);
-    if (!bad && weight >= kLight) server.heard = now_;  // a lighter sign may have been another's
+    if (!bad && weight >= kLight) server.heard = context_.now;  // a lighter sign may have been another's
     if (!server.suspect && server.failing > std::min(kAlikeMost, kSuspectAt + PeersFailing(place))) {
       server.suspect = true;
       server.gap = std::max(1, static_cast<int>(Routers(server.role == Role::kCache) / kTrialRouters));
-      server.next_trial = now_ + server.gap * settings_.connect_timeout;
+      server.next_trial = context_.now + server.gap * context_.settings.connect_timeout;
     } else if (server.suspect && server.failing < kTrustAt) {
       server.suspect = false;
     } else if (server.suspect) {
       server.gap = bad ? std::max(server.gap, std::min(server.gap * 2, kGapGrowth)) : 1;
-      server.next_trial = now_ + (bad ? server.gap * settings_.connect_timeout : Micros{0});
+      server.next_trial = context_.now + (bad ? server.gap * context_.settings.connect_timeout : Micros{0});
     }
   }
   // A suspected server gets single real requests as trials, at growing gaps while they fail.
-  bool TrialDue(const Server& server) const { return server.suspect && now_ >= server.next_trial; }
+  bool TrialDue(const Server& server) const { return server.suspect && context_.now >= server.next_trial; }
   void NoteTrial(Server& server) {
-    if (server.suspect) server.next_trial = now_ + server.gap * settings_.connect_timeout;
+    if (server.suspect) server.next_trial = context_.now + server.gap * context_.settings.connect_timeout;
   }
 
   // Room: answers in good time widen it where it is used, slow ones and refusals narrow it, at caches by
@@ -251,7 +182,7 @@
   }
   // From 0 to under 1, the same for a request however often it is asked for, and of its own for each salt.
   static double Lot(const Request& request, std::uint64_t salt) {
-    return static_cast<double>(Mix(Number(request.event.id), salt) >> 11) * 0x1p-53;
+    return ToUnitInterval(MixHash(ToNumber(request.event.id), salt));
   }
   // One of many routers may have less than one request's room: it lets that part of its requests through.
   bool HasRoom(const Server& server, const Request& request, double more = 0) const {
@@ -260,11 +191,11 @@
   }
   // Caches that report how full the location's link in is speak for all its routers, of whose fills each sees
   // only its own few: while it is far from full no count of those shuts it.
-  bool LinkInOpen() const { return now_ - link_told_ < kReportLasts && link_use_ < kLinkOpen; }
+  bool LinkInOpen() const { return context_.now - link_told_ < kReportLasts && link_use_ < kLinkOpen; }
   // Told to hold many times what fits, it takes that part of the fills less: the rooms of all its routers
   // together never narrow far enough.
   bool LinkInFull(const Request& request) const {
-    return now_ - link_told_ < kReportLasts && Lot(request, 0) * link_use_ > kLinkFull;
+    return context_.now - link_told_ < kReportLasts && Lot(request, 0) * link_use_ > kLinkFull;
   }
   // What a server of a role, or the link in of some caches, bears of us until it has shown: our part of it,
   // and the slack of chance, since the peaks of many routers seldom meet; one request of any kind at least.
@@ -285,32 +216,34 @@
   double ColdShare(const Server& server) const {
     if (server.role == Role::kOrigin || server.member.started_at <= Micros{0}) return 1;
     const bool parent = server.role == Role::kParent;
-    const double from = parent ? settings_.parent_initial_capacity_share : settings_.initial_capacity_share;
-    const Micros warm = parent ? settings_.parent_warm_up_time : settings_.warm_up_time;
-    return std::min(1.0,
-                    from + (1 - from) * Sec(now_ - server.member.started_at) / std::max(Sec(warm), 1e-3));
+    const double from =
+        parent ? context_.settings.parent_initial_capacity_share : context_.settings.initial_capacity_share;
+    const Micros warm = parent ? context_.settings.parent_warm_up_time : context_.settings.warm_up_time;
+    return std::min(1.0, from + (1 - from) * ToSeconds(context_.now - server.member.started_at) /
+                                    std::max(ToSeconds(warm), 1e-3));
   }
   bool IsCold(const Server& server) const { return ColdShare(server) < 1; }
-  double WorkSpan() const { return 4 * std::max(Sec(settings_.overload_window), 0.5); }
+  double WorkSpan() const { return 4 * std::max(ToSeconds(context_.settings.overload_window), 0.5); }
   double WorkOf(const Server& server) const {
-    return server.work * std::exp(-Sec(now_ - server.work_at) / WorkSpan());
+    return server.work * std::exp(-ToSeconds(context_.now - server.work_at) / WorkSpan());
   }
   void AddWork(Server& server, double cost) {
     server.work = WorkOf(server) + cost;
-    server.work_at = now_;
+    server.work_at = context_.now;
   }
   // Routers that send to a server: its own location's to a cache, all to the rest.
   double Routers(bool own_zone) const {
-    const std::size_t zone = Number(settings_.zone);
+    const std::size_t zone = ToNumber(context_.settings.zone);
     // Told that none serves our own location, we know better: then all may.
-    const bool told =
-        own_zone && zone < settings_.zone_instance_counts.size() && settings_.zone_instance_counts[zone] > 0;
-    return std::max(1u, told ? settings_.zone_instance_counts[zone] : settings_.instance_count);
+    const bool told = own_zone && zone < context_.settings.zone_instance_counts.size() &&
+                      context_.settings.zone_instance_counts[zone] > 0;
+    return std::max(1u,
+                    told ? context_.settings.zone_instance_counts[zone] : context_.settings.instance_count);
   }
   // This router's part of a warm server's capacity, in sending time a second: the told size over the
   // routers that send there, else what warm ones of the role get from us (low: they are not full).
   double Part(const Server& server) const {
-    const double part = settings_.weight_meaning == WeightMeaning::kRough ? kRoughPart : 1.0;
+    const double part = context_.settings.weight_meaning == WeightMeaning::kRough ? kRoughPart : 1.0;
     if (Told(server) > 0) return part * Told(server) / Routers(server.role == Role::kCache);
     return borne_[static_cast<int>(server.role)];
   }
@@ -331,68 +264,42 @@
     // Many routers hear of a start at once: each begins in debt by its own place among them, up to one
     // request, so that their first requests come as evenly as their budgets allow, summed over all.
     // What was not sent before we ourselves started is not made up for: all that start late would at once.
-    const Micros since = std::max(server.member.started_at, began_);
+    const Micros since = std::max(server.member.started_at, context_.started_at);
     if (server.budget_at < since) {
-      const double golden = 0.6180339887498949 * (settings_.instance_index + 1.0);
-      const double place = golden + static_cast<double>(Mix(Id(server), 0) >> 11) * 0x1p-53;
+      const double golden = 0.6180339887498949 * (context_.settings.instance_index + 1.0);
+      const double place = golden + ToUnitInterval(MixHash(Id(server), 0));
       server.budget = -(place - std::floor(place)) * *std::max_element(sends_.begin(), sends_.end());
       server.budget_at = since;
     }
     const bool parent = server.role == Role::kParent;
-    const double multiple = parent ? settings_.parent_overload_multiple : settings_.overload_multiple;
+    const double multiple =
+        parent ? context_.settings.parent_overload_multiple : context_.settings.overload_multiple;
     const double rate = std::min(1.0, kColdPart * multiple) * ColdShare(server) * Part(server);
-    server.budget += rate * Sec(now_ - server.budget_at);
-    server.budget = std::min(server.budget, kColdBurst * rate * Sec(settings_.overload_window));
-    server.budget_at = now_;
+    server.budget += rate * ToSeconds(context_.now - server.budget_at);
+    server.budget = std::min(server.budget, kColdBurst * rate * ToSeconds(context_.settings.overload_window));
+    server.budget_at = context_.now;
     return server.budget > 0;
   }
 
-  // ---- Purge ledger. ----
-  void Take(const PurgeEvent& event) {
-    const Micros at = now_ - event.age;
-    auto& table = event.object ? purged_objects_ : purged_groups_;
-    const std::uint64_t key = event.object ? Number(*event.object) : Number(event.group);
-    const auto [place, added] = table.try_emplace(key, at);
-    if (!added) place->second = std::max(place->second, at);
-    purge_queue_.push_back({now_ + settings_.purge_retention, event.object.has_value(), key, at});
-  }
-  void ForgetPurges() {
-    while (!purge_queue_.empty() && purge_queue_.front().until < now_) {
-      const PurgeEntry& entry = purge_queue_.front();
-      auto& table = entry.object ? purged_objects_ : purged_groups_;
-      const auto found = table.find(entry.key);
-      if (found != table.end() && found->second <= entry.at) table.erase(found);
-      purge_queue_.pop_front();
-    }
-  }
-  // The latest purge that a request must heed, or nothing.
-  std::optional<Micros> LastPurge(const RequestEvent& event) const {
-    std::optional<Micros> at;
-    const auto object = purged_objects_.find(Number(event.object));
-    if (object != purged_objects_.end()) at = object->second;
-    const auto group = purged_groups_.find(Number(event.group));
-    if (group != purged_groups_.end()) at = std::max(at.value_or(group->second), group->second);
-    return at;
-  }
-
   // ---- Source choice. ----
   static std::uint64_t Key(const RequestEvent& event) {  // a copy is a copy of one part
-    return Mix(Number(event.object), event.part);
+    return MixHash(ToNumber(event.object), event.part);
   }
   int Summary(int place, std::uint64_t key) {
     Server& server = servers_[place];
     if (!server.counter) return 0;
-    server.counter->Slide(now_);
+    server.counter->Slide(context_.now);
     return server.counter->Summary(key);
   }
   const ClassSettings& ClassOf(const Request& request) const {
-    return settings_.classes[Number(request.event.class_id)];
+    return context_.settings.classes[ToNumber(request.event.class_id)];
   }
-  double& MeanSend(const Request& request) { return sends_[Number(request.event.class_id)]; }
+  double& MeanSend(const Request& request) { return sends_[ToNumber(request.event.class_id)]; }
   // The top sibling where the chance of an avoidable miss reaches epsilon, else nobody. Departures: no
   // sibling within a purge's ledger time (counts stand for void copies), no suspected or cold one.
   int TopSibling(const Request& request, int server, int& value) {
-    if (settings_.sibling_scope == SiblingScope::kOff || LastPurge(request.event)) return kNobody;
+    if (context_.settings.sibling_scope == SiblingScope::kOff || purges_.LatestPurge(request.event))
+      return kNobody;
     const std::uint64_t key = Key(request.event);
     int best = kNobody;
     double all_lack = 1;
@@ -401,7 +308,7 @@
       if (place == server || !Usable(sibling) || sibling.suspect || IsCold(sibling)) continue;
       const int x = Summary(place, key);
       if (x == 0) continue;
-      all_lack *= 1 - At(odds_, x).Share();
+      all_lack *= 1 - hits_.sibling_fills.At(x).Value();
       if (best == kNobody || x > value) {
         best = place;
         value = x;
@@ -430,15 +337,16 @@
   bool Send(Request& request, int place) {
     Server& server = servers_[place];
     const ClassSettings& one = ClassOf(request);
-    if (request.ended || request.streaming || now_ >= request.deadline) return false;
+    if (request.ended || request.streaming || context_.now >= request.deadline) return false;
     if (request.attempts.size() >= request.most_attempts) return false;
-    if (request.Out() > 0 && (!settings_.can_hedge || one.effect != Effect::kIdempotent)) return false;
+    if (request.Out() > 0 && (!context_.settings.can_hedge || one.effect != Effect::kIdempotent))
+      return false;
     if (!EffectAllows(request, place)) return false;
     if (!Usable(server) || !Affords(server)) return false;
     const bool direct = server.role != Role::kCache;
-    if (direct && (!settings_.can_bypass_cache || server.role == Role::kForeign)) return false;
+    if (direct && (!context_.settings.can_bypass_cache || server.role == Role::kForeign)) return false;
 
-    Attempt attempt{.server = place, .source = place, .sent = now_};
+    Attempt attempt{.server = place, .source = place, .sent = context_.now};
     const bool home = !request.order.empty() && place == request.order[0];
     const std::uint64_t key = Key(request.event);
     const int summary = Summary(place, key);
@@ -451,8 +359,8 @@
     }
     Server& source = servers_[attempt.source];
     attempt.value = summary;
-    const Odds& odds = direct ? parent_odds_ : At(hit_odds_, summary);
-    attempt.fill_chance = attempt.source == place ? 0.0 : one.is_write ? 1.0 : 1 - odds.Share();
+    const HitProbability& odds = direct ? hits_.parent_hits : hits_.cache_hits.At(summary);
+    attempt.fill_chance = attempt.source == place ? 0.0 : one.is_write ? 1.0 : 1 - odds.Value();
     if (!HasRoom(server, request)) return false;
     if (attempt.fill_chance > kLikely && !HasRoom(source, request)) return false;
     // Departure: the location's link in has a room of its own. With many parents theirs add up to far more
@@ -469,7 +377,7 @@
       Server& behind = servers_[origin];
       attempt.spare = behind.suspect ? !TrialDue(behind) : !HasRoom(behind, request);
       attempt.origin = origin;
-      attempt.origin_chance = attempt.spare ? 0 : attempt.fill_chance * (1 - parent_odds_.Share());
+      attempt.origin_chance = attempt.spare ? 0 : attempt.fill_chance * (1 - hits_.parent_hits.Value());
       behind.fills += attempt.origin_chance;
       if (!attempt.spare) NoteTrial(behind);
     }
@@ -489,12 +397,12 @@
                        .server = server.member.id,
                        .source = source.member.id,
                        .expires_at = request.deadline};
-    const std::optional<Micros> purge = LastPurge(request.event);
+    const std::optional<Micros> purge = purges_.LatestPurge(request.event);
     const bool trouble = attempt.spare || (source.suspect && source.role != Role::kCache);
     action.max_age =
         trouble && one.stale_grace > Micros{0} ? one.freshness_lifetime + one.stale_grace : Micros{0};
     if (purge) {
-      Micros limit = std::max(now_ - *purge - settings_.event_interval, Micros{1});
+      Micros limit = std::max(context_.now - *purge - context_.settings.event_interval, Micros{1});
       if (one.freshness_lifetime > Micros{0})
         limit = std::min(limit, action.max_age > Micros{0} ? action.max_age : one.freshness_lifetime);
       action.max_age = limit;
@@ -502,7 +410,7 @@
     if (!one.is_write) {
       action.cache_rank = direct ? 0 : static_cast<std::uint8_t>(summary > 0 ? 2 : 1);
       action.join_fill =
-          settings_.can_join_fill && !purge;  // a fill under way may have begun before the purge
+          context_.settings.can_join_fill && !purge;  // a fill under way may have begun before the purge
       // A copy renewed behind a hit is a fill that nothing tells of: none at a source that is cold.
       action.revalidate = one.freshness_lifetime > Micros{0} && !purge && !attempt.spare && !IsCold(source);
       action.source_cached_only = attempt.spare;
@@ -510,7 +418,8 @@
     }
     request.attempts.push_back(attempt);
     Emit(action);
-    Agenda(now_ + FromSec(Aim(request)), request.event.id, static_cast<int>(request.attempts.size()) - 1);
+    Agenda(context_.now + FromSeconds(Aim(request)), request.event.id,
+           static_cast<int>(request.attempts.size()) - 1);
     return true;
   }
 
@@ -522,7 +431,7 @@
     if (request.ran_at == kNobody) return request.Out() == 0;
     if (one.effect == Effect::kNonIdempotent) return false;
     const Attempt& first = request.attempts[request.ran_at];
-    if (now_ - first.sent >= one.idempotency_window) return false;
+    if (context_.now - first.sent >= one.idempotency_window) return false;
     const EndpointInfo& a = servers_[first.server].member;
     const EndpointInfo& b = servers_[place].member;
     return one.idempotency_scope == IdempotencyScope::kAll ||
@@ -530,15 +439,15 @@
            (one.idempotency_scope == IdempotencyScope::kCell && a.zone == b.zone && a.cell == b.cell);
   }
   double OwnSend(const Request& request) const {
-    if (request.event.size_kb > 0 && settings_.transfer_rate_kb_per_s > 0) {
-      return request.event.size_kb / settings_.transfer_rate_kb_per_s;
+    if (request.event.size_kb > 0 && context_.settings.transfer_rate_kb_per_s > 0) {
+      return request.event.size_kb / context_.settings.transfer_rate_kb_per_s;
     }
-    return sends_[Number(request.event.class_id)];
+    return sends_[ToNumber(request.event.class_id)];
   }
   double Aim(const Request& request) const {
     const ClassSettings& one = ClassOf(request);
-    return std::min(Sec(one.latency_objective) + one.latency_objective_stretch * OwnSend(request),
-                    Sec(one.deadline));
+    return std::min(ToSeconds(one.latency_objective) + one.latency_objective_stretch * OwnSend(request),
+                    ToSeconds(one.deadline));
   }
   // An attempt is looked at once its aim is past (sooner accuses servers wrongly), then after each further
   // aim; it is moved only if its server or source looks dead.
@@ -561,12 +470,13 @@
     // for once more. Then silence must first make its server suspected.
     const bool move =
         (silent && tardy_ < kTardy) || servers_[attempt.server].suspect || servers_[attempt.source].suspect;
-    if (move && ClassOf(request).effect != Effect::kNonIdempotent && settings_.can_cancel && further_ >= 1) {
+    if (move && ClassOf(request).effect != Effect::kNonIdempotent && context_.settings.can_cancel &&
+        further_ >= 1) {
       attempt.cancelled = true;
       Emit(CancelAttempt{request.event.id, static_cast<std::uint32_t>(index)});
-      if (settings_.can_hedge) Further(request);
+      if (context_.settings.can_hedge) Further(request);
     } else {
-      Agenda(now_ + FromSec(Aim(request)), request.event.id, index);
+      Agenda(context_.now + FromSeconds(Aim(request)), request.event.id, index);
     }
   }
   // Tries the caches in hash order: first those in good shape, then crowded ones, then direct, then any.
@@ -588,7 +498,7 @@
     const bool lost = std::none_of(request.order.begin(), request.order.end(), [&](int place) {
       return !tried(place) && !servers_[place].suspect && Affords(servers_[place]);
     });
-    if (settings_.can_bypass_cache) {
+    if (context_.settings.can_bypass_cache) {
       for (const Role role : {Role::kParent, Role::kOrigin}) {
         if (ClassOf(request).is_write ? role == Role::kParent : role == Role::kOrigin && !lost) continue;
         for (const int place : Order(role, request.event.object)) {
@@ -600,7 +510,7 @@
                        [&](int place) { return Send(request, place); });
   }
   void Further(Request& request) {
-    if (further_ < 1 || Sec(request.deadline - now_) < OwnSend(request)) return GiveUp(request);
+    if (further_ < 1 || ToSeconds(request.deadline - context_.now) < OwnSend(request)) return GiveUp(request);
     further_ -= 1;
     if (!Dispatch(request) && request.Out() == 0) GiveUp(request);
   }
@@ -616,14 +526,15 @@
         (one.effect == Effect::kIdempotencyKey && one.idempotency_scope == IdempotencyScope::kAll);
     request.ended = true;
     if (refusable) {
-      Emit(Reject{request.event.id, settings_.has_retry_after ? settings_.max_retry_after : Micros{0}});
+      Emit(Reject{request.event.id,
+                  context_.settings.has_retry_after ? context_.settings.max_retry_after : Micros{0}});
     } else {
       Emit(Fail{request.event.id});
     }
     CancelAll(request);
   }
   void CancelAll(Request& request) {
-    for (std::size_t i = 0; i < request.attempts.size() && settings_.can_cancel; ++i) {
+    for (std::size_t i = 0; i < request.attempts.size() && context_.settings.can_cancel; ++i) {
       if (!request.attempts[i].out || request.attempts[i].cancelled) continue;
       request.attempts[i].cancelled = true;
       Emit(CancelAttempt{request.event.id, static_cast<std::uint32_t>(i)});
@@ -631,19 +542,21 @@
   }
 
   // ---- Events. ----
+  void Take(const PurgeEvent& event) { purges_.Record(event); }
+
   void Take(const RequestEvent& event) {
     const std::size_t class_place = static_cast<std::size_t>(event.class_id);
-    if (requests_.count(Number(event.id)) > 0) return;  // a caller's mistake
-    if (class_place >= settings_.classes.size()) return Emit(Fail{event.id});
-    Request& request = requests_[Number(event.id)];
+    if (requests_.count(ToNumber(event.id)) > 0) return;  // a caller's mistake
+    if (class_place >= context_.settings.classes.size()) return Emit(Fail{event.id});
+    Request& request = requests_[ToNumber(event.id)];
     request.event = event;
-    request.most_attempts = settings_.max_attempts;
-    request.deadline = now_ + std::max(event.time_left, Micros{0}) - settings_.event_interval;
+    request.most_attempts = context_.settings.max_attempts;
+    request.deadline = context_.now + std::max(event.time_left, Micros{0}) - context_.settings.event_interval;
     // Departure, in classes with parts only: the cache is hashed by what a copy is of, object and part, so
     // that a client's train of parts does not clump at one cache. The parent stays hashed by the object.
     const bool parts = ClassOf(request).has_parts && event.part > 0;
     request.order = Order(Role::kCache, parts ? ObjectId{Key(event)} : event.object);
-    if (OwnSend(request) <= Sec(ClassOf(request).deadline)) {  // else it is no measure for others
+    if (OwnSend(request) <= ToSeconds(ClassOf(request).deadline)) {  // else it is no measure for others
       mean_worth_ += kMean * (ClassOf(request).priority_weight - mean_worth_);
       mean_send_ += kMean * (OwnSend(request) - mean_send_);
       MeanSend(request) += kMean * (OwnSend(request) - MeanSend(request));
@@ -657,7 +570,7 @@
   }
 
   void Take(const OutcomeEvent& event) {
-    const auto found = requests_.find(Number(event.id));
+    const auto found = requests_.find(ToNumber(event.id));
     if (found == requests_.end() || event.attempt >= found->second.attempts.size()) return;
     Request& request = found->second;
     Attempt& attempt = request.attempts[event.attempt];
@@ -674,8 +587,8 @@
     Unload(attempt);
     const double use = event.load.link_utilization.value_or(-1);
     if (use >= 0 && use <= kLinkMost && servers_[attempt.server].role == Role::kCache) {  // else it cannot be
-      link_use_ += (now_ - link_told_ < kReportLasts ? kReportWeight : 1) * (use - link_use_);
-      link_told_ = now_;
+      link_use_ += (context_.now - link_told_ < kReportLasts ? kReportWeight : 1) * (use - link_use_);
+      link_told_ = context_.now;
     }
     Judge(request, attempt, event);
     attempt.erred = event.outcome == Outcome::kError && event.note == FillNote::kNone;
@@ -687,7 +600,7 @@
     if (!request.ended && request.Out() == 0) {
       const bool hopeless = event.note == FillNote::kOriginFailed || Faulty(request) ||
                             (attempt.spare && event.outcome == Outcome::kMiss);
-      now_ >= request.deadline || hopeless ? GiveUp(request) : Further(request);
+      context_.now >= request.deadline || hopeless ? GiveUp(request) : Further(request);
     }
     Drop(event.id);
   }
@@ -704,7 +617,7 @@
     if (served) {
       Observe(attempt.server, false, kLight);
       if (has_source && filled) Observe(attempt.source, false, kLight);
-      const double ratio = Sec(event.elapsed) / std::max(Aim(request), 1e-3);
+      const double ratio = ToSeconds(event.elapsed) / std::max(Aim(request), 1e-3);
       if (!attempt.judged) tardy_ -= kMean * tardy_;
       const double cost = OwnSend(request);
       AddWork(server, cost);
@@ -715,48 +628,48 @@
         Server& filler = servers_[far ? attempt.origin : attempt.source];
         // Where notes do not tell the way, a fill that was free to go by the origin speaks for it by the
         // chance that it did: else a suspicion of the origin would never end.
-        const bool told = settings_.fill_detail == FillDetail::kAll;
+        const bool told = context_.settings.fill_detail == FillDetail::kAll;
         if (!told && !far && attempt.origin != kNobody && !attempt.spare) {
-          Observe(attempt.origin, false, kLight * (1 - parent_odds_.Share()));
+          Observe(attempt.origin, false, kLight * (1 - hits_.parent_hits.Value()));
         }
-        if (attempt.origin != kNobody && (told || attempt.spare)) parent_odds_.Learn(!far);
+        if (attempt.origin != kNobody && (told || attempt.spare)) hits_.parent_hits.Record(!far);
         // Where sizes are not told, a large object looks slow: the wait for its first byte must be long too.
         const bool sized = request.event.size_kb > 0 || !event.fill_wait;
-        const double wait = Sec(event.fill_wait.value_or(Micros{0}));
-        LearnRoom(
-            filler,
-            sized ? ratio > kSlowFill : ratio > 1 && wait > kSlow * Sec(ClassOf(request).latency_objective),
-            kFillCut);
+        const double wait = ToSeconds(event.fill_wait.value_or(Micros{0}));
+        LearnRoom(filler,
+                  sized ? ratio > kSlowFill
+                        : ratio > 1 && wait > kSlow * ToSeconds(ClassOf(request).latency_objective),
+                  kFillCut);
         // A fill that waited for most of its time speaks of its source, not of the link in.
         if (attempt.inlet_chance > 0)
-          LearnRoom(inlet_, ratio > kSlowFill && wait < Sec(event.elapsed) / 2, kFillCut);
+          LearnRoom(inlet_, ratio > kSlowFill && wait < ToSeconds(event.elapsed) / 2, kFillCut);
       } else {
         LearnRoom(server, ratio > kSlow, kRoomCut);
       }
-      if (note != FillNote::kNone) At(hit_odds_, attempt.value).Learn(!filled);
+      if (note != FillNote::kNone) hits_.cache_hits.At(attempt.value).Record(!filled);
       if (request.event.size_kb <= 0 &&
-          (note == FillNote::kHit || settings_.fill_detail == FillDetail::kOff)) {
-        MeanSend(request) += kMean * (Sec(event.elapsed) - MeanSend(request));
+          (note == FillNote::kHit || context_.settings.fill_detail == FillDetail::kOff)) {
+        MeanSend(request) += kMean * (ToSeconds(event.elapsed) - MeanSend(request));
       }
     } else if (source_failed || note == FillNote::kOriginFailed) {
-      server.heard = now_;
+      server.heard = context_.now;
       const int blamed = note == FillNote::kOriginFailed ? Origin() : has_source ? attempt.source : kNobody;
       if (blamed != kNobody) LearnRoom(servers_[blamed], true, kRoomFull);
       // A source that refuses is alive and full, not ill.
       if (blamed != kNobody && note != FillNote::kSourceRejected) Observe(blamed, true, kLight);
     } else if (event.outcome == Outcome::kRejected) {
-      server.heard = now_;
+      server.heard = context_.now;
       // Without a place for a fill it is the link in that is jammed: hits may go on.
       LearnRoom(note == FillNote::kNoFillSlot ? inlet_ : server, true, kRoomFull);
     } else if (event.outcome == Outcome::kConnectFailed) {
       Observe(attempt.server, true, kStrong);
     } else if (event.outcome == Outcome::kError) {
-      server.heard = now_;  // for the rest see Blame
+      server.heard = context_.now;  // for the rest see Blame
     } else if (event.outcome == Outcome::kReset) {
-      server.heard = now_;
+      server.heard = context_.now;
       // All that was open on one connection breaks with it: that is one sign, not many.
-      if (attempt.sent >= std::exchange(server.broke, now_)) Observe(attempt.server, true, kLight);
-    } else if (Sec(event.elapsed) > Aim(request)) {
+      if (attempt.sent >= std::exchange(server.broke, context_.now)) Observe(attempt.server, true, kLight);
+    } else if (ToSeconds(event.elapsed) > Aim(request)) {
       // Cut off late: the slowest of all, which no answer would ever tell of (incident i150e8d). It speaks of
       // a jam only where fills come late as well; else its answer was lost on the way.
       const int behind = attempt.origin != kNobody ? attempt.origin : attempt.source;
@@ -765,12 +678,12 @@
       if (inlet_.late > kJam && attempt.inlet_chance > kLikely) Narrow(inlet_, kFillCut);
     } else if (event.outcome == Outcome::kMiss) {
       Observe(attempt.server, false, kLight);
-      if (attempt.spare && settings_.fill_detail != FillDetail::kAll) parent_odds_.Learn(false);
+      if (attempt.spare && context_.settings.fill_detail != FillDetail::kAll) hits_.parent_hits.Record(false);
     }
     if (attempt.sibling_value > 0) {
-      Odds& odds = At(odds_, attempt.sibling_value);
-      if (served && filled) odds.Learn(true);
-      if (note == FillNote::kSourceMiss) odds.Learn(false);
+      HitProbability& odds = hits_.sibling_fills.At(attempt.sibling_value);
+      if (served && filled) odds.Record(true);
+      if (note == FillNote::kSourceMiss) odds.Record(false);
       if (!served) request.sibling_failed = true;
     }
     const bool untouched = note == FillNote::kHit || note == FillNote::kStaleHit || note == FillNote::kJoined;
@@ -796,12 +709,12 @@
   }
 
   void Take(const ResponseStartedEvent& event) {
-    const auto found = requests_.find(Number(event.id));
+    const auto found = requests_.find(ToNumber(event.id));
     if (found != requests_.end()) found->second.streaming = true;
   }
 
   void Take(const ClientDisconnectedEvent& event) {
-    const auto found = requests_.find(Number(event.id));
+    const auto found = requests_.find(ToNumber(event.id));
     if (found == requests_.end()) return;
     found->second.ended = true;
     CancelAll(found->second);
@@ -810,14 +723,14 @@
 
   void Take(const TimerEvent&) {
     armed_ = Micros::max();
-    while (!agenda_.empty() && agenda_.top().at <= now_) {
+    while (!agenda_.empty() && agenda_.top().at <= context_.now) {
       const AgendaEntry entry = agenda_.top();
       agenda_.pop();
       if (entry.index == kSubscribe) {
         Emit(Subscribe{});
         continue;
       }
-      const auto found = requests_.find(Number(entry.request));
+      const auto found = requests_.find(ToNumber(entry.request));
       if (found == requests_.end()) continue;
       Request& request = found->second;
       if (entry.index == kForget) {
@@ -830,7 +743,7 @@
       if (entry.index == kDeadline) {
         if (!request.streaming) GiveUp(request);
         // Outcomes always come; should a caller lose one, the request is not kept for ever.
-        if (!request.streaming) Agenda(now_ + ClassOf(request).deadline, entry.request, kForget);
+        if (!request.streaming) Agenda(context_.now + ClassOf(request).deadline, entry.request, kForget);
       } else {
         Overdue(request, entry.index);
       }
@@ -841,7 +754,7 @@
 
   void Take(const EndpointsEvent& event) {
     if (event.kind == EndpointsEvent::Kind::kWatchBroken) {
-      return Agenda(now_ + kGapGrowth * settings_.connect_timeout, RequestId{}, kSubscribe);
+      return Agenda(context_.now + kGapGrowth * context_.settings.connect_timeout, RequestId{}, kSubscribe);
     }
     if (event.kind != EndpointsEvent::Kind::kDelta) {
       for (Server& server : servers_) server.member.availability = Availability::kRemoved;
@@ -869,7 +782,7 @@
   }
 
   void Learn(const EndpointInfo& member) {
-    const std::uint64_t id = Number(member.id);
+    const std::uint64_t id = ToNumber(member.id);
     const auto known = places_.find(id);
     int place = known == places_.end() ? kNobody : known->second;
     if (place == kNobody) {
@@ -887,10 +800,10 @@
     }
     server.known = true;
     server.member = member;
-    server.role = member.kind == settings_.parent_kind   ? Role::kParent
-                  : member.kind == settings_.origin_kind ? Role::kOrigin
-                  : member.zone == settings_.zone        ? Role::kCache
-                                                         : Role::kForeign;
+    server.role = member.kind == context_.settings.parent_kind   ? Role::kParent
+                  : member.kind == context_.settings.origin_kind ? Role::kOrigin
+                  : member.zone == context_.settings.zone        ? Role::kCache
+                                                                 : Role::kForeign;
     if (server.role == Role::kCache && !server.counter) server.counter = std::make_unique<EvolutiveCounter>();
   }
 
@@ -902,7 +815,7 @@
 
   template <class Kind>
   void Emit(Kind action) {
-    out_->push_back(std::move(action));
+    context_.Emit(std::move(action));
   }
   void Agenda(Micros at, RequestId request, int index) {
     agenda_.push({at, serial_++, request, index});
@@ -915,7 +828,7 @@
   }
   // Forgets a request that has ended and has nothing outstanding.
   void Drop(RequestId id) {
-    const auto found = requests_.find(Number(id));
+    const auto found = requests_.find(ToNumber(id));
     if (found == requests_.end() || !found->second.ended || found->second.Out() > 0) return;
     Blame(found->second);
     requests_.erase(found);
@@ -929,29 +842,22 @@
     if (attempt.origin != kNobody) servers_[attempt.origin].fills -= attempt.origin_chance;
   }
 
-  Settings settings_;
-  Micros now_{0};
-  Micros began_{0};
-  Actions* out_ = nullptr;
+  Context context_;
   std::vector<Server> servers_;
   std::unordered_map<std::uint64_t, int> places_;  // looked up only
   std::array<std::vector<int>, kRoles> listed_;
   double link_use_ = 0;  // of the link in, as reports tell
   Micros link_told_ = Micros{-1'000'000'000};
-  Server inlet_;                              // the location's link in: fills and room only
-  std::vector<double> sends_;                 // by class: mean sending time, seconds
-  std::array<Odds, kOddsValues> odds_{};      // Pfreq: sibling fills that found the object, by value
-  std::array<Odds, kOddsValues> hit_odds_{};  // attempts that needed no fill, by the cache's own value
-  Odds parent_odds_;                          // fills that the parent held
+  Server inlet_;               // the location's link in: fills and room only
+  std::vector<double> sends_;  // by class: mean sending time, seconds
+  HitStatistics hits_;
   double mean_worth_ = 1;
   double mean_send_ = 1;
   std::unordered_map<std::uint64_t, Request> requests_;  // looked up only, never walked
   std::priority_queue<AgendaEntry> agenda_;
   std::uint64_t serial_ = 0;
   Micros armed_ = Micros::max();
-  std::unordered_map<std::uint64_t, Micros> purged_objects_;  // looked up only
-  std::unordered_map<std::uint64_t, Micros> purged_groups_;
-  std::deque<PurgeEntry> purge_queue_;
+  PurgeLedger purges_{context_};
   std::array<double, kRoles> borne_{};
   double further_ = kFurtherMost;
   double tardy_ = 0;  // share of own attempts lately that were out past their aim
--- /dev/null
+++ b/src/routing/evolutive_counter.cpp
@@ -0,0 +1,55 @@
+#include "routing/evolutive_counter.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "routing/hash.hpp"
+
+namespace tinspan {
+namespace {
+
+constexpr int kFilters = 4;                         // k: the design's value
+constexpr Micros kSlideInterval{2'000'000};         // tau: the design's value
+constexpr std::size_t kPlacesPerFilter = 1U << 12;  // many times what one cache gets in tau
+constexpr int kHashFunctions = 3;                   // false positives of some in a thousand
+constexpr auto kMaxCount = std::numeric_limits<std::uint8_t>::max();
+
+}  // namespace
+
+EvolutiveCounter::EvolutiveCounter() : filters_(kFilters, std::vector<std::uint8_t>(kPlacesPerFilter)) {}
+
+std::size_t EvolutiveCounter::Place(std::uint64_t key, int hash_number) {
+  return MixHash(key, hash_number) % kPlacesPerFilter;
+}
+
+void EvolutiveCounter::Slide(Micros now) {
+  const std::int64_t epoch = now / kSlideInterval;
+  const std::int64_t steps = std::clamp<std::int64_t>(epoch - epoch_, 0, kFilters);
+  for (std::int64_t i = 0; i < steps; ++i) {
+    head_ = (head_ + 1) % kFilters;
+    std::fill(filters_[head_].begin(), filters_[head_].end(), 0);
+  }
+  epoch_ = epoch;
+}
+
+void EvolutiveCounter::Count(std::uint64_t key) {
+  for (int i = 0; i < kHashFunctions; ++i) {
+    std::uint8_t& count = filters_[head_][Place(key, i)];
+    if (count < kMaxCount) ++count;
+  }
+}
+
+int EvolutiveCounter::Summary(std::uint64_t key) const {
+  int summary = std::numeric_limits<int>::max();
+  for (int i = 0; i < kHashFunctions; ++i) {
+    const std::size_t place = Place(key, i);
+    int sum = 0;
+    for (int age = 0; age < kFilters; ++age) {
+      sum += (kFilters - age) * filters_[(head_ + kFilters - age) % kFilters][place];
+    }
+    summary = std::min(summary, sum);
+  }
+  return summary;
+}
+
+}  // namespace tinspan
--- a/src/routing/state.hpp
+++ b/src/routing/state.hpp
@@ -6,12 +6,11 @@
 #include <memory>
 #include <vector>
 
+#include "routing/evolutive_counter.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan {
 
-class EvolutiveCounter;
-
 enum class Role { kCache, kParent, kOrigin, kForeign };  // kForeign: a cache of another location
 inline constexpr int kRoles = 4;
 inline constexpr int kNobody = -1;
@@ -81,11 +80,4 @@
   int index;
   bool operator<(const AgendaEntry& o) const { return at != o.at ? at > o.at : serial > o.serial; }
 };
-struct PurgeEntry {
-  Micros until;
-  bool object;
-  std::uint64_t key;
-  Micros at;
-};
-
 }  // namespace tinspan
