Split the decision module into units of one job

Cause: Router::Brain was one class that held health, budgets, capacities, source choice and events. Change: Router::Engine handles events; OutlierDetector, SlowStartBudget, CapacityEstimator, IngressLink, RequestCosts, RetryBudget, AttemptRules, SourceSelector, Dispatcher, OutcomeRecorder, ServerTable and Schedule are units of their own; records are Server, Attempt and Request.

--- a/include/tinspan/router.hpp
+++ b/include/tinspan/router.hpp
@@ -216,7 +216,9 @@
  public:
   Router(const Settings& settings, std::uint64_t seed, Micros now, Actions& out);
   ~Router();
+  Router(const Router&) = delete;
   Router(Router&&) noexcept;
+  Router& operator=(const Router&) = delete;
   Router& operator=(Router&&) noexcept;
 
   // New settings for what comes from now on. Classes only grow: a class that is added or changed comes
@@ -231,8 +233,11 @@
   void Handle(Micros now, const PurgeEvent& event, Actions& out);
 
  private:
-  class Brain;
-  std::unique_ptr<Brain> brain_;
+  class Engine;
+  template <class Event>
+  void Pass(Micros now, const Event& event, Actions& out);
+
+  std::unique_ptr<Engine> engine_;
 };
 
 }  // namespace tinspan
--- /dev/null
+++ b/src/routing/outlier_detector.cpp
@@ -0,0 +1,81 @@
+#include "routing/outlier_detector.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tinspan {
+namespace {
+
+constexpr double kOrdinaryWeight = 0.25;         // of an answer or an error in the failure rate
+constexpr double kUnreachableWeight = 0.5;       // of evidence that only a dead or silent server gives
+constexpr double kEjectThreshold = 0.5;          // failure rate, on top of the peers' mean
+constexpr double kMaxEjectThreshold = 0.9;       // with the peers' mean added
+constexpr double kReadmitThreshold = 0.25;       // failure rate
+constexpr int kMaxProbeBackoff = 8;              // in connect timeouts
+constexpr double kInstancesPerBackoffStep = 16;  // the more probe a server, the longer each waits
+
+}  // namespace
+
+void OutlierDetector::RecordSuccess(ServerIndex index, double probability) {
+  Record(index, false, kOrdinaryWeight * probability);
+}
+
+void OutlierDetector::RecordFailure(ServerIndex index, double probability) {
+  Record(index, true, kOrdinaryWeight * probability);
+}
+
+void OutlierDetector::RecordUnreachable(ServerIndex index) { Record(index, true, kUnreachableWeight); }
+
+void OutlierDetector::RecordReset(ServerIndex index, Micros sent_at) {
+  RecordHeard(index);
+  const Micros last_reset_at = std::exchange(servers_[index].health.last_reset_at, context_.now);
+  if (sent_at >= last_reset_at) RecordFailure(index);
+}
+
+void OutlierDetector::Record(ServerIndex index, bool is_failure, double weight) {
+  Server& server = servers_[index];
+  Health& health = server.health;
+  health.failure_rate += weight * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
+  if (!is_failure && weight >= kOrdinaryWeight) RecordHeard(index);  // a lighter sign may be another's
+  // What most servers show alike (answers lost on the way, congestion) is no reason to eject one; where all
+  // are lost, each still passes the raised threshold.
+  const double threshold = std::min(kMaxEjectThreshold, kEjectThreshold + MeanFailureRateOfPeers(index));
+  if (!health.is_ejected && health.failure_rate > threshold) {
+    health.is_ejected = true;
+    health.probe_backoff = InitialBackoff(server.role);
+    OnRequestSent(server);
+  } else if (health.is_ejected && health.failure_rate < kReadmitThreshold) {
+    health.is_ejected = false;
+  } else if (health.is_ejected && is_failure) {
+    const int doubled = std::min(health.probe_backoff * 2, kMaxProbeBackoff);
+    health.probe_backoff = std::max(health.probe_backoff, doubled);
+    OnRequestSent(server);
+  } else if (health.is_ejected) {
+    health.probe_backoff = 1;
+    health.next_probe_at = context_.now;
+  }
+}
+
+double OutlierDetector::MeanFailureRateOfPeers(ServerIndex index) const {
+  double sum = -servers_[index].health.failure_rate;
+  const std::vector<ServerIndex>& peers = servers_.Listed(servers_[index].role);
+  for (const ServerIndex peer : peers) sum += servers_[peer].health.failure_rate;
+  return peers.size() > 1 ? sum / static_cast<double>(peers.size() - 1) : 0.0;
+}
+
+int OutlierDetector::InitialBackoff(Role role) const {
+  const Senders senders = role == Role::kCache ? Senders::kOwnZone : Senders::kAllZones;
+  return std::max(1, static_cast<int>(servers_.InstanceCount(senders) / kInstancesPerBackoffStep));
+}
+
+bool OutlierDetector::IsProbeDue(const Server& server) const {
+  return server.health.is_ejected && context_.now >= server.health.next_probe_at;
+}
+
+void OutlierDetector::OnRequestSent(Server& server) const {
+  if (!server.health.is_ejected) return;
+  server.health.next_probe_at =
+      context_.now + server.health.probe_backoff * context_.settings.connect_timeout;
+}
+
+}  // namespace tinspan
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,34 @@
+// Router's public calls, passed on to its engine. Nothing is decided here.
+#include "tinspan/router.hpp"
+
+#include "routing/engine.hpp"
+
+namespace tinspan {
+
+// The seed is not needed: no decision is drawn at random.
+Router::Router(const Settings& settings, std::uint64_t, Micros now, Actions& out)
+    : engine_(std::make_unique<Engine>(settings)) {
+  engine_->Start(now, out);
+}
+
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+Router& Router::operator=(Router&&) noexcept = default;
+
+void Router::Retune(const Settings& settings) { engine_->Retune(settings); }
+
+template <class Event>
+void Router::Pass(Micros now, const Event& event, Actions& out) {
+  engine_->BeginEvent(now, out);
+  engine_->Handle(event);
+}
+
+void Router::Handle(Micros now, const EndpointsEvent& event, Actions& out) { Pass(now, event, out); }
+void Router::Handle(Micros now, const RequestEvent& event, Actions& out) { Pass(now, event, out); }
+void Router::Handle(Micros now, const ResponseStartedEvent& event, Actions& out) { Pass(now, event, out); }
+void Router::Handle(Micros now, const OutcomeEvent& event, Actions& out) { Pass(now, event, out); }
+void Router::Handle(Micros now, const ClientDisconnectedEvent& event, Actions& out) { Pass(now, event, out); }
+void Router::Handle(Micros now, const TimerEvent& event, Actions& out) { Pass(now, event, out); }
+void Router::Handle(Micros now, const PurgeEvent& event, Actions& out) { Pass(now, event, out); }
+
+}  // namespace tinspan
--- /dev/null
+++ b/src/routing/routing_state.hpp
@@ -0,0 +1,45 @@
+// All that one Router keeps, but for its open requests: wired together in one place.
+#pragma once
+
+#include "routing/averages.hpp"
+#include "routing/capacity_estimator.hpp"
+#include "routing/context.hpp"
+#include "routing/hit_probability.hpp"
+#include "routing/ingress_link.hpp"
+#include "routing/outlier_detector.hpp"
+#include "routing/purge_ledger.hpp"
+#include "routing/request_costs.hpp"
+#include "routing/retry_policy.hpp"
+#include "routing/schedule.hpp"
+#include "routing/server_table.hpp"
+#include "routing/slow_start_budget.hpp"
+#include "routing/source_selector.hpp"
+
+namespace tinspan {
+
+// The units refer to each other, so the state stays where it was made.
+struct RoutingState {
+  explicit RoutingState(const Settings& settings) : context{.settings = settings} {}
+  RoutingState(const RoutingState&) = delete;
+  RoutingState(RoutingState&&) = delete;
+  RoutingState& operator=(const RoutingState&) = delete;
+  RoutingState& operator=(RoutingState&&) = delete;
+  ~RoutingState() = default;
+
+  Context context;
+  ServerTable servers{context};
+  HitStatistics hits;
+  PurgeLedger purges{context};
+  RequestCosts costs{context};
+  OutlierDetector outliers{context, servers};
+  SlowStartBudget slow_start{context, servers, costs};
+  CapacityEstimator capacity{context, servers, costs};
+  IngressLink ingress{context, capacity};
+  SourceSelector sources{context, servers, outliers, slow_start, purges, hits};
+  AttemptRules rules{context, servers};
+  RetryBudget retries;
+  RunningMean late_attempts;  // share of own attempts lately that were in flight past their objective
+  Schedule schedule{context};
+};
+
+}  // namespace tinspan
--- /dev/null
+++ b/src/routing/server_table.cpp
@@ -0,0 +1,116 @@
+#include "routing/server_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace tinspan {
+namespace {
+
+constexpr std::size_t kMinSlotsToReuse = 256;  // smaller tables remember departed servers
+constexpr double kNoFills = 1e-9;              // sums of chances seldom come back to 0 exactly
+
+}  // namespace
+
+void ServerTable::Apply(const EndpointsEvent& event) {
+  if (event.kind != EndpointsEvent::Kind::kDelta) {
+    for (Server& server : servers_) server.endpoint.availability = Availability::kRemoved;
+  }
+  for (const EndpointInfo& endpoint : event.endpoints) Update(endpoint);
+  FreeDepartedSlots();
+  RebuildLists();
+}
+
+void ServerTable::Update(const EndpointInfo& endpoint) {
+  Server& server = servers_[SlotOf(ToNumber(endpoint.id))];
+  if (server.is_known && server.endpoint.started_at != endpoint.started_at) {
+    // A restarted server is empty, cold and blameless; own requests there and its size stay what they were.
+    const Server before = std::exchange(server, Server{});
+    server.load.in_flight = before.load.in_flight;
+    server.load.expected_fills = before.load.expected_fills;
+    server.load.capacity = before.load.capacity;
+  }
+  server.is_known = true;
+  server.endpoint = endpoint;
+  server.role = RoleOf(endpoint);
+  const bool is_shared = server.role == Role::kParent || server.role == Role::kOrigin;
+  server.load.senders = is_shared ? Senders::kAllZones : Senders::kOwnZone;
+  if (server.role == Role::kCache && !server.counter) server.counter = std::make_unique<EvolutiveCounter>();
+}
+
+ServerIndex ServerTable::SlotOf(std::uint64_t server_id) {
+  const auto known = slots_.find(server_id);
+  if (known != slots_.end()) return known->second;
+  const auto is_free = [](const Server& server) { return !server.is_known; };
+  const auto free = std::find_if(servers_.begin(), servers_.end(), is_free);
+  const auto slot = static_cast<ServerIndex>(free - servers_.begin());
+  if (free == servers_.end()) servers_.emplace_back();
+  slots_[server_id] = slot;
+  return slot;
+}
+
+Role ServerTable::RoleOf(const EndpointInfo& endpoint) const {
+  if (endpoint.kind == context_.settings.parent_kind) return Role::kParent;
+  if (endpoint.kind == context_.settings.origin_kind) return Role::kOrigin;
+  return endpoint.zone == context_.settings.zone ? Role::kCache : Role::kRemoteCache;
+}
+
+void ServerTable::FreeDepartedSlots() {
+  if (servers_.size() <= kMinSlotsToReuse) return;
+  for (Server& server : servers_) {
+    if (!server.is_known || server.endpoint.availability != Availability::kRemoved) continue;
+    if (server.load.in_flight != 0 || server.load.expected_fills >= kNoFills) continue;
+    slots_.erase(ToNumber(server.endpoint.id));
+    server = Server{};
+  }
+}
+
+void ServerTable::RebuildLists() {
+  for (auto& list : listed_) list.clear();
+  for (ServerIndex index = 0; index < servers_.size(); ++index) {
+    const Server& server = servers_[index];
+    if (IsUsable(server)) listed_[static_cast<std::size_t>(server.role)].push_back(index);
+  }
+}
+
+std::optional<ServerIndex> ServerTable::Origin() const {
+  const std::vector<ServerIndex>& origins = Listed(Role::kOrigin);
+  return origins.empty() ? std::nullopt : std::optional(origins.front());
+}
+
+std::vector<ServerIndex> ServerTable::RendezvousOrder(Role role, ObjectId object) const {
+  std::vector<std::pair<double, ServerIndex>> scored;
+  for (const ServerIndex index : Listed(role)) {
+    const Server& server = servers_[index];
+    const std::uint64_t hash = MixHash(ToNumber(object), ToNumber(server.endpoint.id));
+    const double unit = ToUnitInterval(hash) + 0x1p-54;  // the middle of its step: never 0
+    scored.emplace_back(-std::log(unit) / Weight(server), index);
+  }
+  std::sort(scored.begin(), scored.end());
+  std::vector<ServerIndex> order;
+  order.reserve(scored.size());
+  for (const auto& [score, index] : scored) order.push_back(index);
+  return order;
+}
+
+double ServerTable::AdvertisedCapacity(const Server& server) const {
+  const WeightMeaning meaning = context_.settings.weight_meaning;
+  const bool is_size = meaning == WeightMeaning::kSize || meaning == WeightMeaning::kRough;
+  return is_size ? std::max(0.0, server.endpoint.weight) : 0.0;
+}
+
+double ServerTable::Weight(const Server& server) const {
+  const double capacity = AdvertisedCapacity(server);
+  return capacity > 0 ? capacity : 1.0;
+}
+
+double ServerTable::InstanceCount(Senders senders) const {
+  const Settings& settings = context_.settings;
+  const std::size_t zone = ToNumber(settings.zone);
+  const bool is_told = senders == Senders::kOwnZone && zone < settings.zone_instance_counts.size();
+  const std::uint32_t own_zone = is_told ? settings.zone_instance_counts[zone] : 0;
+  // Settings that list no instance in our own location are wrong, since we are one: then count all.
+  return std::max(1U, own_zone > 0 ? own_zone : settings.instance_count);
+}
+
+}  // namespace tinspan
--- a/src/routing/settings_validation.cpp
+++ b/src/routing/settings_validation.cpp
@@ -4,7 +4,7 @@
 
 namespace tinspan {
 
-void CheckSettings(const Settings& settings) {
+void ValidateSettings(const Settings& settings) {
   const auto need = [](bool good, const char* what) {
     if (!good) throw std::invalid_argument(what);
   };
--- a/src/routing/settings_validation.hpp
+++ b/src/routing/settings_validation.hpp
@@ -6,6 +6,6 @@
 namespace tinspan {
 
 // Throws std::invalid_argument naming what makes no sense.
-void CheckSettings(const Settings& settings);
+void ValidateSettings(const Settings& settings);
 
 }  // namespace tinspan
--- /dev/null
+++ b/src/routing/slow_start_budget.cpp
@@ -0,0 +1,83 @@
+#include "routing/slow_start_budget.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "routing/time_units.hpp"
+
+namespace tinspan {
+namespace {
+
+constexpr double kOverloadShare = 0.5;       // of what would overload the server, what all instances send
+constexpr double kBurstShare = 0.25;         // of one overload window's budget, what may be saved up
+constexpr double kRoughCapacityShare = 0.7;  // of a roughly told capacity, what is counted on
+constexpr double kMinWarmUpTime = 1e-3;      // seconds, as a divisor
+constexpr double kGoldenRatio = 0.6180339887498949;  // its multiples spread evenly over the unit interval
+
+}  // namespace
+
+SlowStartBudget::Limits SlowStartBudget::LimitsOf(const Server& server) const {
+  const Settings& settings = context_.settings;
+  if (server.role == Role::kParent) {
+    return {settings.parent_initial_capacity_share, settings.parent_warm_up_time,
+            settings.parent_overload_multiple};
+  }
+  return {settings.initial_capacity_share, settings.warm_up_time, settings.overload_multiple};
+}
+
+// The part of its capacity that a server has by now.
+double SlowStartBudget::CapacityShare(const Server& server) const {
+  if (server.role == Role::kOrigin || server.endpoint.started_at <= Micros{0}) return 1;
+  const auto [initial, warm_up_time, _] = LimitsOf(server);
+  const double uptime = ToSeconds(context_.now - server.endpoint.started_at);
+  return std::min(1.0, initial + (1 - initial) * uptime / std::max(ToSeconds(warm_up_time), kMinWarmUpTime));
+}
+
+// This instance's part of a warm server's capacity, in sending time a second. Where sizes are not told, what
+// warm servers of the role get from us; that is low, since they are not full.
+double SlowStartBudget::OwnPartOfCapacity(const Server& server) const {
+  const double advertised = servers_.AdvertisedCapacity(server);
+  if (advertised <= 0) return warm_work_rates_[static_cast<std::size_t>(server.role)].Value();
+  const bool is_rough = context_.settings.weight_meaning == WeightMeaning::kRough;
+  const Senders senders = server.role == Role::kCache ? Senders::kOwnZone : Senders::kAllZones;
+  return (is_rough ? kRoughCapacityShare : 1.0) * advertised / servers_.InstanceCount(senders);
+}
+
+void SlowStartBudget::UpdateWarmWorkRate(Role role) {
+  double rate = 0;
+  int warm_servers = 0;
+  for (const ServerIndex index : servers_.Listed(role)) {
+    const Server& server = servers_[index];
+    if (IsWarmingUp(server) || server.health.is_ejected) continue;
+    rate += server.work.Rate(context_.now, context_.settings);
+    ++warm_servers;
+  }
+  if (warm_servers > 0) warm_work_rates_[static_cast<std::size_t>(role)].Add(rate / warm_servers);
+}
+
+// Many instances hear of a start at once. Each begins in debt by its own place among them, up to one request,
+// so that their first requests come as evenly as their budgets allow, summed over all. What was not sent
+// before this instance started is not made up for: all that start late would do so at once.
+void SlowStartBudget::OpenBudget(Server& server) const {
+  const Micros opened_at = std::max(server.endpoint.started_at, context_.started_at);
+  if (server.slow_start.updated_at >= opened_at) return;
+  const double own_place = kGoldenRatio * (context_.settings.instance_index + 1.0);
+  const double place = own_place + ToUnitInterval(MixHash(ToNumber(server.endpoint.id), 0));
+  server.slow_start.budget = -(place - std::floor(place)) * costs_.MaxMeanTransferTime();
+  server.slow_start.updated_at = opened_at;
+}
+
+bool SlowStartBudget::HasBudget(Server& server) {
+  if (!IsWarmingUp(server)) return true;
+  OpenBudget(server);
+  SlowStart& slow_start = server.slow_start;
+  const double overload_share = std::min(1.0, kOverloadShare * LimitsOf(server).overload_multiple);
+  const double rate = overload_share * CapacityShare(server) * OwnPartOfCapacity(server);
+  const double burst = kBurstShare * rate * ToSeconds(context_.settings.overload_window);
+  slow_start.budget += rate * ToSeconds(context_.now - slow_start.updated_at);
+  slow_start.budget = std::min(slow_start.budget, burst);
+  slow_start.updated_at = context_.now;
+  return slow_start.budget > 0;
+}
+
+}  // namespace tinspan
--- /dev/null
+++ b/src/routing/slow_start_budget.hpp
@@ -0,0 +1,49 @@
+// What may be sent to a server that is warming up after its start.
+#pragma once
+
+#include <array>
+
+#include "routing/context.hpp"
+#include "routing/request_costs.hpp"
+#include "routing/server_table.hpp"
+
+namespace tinspan {
+
+// Holds this instance's part of what all instances send to a server that is warming up under what would
+// overload it: a token bucket of sending time for each such server, in Server::slow_start.
+class SlowStartBudget {
+ public:
+  SlowStartBudget(const Context& context, ServerTable& servers, const RequestCosts& costs)
+      : context_(context), servers_(servers), costs_(costs) {}
+
+  bool IsWarmingUp(const Server& server) const { return CapacityShare(server) < 1; }
+
+  // Whether a request may be sent: always to a warm server. Refills the budget up to now.
+  bool HasBudget(Server& server);
+
+  // Takes a request's sending time, in seconds, off the budget, or gives it back.
+  static void Charge(Server& server, double seconds) { server.slow_start.budget -= seconds; }
+  static void Refund(Server& server, double seconds) { server.slow_start.budget += seconds; }
+
+  // Learns from the warm servers of a role what one of them gets from this instance.
+  void UpdateWarmWorkRate(Role role);
+
+ private:
+  struct Limits {
+    double initial_capacity_share;
+    Micros warm_up_time;
+    double overload_multiple;
+  };
+
+  Limits LimitsOf(const Server& server) const;
+  double CapacityShare(const Server& server) const;
+  double OwnPartOfCapacity(const Server& server) const;
+  void OpenBudget(Server& server) const;
+
+  const Context& context_;
+  ServerTable& servers_;
+  const RequestCosts& costs_;
+  std::array<RunningMean, kRoleCount> warm_work_rates_;  // by role; seconds of sending time a second
+};
+
+}  // namespace tinspan
