--- a/src/routing/averages.hpp
+++ b/src/routing/averages.hpp
@@ -8,13 +8,14 @@
 // An exponentially weighted moving average; each new value has the same weight.
 class RunningMean {
  public:
-  explicit RunningMean(double initial = 0) : value_(initial) {}
+  RunningMean() = default;
+  explicit RunningMean(double initial) : value_(initial) {}
 
   double Value() const { return value_; }
   void Add(double value);
 
  private:
-  double value_;
+  double value_ = 0;
 };
 
 // Seconds of sending time that fade exponentially with their age.
--- a/src/routing/capacity_estimator.cpp
+++ b/src/routing/capacity_estimator.cpp
@@ -33,10 +33,10 @@
       servers_.Listed(Role::kCache).size() + servers_.Listed(Role::kRemoteCache).size();
   for (Server& server : servers_.All()) {
     if (!IsUsable(server) || server.load.capacity > 0) continue;
-    server.load.capacity =
-        server.role == Role::kCache
-            ? InitialCapacity(1.0, Senders::kOwnZone)
-            : InitialFillCapacity(caches, servers_.Listed(server.role).size(), Senders::kAllZones);
+    const std::size_t peers = servers_.Listed(server.role).size();
+    server.load.capacity = server.role == Role::kCache
+                               ? InitialCapacity(1, Senders::kOwnZone)
+                               : InitialFillCapacity(caches, peers, Senders::kAllZones);
   }
 }
 
@@ -46,8 +46,6 @@
   return InitialCapacity(fills / static_cast<double>(source_count), senders);
 }
 
-// This instance's part, with a margin, since the peaks of many instances seldom meet; one request of any kind
-// at least.
 double CapacityEstimator::InitialCapacity(double cache_count, Senders senders) const {
   const double part = kInitialCacheCapacity * cache_count / servers_.InstanceCount(senders);
   return std::max(1 / kMinCapacityShare, part + kChanceMargin * std::sqrt(part));
@@ -74,7 +72,6 @@
   return capacity >= 1 || AdmissionDraw(request, salt) < capacity;
 }
 
-// The part of a capacity that is open to a request: what earns little is rejected first.
 double CapacityEstimator::CapacityShare(const Request& request) const {
   const double share =
       kMinCapacityShare + (1 - kMinCapacityShare) * costs_.ValueDensity(request) / costs_.MeanValueDensity();
--- a/src/routing/capacity_estimator.hpp
+++ b/src/routing/capacity_estimator.hpp
@@ -45,7 +45,11 @@
   }
 
  private:
+  // This instance's part of as much as some caches bear, with a margin, since the peaks of many instances
+  // seldom meet; one request of any kind at least.
   double InitialCapacity(double cache_count, Senders senders) const;
+
+  // The part of a capacity that is open to a request: what earns little is rejected first.
   double CapacityShare(const Request& request) const;
 
   const Context& context_;
--- a/src/routing/engine.hpp
+++ b/src/routing/engine.hpp
@@ -17,9 +17,7 @@
 class Router::Engine {
  public:
   // Throws std::invalid_argument on settings that make no sense; so does Retune.
-  explicit Engine(const Settings& settings);
-
-  void Start(Micros now, Actions& out);
+  Engine(const Settings& settings, Micros now, Actions& out);
   void Retune(const Settings& settings);
 
   // To be called before each event: moves the clock, which never steps back, and sets where actions go.
@@ -34,22 +32,45 @@
   void Handle(const PurgeEvent& event);
 
  private:
+  // Departure from the design, in classes with parts only: the cache is hashed by object and part, so that a
+  // client's train of parts does not clump at one cache. The parent stays hashed by the object.
   Request& Open(const RequestEvent& event);
+
+  // Null where no such request is open.
   Request* Find(RequestId request_id);
+
+  // Forgets a request that has ended and has nothing in flight.
   void RemoveIfEnded(RequestId request_id);
 
+  // No other attempt can help: the origin failed, two servers gave an error, or the parent lacks the copy and
+  // may not ask the origin.
+  static bool IsHopeless(const Request& request, const Attempt& attempt, const OutcomeEvent& event);
+
   void Execute(const Task& task);
+
+  // Outcomes always come; should the caller lose one, the request is not kept for ever.
   void OnDeadline(Request& request);
   void RemoveUnfinished(const Request& request);
+
+  // An attempt is looked at once its latency objective is past (sooner accuses servers wrongly), then after
+  // each further objective.
   void CheckAttempt(Request& request, std::size_t index);
+
+  // Only where its server or source looks dead. Where many attempts are late, what all wait for is slow (a
+  // flush, congestion): moved, an attempt would only be asked for once more; its server must be ejected
+  // first.
   bool ShouldMove(const Request& request, const Attempt& attempt, bool was_silent) const;
 
   void Retry(Request& request);
+
+  // The final answer of a request that will not be served: at once, and a rejection where a retry is
+  // harmless.
   void Abandon(Request& request);
   void Cancel(Request& request, std::size_t index);
   void CancelAll(Request& request);
 
   RoutingState state_;
+  Context& context_ = state_.context;
   Dispatcher dispatcher_{state_};
   OutcomeRecorder recorder_{state_};
   std::unordered_map<std::uint64_t, Request> requests_;  // by request id; looked up only, never walked
--- a/src/routing/evolutive_counter.cpp
+++ b/src/routing/evolutive_counter.cpp
@@ -6,16 +6,12 @@
 #include "routing/hash.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr int kFilters = 4;                         // k: the design's value
 constexpr Micros kSlideInterval{2'000'000};         // tau: the design's value
 constexpr std::size_t kPlacesPerFilter = 1U << 12;  // many times what one cache gets in tau
 constexpr int kHashFunctions = 3;                   // false positives of some in a thousand
 constexpr auto kMaxCount = std::numeric_limits<std::uint8_t>::max();
 
-}  // namespace
-
 EvolutiveCounter::EvolutiveCounter() : filters_(kFilters, std::vector<std::uint8_t>(kPlacesPerFilter)) {}
 
 std::size_t EvolutiveCounter::Place(std::uint64_t key, int hash_number) {
--- a/src/routing/hit_probability.cpp
+++ b/src/routing/hit_probability.cpp
@@ -3,15 +3,11 @@
 #include <algorithm>
 
 namespace tinspan {
-namespace {
-
 constexpr int kSummaryValues = 64;    // summary values told apart
 constexpr double kInitialHits = 0.5;  // before any answer: one half, which one answer moves by much
 constexpr double kInitialLookups = 1;
 constexpr double kMaxLookups = 64;  // beyond it both counts are halved, to follow change
 
-}  // namespace
-
 HitProbability::HitProbability() : hits_(kInitialHits), lookups_(kInitialLookups) {}
 
 void HitProbability::Record(bool is_hit) {
--- a/src/routing/ingress_link.cpp
+++ b/src/routing/ingress_link.cpp
@@ -1,8 +1,6 @@
 #include "routing/ingress_link.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr double kCongestionThreshold = 0.05;  // share of late fills
 constexpr double kAbandonedFillWeight =
     0.6;                                    // of a fill left during congestion, what is counted as running on
@@ -14,8 +12,6 @@
 constexpr double kMaxUtilization = 1000;      // no link holds so many times what fits
 constexpr std::uint64_t kDrawSalt = 0;        // no server has this id
 
-}  // namespace
-
 void IngressLink::InitializeCapacity(std::size_t cache_count) {
   if (load_.capacity != 0 || cache_count == 0) return;
   load_.capacity = capacity_.InitialFillCapacity(cache_count, 1, Senders::kOwnZone);
@@ -33,14 +29,13 @@
 
 bool IngressLink::HasRecentReport() const { return context_.now - reported_at_ < kReportLifetime; }
 
-void IngressLink::RecordUtilization(double utilization) {
-  if (!(utilization >= 0 && utilization <= kMaxUtilization)) return;  // NaN is ignored too
+void IngressLink::RecordReport(const LoadReport& report) {
+  const double utilization = report.link_utilization.value_or(-1);
+  if (!(utilization >= 0 && utilization <= kMaxUtilization)) return;
   utilization_ += (HasRecentReport() ? kReportWeight : 1) * (utilization - utilization_);
   reported_at_ = context_.now;
 }
 
-// Abandoned fills never close the link: where clients withdraw by the hundred, only new fills tell that it is
-// free again.
 void IngressLink::RecordAbandonedFill(double fill_probability) {
   const double abandoned = abandoned_fills_.Value(context_.now, context_.settings);
   if (!IsCongested() || abandoned >= kMaxAbandonedShare * load_.capacity) return;
--- a/src/routing/ingress_link.hpp
+++ b/src/routing/ingress_link.hpp
@@ -25,14 +25,16 @@
   void Reserve(double fill_probability) { load_.expected_fills += fill_probability; }
   void Release(double fill_probability) { load_.expected_fills -= fill_probability; }
 
-  // A cache's report: 1 is a full link. Values that no link can have are ignored.
-  void RecordUtilization(double utilization);
+  // Takes in a cache's report, if it tells the utilization: 1 is a full link. Values that no link can have,
+  // NaN too, are ignored.
+  void RecordReport(const LoadReport& report);
 
   void RecordFill(bool is_late) { capacity_.RecordResponse(load_, is_late, ResponseKind::kFill); }
   void RecordRejection() { capacity_.RecordRejection(load_); }
   void RecordTimeout() { capacity_.Reduce(load_, ResponseKind::kFill); }
 
-  // A fill was left by its request and may run on: during congestion it counts for a while.
+  // A fill was left by its request and may run on: during congestion it counts for a while. Such fills alone
+  // never close the link: where clients withdraw by the hundred, only new fills tell that it is free again.
   void RecordAbandonedFill(double fill_probability);
 
   // Fills come late: what is late then is so by congestion, not by answers lost on the way.
--- a/src/routing/outcome_recorder.hpp
+++ b/src/routing/outcome_recorder.hpp
@@ -13,12 +13,15 @@
 // parent.
 class OutcomeRecorder {
  public:
-  explicit OutcomeRecorder(RoutingState& state) : state_(state) {}
+  explicit OutcomeRecorder(RoutingState& state)
+      : state_(state), context_(state.context), servers_(state.servers) {}
 
   // Learns from an outcome of an attempt that has been released.
   void Record(Request& request, const Attempt& attempt, const OutcomeEvent& event);
 
-  // Learns from an attempt that is in flight past its latency objective; once for each attempt.
+  // Learns from an attempt that is in flight past its latency objective; once for each attempt. It speaks
+  // against a source only by the probability that it was asked at all: one instance of many hears of a
+  // source seldom, so its silence alone says little.
   void RecordOverdue(Attempt& attempt);
 
   // The server has given no sign of life since the attempt was sent.
@@ -31,15 +34,32 @@
  private:
   void RecordServed(const Request& request, const Attempt& attempt, const OutcomeEvent& event);
   void RecordFill(const Request& request, const Attempt& attempt, const OutcomeEvent& event);
+
+  // What a fill says of the origin behind a parent. True: the origin filled it. Where outcomes do not tell
+  // the way, a fill that was free to go by the origin speaks for it by the probability that it did: else an
+  // ejected origin would never be readmitted.
   bool RecordFillOrigin(const Attempt& attempt, FillNote note);
+
+  // Where sizes are not told, a large object looks slow: the wait for its first byte must be long too.
+  bool IsLateFill(const Request& request, const OutcomeEvent& event) const;
+
+  // A source that rejects is alive and full, not faulty.
   void RecordFailedFill(const Attempt& attempt, FillNote note);
   void RecordFailedAttempt(const Request& request, const Attempt& attempt, const OutcomeEvent& event);
+  void RecordRejection(const Attempt& attempt, FillNote note);
+
+  // Cut off late: the slowest of all, which no answer would ever tell of. It speaks of congestion only where
+  // fills come late as well; else its answer was lost on the way.
   void RecordTimeout(const Attempt& attempt);
+  void RecordMiss(const Attempt& attempt);
   void RecordSiblingFill(Request& request, const Attempt& attempt, const OutcomeEvent& event);
-  bool IsLateFill(const Request& request, const OutcomeEvent& event) const;
+
+  // The time an answer took, over the request's latency objective.
   double LatencyRatio(const Request& request, const OutcomeEvent& event) const;
 
   RoutingState& state_;
+  Context& context_;
+  ServerTable& servers_;
 };
 
 }  // namespace tinspan
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -4,8 +4,6 @@
 #include <utility>
 
 namespace tinspan {
-namespace {
-
 constexpr double kOrdinaryWeight = 0.25;         // of an answer or an error in the failure rate
 constexpr double kUnreachableWeight = 0.5;       // of evidence that only a dead or silent server gives
 constexpr double kEjectThreshold = 0.5;          // failure rate, on top of the peers' mean
@@ -14,8 +12,6 @@
 constexpr int kMaxProbeBackoff = 8;              // in connect timeouts
 constexpr double kInstancesPerBackoffStep = 16;  // the more probe a server, the longer each waits
 
-}  // namespace
-
 void OutlierDetector::RecordSuccess(ServerIndex index, double probability) {
   Record(index, false, kOrdinaryWeight * probability);
 }
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -17,17 +17,17 @@
   Micros sent_at{0};
   bool is_in_flight = true;
   bool is_cancelled = false;
-  bool was_reset = false;              // its answer broke off; the work may be done
-  bool was_overdue = false;            // it was in flight past its latency objective
-  bool has_error = false;              // answered `error`: its server's fault or the request's
-  int own_summary = 0;                 // the cache's own summary of the copy
-  int sibling_summary = 0;             // above 0: the source is a sibling with this summary
-  double fill_probability = 0;         // that it asks its source
-  double ingress_probability = 0;      // that it uses the location's ingress link
-  std::optional<ServerIndex> origin;   // the origin behind a parent that is the source
-  double origin_probability = 0;       // that the parent asks the origin
-  bool is_parent_cached_only = false;  // the parent gives only what it has cached, to protect the origin
-  double source_charge = 0;            // taken off the source's slow-start budget, seconds
+  bool was_reset = false;               // its answer broke off; the work may be done
+  bool was_overdue = false;             // it was in flight past its latency objective
+  bool has_error = false;               // answered `error`: its server's fault or the request's
+  int own_summary = 0;                  // the cache's own summary of the copy
+  int sibling_summary = 0;              // above 0: the source is a sibling with this summary
+  double fill_probability = 0;          // that it asks its source
+  double ingress_probability = 0;       // that it uses the location's ingress link
+  std::optional<ServerIndex> origin{};  // the origin behind a parent that is the source
+  double origin_probability = 0;        // that the parent asks the origin
+  bool is_parent_cached_only = false;   // the parent gives only what it has cached, to protect the origin
+  double source_charge = 0;             // taken off the source's slow-start budget, seconds
 
   bool HasSource() const { return source != server; }
 };
--- a/src/routing/request_costs.cpp
+++ b/src/routing/request_costs.cpp
@@ -5,15 +5,11 @@
 #include "routing/time_units.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr double kMinTransferTime = 1e-3;  // seconds, as a divisor
 constexpr double kMinValueDensity = 1e-9;  // as a divisor
 constexpr double kInitialPriorityWeight = 1;
 constexpr double kInitialTransferTime = 1;  // seconds
 
-}  // namespace
-
 RequestCosts::RequestCosts(const Context& context)
     : context_(context), priority_weight_(kInitialPriorityWeight), transfer_time_(kInitialTransferTime) {
   OnSettingsChanged();
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -3,13 +3,9 @@
 #include <algorithm>
 
 namespace tinspan {
-namespace {
-
 constexpr double kTokensPerRequest = 0.3;
 constexpr double kMaxTokens = 20;
 
-}  // namespace
-
 RetryBudget::RetryBudget() : tokens_(kMaxTokens) {}
 
 void RetryBudget::OnRequest() { tokens_ = std::min(tokens_ + kTokensPerRequest, kMaxTokens); }
@@ -22,7 +18,6 @@
   return EffectAllows(request, server);
 }
 
-// Where the next attempt may go, given what may have been executed already.
 bool AttemptRules::EffectAllows(const Request& request, ServerIndex server) const {
   const ClassSettings& traffic_class = context_.ClassOf(request.event);
   if (traffic_class.effect == Effect::kIdempotent) return true;
--- a/src/routing/retry_policy.hpp
+++ b/src/routing/retry_policy.hpp
@@ -36,6 +36,7 @@
   static bool IsRequestAtFault(const Request& request);
 
  private:
+  // Where the next attempt may go, given what may have been executed already.
   bool EffectAllows(const Request& request, ServerIndex server) const;
 
   const Context& context_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -7,9 +7,7 @@
 
 // The seed is not needed: no decision is drawn at random.
 Router::Router(const Settings& settings, std::uint64_t, Micros now, Actions& out)
-    : engine_(std::make_unique<Engine>(settings)) {
-  engine_->Start(now, out);
-}
+    : engine_(std::make_unique<Engine>(settings, now, out)) {}
 
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
--- a/src/routing/server.hpp
+++ b/src/routing/server.hpp
@@ -24,7 +24,7 @@
   int in_flight = 0;                    // own attempts sent there
   double expected_fills = 0;            // fills that own attempts will ask of it, as expected
   double capacity = 0;                  // own requests (fills, at a source) borne at once; 0: not set yet
-  RunningMean late_rate;                // share of its answers that came late
+  RunningMean late_rate{};              // share of its answers that came late
 };
 
 // Whether a server answers (OutlierDetector).
--- a/src/routing/server_table.cpp
+++ b/src/routing/server_table.cpp
@@ -5,30 +5,28 @@
 #include <utility>
 
 namespace tinspan {
-namespace {
-
 constexpr std::size_t kMinSlotsToReuse = 256;  // smaller tables remember departed servers
-constexpr double kNoFills = 1e-9;              // sums of chances seldom come back to 0 exactly
-
-}  // namespace
+constexpr double kNoFills = 1e-9;              // sums of probabilities seldom come back to 0 exactly
 
 void ServerTable::Apply(const EndpointsEvent& event) {
   if (event.kind != EndpointsEvent::Kind::kDelta) {
     for (Server& server : servers_) server.endpoint.availability = Availability::kRemoved;
   }
   for (const EndpointInfo& endpoint : event.endpoints) Update(endpoint);
-  FreeDepartedSlots();
-  RebuildLists();
+  if (servers_.size() > kMinSlotsToReuse) servers_.EraseIf(HasDeparted);
+  for (auto& list : listed_) list.clear();
+  for (ServerIndex index = 0; index < servers_.size(); ++index) {
+    const Server& server = servers_[index];
+    if (IsUsable(server)) listed_[static_cast<std::size_t>(server.role)].push_back(index);
+  }
 }
 
 void ServerTable::Update(const EndpointInfo& endpoint) {
-  Server& server = servers_[SlotOf(ToNumber(endpoint.id))];
+  Server& server = servers_[servers_.FindOrAdd(ToNumber(endpoint.id))];
   if (server.is_known && server.endpoint.started_at != endpoint.started_at) {
-    // A restarted server is empty, cold and blameless; own requests there and its size stay what they were.
-    const Server before = std::exchange(server, Server{});
-    server.load.in_flight = before.load.in_flight;
-    server.load.expected_fills = before.load.expected_fills;
-    server.load.capacity = before.load.capacity;
+    const Load load = std::exchange(server, Server{}).load;
+    server.load = {
+        .in_flight = load.in_flight, .expected_fills = load.expected_fills, .capacity = load.capacity};
   }
   server.is_known = true;
   server.endpoint = endpoint;
@@ -38,15 +36,9 @@
   if (server.role == Role::kCache && !server.counter) server.counter = std::make_unique<EvolutiveCounter>();
 }
 
-ServerIndex ServerTable::SlotOf(std::uint64_t server_id) {
-  const auto known = slots_.find(server_id);
-  if (known != slots_.end()) return known->second;
-  const auto is_free = [](const Server& server) { return !server.is_known; };
-  const auto free = std::find_if(servers_.begin(), servers_.end(), is_free);
-  const auto slot = static_cast<ServerIndex>(free - servers_.begin());
-  if (free == servers_.end()) servers_.emplace_back();
-  slots_[server_id] = slot;
-  return slot;
+bool ServerTable::HasDeparted(const Server& server) {
+  return server.endpoint.availability == Availability::kRemoved && server.load.in_flight == 0 &&
+         server.load.expected_fills < kNoFills;
 }
 
 Role ServerTable::RoleOf(const EndpointInfo& endpoint) const {
@@ -55,24 +47,6 @@
   return endpoint.zone == context_.settings.zone ? Role::kCache : Role::kRemoteCache;
 }
 
-void ServerTable::FreeDepartedSlots() {
-  if (servers_.size() <= kMinSlotsToReuse) return;
-  for (Server& server : servers_) {
-    if (!server.is_known || server.endpoint.availability != Availability::kRemoved) continue;
-    if (server.load.in_flight != 0 || server.load.expected_fills >= kNoFills) continue;
-    slots_.erase(ToNumber(server.endpoint.id));
-    server = Server{};
-  }
-}
-
-void ServerTable::RebuildLists() {
-  for (auto& list : listed_) list.clear();
-  for (ServerIndex index = 0; index < servers_.size(); ++index) {
-    const Server& server = servers_[index];
-    if (IsUsable(server)) listed_[static_cast<std::size_t>(server.role)].push_back(index);
-  }
-}
-
 std::optional<ServerIndex> ServerTable::Origin() const {
   const std::vector<ServerIndex>& origins = Listed(Role::kOrigin);
   return origins.empty() ? std::nullopt : std::optional(origins.front());
--- a/src/routing/server_table.hpp
+++ b/src/routing/server_table.hpp
@@ -2,13 +2,12 @@
 #pragma once
 
 #include <array>
-#include <cstdint>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "routing/context.hpp"
 #include "routing/server.hpp"
+#include "routing/slot_map.hpp"
 
 namespace tinspan {
 
@@ -21,9 +20,10 @@
   // Takes in a change of the endpoint list or a whole list.
   void Apply(const EndpointsEvent& event);
 
+  // By index, free slots included.
   Server& operator[](ServerIndex index) { return servers_[index]; }
   const Server& operator[](ServerIndex index) const { return servers_[index]; }
-  std::vector<Server>& All() { return servers_; }
+  SlotMap<Server>& All() { return servers_; }
 
   // Usable servers of a role, by slot. Made anew when endpoints change, so that a request's cost follows
   // its location's size and not the fleet's.
@@ -46,15 +46,13 @@
   double InstanceCount(Senders senders) const;
 
  private:
+  // A restarted server is empty, cold and blameless; own requests there and its size stay what they were.
   void Update(const EndpointInfo& endpoint);
-  ServerIndex SlotOf(std::uint64_t server_id);
   Role RoleOf(const EndpointInfo& endpoint) const;
-  void FreeDepartedSlots();
-  void RebuildLists();
+  static bool HasDeparted(const Server& server);
 
   const Context& context_;
-  std::vector<Server> servers_;
-  std::unordered_map<std::uint64_t, ServerIndex> slots_;  // by server id; looked up only, never walked
+  SlotMap<Server> servers_;
   std::array<std::vector<ServerIndex>, kRoleCount> listed_;
 };
 
--- a/src/routing/settings_validation.cpp
+++ b/src/routing/settings_validation.cpp
@@ -4,7 +4,7 @@
 
 namespace tinspan {
 
-void ValidateSettings(const Settings& settings) {
+const Settings& ValidateSettings(const Settings& settings) {
   const auto need = [](bool good, const char* what) {
     if (!good) throw std::invalid_argument(what);
   };
@@ -22,6 +22,7 @@
              one.idempotency_window >= Micros{0},
          "settings: a class with a negative time");
   }
+  return settings;
 }
 
 }  // namespace tinspan
--- a/src/routing/settings_validation.hpp
+++ b/src/routing/settings_validation.hpp
@@ -5,7 +5,7 @@
 
 namespace tinspan {
 
-// Throws std::invalid_argument naming what makes no sense.
-void ValidateSettings(const Settings& settings);
+// Gives its argument back, or throws std::invalid_argument naming what makes no sense.
+const Settings& ValidateSettings(const Settings& settings);
 
 }  // namespace tinspan
--- a/src/routing/slow_start_budget.cpp
+++ b/src/routing/slow_start_budget.cpp
@@ -6,16 +6,12 @@
 #include "routing/time_units.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr double kOverloadShare = 0.5;       // of what would overload the server, what all instances send
 constexpr double kBurstShare = 0.25;         // of one overload window's budget, what may be saved up
 constexpr double kRoughCapacityShare = 0.7;  // of a roughly told capacity, what is counted on
 constexpr double kMinWarmUpTime = 1e-3;      // seconds, as a divisor
 constexpr double kGoldenRatio = 0.6180339887498949;  // its multiples spread evenly over the unit interval
 
-}  // namespace
-
 SlowStartBudget::Limits SlowStartBudget::LimitsOf(const Server& server) const {
   const Settings& settings = context_.settings;
   if (server.role == Role::kParent) {
@@ -25,7 +21,6 @@
   return {settings.initial_capacity_share, settings.warm_up_time, settings.overload_multiple};
 }
 
-// The part of its capacity that a server has by now.
 double SlowStartBudget::CapacityShare(const Server& server) const {
   if (server.role == Role::kOrigin || server.endpoint.started_at <= Micros{0}) return 1;
   const auto [initial, warm_up_time, _] = LimitsOf(server);
@@ -33,8 +28,6 @@
   return std::min(1.0, initial + (1 - initial) * uptime / std::max(ToSeconds(warm_up_time), kMinWarmUpTime));
 }
 
-// This instance's part of a warm server's capacity, in sending time a second. Where sizes are not told, what
-// warm servers of the role get from us; that is low, since they are not full.
 double SlowStartBudget::OwnPartOfCapacity(const Server& server) const {
   const double advertised = servers_.AdvertisedCapacity(server);
   if (advertised <= 0) return warm_work_rates_[static_cast<std::size_t>(server.role)].Value();
@@ -55,9 +48,6 @@
   if (warm_servers > 0) warm_work_rates_[static_cast<std::size_t>(role)].Add(rate / warm_servers);
 }
 
-// Many instances hear of a start at once. Each begins in debt by its own place among them, up to one request,
-// so that their first requests come as evenly as their budgets allow, summed over all. What was not sent
-// before this instance started is not made up for: all that start late would do so at once.
 void SlowStartBudget::OpenBudget(Server& server) const {
   const Micros opened_at = std::max(server.endpoint.started_at, context_.started_at);
   if (server.slow_start.updated_at >= opened_at) return;
--- a/src/routing/slow_start_budget.hpp
+++ b/src/routing/slow_start_budget.hpp
@@ -36,8 +36,17 @@
   };
 
   Limits LimitsOf(const Server& server) const;
+
+  // The part of its capacity that a server has by now.
   double CapacityShare(const Server& server) const;
+
+  // This instance's part of a warm server's capacity, in sending time a second. Where sizes are not told,
+  // what warm servers of the role get from us; that is low, since they are not full.
   double OwnPartOfCapacity(const Server& server) const;
+
+  // Many instances hear of a start at once. Each begins in debt by its own place among them, up to one
+  // request, so that their first requests come as evenly as their budgets allow, summed over all. What was
+  // not sent before this instance started is not made up for: all that start late would do so at once.
   void OpenBudget(Server& server) const;
 
   const Context& context_;
--- a/src/routing/source_selector.cpp
+++ b/src/routing/source_selector.cpp
@@ -1,12 +1,8 @@
 #include "routing/source_selector.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr double kEpsilon = 0.2;  // the design's value
 
-}  // namespace
-
 std::uint64_t CopyKey(const RequestEvent& event) { return MixHash(ToNumber(event.object), event.part); }
 
 int SourceSelector::Summary(ServerIndex index, std::uint64_t copy_key) {
