--- a/src/routing/averages.hpp
+++ b/src/routing/averages.hpp
@@ -1,36 +1,42 @@
 // Averages that follow change: of values, and of work over time.
 #pragma once
 
-#include "tinspan/router.hpp"
+#include <cmath>
+
+#include "routing/time_units.hpp"
 
 namespace tinspan {
 
-// An exponentially weighted moving average; each new value has the same weight.
+// An exponentially weighted moving average.
 class RunningMean {
  public:
   RunningMean() = default;
   explicit RunningMean(double initial) : value_(initial) {}
 
   double Value() const { return value_; }
-  void Add(double value);
+
+  // `weight`, from 0 to 1, is the new value's.
+  void Add(double value, double weight) { value_ += weight * (value - value_); }
 
  private:
   double value_ = 0;
 };
 
-// Seconds of sending time that fade exponentially with their age.
-class RecentWork {
+// A sum of amounts that fade exponentially with their age.
+class DecayingSum {
  public:
-  // What is left of the work by now.
-  double Value(Micros now, const Settings& settings) const;
-
-  // The same as work a second.
-  double Rate(Micros now, const Settings& settings) const;
+  // `time_constant` is in seconds: after it 1/e of an amount is left.
+  double Value(Micros now, double time_constant) const {
+    return sum_ * std::exp(-ToSeconds(now - updated_at_) / time_constant);
+  }
 
-  void Add(double seconds, Micros now, const Settings& settings);
+  void Add(double amount, Micros now, double time_constant) {
+    sum_ = Value(now, time_constant) + amount;
+    updated_at_ = now;
+  }
 
  private:
-  double seconds_ = 0;  // as it was at updated_at_
+  double sum_ = 0;  // as it was at updated_at_
   Micros updated_at_{0};
 };
 
--- a/src/routing/context.hpp
+++ b/src/routing/context.hpp
@@ -3,7 +3,6 @@
 
 #include <utility>
 
-#include "routing/hash.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan {
@@ -14,13 +13,9 @@
   Micros started_at{0};        // when this Router started
   Actions* actions = nullptr;  // the current event's, owned by the caller of Router::Handle
 
-  const ClassSettings& ClassOf(const RequestEvent& event) const {
-    return settings.classes[ToNumber(event.class_id)];
-  }
-
   template <class Kind>
   void Emit(Kind action) {
-    actions->push_back(std::move(action));
+    actions->emplace_back(std::in_place_type<Kind>, std::move(action));
   }
 };
 
--- a/src/routing/evolutive_counter.cpp
+++ b/src/routing/copy_statistics.cpp
@@ -1,4 +1,4 @@
-#include "routing/evolutive_counter.hpp"
+#include "routing/copy_statistics.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -6,11 +6,16 @@
 #include "routing/hash.hpp"
 
 namespace tinspan {
+
 constexpr int kFilters = 4;                         // k: the design's value
 constexpr Micros kSlideInterval{2'000'000};         // tau: the design's value
 constexpr std::size_t kPlacesPerFilter = 1U << 12;  // many times what one cache gets in tau
 constexpr int kHashFunctions = 3;                   // false positives of some in a thousand
 constexpr auto kMaxCount = std::numeric_limits<std::uint8_t>::max();
+constexpr int kSummaryValues = 64;    // summary values told apart
+constexpr double kInitialHits = 0.5;  // before any answer: one half, which one answer moves by much
+constexpr double kInitialLookups = 1;
+constexpr double kMaxLookups = 64;  // beyond it both counts are halved, to follow change
 
 EvolutiveCounter::EvolutiveCounter() : filters_(kFilters, std::vector<std::uint8_t>(kPlacesPerFilter)) {}
 
@@ -48,4 +53,18 @@
   return summary;
 }
 
+HitProbability::HitProbability() : hits_(kInitialHits), lookups_(kInitialLookups) {}
+
+void HitProbability::Record(bool is_hit) {
+  const double retained = lookups_ + 1 > kMaxLookups ? 0.5 : 1;
+  hits_ = retained * (hits_ + (is_hit ? 1 : 0));
+  lookups_ = retained * (lookups_ + 1);
+}
+
+HitProbabilityBySummary::HitProbabilityBySummary() : entries_(kSummaryValues) {}
+
+HitProbability& HitProbabilityBySummary::At(int summary) {
+  return entries_[std::min(summary, kSummaryValues - 1)];
+}
+
 }  // namespace tinspan
--- a/src/routing/evolutive_counter.hpp
+++ b/src/routing/copy_statistics.hpp
@@ -1,4 +1,5 @@
-// The evolutive summary counter of the design: how often an object was sent to one cache lately.
+// The design's statistics of copies: evolutive summary counters of what a cache was sent lately, and Pfreq,
+// how likely a copy is found.
 #pragma once
 
 #include <cstdint>
@@ -33,4 +34,34 @@
   std::int64_t epoch_ = 0;  // number of the head's tau since the clock's origin
 };
 
+// The share of lookups that hit, with more weight on recent ones. Starts at one half.
+class HitProbability {
+ public:
+  HitProbability();
+
+  double Value() const { return hits_ / lookups_; }
+  void Record(bool is_hit);
+
+ private:
+  double hits_;
+  double lookups_;
+};
+
+// One probability for each value of an evolutive counter's summary; large values share the last.
+class HitProbabilityBySummary {
+ public:
+  HitProbabilityBySummary();
+
+  HitProbability& At(int summary);
+
+ private:
+  std::vector<HitProbability> entries_;
+};
+
+struct HitStatistics {
+  HitProbabilityBySummary sibling_fills;  // Pfreq: fills that a sibling could serve, by its summary
+  HitProbabilityBySummary cache_hits;     // attempts that needed no fill, by the cache's own summary
+  HitProbability parent_hits;             // fills that a parent held itself
+};
+
 }  // namespace tinspan
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -2,27 +2,16 @@
 
 #include <algorithm>
 
+#include "routing/attempt_load.hpp"
 #include "routing/time_units.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr double kLikelyProbability = 0.5;
 constexpr double kLocalOverloadFactor = 1.5;  // own requests at a cache over its fair part: overloaded
 constexpr double kMinLocalOverload = 4;       // so few own requests are never too many
 constexpr std::uint8_t kFirstRank = 1;        // to cache a copy that was not asked for lately
 constexpr std::uint8_t kRepeatedRank = 2;
 
-// Sent there in vain. The work of an attempt that was reset may be done, and after a sibling's miss the cache
-// may be filled from upstream.
-bool WasTried(const Request& request, ServerIndex index) {
-  return std::ranges::any_of(request.attempts, [&](const Attempt& one) {
-    return one.server == index && one.sibling_summary == 0 && !one.was_reset;
-  });
-}
-
-}  // namespace
-
 bool IsFillLikely(const Attempt& attempt) { return attempt.fill_probability > kLikelyProbability; }
 bool IsIngressLikely(const Attempt& attempt) { return attempt.ingress_probability > kLikelyProbability; }
 
@@ -37,6 +26,12 @@
          SendPastCaches(request) || std::ranges::any_of(caches, send);
 }
 
+bool Dispatcher::WasTried(const Request& request, ServerIndex index) {
+  return std::ranges::any_of(request.attempts, [&](const Attempt& one) {
+    return one.server == index && one.sibling_summary == 0 && !one.was_reset;
+  });
+}
+
 bool Dispatcher::IsPreferred(const Request& request, ServerIndex index) const {
   const Server& server = servers_[index];
   if (server.health.is_ejected && !state_.outliers.IsProbeDue(server)) return false;
@@ -68,7 +63,7 @@
       return IsHealthy(request, index) && TrySend(request, index);
     });
   };
-  const bool is_write = context_.ClassOf(request.event).is_write;
+  const bool is_write = request.traffic_class.is_write;
   if (!is_write && send_to_first(Role::kParent)) return true;
   return (is_write || !has_healthy_cache) && send_to_first(Role::kOrigin);
 }
@@ -80,7 +75,9 @@
   Attempt attempt = PlanAttempt(request, index);
   if (!HasCapacityFor(request, attempt)) return false;
   PlanOriginUse(request, attempt);
-  Reserve(request, attempt);
+  ReserveLoad(state_, attempt);
+  state_.outliers.OnRequestSent(server);
+  if (attempt.HasSource()) state_.outliers.OnRequestSent(servers_[attempt.source]);
   const SendAttempt action = MakeAction(request, attempt);
   if (action.cache_rank > 0 && server.counter) server.counter->Count(CopyKey(request.event));
   request.attempts.push_back(attempt);
@@ -95,6 +92,7 @@
 
 Attempt Dispatcher::PlanAttempt(const Request& request, ServerIndex index) {
   Attempt attempt{.server = index, .source = index, .sent_at = context_.now};
+  attempt.transfer_time = state_.costs.MeanTransferTime(request);
   attempt.own_summary = state_.sources.Summary(index, CopyKey(request.event));
   if (servers_[index].role != Role::kCache) {
     attempt.ingress_probability = 1;  // the answer itself comes in over the link
@@ -102,7 +100,7 @@
   }
   ChooseSource(request, attempt);
   if (!attempt.HasSource()) return attempt;
-  const bool is_write = context_.ClassOf(request.event).is_write;
+  const bool is_write = request.traffic_class.is_write;
   attempt.fill_probability = is_write ? 1 : 1 - state_.hits.cache_hits.At(attempt.own_summary).Value();
   if (servers_[attempt.source].role != Role::kCache) attempt.ingress_probability = attempt.fill_probability;
   return attempt;
@@ -110,9 +108,8 @@
 
 void Dispatcher::ChooseSource(const Request& request, Attempt& attempt) {
   const bool is_home = !request.cache_order.empty() && attempt.server == request.cache_order.front();
-  const bool is_write = context_.ClassOf(request.event).is_write;
   std::optional<SiblingChoice> sibling;
-  if (is_home && !is_write && attempt.own_summary == 0 && !request.has_sibling_failed) {
+  if (is_home && !request.traffic_class.is_write && attempt.own_summary == 0 && !request.has_sibling_failed) {
     sibling = state_.sources.TopSibling(request, attempt.server);
   }
   attempt.sibling_summary = sibling ? sibling->summary : 0;
@@ -120,82 +117,57 @@
 }
 
 bool Dispatcher::HasCapacityFor(const Request& request, const Attempt& attempt) const {
-  if (!state_.capacity.HasCapacity(servers_[attempt.server], request)) return false;
+  if (!state_.capacity.HasCapacity(servers_[attempt.server].load, request)) return false;
   const Server& source = servers_[attempt.source];
-  if (IsFillLikely(attempt) && !state_.capacity.HasCapacity(source, request)) return false;
+  if (IsFillLikely(attempt) && !state_.capacity.HasCapacity(source.load, request)) return false;
   return !IsIngressLikely(attempt) || state_.ingress.CanAccept(request);
 }
 
 void Dispatcher::PlanOriginUse(const Request& request, Attempt& attempt) {
-  const bool is_write = context_.ClassOf(request.event).is_write;
-  if (!is_write && servers_[attempt.source].role == Role::kParent) attempt.origin = servers_.Origin();
+  if (request.traffic_class.is_write || servers_[attempt.source].role != Role::kParent) return;
+  attempt.origin = servers_.Origin();
   if (!attempt.origin) return;
   Server& origin = servers_[*attempt.origin];
-  attempt.is_parent_cached_only = origin.health.is_ejected ? !state_.outliers.IsProbeDue(origin)
-                                                           : !state_.capacity.HasCapacity(origin, request);
+  attempt.is_parent_cached_only = origin.health.is_ejected
+                                      ? !state_.outliers.IsProbeDue(origin)
+                                      : !state_.capacity.HasCapacity(origin.load, request);
   if (attempt.is_parent_cached_only) return;
   attempt.origin_probability = attempt.fill_probability * (1 - state_.hits.parent_hits.Value());
-  origin.load.expected_fills += attempt.origin_probability;
   state_.outliers.OnRequestSent(origin);
 }
 
-void Dispatcher::Reserve(const Request& request, Attempt& attempt) {
-  const double transfer_time = state_.costs.MeanTransferTime(request);
-  Server& server = servers_[attempt.server];
-  Server& source = servers_[attempt.source];
-  SlowStartBudget::Charge(server, transfer_time);
-  state_.outliers.OnRequestSent(server);
-  if (attempt.HasSource()) {
-    attempt.source_charge = transfer_time;
-    SlowStartBudget::Charge(source, transfer_time);
-    state_.outliers.OnRequestSent(source);
-  }
-  ++server.load.in_flight;
-  source.load.expected_fills += attempt.fill_probability;
-  state_.ingress.Reserve(attempt.ingress_probability);
-}
-
-void Dispatcher::Release(const Attempt& attempt) {
-  --servers_[attempt.server].load.in_flight;
-  double& expected_fills = servers_[attempt.source].load.expected_fills;
-  expected_fills = std::max(0.0, expected_fills - attempt.fill_probability);
-  state_.ingress.Release(attempt.ingress_probability);
-  if (attempt.origin) servers_[*attempt.origin].load.expected_fills -= attempt.origin_probability;
-}
-
 SendAttempt Dispatcher::MakeAction(const Request& request, const Attempt& attempt) const {
-  const ClassSettings& traffic_class = context_.ClassOf(request.event);
+  const ClassSettings& own_class = request.traffic_class;
   const Server& server = servers_[attempt.server];
   const Server& source = servers_[attempt.source];
   SendAttempt action{.id = request.event.id, .server = server.endpoint.id, .source = source.endpoint.id};
   action.expires_at = request.deadline;
   action.max_age = MaxAge(request, attempt);
-  if (traffic_class.is_write) return action;
+  if (own_class.is_write) return action;
   if (server.role == Role::kCache) action.cache_rank = attempt.own_summary > 0 ? kRepeatedRank : kFirstRank;
   action.source_cached_only = attempt.is_parent_cached_only;
   if (state_.purges.LatestPurge(request.event)) return action;
   action.join_fill = context_.settings.can_join_fill;  // after a purge: one under way may be older
   // Revalidation behind a hit is a fill that no outcome tells of: none at a source that is warming up.
-  const bool can_expire = traffic_class.freshness_lifetime > Micros{0};
   const bool is_source_open = !attempt.is_parent_cached_only && !state_.slow_start.IsWarmingUp(source);
-  action.revalidate = can_expire && is_source_open;
+  action.revalidate = own_class.freshness_lifetime > Micros{0} && is_source_open;
   return action;
 }
 
 Micros Dispatcher::MaxAge(const Request& request, const Attempt& attempt) const {
-  const ClassSettings& traffic_class = context_.ClassOf(request.event);
+  const ClassSettings& own_class = request.traffic_class;
   const Server& source = servers_[attempt.source];
   const bool is_source_ejected = source.health.is_ejected && source.role != Role::kCache;
   Micros max_age{0};
-  if ((attempt.is_parent_cached_only || is_source_ejected) && traffic_class.stale_grace > Micros{0}) {
-    max_age = traffic_class.freshness_lifetime + traffic_class.stale_grace;
+  if ((attempt.is_parent_cached_only || is_source_ejected) && own_class.stale_grace > Micros{0}) {
+    max_age = own_class.freshness_lifetime + own_class.stale_grace;
   }
   const std::optional<Micros> purged_at = state_.purges.LatestPurge(request.event);
   if (!purged_at) return max_age;
-  const Micros since_purge = context_.now - *purged_at - context_.settings.event_interval;
-  const Micros purge_limit = std::max(since_purge, Micros{1});
-  if (traffic_class.freshness_lifetime <= Micros{0}) return purge_limit;
-  return std::min(purge_limit, max_age > Micros{0} ? max_age : traffic_class.freshness_lifetime);
+  const Micros purge_limit =
+      std::max(context_.now - *purged_at - context_.settings.event_interval, Micros{1});
+  if (own_class.freshness_lifetime <= Micros{0}) return purge_limit;
+  return std::min(purge_limit, max_age > Micros{0} ? max_age : own_class.freshness_lifetime);
 }
 
 void Dispatcher::ScheduleCheck(const Request& request, std::size_t attempt) {
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -10,8 +10,8 @@
 bool IsFillLikely(const Attempt& attempt);
 bool IsIngressLikely(const Attempt& attempt);
 
-// Sends requests: the only place where an attempt is made. What an attempt takes up (load, budgets) is
-// reserved when it is sent and released when it ends.
+// Sends requests: the only place where an attempt is made. What it takes up is in the loads
+// (attempt_load.hpp) until it ends.
 class Dispatcher {
  public:
   explicit Dispatcher(RoutingState& state)
@@ -21,13 +21,14 @@
   // and not overloaded, then the healthy ones, then past the caches, then any. False: nothing was sent.
   bool Dispatch(Request& request);
 
-  // The attempt is not in flight any more.
-  void Release(const Attempt& attempt);
-
   // Sets when an attempt is looked at (again): after one latency objective from now.
   void ScheduleCheck(const Request& request, std::size_t attempt);
 
  private:
+  // Sent there in vain. The work of an attempt that was reset may be done, and after a sibling's miss the
+  // cache may be filled from upstream.
+  static bool WasTried(const Request& request, ServerIndex index);
+
   // Not tried in vain, and not ejected, or due for a health probe, and not overloaded by this instance.
   bool IsPreferred(const Request& request, ServerIndex index) const;
 
@@ -60,7 +61,6 @@
   // failing and overloaded origins alike; does harm if the origin is blamed for what a parent does.
   void PlanOriginUse(const Request& request, Attempt& attempt);
 
-  void Reserve(const Request& request, Attempt& attempt);
   SendAttempt MakeAction(const Request& request, const Attempt& attempt) const;
 
   // The oldest copy that will do; 0: the class's own limit. Stale copies are better than none where the
--- a/src/routing/engine.cpp
+++ b/src/routing/engine.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "routing/attempt_load.hpp"
 #include "routing/settings_validation.hpp"
 #include "routing/time_units.hpp"
 
@@ -11,15 +12,14 @@
 constexpr double kMaxLateAttemptRate = 0.1;  // above it, being late says nothing against a single server
 constexpr int kResubscribeDelay = 8;         // in connect timeouts, after the endpoint watch broke
 
-Router::Engine::Engine(const Settings& settings, Micros now, Actions& out)
-    : state_(ValidateSettings(settings)) {
+Router::Engine::Engine(const Settings& settings, Micros now, Actions& out) : state_(Validated(settings)) {
   BeginEvent(now, out);
   context_.started_at = context_.now;
   if (settings.discovery == Discovery::kPolled) context_.Emit(Subscribe{});
 }
 
 void Router::Engine::Retune(const Settings& settings) {
-  context_.settings = ValidateSettings(settings);
+  context_.settings = Validated(settings);
   state_.costs.OnSettingsChanged();
 }
 
@@ -40,9 +40,12 @@
 }
 
 void Router::Engine::Handle(const RequestEvent& event) {
-  if (Find(event.id) != nullptr) return;  // a caller's mistake
+  if (requests_.Find(event.id) != nullptr) return;  // a caller's mistake
   if (ToNumber(event.class_id) >= context_.settings.classes.size()) return context_.Emit(Fail{event.id});
-  Request& request = Open(event);
+  Request& request = requests_.Add(event);
+  const bool is_later_part = request.traffic_class.has_parts && event.part > 0;
+  const ObjectId hashed_id = is_later_part ? ObjectId{CopyKey(event)} : event.object;
+  request.cache_order = state_.servers.RendezvousOrder(Role::kCache, hashed_id);
   state_.costs.RecordRequest(request);
   state_.retries.OnRequest();
   state_.slow_start.UpdateWarmWorkRate(Role::kCache);
@@ -52,24 +55,13 @@
   RemoveIfEnded(event.id);
 }
 
-Request& Router::Engine::Open(const RequestEvent& event) {
-  Request& request = requests_[ToNumber(event.id)];
-  request.event = event;
-  request.max_attempts = context_.settings.max_attempts;
-  request.deadline = context_.now + std::max(event.time_left, Micros{0}) - context_.settings.event_interval;
-  const bool is_later_part = context_.ClassOf(event).has_parts && event.part > 0;
-  const ObjectId hashed_id = is_later_part ? ObjectId{CopyKey(event)} : event.object;
-  request.cache_order = state_.servers.RendezvousOrder(Role::kCache, hashed_id);
-  return request;
-}
-
 void Router::Engine::Handle(const OutcomeEvent& event) {
-  Request* request = Find(event.id);
+  Request* request = requests_.Find(event.id);
   if (request == nullptr || event.attempt >= request->attempts.size()) return;
   Attempt& attempt = request->attempts[event.attempt];
   if (!std::exchange(attempt.is_in_flight, false)) return;
   attempt.was_reset = event.outcome == Outcome::kReset;
-  dispatcher_.Release(attempt);
+  ReleaseLoad(state_, attempt);
   recorder_.Record(*request, attempt, event);
   attempt.has_error = event.outcome == Outcome::kError && event.note == FillNote::kNone;
   request->was_served = event.outcome == Outcome::kServed;
@@ -88,14 +80,14 @@
 }
 
 void Router::Engine::Handle(const ResponseStartedEvent& event) {
-  if (Request* request = Find(event.id)) request->is_streaming = true;
+  if (Request* request = requests_.Find(event.id)) request->is_streaming = true;
 }
 
 void Router::Engine::Handle(const ClientDisconnectedEvent& event) {
-  Request* request = Find(event.id);
+  Request* request = requests_.Find(event.id);
   if (request == nullptr) return;
   request->is_ended = true;
-  CancelAll(*request);
+  if (context_.settings.can_cancel) requests_.CancelAll(*request);
   RemoveIfEnded(event.id);
 }
 
@@ -109,9 +101,12 @@
 
 void Router::Engine::Execute(const Task& task) {
   if (task.kind == TaskKind::kResubscribe) return context_.Emit(Subscribe{});
-  Request* request = Find(task.request);
+  Request* request = requests_.Find(task.request);
   if (request == nullptr) return;
-  if (task.kind == TaskKind::kRemoveRequest) return RemoveUnfinished(*request);
+  if (task.kind == TaskKind::kRemoveRequest) {
+    ReleaseAllLoad(state_, *request);
+    return requests_.Remove(task.request);
+  }
   if (task.kind == TaskKind::kRequestDeadline) OnDeadline(*request);
   if (task.kind == TaskKind::kCheckAttempt) CheckAttempt(*request, task.attempt);
   RemoveIfEnded(task.request);
@@ -120,33 +115,25 @@
 void Router::Engine::OnDeadline(Request& request) {
   if (request.is_streaming) return;
   Abandon(request);
-  const Micros remove_at = context_.now + context_.ClassOf(request.event).deadline;
+  const Micros remove_at = context_.now + request.traffic_class.deadline;
   state_.schedule.Add(remove_at, {TaskKind::kRemoveRequest, request.event.id});
 }
 
-void Router::Engine::RemoveUnfinished(const Request& request) {
-  for (const Attempt& attempt : request.attempts) {
-    if (attempt.is_in_flight) dispatcher_.Release(attempt);
-  }
-  requests_.erase(ToNumber(request.event.id));
-}
-
 void Router::Engine::CheckAttempt(Request& request, std::size_t index) {
   Attempt& attempt = request.attempts[index];
   if (!attempt.is_in_flight || attempt.is_cancelled || request.is_ended || request.is_streaming) return;
   const bool was_silent = recorder_.IsSilent(attempt);
   recorder_.RecordOverdue(attempt);
   if (!ShouldMove(request, attempt, was_silent)) return dispatcher_.ScheduleCheck(request, index);
-  Cancel(request, index);
+  requests_.Cancel(request, index);
   if (context_.settings.can_hedge) Retry(request);
 }
 
 bool Router::Engine::ShouldMove(const Request& request, const Attempt& attempt, bool was_silent) const {
-  const bool can_repeat = context_.ClassOf(request.event).effect != Effect::kNonIdempotent;
+  const bool can_repeat = request.traffic_class.effect != Effect::kNonIdempotent;
   if (!can_repeat || !context_.settings.can_cancel || !state_.retries.HasToken()) return false;
   if (was_silent && state_.late_attempts.Value() < kMaxLateAttemptRate) return true;
-  const Server& source = state_.servers[attempt.source];
-  return state_.servers[attempt.server].health.is_ejected || source.health.is_ejected;
+  return state_.servers[attempt.server].health.is_ejected || state_.servers[attempt.source].health.is_ejected;
 }
 
 void Router::Engine::Retry(Request& request) {
@@ -165,30 +152,14 @@
   } else {
     context_.Emit(Fail{request.event.id});
   }
-  CancelAll(request);
-}
-
-void Router::Engine::Cancel(Request& request, std::size_t index) {
-  request.attempts[index].is_cancelled = true;
-  context_.Emit(CancelAttempt{request.event.id, static_cast<std::uint32_t>(index)});
-}
-
-void Router::Engine::CancelAll(Request& request) {
-  for (std::size_t i = 0; i < request.attempts.size() && context_.settings.can_cancel; ++i) {
-    if (request.attempts[i].is_in_flight && !request.attempts[i].is_cancelled) Cancel(request, i);
-  }
-}
-
-Request* Router::Engine::Find(RequestId request_id) {
-  const auto found = requests_.find(ToNumber(request_id));
-  return found == requests_.end() ? nullptr : &found->second;
+  if (settings.can_cancel) requests_.CancelAll(request);
 }
 
 void Router::Engine::RemoveIfEnded(RequestId request_id) {
-  const Request* request = Find(request_id);
+  const Request* request = requests_.Find(request_id);
   if (request == nullptr || !request->is_ended || request->InFlightCount() > 0) return;
   recorder_.AttributeErrors(*request);
-  requests_.erase(ToNumber(request_id));
+  requests_.Remove(request_id);
 }
 
 }  // namespace tinspan
--- a/src/routing/engine.hpp
+++ b/src/routing/engine.hpp
@@ -1,10 +1,8 @@
 // The decision module's events: what they do to open requests, and which units decide.
 #pragma once
 
-#include <cstdint>
-#include <unordered_map>
-
 #include "routing/dispatcher.hpp"
+#include "routing/open_requests.hpp"
 #include "routing/outcome_recorder.hpp"
 #include "routing/request.hpp"
 #include "routing/routing_state.hpp"
@@ -24,6 +22,8 @@
   void BeginEvent(Micros now, Actions& out);
 
   void Handle(const EndpointsEvent& event);
+  // Departure from the design, in classes with parts only: the cache is hashed by object and part, so that a
+  // client's train of parts does not clump at one cache. The parent stays hashed by the object.
   void Handle(const RequestEvent& event);
   void Handle(const ResponseStartedEvent& event);
   void Handle(const OutcomeEvent& event);
@@ -32,13 +32,6 @@
   void Handle(const PurgeEvent& event);
 
  private:
-  // Departure from the design, in classes with parts only: the cache is hashed by object and part, so that a
-  // client's train of parts does not clump at one cache. The parent stays hashed by the object.
-  Request& Open(const RequestEvent& event);
-
-  // Null where no such request is open.
-  Request* Find(RequestId request_id);
-
   // Forgets a request that has ended and has nothing in flight.
   void RemoveIfEnded(RequestId request_id);
 
@@ -50,7 +43,6 @@
 
   // Outcomes always come; should the caller lose one, the request is not kept for ever.
   void OnDeadline(Request& request);
-  void RemoveUnfinished(const Request& request);
 
   // An attempt is looked at once its latency objective is past (sooner accuses servers wrongly), then after
   // each further objective.
@@ -66,14 +58,12 @@
   // The final answer of a request that will not be served: at once, and a rejection where a retry is
   // harmless.
   void Abandon(Request& request);
-  void Cancel(Request& request, std::size_t index);
-  void CancelAll(Request& request);
 
   RoutingState state_;
   Context& context_ = state_.context;
   Dispatcher dispatcher_{state_};
   OutcomeRecorder recorder_{state_};
-  std::unordered_map<std::uint64_t, Request> requests_;  // by request id; looked up only, never walked
+  OpenRequests requests_{context_};
 };
 
 }  // namespace tinspan
--- a/src/routing/outcome_recorder.cpp
+++ b/src/routing/outcome_recorder.cpp
@@ -7,25 +7,24 @@
 #include "routing/time_units.hpp"
 
 namespace tinspan {
-namespace {
-
 constexpr double kLateHitRatio = 0.7;   // of the latency objective: later hits say that capacity runs out
 constexpr double kLateFillRatio = 1.0;  // the same for fills, which are slower without any fault
 constexpr double kLateWaitRatio = 0.7;  // the same for the wait for a source's first byte
-constexpr double kMinObjective = 1e-3;  // seconds, as a divisor
+constexpr double kLateAttemptWeight = 0.05;  // in the rate of late attempts
+constexpr double kMinObjective = 1e-3;       // seconds, as a divisor
 
-bool IsFilled(FillNote note) { return note == FillNote::kFilled || note == FillNote::kFilledViaOrigin; }
+static bool IsFilled(FillNote note) {
+  return note == FillNote::kFilled || note == FillNote::kFilledViaOrigin;
+}
 
-bool IsSourceFault(FillNote note) {
+static bool IsSourceFault(FillNote note) {
   return note == FillNote::kSourceRejected || note == FillNote::kSourceUnreachable;
 }
 
-bool IsSourceUnused(FillNote note) {
+static bool IsSourceUnused(FillNote note) {
   return note == FillNote::kHit || note == FillNote::kStaleHit || note == FillNote::kJoined;
 }
 
-}  // namespace
-
 bool ProvesNotExecuted(Outcome outcome) {
   return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
          outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
@@ -35,8 +34,7 @@
   const bool is_served = event.outcome == Outcome::kServed;
   const bool may_run_on = !is_served && !ProvesNotExecuted(event.outcome);
   if (may_run_on) state_.ingress.RecordAbandonedFill(attempt.ingress_probability);
-  const bool is_own_link = servers_[attempt.server].role == Role::kCache;
-  if (is_own_link) state_.ingress.RecordReport(event.load);
+  if (servers_[attempt.server].role == Role::kCache) state_.ingress.RecordReport(event.load);
   if (is_served) {
     RecordServed(request, attempt, event);
   } else if (IsSourceFault(event.note) || event.note == FillNote::kOriginFailed) {
@@ -45,16 +43,16 @@
     RecordFailedAttempt(request, attempt, event);
   }
   if (attempt.sibling_summary > 0) RecordSiblingFill(request, attempt, event);
-  const bool can_refund = attempt.HasSource() && IsSourceUnused(event.note);
-  if (can_refund) SlowStartBudget::Refund(servers_[attempt.source], attempt.source_charge);
+  const bool is_source_unused = attempt.HasSource() && IsSourceUnused(event.note);
+  if (is_source_unused) servers_[attempt.source].slow_start.budget += attempt.transfer_time;
 }
 
 void OutcomeRecorder::RecordServed(const Request& request, const Attempt& attempt,
                                    const OutcomeEvent& event) {
   Server& server = servers_[attempt.server];
   state_.outliers.RecordSuccess(attempt.server);
-  if (!attempt.was_overdue) state_.late_attempts.Add(0);
-  server.work.Add(state_.costs.TransferTime(request), context_.now, context_.settings);
+  if (!attempt.was_overdue) state_.late_attempts.Add(0, kLateAttemptWeight);
+  state_.slow_start.RecordWork(server, state_.costs.TransferTime(request));
   if (attempt.HasSource() && IsFilled(event.note)) {
     RecordFill(request, attempt, event);
   } else {
@@ -70,7 +68,7 @@
 void OutcomeRecorder::RecordFill(const Request& request, const Attempt& attempt, const OutcomeEvent& event) {
   Server& source = servers_[attempt.source];
   state_.outliers.RecordSuccess(attempt.source);
-  source.work.Add(state_.costs.TransferTime(request), context_.now, context_.settings);
+  state_.slow_start.RecordWork(source, state_.costs.TransferTime(request));
   const bool is_via_origin = RecordFillOrigin(attempt, event.note);
   Load& filled_by = is_via_origin ? servers_[*attempt.origin].load : source.load;
   state_.capacity.RecordResponse(filled_by, IsLateFill(request, event), ResponseKind::kFill);
@@ -83,8 +81,7 @@
 bool OutcomeRecorder::RecordFillOrigin(const Attempt& attempt, FillNote note) {
   if (!attempt.origin) return false;
   const bool is_via_origin = note == FillNote::kFilledViaOrigin;
-  const bool is_way_known =
-      context_.settings.fill_detail == FillDetail::kAll || attempt.is_parent_cached_only;
+  const bool is_way_known = IsFillWayReported() || attempt.is_parent_cached_only;
   if (is_via_origin) {
     state_.outliers.RecordSuccess(*attempt.origin);
   } else if (!is_way_known) {
@@ -97,7 +94,7 @@
 bool OutcomeRecorder::IsLateFill(const Request& request, const OutcomeEvent& event) const {
   const double latency_ratio = LatencyRatio(request, event);
   if (request.event.size_kb > 0 || !event.fill_wait) return latency_ratio > kLateFillRatio;
-  const double objective = ToSeconds(context_.ClassOf(request.event).latency_objective);
+  const double objective = ToSeconds(request.traffic_class.latency_objective);
   return latency_ratio > 1 && ToSeconds(*event.fill_wait) > kLateWaitRatio * objective;
 }
 
@@ -107,12 +104,8 @@
 
 void OutcomeRecorder::RecordFailedFill(const Attempt& attempt, FillNote note) {
   state_.outliers.RecordHeard(attempt.server);
-  std::optional<ServerIndex> at_fault;
-  if (note == FillNote::kOriginFailed) {
-    at_fault = servers_.Origin();
-  } else if (attempt.HasSource()) {
-    at_fault = attempt.source;
-  }
+  const bool is_origin_fault = note == FillNote::kOriginFailed;
+  const std::optional<ServerIndex> at_fault = is_origin_fault ? servers_.Origin() : attempt.Source();
   if (!at_fault) return;
   state_.capacity.RecordRejection(servers_[*at_fault].load);
   if (note != FillNote::kSourceRejected) state_.outliers.RecordFailure(*at_fault);
@@ -153,8 +146,7 @@
 
 void OutcomeRecorder::RecordMiss(const Attempt& attempt) {
   state_.outliers.RecordSuccess(attempt.server);
-  const bool is_way_told = context_.settings.fill_detail == FillDetail::kAll;
-  if (attempt.is_parent_cached_only && !is_way_told) state_.hits.parent_hits.Record(false);
+  if (attempt.is_parent_cached_only && !IsFillWayReported()) state_.hits.parent_hits.Record(false);
 }
 
 void OutcomeRecorder::RecordSiblingFill(Request& request, const Attempt& attempt, const OutcomeEvent& event) {
@@ -165,13 +157,9 @@
   if (!is_served) request.has_sibling_failed = true;
 }
 
-bool OutcomeRecorder::IsSilent(const Attempt& attempt) const {
-  return !state_.outliers.HasHeardSince(attempt.server, attempt.sent_at);
-}
-
 void OutcomeRecorder::RecordOverdue(Attempt& attempt) {
   if (std::exchange(attempt.was_overdue, true)) return;
-  state_.late_attempts.Add(1);
+  state_.late_attempts.Add(1, kLateAttemptWeight);
   const auto is_silent = [&](ServerIndex index) {
     return !state_.outliers.HasHeardSince(index, attempt.sent_at);
   };
--- a/src/routing/outcome_recorder.hpp
+++ b/src/routing/outcome_recorder.hpp
@@ -25,13 +25,18 @@
   void RecordOverdue(Attempt& attempt);
 
   // The server has given no sign of life since the attempt was sent.
-  bool IsSilent(const Attempt& attempt) const;
+  bool IsSilent(const Attempt& attempt) const {
+    return !state_.outliers.HasHeardSince(attempt.server, attempt.sent_at);
+  }
 
   // Who is at fault for an error shows once the request has ended: the server that gave it, unless another
   // server gave one too.
   void AttributeErrors(const Request& request);
 
  private:
+  // Whether outcomes tell how a fill came, and not only that it did.
+  bool IsFillWayReported() const { return context_.settings.fill_detail == FillDetail::kAll; }
+
   void RecordServed(const Request& request, const Attempt& attempt, const OutcomeEvent& event);
   void RecordFill(const Request& request, const Attempt& attempt, const OutcomeEvent& event);
 
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -5,22 +5,14 @@
 
 namespace tinspan {
 constexpr double kOrdinaryWeight = 0.25;         // of an answer or an error in the failure rate
-constexpr double kUnreachableWeight = 0.5;       // of evidence that only a dead or silent server gives
+constexpr double kUnreachableEvidence = 2;       // times as much: only a dead or silent server gives it
 constexpr double kEjectThreshold = 0.5;          // failure rate, on top of the peers' mean
 constexpr double kMaxEjectThreshold = 0.9;       // with the peers' mean added
 constexpr double kReadmitThreshold = 0.25;       // failure rate
 constexpr int kMaxProbeBackoff = 8;              // in connect timeouts
 constexpr double kInstancesPerBackoffStep = 16;  // the more probe a server, the longer each waits
 
-void OutlierDetector::RecordSuccess(ServerIndex index, double probability) {
-  Record(index, false, kOrdinaryWeight * probability);
-}
-
-void OutlierDetector::RecordFailure(ServerIndex index, double probability) {
-  Record(index, true, kOrdinaryWeight * probability);
-}
-
-void OutlierDetector::RecordUnreachable(ServerIndex index) { Record(index, true, kUnreachableWeight); }
+void OutlierDetector::RecordUnreachable(ServerIndex index) { Record(index, true, kUnreachableEvidence); }
 
 void OutlierDetector::RecordReset(ServerIndex index, Micros sent_at) {
   RecordHeard(index);
@@ -28,17 +20,19 @@
   if (sent_at >= last_reset_at) RecordFailure(index);
 }
 
-void OutlierDetector::Record(ServerIndex index, bool is_failure, double weight) {
+void OutlierDetector::Record(ServerIndex index, bool is_failure, double evidence) {
   Server& server = servers_[index];
   Health& health = server.health;
-  health.failure_rate += weight * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
-  if (!is_failure && weight >= kOrdinaryWeight) RecordHeard(index);  // a lighter sign may be another's
+  health.failure_rate += kOrdinaryWeight * evidence * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
+  if (!is_failure && evidence >= 1) RecordHeard(index);  // a lighter sign may be another's
   // What most servers show alike (answers lost on the way, congestion) is no reason to eject one; where all
   // are lost, each still passes the raised threshold.
   const double threshold = std::min(kMaxEjectThreshold, kEjectThreshold + MeanFailureRateOfPeers(index));
   if (!health.is_ejected && health.failure_rate > threshold) {
     health.is_ejected = true;
-    health.probe_backoff = InitialBackoff(server.role);
+    const Senders senders = server.role == Role::kCache ? Senders::kOwnZone : Senders::kAllZones;
+    const double steps = servers_.InstanceCount(senders) / kInstancesPerBackoffStep;
+    health.probe_backoff = std::max(1, static_cast<int>(steps));
     OnRequestSent(server);
   } else if (health.is_ejected && health.failure_rate < kReadmitThreshold) {
     health.is_ejected = false;
@@ -59,19 +53,13 @@
   return peers.size() > 1 ? sum / static_cast<double>(peers.size() - 1) : 0.0;
 }
 
-int OutlierDetector::InitialBackoff(Role role) const {
-  const Senders senders = role == Role::kCache ? Senders::kOwnZone : Senders::kAllZones;
-  return std::max(1, static_cast<int>(servers_.InstanceCount(senders) / kInstancesPerBackoffStep));
-}
-
 bool OutlierDetector::IsProbeDue(const Server& server) const {
   return server.health.is_ejected && context_.now >= server.health.next_probe_at;
 }
 
 void OutlierDetector::OnRequestSent(Server& server) const {
-  if (!server.health.is_ejected) return;
-  server.health.next_probe_at =
-      context_.now + server.health.probe_backoff * context_.settings.connect_timeout;
+  const Micros backoff = server.health.probe_backoff * context_.settings.connect_timeout;
+  if (server.health.is_ejected) server.health.next_probe_at = context_.now + backoff;
 }
 
 }  // namespace tinspan
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -14,8 +14,8 @@
   OutlierDetector(const Context& context, ServerTable& servers) : context_(context), servers_(servers) {}
 
   // Evidence of an answer or a failure; `probability` is that of this server having caused it.
-  void RecordSuccess(ServerIndex index, double probability = 1);
-  void RecordFailure(ServerIndex index, double probability = 1);
+  void RecordSuccess(ServerIndex index, double probability = 1) { Record(index, false, probability); }
+  void RecordFailure(ServerIndex index, double probability = 1) { Record(index, true, probability); }
 
   // Evidence that only a dead or silent server gives: no connection, no sign of life.
   void RecordUnreachable(ServerIndex index);
@@ -36,9 +36,9 @@
   void OnRequestSent(Server& server) const;
 
  private:
-  void Record(ServerIndex index, bool is_failure, double weight);
+  // `evidence` is 1 for what this server surely gave itself.
+  void Record(ServerIndex index, bool is_failure, double evidence);
   double MeanFailureRateOfPeers(ServerIndex index) const;
-  int InitialBackoff(Role role) const;
 
   const Context& context_;
   ServerTable& servers_;
--- a/src/routing/purge_ledger.cpp
+++ b/src/routing/purge_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/hash.hpp"
+
 namespace tinspan {
 
 void PurgeLedger::Record(const PurgeEvent& event) {
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -27,13 +27,15 @@
   std::optional<ServerIndex> origin{};  // the origin behind a parent that is the source
   double origin_probability = 0;        // that the parent asks the origin
   bool is_parent_cached_only = false;   // the parent gives only what it has cached, to protect the origin
-  double source_charge = 0;             // taken off the source's slow-start budget, seconds
+  double transfer_time = 0;             // charged to the slow-start budgets of server and source, seconds
 
   bool HasSource() const { return source != server; }
+  std::optional<ServerIndex> Source() const { return HasSource() ? std::optional(source) : std::nullopt; }
 };
 
 struct Request {
   RequestEvent event;
+  ClassSettings traffic_class;  // as it was when the request came; a class never changes
   Micros deadline{0};
   std::uint32_t max_attempts = 0;  // as the settings said when it came; Retune does not change it
   std::vector<Attempt> attempts;
--- a/src/routing/request_costs.cpp
+++ b/src/routing/request_costs.cpp
@@ -5,8 +5,9 @@
 #include "routing/time_units.hpp"
 
 namespace tinspan {
-constexpr double kMinTransferTime = 1e-3;  // seconds, as a divisor
-constexpr double kMinValueDensity = 1e-9;  // as a divisor
+constexpr double kNewRequestWeight = 0.05;  // in the means of requests
+constexpr double kMinTransferTime = 1e-3;   // seconds, as a divisor
+constexpr double kMinValueDensity = 1e-9;   // as a divisor
 constexpr double kInitialPriorityWeight = 1;
 constexpr double kInitialTransferTime = 1;  // seconds
 
@@ -23,15 +24,14 @@
 }
 
 void RequestCosts::RecordRequest(const Request& request) {
-  const ClassSettings& traffic_class = context_.ClassOf(request.event);
-  if (TransferTime(request) > ToSeconds(traffic_class.deadline)) return;  // no measure for others
-  priority_weight_.Add(traffic_class.priority_weight);
-  transfer_time_.Add(TransferTime(request));
-  transfer_times_[ToNumber(request.event.class_id)].Add(TransferTime(request));
+  if (TransferTime(request) > ToSeconds(request.traffic_class.deadline)) return;  // no measure for others
+  priority_weight_.Add(request.traffic_class.priority_weight, kNewRequestWeight);
+  transfer_time_.Add(TransferTime(request), kNewRequestWeight);
+  MeanOfClass(request).Add(TransferTime(request), kNewRequestWeight);
 }
 
 void RequestCosts::RecordTransferTime(const Request& request, Micros elapsed) {
-  transfer_times_[ToNumber(request.event.class_id)].Add(ToSeconds(elapsed));
+  MeanOfClass(request).Add(ToSeconds(elapsed), kNewRequestWeight);
 }
 
 double RequestCosts::TransferTime(const Request& request) const {
@@ -41,27 +41,18 @@
   return MeanTransferTime(request);
 }
 
-double RequestCosts::MeanTransferTime(const Request& request) const {
-  return transfer_times_[ToNumber(request.event.class_id)].Value();
-}
-
 double RequestCosts::MaxMeanTransferTime() const {
-  const auto is_less = [](const RunningMean& one, const RunningMean& other) {
-    return one.Value() < other.Value();
-  };
-  return std::max_element(transfer_times_.begin(), transfer_times_.end(), is_less)->Value();
+  return std::ranges::max(transfer_times_, {}, &RunningMean::Value).Value();
 }
 
 double RequestCosts::LatencyObjective(const Request& request) const {
-  const ClassSettings& traffic_class = context_.ClassOf(request.event);
-  const double objective = ToSeconds(traffic_class.latency_objective) +
-                           traffic_class.latency_objective_stretch * TransferTime(request);
-  return std::min(objective, ToSeconds(traffic_class.deadline));
+  const ClassSettings& own = request.traffic_class;
+  const double stretch = own.latency_objective_stretch * TransferTime(request);
+  return std::min(ToSeconds(own.latency_objective) + stretch, ToSeconds(own.deadline));
 }
 
 double RequestCosts::ValueDensity(const Request& request) const {
-  const double priority_weight = context_.ClassOf(request.event).priority_weight;
-  return priority_weight / std::max(TransferTime(request), kMinTransferTime);
+  return request.traffic_class.priority_weight / std::max(TransferTime(request), kMinTransferTime);
 }
 
 double RequestCosts::MeanValueDensity() const {
--- a/src/routing/request_costs.hpp
+++ b/src/routing/request_costs.hpp
@@ -5,6 +5,7 @@
 
 #include "routing/averages.hpp"
 #include "routing/context.hpp"
+#include "routing/hash.hpp"
 #include "routing/request.hpp"
 
 namespace tinspan {
@@ -24,7 +25,9 @@
 
   // From the request's size where it is told, else its class's mean.
   double TransferTime(const Request& request) const;
-  double MeanTransferTime(const Request& request) const;
+  double MeanTransferTime(const Request& request) const {
+    return transfer_times_[ToNumber(request.event.class_id)].Value();
+  }
   double MaxMeanTransferTime() const;  // of all classes
 
   // Within this an answer earns the request's full priority weight.
@@ -35,6 +38,10 @@
   double MeanValueDensity() const;
 
  private:
+  RunningMean& MeanOfClass(const Request& request) {
+    return transfer_times_[ToNumber(request.event.class_id)];
+  }
+
   const Context& context_;
   std::vector<RunningMean> transfer_times_;  // by class
   RunningMean priority_weight_;              // over all classes
--- a/src/routing/routing_state.hpp
+++ b/src/routing/routing_state.hpp
@@ -2,10 +2,9 @@
 #pragma once
 
 #include "routing/averages.hpp"
-#include "routing/capacity_estimator.hpp"
+#include "routing/capacity.hpp"
 #include "routing/context.hpp"
-#include "routing/hit_probability.hpp"
-#include "routing/ingress_link.hpp"
+#include "routing/copy_statistics.hpp"
 #include "routing/outlier_detector.hpp"
 #include "routing/purge_ledger.hpp"
 #include "routing/request_costs.hpp"
--- a/src/routing/server.hpp
+++ b/src/routing/server.hpp
@@ -2,10 +2,11 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 #include "routing/averages.hpp"
-#include "routing/evolutive_counter.hpp"
+#include "routing/copy_statistics.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan {
@@ -21,6 +22,7 @@
 // Own requests outstanding, and how many were seen to be borne at once (CapacityEstimator).
 struct Load {
   Senders senders = Senders::kOwnZone;  // whose requests the server's whole capacity serves
+  std::uint64_t draw_salt = 0;          // of AdmissionDraw: the server's id; 0, no server's, for the link
   int in_flight = 0;                    // own attempts sent there
   double expected_fills = 0;            // fills that own attempts will ask of it, as expected
   double capacity = 0;                  // own requests (fills, at a source) borne at once; 0: not set yet
@@ -50,7 +52,7 @@
   Load load;
   Health health;
   SlowStart slow_start;
-  RecentWork work;                            // sending time asked of it
+  DecayingSum work;                           // sending time asked of it, seconds
   std::unique_ptr<EvolutiveCounter> counter;  // of the copies sent there to be cached; own caches only
 };
 
--- a/src/routing/server_table.cpp
+++ b/src/routing/server_table.cpp
@@ -33,6 +33,7 @@
   server.role = RoleOf(endpoint);
   const bool is_shared = server.role == Role::kParent || server.role == Role::kOrigin;
   server.load.senders = is_shared ? Senders::kAllZones : Senders::kOwnZone;
+  server.load.draw_salt = ToNumber(endpoint.id);
   if (server.role == Role::kCache && !server.counter) server.counter = std::make_unique<EvolutiveCounter>();
 }
 
@@ -47,11 +48,6 @@
   return endpoint.zone == context_.settings.zone ? Role::kCache : Role::kRemoteCache;
 }
 
-std::optional<ServerIndex> ServerTable::Origin() const {
-  const std::vector<ServerIndex>& origins = Listed(Role::kOrigin);
-  return origins.empty() ? std::nullopt : std::optional(origins.front());
-}
-
 std::vector<ServerIndex> ServerTable::RendezvousOrder(Role role, ObjectId object) const {
   std::vector<std::pair<double, ServerIndex>> scored;
   for (const ServerIndex index : Listed(role)) {
--- a/src/routing/server_table.hpp
+++ b/src/routing/server_table.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "routing/context.hpp"
+#include "routing/hash.hpp"
 #include "routing/server.hpp"
 #include "routing/slot_map.hpp"
 
@@ -30,7 +31,10 @@
   const std::vector<ServerIndex>& Listed(Role role) const { return listed_[static_cast<std::size_t>(role)]; }
 
   // The origin, where one is listed.
-  std::optional<ServerIndex> Origin() const;
+  std::optional<ServerIndex> Origin() const {
+    const std::vector<ServerIndex>& origins = Listed(Role::kOrigin);
+    return origins.empty() ? std::nullopt : std::optional(origins.front());
+  }
 
   // Usable servers of a role by weighted rendezvous hashing (Thaler and Ravishankar, 1998): in the same
   // order at all instances, and few objects move when a server comes or goes.
--- a/src/routing/settings_validation.cpp
+++ b/src/routing/settings_validation.cpp
@@ -4,7 +4,7 @@
 
 namespace tinspan {
 
-const Settings& ValidateSettings(const Settings& settings) {
+const Settings& Validated(const Settings& settings) {
   const auto need = [](bool good, const char* what) {
     if (!good) throw std::invalid_argument(what);
   };
--- a/src/routing/settings_validation.hpp
+++ b/src/routing/settings_validation.hpp
@@ -6,6 +6,6 @@
 namespace tinspan {
 
 // Gives its argument back, or throws std::invalid_argument naming what makes no sense.
-const Settings& ValidateSettings(const Settings& settings);
+const Settings& Validated(const Settings& settings);
 
 }  // namespace tinspan
--- a/src/routing/slow_start_budget.cpp
+++ b/src/routing/slow_start_budget.cpp
@@ -9,43 +9,52 @@
 constexpr double kOverloadShare = 0.5;       // of what would overload the server, what all instances send
 constexpr double kBurstShare = 0.25;         // of one overload window's budget, what may be saved up
 constexpr double kRoughCapacityShare = 0.7;  // of a roughly told capacity, what is counted on
-constexpr double kMinWarmUpTime = 1e-3;      // seconds, as a divisor
+constexpr double kWarmRateWeight = 0.05;     // of what a warm server gets now
+constexpr double kOverloadWindowsRemembered = 4;     // what happens in one window must not be forgotten in it
+constexpr double kMinOverloadWindow = 0.5;           // seconds; shorter ones see too few requests
+constexpr double kMinWarmUpTime = 1e-3;              // seconds, as a divisor
 constexpr double kGoldenRatio = 0.6180339887498949;  // its multiples spread evenly over the unit interval
 
+double WorkTimeConstant(const Settings& settings) {
+  return kOverloadWindowsRemembered * std::max(ToSeconds(settings.overload_window), kMinOverloadWindow);
+}
+
 SlowStartBudget::Limits SlowStartBudget::LimitsOf(const Server& server) const {
-  const Settings& settings = context_.settings;
+  const Settings& all = context_.settings;
   if (server.role == Role::kParent) {
-    return {settings.parent_initial_capacity_share, settings.parent_warm_up_time,
-            settings.parent_overload_multiple};
+    return {all.parent_initial_capacity_share, all.parent_warm_up_time, all.parent_overload_multiple};
   }
-  return {settings.initial_capacity_share, settings.warm_up_time, settings.overload_multiple};
+  return {all.initial_capacity_share, all.warm_up_time, all.overload_multiple};
 }
 
 double SlowStartBudget::CapacityShare(const Server& server) const {
   if (server.role == Role::kOrigin || server.endpoint.started_at <= Micros{0}) return 1;
-  const auto [initial, warm_up_time, _] = LimitsOf(server);
+  const Limits limits = LimitsOf(server);
+  const double initial = limits.initial_capacity_share;
+  const double warm_up_time = std::max(ToSeconds(limits.warm_up_time), kMinWarmUpTime);
   const double uptime = ToSeconds(context_.now - server.endpoint.started_at);
-  return std::min(1.0, initial + (1 - initial) * uptime / std::max(ToSeconds(warm_up_time), kMinWarmUpTime));
+  return std::min(1.0, initial + (1 - initial) * uptime / warm_up_time);
 }
 
 double SlowStartBudget::OwnPartOfCapacity(const Server& server) const {
   const double advertised = servers_.AdvertisedCapacity(server);
-  if (advertised <= 0) return warm_work_rates_[static_cast<std::size_t>(server.role)].Value();
+  if (advertised <= 0) return WarmWorkRate(server.role).Value();
   const bool is_rough = context_.settings.weight_meaning == WeightMeaning::kRough;
   const Senders senders = server.role == Role::kCache ? Senders::kOwnZone : Senders::kAllZones;
   return (is_rough ? kRoughCapacityShare : 1.0) * advertised / servers_.InstanceCount(senders);
 }
 
 void SlowStartBudget::UpdateWarmWorkRate(Role role) {
+  const double time_constant = WorkTimeConstant(context_.settings);
   double rate = 0;
   int warm_servers = 0;
   for (const ServerIndex index : servers_.Listed(role)) {
     const Server& server = servers_[index];
     if (IsWarmingUp(server) || server.health.is_ejected) continue;
-    rate += server.work.Rate(context_.now, context_.settings);
+    rate += server.work.Value(context_.now, time_constant) / time_constant;
     ++warm_servers;
   }
-  if (warm_servers > 0) warm_work_rates_[static_cast<std::size_t>(role)].Add(rate / warm_servers);
+  if (warm_servers > 0) WarmWorkRate(role).Add(rate / warm_servers, kWarmRateWeight);
 }
 
 void SlowStartBudget::OpenBudget(Server& server) const {
--- a/src/routing/slow_start_budget.hpp
+++ b/src/routing/slow_start_budget.hpp
@@ -9,6 +9,9 @@
 
 namespace tinspan {
 
+// How fast work is forgotten, in seconds.
+double WorkTimeConstant(const Settings& settings);
+
 // Holds this instance's part of what all instances send to a server that is warming up under what would
 // overload it: a token bucket of sending time for each such server, in Server::slow_start.
 class SlowStartBudget {
@@ -21,9 +24,10 @@
   // Whether a request may be sent: always to a warm server. Refills the budget up to now.
   bool HasBudget(Server& server);
 
-  // Takes a request's sending time, in seconds, off the budget, or gives it back.
-  static void Charge(Server& server, double seconds) { server.slow_start.budget -= seconds; }
-  static void Refund(Server& server, double seconds) { server.slow_start.budget += seconds; }
+  // Adds the sending time, in seconds, that was asked of a server.
+  void RecordWork(Server& server, double seconds) const {
+    server.work.Add(seconds, context_.now, WorkTimeConstant(context_.settings));
+  }
 
   // Learns from the warm servers of a role what one of them gets from this instance.
   void UpdateWarmWorkRate(Role role);
@@ -35,6 +39,10 @@
     double overload_multiple;
   };
 
+  const RunningMean& WarmWorkRate(Role role) const {
+    return warm_work_rates_[static_cast<std::size_t>(role)];
+  }
+  RunningMean& WarmWorkRate(Role role) { return warm_work_rates_[static_cast<std::size_t>(role)]; }
   Limits LimitsOf(const Server& server) const;
 
   // The part of its capacity that a server has by now.
--- a/src/routing/source_selector.cpp
+++ b/src/routing/source_selector.cpp
@@ -34,7 +34,7 @@
 
 ServerIndex SourceSelector::Upstream(const Request& request, ServerIndex cache) {
   std::optional<ServerIndex> ejected_parent;
-  if (!context_.ClassOf(request.event).is_write) {
+  if (!request.traffic_class.is_write) {
     for (const ServerIndex index : servers_.RendezvousOrder(Role::kParent, request.event.object)) {
       Server& parent = servers_[index];
       if (!slow_start_.HasBudget(parent)) continue;
--- a/src/routing/source_selector.hpp
+++ b/src/routing/source_selector.hpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "routing/context.hpp"
-#include "routing/hit_probability.hpp"
+#include "routing/copy_statistics.hpp"
 #include "routing/outlier_detector.hpp"
 #include "routing/purge_ledger.hpp"
 #include "routing/request.hpp"
