--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -8,13 +8,13 @@
 #include <vector>
 
 #include "config/config.hpp"
-#include "core/request_coordinator.hpp"
 #include "core/observer.hpp"
+#include "core/request_coordinator.hpp"
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
 #include "net/connection.hpp"
+#include "net/idle_connection_tracker.hpp"
 #include "net/listener.hpp"
-#include "net/visitors.hpp"
 
 namespace tinspan::http {
 
@@ -31,8 +31,8 @@
 
 class Clients final : public net::Connection::Owner {
  public:
-  Clients(net::EventLoop& loop, const config::Http& config, core::Gateway& gateway, Access& access,
-          std::vector<core::Event>& events);
+  Clients(net::EventLoop& loop, const config::Http& config, core::RequestCoordinator& coordinator,
+          Access& access, std::vector<core::Event>& events);
 
   Asked* Find(RequestId id);
   // Parts of an answer that is passed on. How many bytes wait for the client now; nothing if it has gone.
@@ -47,13 +47,13 @@
   // What /-/records gives out; none: there is no such endpoint.
   void SetFeed(const core::RecordFeed* feed) { feed_ = feed; }
   // Told each operator's purge that is taken here.
-  void SetPurged(std::function<void(const core::PurgeTold&)> purged) { purged_ = std::move(purged); }
+  void SetPurged(std::function<void(const core::PurgeReceived&)> purged) { purged_ = std::move(purged); }
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
   bool Drained() const;
   void EndRound(Micros now);
   std::uint16_t Port() const { return listener_.Port(); }
 
-  void OnBytes(net::Connection& connection) override;
+  void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
@@ -84,17 +84,17 @@
 
   net::EventLoop& loop_;
   const config::Http& config_;
-  core::Gateway& gateway_;
+  core::RequestCoordinator& coordinator_;
   Access& access_;
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
   std::unordered_map<RequestId, Asked> asked_;
   std::vector<std::uint64_t> closed_;
-  net::Visitors visitors_;
+  net::IdleConnectionTracker idle_connections_;
   std::uint64_t last_ = 0;
   bool ready_ = false;
   const core::RecordFeed* feed_ = nullptr;
-  std::function<void(const core::PurgeTold&)> purged_;
+  std::function<void(const core::PurgeReceived&)> purged_;
   std::string body_;  // of the answer to an operator
   Micros accept_until_ = Micros::max();
   net::Listener listener_;
--- a/src/front/platform/change_log.cpp
+++ b/src/front/platform/endpoint_watcher.cpp
@@ -1,4 +1,4 @@
-#include "front/platform/change_log.hpp"
+#include "front/platform/endpoint_watcher.hpp"
 
 #include <simdjson.h>
 
@@ -12,7 +12,7 @@
 
 using simdjson::dom::element;
 
-constexpr net::Connection::Limits kLimits{.read = 8 << 20, .write = 4096};
+constexpr net::Connection::Limits kLimits{.max_read_bytes = 8 << 20, .max_write_bytes = 4096};
 // A line comes each second. Without one for so long the connection is dead, though nothing says so; what the
 // log has to tell counts as told 4 s after it stopped, whether it was heard or not.
 constexpr Micros kSilence{1'800'000};
@@ -37,8 +37,8 @@
 
 }  // namespace
 
-ChangeLog::ChangeLog(net::EventLoop& loop, const config::Platform& config, CacheSide& caches,
-                     std::vector<core::Event>& events)
+EndpointWatcher::EndpointWatcher(net::EventLoop& loop, const config::Platform& config,
+                                 UpstreamConnections& caches, std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
       at_(config.changelog),
@@ -57,12 +57,12 @@
   Connect();
 }
 
-ChangeLog::~ChangeLog() { loop_.Timers().Cancel(timer_); }
+EndpointWatcher::~EndpointWatcher() { loop_.Timers().Cancel(timer_); }
 
-void ChangeLog::Follow(const net::Endpoint& at) {
+void EndpointWatcher::Follow(const net::Endpoint& at) {
   if (at == at_) {
     if (connection_ && connection_->IsOpen() &&
-        net::Now() - std::max(line_at_, connection_->Since()) > kQuiet)
+        net::Now() - std::max(line_at_, connection_->OpenedAt()) > kQuiet)
       Reconnect();
     return;
   }
@@ -80,21 +80,21 @@
   Connect();
 }
 
-void ChangeLog::Connect() {
+void EndpointWatcher::Connect() {
   spoke_ = false;
   connection_ = std::make_unique<net::Connection>(loop_, at_, *this, kLimits);
   Watch();
 }
 
 // Freed at the round's end: it may be the one that is being heard.
-void ChangeLog::Drop(std::unique_ptr<net::Connection>& watch) {
+void EndpointWatcher::Drop(std::unique_ptr<net::Connection>& watch) {
   if (!watch) return;
   watch->Close();
   closed_.push_back(std::move(watch));
 }
 
 // One timer at a time: the connect's limit, the silence, or the wait before the next try.
-void ChangeLog::Watch() {
+void EndpointWatcher::Watch() {
   loop_.Timers().Cancel(timer_);
   const Micros wait = connection_->IsOpen() ? kSilence : kConnect;
   timer_ = loop_.Timers().Set(net::Now() + wait, [this](Micros) {
@@ -104,23 +104,23 @@
   });
 }
 
-void ChangeLog::Reconnect() {
+void EndpointWatcher::Reconnect() {
   loop_.Timers().Cancel(timer_);
   Drop(connection_);
   std::uniform_int_distribution<Micros::rep> wait(kAgainLeast.count(), kAgainMost.count());
   timer_ = loop_.Timers().Set(net::Now() + Micros{wait(random_)}, [this](Micros) { Connect(); });
 }
 
-void ChangeLog::OnOpen(net::Connection& connection) {
+void EndpointWatcher::OnOpen(net::Connection& connection) {
   connection.Write("since " + std::to_string(seq_) + "\n");
   Watch();
 }
 
-void ChangeLog::OnClosed(net::Connection& connection) {
+void EndpointWatcher::OnClosed(net::Connection& connection) {
   &connection == leaving_.get() ? Drop(leaving_) : Reconnect();
 }
 
-void ChangeLog::OnBytes(net::Connection& connection) {
+void EndpointWatcher::OnData(net::Connection& connection) {
   const bool leaving = &connection == leaving_.get();
   const std::string_view unread = connection.Unread();
   std::size_t at = 0;
@@ -145,7 +145,7 @@
 
 // What was spoilt on the way comes whole when asked for anew. Spoilt a second time it is passed over, so that
 // one event cannot keep all later ones away for ever.
-void ChangeLog::Unusable(const Malformed& wrong, bool event) {
+void EndpointWatcher::Unusable(const Malformed& wrong, bool event) {
   const bool again = event && stuck_ == seq_;
   log::Error("changelog.unusable",
              {{"seq", seq_}, {"field", wrong.field}, {"expected", wrong.expected}, {"passed_over", again}},
@@ -156,7 +156,7 @@
   Reconnect();
 }
 
-void ChangeLog::Line(std::string_view line, bool leaving) {
+void EndpointWatcher::Line(std::string_view line, bool leaving) {
   if (line.empty()) return;
   if (line.front() == '{') return Apply(line);
   if (leaving) return;  // how far it has got is for the new one to say
@@ -166,7 +166,7 @@
   if (*last > seq_) throw Malformed{"last number", std::to_string(seq_)};
 }
 
-void ChangeLog::Apply(std::string_view json) {
+void EndpointWatcher::Apply(std::string_view json) {
   element event;
   if (parser_->parse(json.data(), json.size()).get(event) != simdjson::SUCCESS) {
     throw Malformed{"event", "JSON"};
@@ -175,7 +175,7 @@
   if (seq <= seq_) return;  // known already
   element part;
   if (event["fleet"].get(part) == simdjson::SUCCESS) {
-    core::MembersTold told;
+    core::EndpointsUpdated told;
     told.source = "changelog";
     told.version = GetOr<std::uint64_t>(part, "version", 0);
     told.kind = GetOr(part, "full", false) ? EndpointsEvent::Kind::kFull : EndpointsEvent::Kind::kDelta;
@@ -199,18 +199,18 @@
       const auto endpoint = net::Endpoint::Parse(GetOr<std::string_view>(one, "addr", ""));
       if (!endpoint && member.availability == Availability::kUp)
         throw Malformed{"addr", "an address and port"};
-      told.members.push_back(member);
+      told.endpoints.push_back(member);
       told.names.push_back({std::string(name), endpoint ? endpoint->Text() : std::string()});
       endpoints.push_back(endpoint);
     }
     if (told.kind == EndpointsEvent::Kind::kFull) {  // who is not named in a whole list has gone
       draining_.clear();
       std::unordered_set<ServerId> named;
-      for (const EndpointInfo& member : told.members) named.insert(member.id);
+      for (const EndpointInfo& member : told.endpoints) named.insert(member.id);
       caches_.ForsakeAllBut(named);
     }
-    for (std::size_t i = 0; i < told.members.size(); ++i) {
-      const EndpointInfo& member = told.members[i];
+    for (std::size_t i = 0; i < told.endpoints.size(); ++i) {
+      const EndpointInfo& member = told.endpoints[i];
       if (endpoints[i]) caches_.Know(member.id, {told.names[i].name, *endpoints[i]});
       if (member.availability == Availability::kRemoved) caches_.Forsake(member.id);
       member.availability == Availability::kDraining ? static_cast<void>(draining_.insert(member.id))
@@ -218,8 +218,8 @@
     }
     events_.push_back(std::move(told));
   } else if (event["invalidate"].get(part) == simdjson::SUCCESS) {
-    core::PurgeTold told;
-    told.at = Micros{Get<std::int64_t>(part, "time") * 1000};
+    core::PurgeReceived told;
+    told.purged_at = Micros{Get<std::int64_t>(part, "time") * 1000};
     std::string_view object;
     if (part["object"].get(object) == simdjson::SUCCESS) {
       told.object = ParseObject(object, "object");
@@ -231,6 +231,6 @@
   seq_ = seq;
 }
 
-void ChangeLog::EndRound() { closed_.clear(); }
+void EndpointWatcher::EndRound() { closed_.clear(); }
 
 }  // namespace tinspan::platform
