--- a/src/routing/engine.cpp
+++ b/src/routing/engine.cpp
@@ -146,7 +146,7 @@
 void Router::Engine::Abandon(Request& request) {
   if (std::exchange(request.is_ended, true)) return;
   const Settings& settings = context_.settings;
-  if (state_.rules.CanReject(request)) {
+  if (AttemptRules::CanReject(request)) {
     const Micros retry_after = settings.has_retry_after ? settings.max_retry_after : Micros{0};
     context_.Emit(Reject{request.event.id, retry_after});
   } else {
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -32,7 +32,7 @@
   return own.idempotency_scope == IdempotencyScope::kZone || before.cell == next.cell;
 }
 
-bool AttemptRules::CanReject(const Request& request) const {
+bool AttemptRules::CanReject(const Request& request) {
   const ClassSettings& own = request.traffic_class;
   if (own.effect == Effect::kIdempotent) return true;
   if (!request.first_executed && request.InFlightCount() == 0) return true;
--- a/src/routing/retry_policy.hpp
+++ b/src/routing/retry_policy.hpp
@@ -29,7 +29,7 @@
   bool CanAttempt(const Request& request, ServerIndex server) const;
 
   // Whether a client that is told to come back does no harm: no effect can happen twice.
-  bool CanReject(const Request& request) const;
+  static bool CanReject(const Request& request);
 
   // Two servers answered with an error: what they were asked is at fault, and no third is asked. Guards
   // against clients that ask for what nobody can answer, which would eject one server after the other.
--- a/src/routing/server_table.cpp
+++ b/src/routing/server_table.cpp
@@ -10,12 +10,12 @@
 
 void ServerTable::Apply(const EndpointsEvent& event) {
   if (event.kind != EndpointsEvent::Kind::kDelta) {
-    for (Server& server : servers_) server.endpoint.availability = Availability::kRemoved;
+    for (Server& server : All()) server.endpoint.availability = Availability::kRemoved;
   }
   for (const EndpointInfo& endpoint : event.endpoints) Update(endpoint);
-  if (servers_.size() > kMinSlotsToReuse) servers_.EraseIf(HasDeparted);
+  if (All().size() > kMinSlotsToReuse) servers_.EraseIf(HasDeparted);
   for (auto& list : listed_) list.clear();
-  for (ServerIndex index = 0; index < servers_.size(); ++index) {
+  for (ServerIndex index = 0; index < All().size(); ++index) {
     const Server& server = servers_[index];
     if (IsUsable(server)) listed_[static_cast<std::size_t>(server.role)].push_back(index);
   }
--- a/src/routing/server_table.hpp
+++ b/src/routing/server_table.hpp
@@ -24,7 +24,7 @@
   // By index, free slots included.
   Server& operator[](ServerIndex index) { return servers_[index]; }
   const Server& operator[](ServerIndex index) const { return servers_[index]; }
-  SlotMap<Server>& All() { return servers_; }
+  std::vector<Server>& All() { return servers_.Values(); }
 
   // Usable servers of a role, by slot. Made anew when endpoints change, so that a request's cost follows
   // its location's size and not the fleet's.
--- a/src/routing/slot_map.hpp
+++ b/src/routing/slot_map.hpp
@@ -44,9 +44,7 @@
   // By slot, free ones included.
   Value& operator[](std::size_t slot) { return values_[slot]; }
   const Value& operator[](std::size_t slot) const { return values_[slot]; }
-  std::size_t size() const { return values_.size(); }
-  auto begin() { return values_.begin(); }
-  auto end() { return values_.end(); }
+  std::vector<Value>& Values() { return values_; }
 
  private:
   std::vector<Value> values_;
