--- /dev/null
+++ b/tests/routing/ingress_link_test.cpp
@@ -0,0 +1,180 @@
+// How many fills a location takes in at once.
+#include <cmath>
+
+#include "routing/router_fixture.hpp"
+
+namespace tinspan {
+namespace {
+
+// A location with many parents: their capacities add up to far more than its ingress link carries, and fills
+// that crawl hold every place for fills. Guards against scans, flushes and warming caches alike.
+struct ManyParentsFixture : RouterFixture {
+  ManyParentsFixture() {
+    for (std::uint64_t id = 100; id < 140; ++id) {
+      endpoints.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
+    }
+    Start();
+    for (std::uint64_t object = 1000; object < 1020; ++object) {  // objects not seen before are filled
+      Complete(Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 60ms);
+    }
+  }
+  std::vector<RequestId> FillUp(std::uint64_t from = 1) {
+    std::vector<RequestId> sent;
+    for (std::uint64_t object = from; object < from + 300; ++object) {
+      Handle(Request(object));
+      for (const SendAttempt& one : ActionsOf<SendAttempt>()) sent.push_back(one.id);
+    }
+    return sent;
+  }
+};
+
+TEST(IngressLink, BoundsTheFillsOfManyParents) {
+  ManyParentsFixture fixture;
+  const std::size_t first = fixture.FillUp().size();
+  EXPECT_GT(first, 0u);
+  EXPECT_LT(first, 30u);  // three caches or forty parents alone would take more
+}
+
+TEST(IngressLink, ReducesCapacityWhereCachesHaveNoFillSlot) {
+  ManyParentsFixture fixture;
+  const std::vector<RequestId> first = fixture.FillUp();
+  for (const RequestId id : first) {
+    fixture.Handle(ClientDisconnectedEvent{id});
+    fixture.Complete(id, 0, Outcome::kRejected, FillNote::kNoFillSlot);
+  }
+  EXPECT_LT(fixture.FillUp(5000).size(), first.size());
+}
+
+TEST(IngressLink, KeepsCapacityWhereFillsWaitedForTheirSource) {
+  const auto accepted_after = [](Micros wait) {
+    ManyParentsFixture fixture;
+    for (const RequestId id : fixture.FillUp()) {
+      fixture.Handle(OutcomeEvent{.id = id,
+                                  .outcome = Outcome::kServed,
+                                  .elapsed = 600ms,
+                                  .is_finished = true,
+                                  .note = FillNote::kFilled,
+                                  .fill_wait = wait});
+    }
+    return fixture.FillUp().size();
+  };
+  EXPECT_GT(accepted_after(500ms), accepted_after(20ms));
+}
+
+// Guards against congestion that feeds on itself: fills left alone run on and still hold the ingress link.
+TEST(IngressLink, CountsAbandonedFillsForAWhile) {
+  ManyParentsFixture fixture;
+  for (std::uint64_t object = 2000; object < 2010;
+       ++object) {  // fills are late: congestion, not lost answers
+    fixture.Complete(fixture.Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 900ms);
+  }
+  const std::vector<RequestId> first = fixture.FillUp();
+  for (const RequestId id : first) {
+    fixture.Handle(ClientDisconnectedEvent{id});
+    fixture.Complete(id, 0, Outcome::kCancelled, FillNote::kNone, 100ms);
+  }
+  const std::vector<RequestId> second = fixture.FillUp(5000);
+  EXPECT_LT(second.size(), first.size());
+  for (const RequestId id : second) {
+    fixture.Handle(ClientDisconnectedEvent{id});
+    fixture.Complete(id, 0, Outcome::kNotSent);
+  }
+  fixture.AdvanceTime(20s);
+  EXPECT_GT(fixture.FillUp(9000).size(), second.size());
+}
+
+// Guards against clients that withdraw by the hundred: what they leave running is counted, but where it
+// closed the ingress link, no fill would ever tell that it is free again.
+TEST(IngressLink, IsNeverClosedByAbandonedFills) {
+  ManyParentsFixture fixture;
+  for (std::uint64_t object = 2000; object < 2010; ++object) {
+    fixture.Complete(fixture.Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 900ms);
+  }
+  for (std::uint64_t wave = 1; wave <= 50; ++wave) {
+    for (const RequestId id : fixture.FillUp(10'000 * wave)) {
+      fixture.Handle(ClientDisconnectedEvent{id});
+      fixture.Complete(id, 0, Outcome::kCancelled, FillNote::kNone, 5ms);
+    }
+  }
+  EXPECT_GE(fixture.FillUp(9'000'000).size(), 2u);
+}
+
+// A location of many instances, each of which sends little.
+struct ManyInstancesFixture : HitOnlyFixture {
+  ManyInstancesFixture() {
+    settings.instance_count = 100;
+    settings.zone_instance_counts = {10, 1};
+    for (std::uint64_t id = 100; id < 140; ++id) {
+      endpoints.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
+    }
+    Start();
+    for (std::uint64_t object = 1000; object < 1020; ++object) {  // objects not seen before are filled
+      Complete(Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 60ms);
+    }
+  }
+  // One answer whose report says how full the location's ingress link is.
+  void Report(double link_utilization) {
+    const SendAttempt one = Send(next_id + 100'000);
+    Handle(OutcomeEvent{.id = one.id,
+                        .outcome = Outcome::kServed,
+                        .elapsed = 60ms,
+                        .is_finished = true,
+                        .note = FillNote::kFilled,
+                        .load = {.in_flight = 3, .link_utilization = link_utilization}});
+  }
+  std::size_t FillsAtOnce() {
+    std::size_t sent = 0;
+    for (std::uint64_t i = 0; i < 12; ++i) {
+      Handle(Request(next_id + 200'000));
+      sent += ActionsOf<SendAttempt>().size();
+    }
+    return sent;
+  }
+};
+
+// Guards against a hundred instances that each ejected their own few fills while the ingress link that they
+// share is idle.
+TEST(IngressLink, IsOpenWhileReportsSayItIsFarFromFull) {
+  ManyInstancesFixture untold, idle, full, old;
+  const std::size_t own = untold.FillsAtOnce();
+  idle.Report(0.2);
+  const std::size_t open = idle.FillsAtOnce();
+  EXPECT_GT(open, own);
+  EXPECT_GE(open, 9u);
+  full.Report(1.5);
+  EXPECT_LE(full.FillsAtOnce(), own);
+  old.Report(0.2);
+  old.AdvanceTime(5s);  // what a report told seconds ago says nothing of now
+  EXPECT_LE(old.FillsAtOnce(), own);
+}
+
+// Guards against a ingress link that holds forty times what fits while each of its instances keeps to its own
+// small capacity.
+TEST(IngressLink, AcceptsFewFillsWhileReportsSayItIsOverfull) {
+  std::size_t busy = 0, jammed = 0;
+  for (int i = 0; i < 20; ++i) {
+    ManyInstancesFixture one, other;
+    other.next_id = one.next_id += static_cast<std::uint64_t>(i) * 1000;
+    one.Report(1.5);
+    busy += one.FillsAtOnce();
+    other.Report(40);
+    jammed += other.FillsAtOnce();
+  }
+  EXPECT_GT(busy, 20u);
+  EXPECT_LT(jammed, busy / 2);
+}
+
+// Guards against one spoilt report that closes the ingress link, or keeps later ones from being heard, for
+// good.
+TEST(IngressLink, IgnoresReportsOutOfRange) {
+  for (const double bad : {std::nan(""), HUGE_VAL, -HUGE_VAL, 1e300, -5.0}) {
+    ManyInstancesFixture fixture;
+    fixture.Report(0.2);
+    fixture.Report(bad);
+    for (int i = 0; i < 20; ++i) fixture.Report(0.2);
+    EXPECT_GE(fixture.FillsAtOnce(), 9u) << bad;
+  }
+}
+
+}  // namespace
+}  // namespace tinspan
--- a/tests/routing/router_fixture.hpp
+++ b/tests/routing/router_fixture.hpp
@@ -1,4 +1,4 @@
-// A router under scripted events, and what tests ask of the actions that come out.
+// A instance under scripted events, and what tests ask of the actions that come out.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -16,9 +16,9 @@
 constexpr KindId kParentKind{1};
 constexpr KindId kOriginKind{2};
 
-class Script {
+class RouterFixture {
  public:
-  Script() {
+  RouterFixture() {
     settings.classes.push_back(
         {.effect = Effect::kIdempotent, .latency_objective = 400ms, .deadline = 5s, .priority_weight = 1});
     settings.zone_count = 2;
@@ -46,24 +46,25 @@
     settings.parent_overload_multiple = 2;
     settings.purge_window = 300ms;
     settings.purge_retention = 6s;
-    for (std::uint64_t id : {1, 2, 3}) members.push_back(Cache(id));
+    for (std::uint64_t id : {1, 2, 3}) endpoints.push_back(Cache(id));
     for (std::uint64_t id : {11, 12}) {
-      members.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
+      endpoints.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
     }
-    members.push_back({.id = ServerId{21}, .kind = kOriginKind, .zone = ZoneId{1}});
+    endpoints.push_back({.id = ServerId{21}, .kind = kOriginKind, .zone = ZoneId{1}});
   }
 
   static EndpointInfo Cache(std::uint64_t id) { return {.id = ServerId{id}, .kind = kCacheKind}; }
 
   void Start() {
     router = std::make_unique<Router>(settings, 1, now, actions);
-    Tell(members, EndpointsEvent::Kind::kStale);
+    UpdateEndpoints(endpoints, EndpointsEvent::Kind::kStale);
   }
-  void Tell(const std::vector<EndpointInfo>& list, EndpointsEvent::Kind kind = EndpointsEvent::Kind::kDelta) {
-    Pass(EndpointsEvent{.kind = kind, .endpoints = list});
+  void UpdateEndpoints(const std::vector<EndpointInfo>& list,
+                       EndpointsEvent::Kind kind = EndpointsEvent::Kind::kDelta) {
+    Handle(EndpointsEvent{.kind = kind, .endpoints = list});
   }
   template <class Event>
-  void Pass(const Event& event) {
+  void Handle(const Event& event) {
     actions.clear();
     router->Handle(now, event, actions);
     for (const Action& action : actions) {
@@ -74,55 +75,55 @@
     return {.id = RequestId{next_id++}, .time_left = 5s, .object = ObjectId{object}, .size_kb = size_kb};
   }
   // Sends a request and gives back the attempt that came of it; fails the test if none did.
-  SendAttempt Ask(const RequestEvent& event) {
-    Pass(event);
+  SendAttempt Send(const RequestEvent& event) {
+    Handle(event);
     return OnlyAttempt();
   }
-  SendAttempt Ask(std::uint64_t object) { return Ask(Request(object)); }
+  SendAttempt Send(std::uint64_t object) { return Send(Request(object)); }
   SendAttempt OnlyAttempt() {
-    const auto all = All<SendAttempt>();
+    const auto all = ActionsOf<SendAttempt>();
     EXPECT_EQ(all.size(), 1u);
     return all.empty() ? SendAttempt{} : all[0];
   }
   template <class Kind>
-  std::vector<Kind> All() const {
+  std::vector<Kind> ActionsOf() const {
     std::vector<Kind> found;
     for (const Action& action : actions) {
       if (const auto* one = std::get_if<Kind>(&action)) found.push_back(*one);
     }
     return found;
   }
-  void Answer(RequestId id, std::uint32_t attempt, Outcome outcome, FillNote note = FillNote::kNone,
-              Micros elapsed = 60ms) {
-    Pass(OutcomeEvent{.id = id,
-                      .attempt = attempt,
-                      .outcome = outcome,
-                      .elapsed = elapsed,
-                      .is_finished = outcome == Outcome::kServed,
-                      .note = note});
+  void Complete(RequestId id, std::uint32_t attempt, Outcome outcome, FillNote note = FillNote::kNone,
+                Micros elapsed = 60ms) {
+    Handle(OutcomeEvent{.id = id,
+                        .attempt = attempt,
+                        .outcome = outcome,
+                        .elapsed = elapsed,
+                        .is_finished = outcome == Outcome::kServed,
+                        .note = note});
   }
-  SendAttempt Serve(std::uint64_t object, FillNote note = FillNote::kHit) {
-    const SendAttempt sent = Ask(object);
-    Answer(sent.id, 0, Outcome::kServed, note);
+  SendAttempt SendAndServe(std::uint64_t object, FillNote note = FillNote::kHit) {
+    const SendAttempt sent = Send(object);
+    Complete(sent.id, 0, Outcome::kServed, note);
     return sent;
   }
   // Fills that stay out for good while others are served, until one spares the origin; false: none did.
-  bool LateFillsSpareTheOrigin() {
+  bool LateFillsProtectTheOrigin() {
     for (std::uint64_t object = 1; object < 60; ++object) {
       RequestEvent slow = Request(object);
       slow.time_left = 1500ms;
-      const SendAttempt late = Ask(slow);
+      const SendAttempt late = Send(slow);
       if (late.source_cached_only) return true;
-      const SendAttempt quick = Ask(object + 1000);
-      Wait(100ms);
-      Answer(quick.id, 0, Outcome::kServed, FillNote::kFilled);
-      Wait(1500ms);
-      Answer(late.id, 0, Outcome::kTimedOut, FillNote::kNone, 1500ms);
+      const SendAttempt quick = Send(object + 1000);
+      AdvanceTime(100ms);
+      Complete(quick.id, 0, Outcome::kServed, FillNote::kFilled);
+      AdvanceTime(1500ms);
+      Complete(late.id, 0, Outcome::kTimedOut, FillNote::kNone, 1500ms);
     }
     return false;
   }
   // Lets time pass, ringing each timer when it is due; keeps the actions of all rings.
-  void Wait(Micros span) {
+  void AdvanceTime(Micros span) {
     const Micros end = now + span;
     Actions kept;
     while (true) {
@@ -134,7 +135,7 @@
       const SetTimer timer = timers[next];
       timers.erase(timers.begin() + static_cast<std::ptrdiff_t>(next));
       now = std::max(now, timer.at);
-      Pass(TimerEvent{timer.token});
+      Handle(TimerEvent{timer.token});
       kept.insert(kept.end(), actions.begin(), actions.end());
     }
     now = end;
@@ -142,7 +143,7 @@
   }
 
   Settings settings;
-  std::vector<EndpointInfo> members;
+  std::vector<EndpointInfo> endpoints;
   Micros now{100s};
   Actions actions;
   std::vector<SetTimer> timers;
@@ -150,4 +151,18 @@
   std::uint64_t next_id = 1;
 };
 
+inline bool IsParent(ServerId id) { return id == ServerId{11} || id == ServerId{12}; }
+
+inline EndpointInfo WithAvailability(EndpointInfo endpoint, Availability availability,
+                                     Micros started = Micros{0}) {
+  endpoint.availability = availability;
+  endpoint.started_at = started;
+  return endpoint;
+}
+
+// A fixture on a platform whose outcomes tell hits from fills and nothing else of a fill's way, as ours does.
+struct HitOnlyFixture : RouterFixture {
+  HitOnlyFixture() { settings.fill_detail = FillDetail::kHit; }
+};
+
 }  // namespace tinspan
