--- a/tests/routing/capacity_test.cpp
+++ b/tests/routing/capacity_test.cpp
@@ -8,25 +8,25 @@
 TEST(CapacityEstimator, LearnsFromLatencyAndRejectsAtOnceWhatDoesNotFit) {
   RouterFixture fixture;
   fixture.Start();
-  const auto held = [&fixture](std::uint64_t from) {
+  const auto send_many = [&fixture](std::uint64_t from) {
     std::vector<RequestId> sent;
     for (std::uint64_t object = from; object < from + 300; ++object) {
       fixture.Handle(fixture.Request(object));
       for (const SendAttempt& one : fixture.ActionsOf<SendAttempt>()) sent.push_back(one.id);
-      EXPECT_EQ(fixture.ActionsOf<SendAttempt>().size() + fixture.ActionsOf<Reject>().size(), 1u);
+      EXPECT_EQ(fixture.ActionsOf<SendAttempt>().size() + fixture.ActionsOf<Reject>().size(), 1U);
     }
     return sent;
   };
-  const auto first = held(1);
-  EXPECT_LT(first.size(), 300u);
+  const auto first = send_many(1);
+  EXPECT_LT(first.size(), 300U);
   for (const RequestId id : first) fixture.Complete(id, 0, Outcome::kServed, FillNote::kHit, 480ms);
-  const auto second = held(1);
+  const auto second = send_many(1);
   EXPECT_LT(second.size(), first.size());
   for (const RequestId id : second) fixture.Complete(id, 0, Outcome::kServed, FillNote::kHit, 60ms);
   for (int i = 0; i < 20; ++i) {
-    for (const RequestId id : held(1)) fixture.Complete(id, 0, Outcome::kServed, FillNote::kHit, 60ms);
+    for (const RequestId id : send_many(1)) fixture.Complete(id, 0, Outcome::kServed, FillNote::kHit, 60ms);
   }
-  EXPECT_GT(held(1).size(), second.size());
+  EXPECT_GT(send_many(1).size(), second.size());
 }
 
 // Guards against congestion seen only by its survivors: attempts cut off late narrow the capacity (i150e8d),
@@ -61,7 +61,7 @@
 
 // Guards against a client's figure that is out of all proportion: others would be measured by it.
 TEST(CapacityEstimator, IgnoresAnAbsurdSize) {
-  const auto taken = [](double size_kb) {
+  const auto accepted = [](double size_kb) {
     RouterFixture fixture;
     fixture.Start();
     for (std::uint64_t object = 1; object < 100; ++object) fixture.SendAndServe(object);
@@ -78,8 +78,8 @@
     }
     return sent;
   };
-  EXPECT_LT(taken(50), 99);
-  EXPECT_EQ(taken(50), taken(1e6));
+  EXPECT_LT(accepted(50), 99);
+  EXPECT_EQ(accepted(50), accepted(1e6));
 }
 
 // Guards against spending scarce capacity on what earns little for its sending time.
@@ -92,7 +92,7 @@
   }
   for (std::uint64_t object = 1; object < 100; ++object) fixture.Handle(fixture.Request(object, 400));
   fixture.Handle(fixture.Request(7, 2000));
-  EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1U);
   int small = 0;
   for (std::uint64_t object = 1; object < 10; ++object) {
     fixture.Handle(fixture.Request(object, 5));
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -68,7 +68,7 @@
       fixture.Complete(one.id, 0, Outcome::kRejected, FillNote::kOriginFailed);
     }
     EXPECT_TRUE(fixture.ActionsOf<SendAttempt>().empty());
-    EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1u);
+    EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1U);
     fixture.AdvanceTime(20ms);
   }
   EXPECT_LE(origin_requests, 9);
--- a/tests/routing/engine_test.cpp
+++ b/tests/routing/engine_test.cpp
@@ -15,7 +15,7 @@
   fixture.AdvanceTime(4990ms);
   EXPECT_TRUE(fixture.ActionsOf<Reject>().empty() && fixture.ActionsOf<Fail>().empty());
   fixture.AdvanceTime(10ms);
-  EXPECT_EQ(fixture.ActionsOf<Reject>().size() + fixture.ActionsOf<Fail>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Reject>().size() + fixture.ActionsOf<Fail>().size(), 1U);
   fixture.Complete(event.id, 0, Outcome::kTimedOut);
   EXPECT_TRUE(fixture.actions.empty());
 }
@@ -27,9 +27,9 @@
   const SendAttempt sent = fixture.Send(7);
   fixture.now = sent.expires_at;
   fixture.Complete(sent.id, 0, Outcome::kTimedOut);
-  EXPECT_EQ(fixture.ActionsOf<Reject>().size() + fixture.ActionsOf<Fail>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Reject>().size() + fixture.ActionsOf<Fail>().size(), 1U);
   fixture.AdvanceTime(10ms);
-  EXPECT_EQ(fixture.ActionsOf<Reject>().size() + fixture.ActionsOf<Fail>().size(), 0u);
+  EXPECT_EQ(fixture.ActionsOf<Reject>().size() + fixture.ActionsOf<Fail>().size(), 0U);
 }
 
 TEST(Engine, UsesTheRequestsOwnDeadline) {
@@ -59,7 +59,7 @@
   EXPECT_TRUE(fixture.ActionsOf<Subscribe>().empty());
   EXPECT_NE(fixture.SendAndServe(7).server, ServerId{});
   fixture.AdvanceTime(4s);  // some connect time-outs later it asks again
-  EXPECT_EQ(fixture.ActionsOf<Subscribe>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Subscribe>().size(), 1U);
 }
 
 TEST(Engine, MovesARequestFromASilentCache) {
@@ -68,7 +68,7 @@
   fixture.Start();
   const SendAttempt sent = fixture.Send(7);
   fixture.AdvanceTime(410ms);
-  ASSERT_EQ(fixture.ActionsOf<CancelAttempt>().size(), 1u);
+  ASSERT_EQ(fixture.ActionsOf<CancelAttempt>().size(), 1U);
   EXPECT_NE(fixture.OnlyAttempt().server, sent.server);
 }
 
@@ -78,7 +78,7 @@
   RequestEvent event = fixture.Request(7);
   event.class_id = ClassId{9};
   fixture.Handle(event);
-  EXPECT_EQ(fixture.ActionsOf<Fail>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Fail>().size(), 1U);
   fixture.Complete(RequestId{999}, 0, Outcome::kServed);
   EXPECT_TRUE(fixture.actions.empty());
   const SendAttempt sent = fixture.Send(7);
@@ -106,7 +106,7 @@
   fixture.endpoints.clear();
   fixture.Start();
   fixture.Handle(fixture.Request(7));
-  EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1U);
 }
 
 // Guards against a fleet that, when all its copies have gone void, cancels what is late everywhere and asks
@@ -127,7 +127,7 @@
     }
     fixture.Send(100);
     fixture.AdvanceTime(600ms);
-    EXPECT_EQ(fixture.ActionsOf<CancelAttempt>().size(), many_are_late ? 0u : 1u);
+    EXPECT_EQ(fixture.ActionsOf<CancelAttempt>().size(), many_are_late ? 0U : 1U);
   }
 }
 
--- a/tests/routing/ingress_link_test.cpp
+++ b/tests/routing/ingress_link_test.cpp
@@ -9,15 +9,7 @@
 // A location with many parents: their capacities add up to far more than its ingress link carries, and fills
 // that crawl hold every place for fills. Guards against scans, flushes and warming caches alike.
 struct ManyParentsFixture : RouterFixture {
-  ManyParentsFixture() {
-    for (std::uint64_t id = 100; id < 140; ++id) {
-      endpoints.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
-    }
-    Start();
-    for (std::uint64_t object = 1000; object < 1020; ++object) {  // objects not seen before are filled
-      Complete(Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 60ms);
-    }
-  }
+  ManyParentsFixture() { StartWithManyParents(); }
   std::vector<RequestId> FillUp(std::uint64_t from = 1) {
     std::vector<RequestId> sent;
     for (std::uint64_t object = from; object < from + 300; ++object) {
@@ -31,8 +23,8 @@
 TEST(IngressLink, BoundsTheFillsOfManyParents) {
   ManyParentsFixture fixture;
   const std::size_t first = fixture.FillUp().size();
-  EXPECT_GT(first, 0u);
-  EXPECT_LT(first, 30u);  // three caches or forty parents alone would take more
+  EXPECT_GT(first, 0U);
+  EXPECT_LT(first, 30U);  // three caches or forty parents alone would take more
 }
 
 TEST(IngressLink, ReducesCapacityWhereCachesHaveNoFillSlot) {
@@ -64,8 +56,8 @@
 // Guards against congestion that feeds on itself: fills left alone run on and still hold the ingress link.
 TEST(IngressLink, CountsAbandonedFillsForAWhile) {
   ManyParentsFixture fixture;
-  for (std::uint64_t object = 2000; object < 2010;
-       ++object) {  // fills are late: congestion, not lost answers
+  // Fills are late: congestion, not lost answers.
+  for (std::uint64_t object = 2000; object < 2010; ++object) {
     fixture.Complete(fixture.Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 900ms);
   }
   const std::vector<RequestId> first = fixture.FillUp();
@@ -96,7 +88,7 @@
       fixture.Complete(id, 0, Outcome::kCancelled, FillNote::kNone, 5ms);
     }
   }
-  EXPECT_GE(fixture.FillUp(9'000'000).size(), 2u);
+  EXPECT_GE(fixture.FillUp(9'000'000).size(), 2U);
 }
 
 // A location of many instances, each of which sends little.
@@ -104,13 +96,7 @@
   ManyInstancesFixture() {
     settings.instance_count = 100;
     settings.zone_instance_counts = {10, 1};
-    for (std::uint64_t id = 100; id < 140; ++id) {
-      endpoints.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
-    }
-    Start();
-    for (std::uint64_t object = 1000; object < 1020; ++object) {  // objects not seen before are filled
-      Complete(Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 60ms);
-    }
+    StartWithManyParents();
   }
   // One answer whose report says how full the location's ingress link is.
   void Report(double link_utilization) {
@@ -132,36 +118,41 @@
   }
 };
 
-// Guards against a hundred instances that each ejected their own few fills while the ingress link that they
+// Guards against a hundred instances that each stop at their own few fills while the ingress link that they
 // share is idle.
 TEST(IngressLink, IsOpenWhileReportsSayItIsFarFromFull) {
-  ManyInstancesFixture untold, idle, full, old;
-  const std::size_t own = untold.FillsAtOnce();
+  ManyInstancesFixture without_report;
+  ManyInstancesFixture idle;
+  ManyInstancesFixture full;
+  ManyInstancesFixture outdated;
+  const std::size_t own = without_report.FillsAtOnce();
   idle.Report(0.2);
   const std::size_t open = idle.FillsAtOnce();
   EXPECT_GT(open, own);
-  EXPECT_GE(open, 9u);
+  EXPECT_GE(open, 9U);
   full.Report(1.5);
   EXPECT_LE(full.FillsAtOnce(), own);
-  old.Report(0.2);
-  old.AdvanceTime(5s);  // what a report told seconds ago says nothing of now
-  EXPECT_LE(old.FillsAtOnce(), own);
+  outdated.Report(0.2);
+  outdated.AdvanceTime(5s);  // what a report said seconds ago says nothing of now
+  EXPECT_LE(outdated.FillsAtOnce(), own);
 }
 
-// Guards against a ingress link that holds forty times what fits while each of its instances keeps to its own
-// small capacity.
+// Guards against an ingress link that holds forty times what fits while each of its instances keeps to its
+// own small capacity.
 TEST(IngressLink, AcceptsFewFillsWhileReportsSayItIsOverfull) {
-  std::size_t busy = 0, jammed = 0;
+  std::size_t busy = 0;
+  std::size_t overfull = 0;
   for (int i = 0; i < 20; ++i) {
-    ManyInstancesFixture one, other;
+    ManyInstancesFixture one;
+    ManyInstancesFixture other;
     other.next_id = one.next_id += static_cast<std::uint64_t>(i) * 1000;
     one.Report(1.5);
     busy += one.FillsAtOnce();
     other.Report(40);
-    jammed += other.FillsAtOnce();
+    overfull += other.FillsAtOnce();
   }
-  EXPECT_GT(busy, 20u);
-  EXPECT_LT(jammed, busy / 2);
+  EXPECT_GT(busy, 20U);
+  EXPECT_LT(overfull, busy / 2);
 }
 
 // Guards against one spoilt report that closes the ingress link, or keeps later ones from being heard, for
@@ -172,7 +163,7 @@
     fixture.Report(0.2);
     fixture.Report(bad);
     for (int i = 0; i < 20; ++i) fixture.Report(0.2);
-    EXPECT_GE(fixture.FillsAtOnce(), 9u) << bad;
+    EXPECT_GE(fixture.FillsAtOnce(), 9U) << bad;
   }
 }
 
--- a/tests/routing/invariants_test.cpp
+++ b/tests/routing/invariants_test.cpp
@@ -1,4 +1,5 @@
-// Legal event sequences drawn with a fixed seed; the five rules are checked on what comes out.
+// Legal event sequences drawn with a fixed seed; the rules of the interface are checked on what comes out.
+#include <algorithm>
 #include <map>
 #include <random>
 #include <sstream>
@@ -8,166 +9,232 @@
 namespace tinspan {
 namespace {
 
-struct Held {
+struct AttemptState {
+  bool is_in_flight = true;
+  bool may_have_executed = false;
+};
+
+struct RequestState {
   RequestEvent event;
   Micros deadline{0};
-  Micros answered{-1};
-  std::vector<std::pair<bool, bool>> attempts;  // out, may have run
+  Micros answered_at{-1};  // below 0: not yet
+  std::vector<AttemptState> attempts;
 };
 
-std::string Text(const Actions& actions) {
+std::string ToText(const Actions& actions) {
   std::ostringstream text;
   for (const Action& action : actions) {
     text << action.index();
-    if (const auto* one = std::get_if<SendAttempt>(&action)) {
-      text << ' ' << static_cast<std::uint64_t>(one->id) << ' ' << static_cast<std::uint64_t>(one->server)
-           << ' ' << static_cast<std::uint64_t>(one->source) << ' ' << one->max_age.count();
+    if (const auto* sent = std::get_if<SendAttempt>(&action)) {
+      text << ' ' << static_cast<std::uint64_t>(sent->id) << ' ' << static_cast<std::uint64_t>(sent->server)
+           << ' ' << static_cast<std::uint64_t>(sent->source) << ' ' << sent->max_age.count();
     }
     text << '\n';
   }
   return text.str();
 }
 
-// Plays one drawn day and returns all actions as text.
-std::string PlayDay(unsigned seed, RouterFixture& fixture, RouterFixture* other_instance) {
-  std::mt19937 random(seed);
-  const auto draw = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
-  fixture.settings.can_hedge = seed % 2;
-  fixture.settings.can_bypass_cache = seed % 3 == 0;
-  fixture.settings.classes.push_back(
-      {.effect = Effect::kNonIdempotent, .latency_objective = 500ms, .deadline = 3s, .priority_weight = 3});
-  fixture.settings.classes.push_back({.effect = Effect::kIdempotencyKey,
-                                      .idempotency_scope = IdempotencyScope::kZone,
-                                      .idempotency_window = 900ms,
-                                      .latency_objective = 500ms,
-                                      .deadline = 3s,
-                                      .priority_weight = 3});
-  fixture.Start();
-  if (other_instance) other_instance->Start();
-  std::map<RequestId, Held> held;
-  std::map<std::uint64_t, Micros> purged;
-  std::map<ServerId, Availability> state;
-  std::string all;
-  std::vector<std::pair<RequestId, std::uint32_t>> out;
-
-  const auto check = [&] {
-    all += Text(fixture.actions);
-    for (const Action& action : fixture.actions) {
-      if (const auto* sent = std::get_if<SendAttempt>(&action)) {
-        Held& one = held[sent->id];
-        EXPECT_LT(one.answered, 0us) << "sent after the final answer";
-        EXPECT_EQ(state[sent->server], Availability::kUp) << "sent to a draining server";
-        EXPECT_EQ(state[sent->source], Availability::kUp) << "filled from a draining server";
-        const Effect effect = fixture.settings.classes[static_cast<std::size_t>(one.event.class_id)].effect;
-        for (const auto& [is_out, may_have_run] : one.attempts) {
-          EXPECT_FALSE(is_out && (!fixture.settings.can_hedge || effect != Effect::kIdempotent));
-          EXPECT_FALSE(may_have_run && effect == Effect::kNonIdempotent) << "an effect could happen twice";
-        }
-        const auto purge = purged.find(static_cast<std::uint64_t>(one.event.object));
-        if (purge != purged.end() && fixture.now - purge->second < 6s) {
-          EXPECT_GT(sent->max_age, 0us);
-          EXPECT_LE(sent->max_age, std::max(fixture.now - purge->second, Micros{1}));
-        }
-        one.attempts.emplace_back(true, false);
-        EXPECT_LE(one.attempts.size(), fixture.settings.max_attempts);
-        out.emplace_back(sent->id, static_cast<std::uint32_t>(one.attempts.size() - 1));
-      } else if (const auto* refused = std::get_if<Reject>(&action)) {
-        Held& one = held[refused->id];
-        EXPECT_LT(one.answered, 0us) << "answered twice";
-        one.answered = fixture.now;
-        if (fixture.settings.classes[static_cast<std::size_t>(one.event.class_id)].effect !=
-            Effect::kIdempotent) {
-          for (const auto& attempt : one.attempts) EXPECT_FALSE(attempt.first || attempt.second);
-        }
-      } else if (const auto* failed = std::get_if<Fail>(&action)) {
-        EXPECT_LT(held[failed->id].answered, 0us) << "answered twice";
-        held[failed->id].answered = fixture.now;
+bool ProvesNotExecuted(Outcome outcome) {
+  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
+}
+
+// One drawn day: steps of requests, outcomes, endpoint changes, purges and time, each checked.
+class DrawnDay {
+ public:
+  DrawnDay(unsigned seed, RouterFixture& fixture, RouterFixture* other_instance)
+      : random_(seed), fixture_(fixture), other_instance_(other_instance) {
+    fixture_.settings.can_hedge = seed % 2;
+    fixture_.settings.can_bypass_cache = seed % 3 == 0;
+    fixture_.settings.classes.push_back(
+        {.effect = Effect::kNonIdempotent, .latency_objective = 500ms, .deadline = 3s, .priority_weight = 3});
+    fixture_.settings.classes.push_back({.effect = Effect::kIdempotencyKey,
+                                         .idempotency_scope = IdempotencyScope::kZone,
+                                         .idempotency_window = 900ms,
+                                         .latency_objective = 500ms,
+                                         .deadline = 3s,
+                                         .priority_weight = 3});
+    for (const EndpointInfo& endpoint : fixture_.endpoints) availability_[endpoint.id] = Availability::kUp;
+  }
+
+  // Plays the day, up to a failed check, and returns all actions as text.
+  std::string Play() {
+    fixture_.Start();
+    if (other_instance_ != nullptr) other_instance_->Start();
+    for (int step = 0; step < kSteps && !::testing::Test::HasFailure(); ++step) {
+      const unsigned kind = Draw(20);
+      if (other_instance_ != nullptr && step % 3 == 0) {
+        other_instance_->now = fixture_.now;
+        other_instance_->SendAndServe(Draw(50) + 1);
+      }
+      Step(kind);
+      for (const auto& [request_id, request] : requests_) {
+        EXPECT_TRUE(request.answered_at >= 0us ||
+                    fixture_.now < request.deadline + fixture_.settings.answer_grace);
       }
     }
-  };
-  for (const EndpointInfo& endpoint : fixture.endpoints) state[endpoint.id] = Availability::kUp;
-  for (int step = 0; step < 4000; ++step) {
-    const unsigned what = draw(20);
-    if (other_instance && step % 3 == 0) {
-      other_instance->now = fixture.now;
-      other_instance->SendAndServe(draw(50) + 1);
+    return text_;
+  }
+
+ private:
+  static constexpr int kSteps = 4000;
+
+  unsigned Draw(unsigned count) { return static_cast<unsigned>(random_() % count); }
+
+  void Step(unsigned kind) {
+    if (kind < 9) return SendRequest();
+    if (kind < 16 && !in_flight_.empty()) return CompleteAttempt();
+    if (kind == 16) return ChangeEndpoint();
+    if (kind == 17) return Purge();
+    AdvanceTime();
+  }
+
+  void SendRequest() {
+    RequestEvent event = fixture_.Request(Draw(50) + 1, Draw(900));
+    event.class_id = ClassId{Draw(3)};
+    event.time_left = Micros{1000 * (200 + Draw(3000))};
+    requests_[event.id] = {.event = event, .deadline = fixture_.now + event.time_left, .attempts = {}};
+    fixture_.Handle(event);
+    CheckActions();
+  }
+
+  void CompleteAttempt() {
+    const std::size_t pick = Draw(static_cast<unsigned>(in_flight_.size()));
+    const auto [request_id, attempt] = in_flight_[pick];
+    in_flight_.erase(in_flight_.begin() + static_cast<std::ptrdiff_t>(pick));
+    RequestState& request = requests_[request_id];
+    const Outcome outcome = Draw(2) ? Outcome::kServed : static_cast<Outcome>(Draw(9));
+    request.attempts[attempt] = {.is_in_flight = false, .may_have_executed = !ProvesNotExecuted(outcome)};
+    if (outcome == Outcome::kServed && request.answered_at < 0us) request.answered_at = fixture_.now;
+    fixture_.Complete(request_id, attempt, outcome, static_cast<FillNote>(Draw(11)),
+                      Micros{1000 * Draw(500)});
+    CheckActions();
+  }
+
+  void ChangeEndpoint() {
+    EndpointInfo endpoint = fixture_.endpoints[Draw(static_cast<unsigned>(fixture_.endpoints.size()))];
+    endpoint.availability = static_cast<Availability>(Draw(3));
+    if (Draw(2)) endpoint.started_at = fixture_.now - Micros{1000 * Draw(5000)};
+    availability_[endpoint.id] = endpoint.availability;
+    fixture_.UpdateEndpoints({endpoint});
+    CheckActions();
+  }
+
+  void Purge() {
+    const std::uint64_t object = Draw(50) + 1;
+    const Micros age{1000 * Draw(400)};
+    purged_at_[object] = std::max(purged_at_[object], fixture_.now - age);
+    fixture_.Handle(PurgeEvent{.age = age, .object = ObjectId{object}});
+    CheckActions();
+  }
+
+  // In steps of one event interval, so that answers are dated right.
+  void AdvanceTime() {
+    const Micros end = fixture_.now + Micros{1000 * Draw(60)};
+    while (fixture_.now < end) {
+      fixture_.AdvanceTime(std::min(Micros{2000}, end - fixture_.now));
+      CheckActions();
+      fixture_.actions.clear();
     }
-    if (what < 9) {
-      RequestEvent event = fixture.Request(draw(50) + 1, draw(900));
-      event.class_id = ClassId{draw(3)};
-      event.time_left = Micros{1000 * (200 + draw(3000))};
-      held[event.id] = {.event = event, .deadline = fixture.now + event.time_left, .attempts = {}};
-      fixture.Handle(event);
-      check();
-    } else if (what < 16 && !out.empty()) {
-      const std::size_t pick = draw(static_cast<unsigned>(out.size()));
-      const auto [id, attempt] = out[pick];
-      out.erase(out.begin() + static_cast<std::ptrdiff_t>(pick));
-      Held& one = held[id];
-      const Outcome outcome = draw(2) ? Outcome::kServed : static_cast<Outcome>(draw(9));
-      const bool proves = outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
-                          outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
-      one.attempts[attempt] = {false, !proves};
-      if (outcome == Outcome::kServed && one.answered < 0us) one.answered = fixture.now;
-      fixture.Complete(id, attempt, outcome, static_cast<FillNote>(draw(11)), Micros{1000 * draw(500)});
-      check();
-    } else if (what == 16) {
-      const EndpointInfo& endpoint = fixture.endpoints[draw(static_cast<unsigned>(fixture.endpoints.size()))];
-      EndpointInfo changed = endpoint;
-      changed.availability = static_cast<Availability>(draw(3));
-      if (draw(2)) changed.started_at = fixture.now - Micros{1000 * draw(5000)};
-      state[endpoint.id] = changed.availability;
-      fixture.UpdateEndpoints({changed});
-      check();
-    } else if (what == 17) {
-      const std::uint64_t object = draw(50) + 1;
-      const Micros age{1000 * draw(400)};
-      purged[object] = std::max(purged[object], fixture.now - age);
-      fixture.Handle(PurgeEvent{.age = age, .object = ObjectId{object}});
-      check();
-    } else {
-      const Micros end = fixture.now + Micros{1000 * draw(60)};
-      while (fixture.now < end) {  // tick by tick, so that answers are dated right
-        fixture.AdvanceTime(std::min(Micros{2000}, end - fixture.now));
-        check();
-        fixture.actions.clear();
+  }
+
+  void CheckActions() {
+    text_ += ToText(fixture_.actions);
+    for (const Action& action : fixture_.actions) {
+      if (const auto* sent = std::get_if<SendAttempt>(&action)) {
+        CheckSent(*sent);
+      } else if (const auto* rejected = std::get_if<Reject>(&action)) {
+        CheckRejected(*rejected);
+      } else if (const auto* failed = std::get_if<Fail>(&action)) {
+        CheckAnswered(requests_[failed->id]);
       }
     }
-    for (const auto& [id, one] : held) {
-      EXPECT_TRUE(one.answered >= 0us || fixture.now < one.deadline + fixture.settings.answer_grace);
+  }
+
+  void CheckSent(const SendAttempt& sent) {
+    RequestState& request = requests_[sent.id];
+    EXPECT_LT(request.answered_at, 0us) << "sent after the final answer";
+    EXPECT_EQ(availability_[sent.server], Availability::kUp) << "sent to a draining server";
+    EXPECT_EQ(availability_[sent.source], Availability::kUp) << "filled from a draining server";
+    const Effect effect = EffectOf(request);
+    for (const AttemptState& attempt : request.attempts) {
+      const bool can_hedge = fixture_.settings.can_hedge && effect == Effect::kIdempotent;
+      EXPECT_FALSE(attempt.is_in_flight && !can_hedge);
+      EXPECT_FALSE(attempt.may_have_executed && effect == Effect::kNonIdempotent)
+          << "an effect could happen twice";
     }
-    if (::testing::Test::HasFailure()) return all;
+    CheckAge(sent, request);
+    request.attempts.push_back({});
+    EXPECT_LE(request.attempts.size(), fixture_.settings.max_attempts);
+    in_flight_.emplace_back(sent.id, static_cast<std::uint32_t>(request.attempts.size() - 1));
   }
-  return all;
-}
 
-TEST(Rules, HoldOnDrawnDays) {
+  void CheckAge(const SendAttempt& sent, const RequestState& request) const {
+    const auto purge = purged_at_.find(static_cast<std::uint64_t>(request.event.object));
+    if (purge == purged_at_.end() || fixture_.now - purge->second >= 6s) return;
+    EXPECT_GT(sent.max_age, 0us);
+    EXPECT_LE(sent.max_age, std::max(fixture_.now - purge->second, Micros{1}));
+  }
+
+  void CheckRejected(const Reject& rejected) {
+    RequestState& request = requests_[rejected.id];
+    CheckAnswered(request);
+    if (EffectOf(request) == Effect::kIdempotent) return;
+    for (const AttemptState& attempt : request.attempts) {
+      EXPECT_FALSE(attempt.is_in_flight || attempt.may_have_executed);
+    }
+  }
+
+  void CheckAnswered(RequestState& request) const {
+    EXPECT_LT(request.answered_at, 0us) << "answered twice";
+    request.answered_at = fixture_.now;
+  }
+
+  Effect EffectOf(const RequestState& request) const {
+    return fixture_.settings.classes[static_cast<std::size_t>(request.event.class_id)].effect;
+  }
+
+  std::mt19937 random_;
+  RouterFixture& fixture_;
+  RouterFixture* other_instance_;
+  std::map<RequestId, RequestState> requests_;
+  std::map<std::uint64_t, Micros> purged_at_;  // by object
+  std::map<ServerId, Availability> availability_;
+  std::vector<std::pair<RequestId, std::uint32_t>> in_flight_;  // request and number of the attempt
+  std::string text_;
+};
+
+TEST(Invariants, HoldOnDrawnDays) {
   for (unsigned seed = 1; seed <= 12; ++seed) {
     RouterFixture fixture;
-    PlayDay(seed, fixture, nullptr);
+    DrawnDay(seed, fixture, nullptr).Play();
     ASSERT_FALSE(HasFailure()) << "day " << seed;
   }
 }
 
-TEST(Rules, EqualEventsGiveEqualActionsWithAnotherInstanceBesideToo) {
-  RouterFixture one, two, other_instance;
-  const std::string first = PlayDay(5, one, nullptr);
-  const std::string second = PlayDay(5, two, nullptr);
-  EXPECT_EQ(first, second);
-  // The other instance draws from its own stream, so only what the instances share could differ.
-  RouterFixture three;
-  three.Start();
+TEST(Invariants, EqualEventsGiveEqualActions) {
+  RouterFixture first;
+  RouterFixture second;
+  const std::string actions = DrawnDay(5, first, nullptr).Play();
+  EXPECT_EQ(actions, DrawnDay(5, second, nullptr).Play());
+}
+
+// The other instance draws from its own stream, so only what the two share could differ.
+TEST(Invariants, AnotherInstanceInTheProcessChangesNoAction) {
+  RouterFixture other;
+  RouterFixture beside_other;
+  beside_other.Start();
   for (std::uint64_t object = 1; object < 500; ++object) {
-    other_instance.now = three.now;
-    if (object == 1) other_instance.Start();
-    other_instance.SendAndServe(object * 3);
-    three.SendAndServe(object);
+    other.now = beside_other.now;
+    if (object == 1) other.Start();
+    other.SendAndServe(object * 3);
+    beside_other.SendAndServe(object);
   }
-  RouterFixture four;
-  four.Start();
+  RouterFixture alone;
+  alone.Start();
   for (std::uint64_t object = 1; object < 500; ++object) {
-    four.SendAndServe(object);
-    ASSERT_EQ(Text(three.actions), Text(four.actions));
+    alone.SendAndServe(object);
+    ASSERT_EQ(ToText(beside_other.actions), ToText(alone.actions));
   }
 }
 
--- a/tests/routing/outcome_recorder_test.cpp
+++ b/tests/routing/outcome_recorder_test.cpp
@@ -23,7 +23,7 @@
     EXPECT_NE(second.server, first.server);
     fixture.Complete(first.id, 1, Outcome::kError);
     EXPECT_TRUE(fixture.ActionsOf<SendAttempt>().empty());  // no third is asked
-    EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1u);
+    EXPECT_EQ(fixture.ActionsOf<Reject>().size(), 1U);
     for (std::uint64_t good = 1; good <= 4; ++good) fixture.SendAndServe(1000 + 4 * object + good);
   }
   std::vector<int> sent(4, 0);
--- a/tests/routing/outlier_detector_test.cpp
+++ b/tests/routing/outlier_detector_test.cpp
@@ -39,7 +39,7 @@
       fixture.Complete(sent.id, 0, Outcome::kServed, FillNote::kHit);
     }
   }
-  ASSERT_EQ(open.size(), 5u);
+  ASSERT_EQ(open.size(), 5U);
   fixture.now += 10ms;
   for (const SendAttempt& one : open) {
     fixture.Complete(one.id, 0, Outcome::kReset);
--- a/tests/routing/retry_policy_test.cpp
+++ b/tests/routing/retry_policy_test.cpp
@@ -12,7 +12,7 @@
     const SendAttempt sent = fixture.Send(7);
     fixture.Complete(sent.id, 0, outcome);
     EXPECT_TRUE(fixture.ActionsOf<SendAttempt>().empty());
-    EXPECT_EQ(fixture.ActionsOf<Fail>().size(), 1u);
+    EXPECT_EQ(fixture.ActionsOf<Fail>().size(), 1U);
   }
   for (const Outcome outcome : {Outcome::kRejected, Outcome::kConnectFailed, Outcome::kMiss}) {
     RouterFixture fixture;
@@ -20,7 +20,7 @@
     fixture.Start();
     const SendAttempt sent = fixture.Send(7);
     fixture.Complete(sent.id, 0, outcome);
-    EXPECT_EQ(fixture.ActionsOf<SendAttempt>().size(), 1u);
+    EXPECT_EQ(fixture.ActionsOf<SendAttempt>().size(), 1U);
   }
 }
 
@@ -30,7 +30,7 @@
   fixture.Start();
   fixture.Send(7);
   fixture.AdvanceTime(6s);
-  EXPECT_EQ(fixture.ActionsOf<Fail>().size(), 1u);
+  EXPECT_EQ(fixture.ActionsOf<Fail>().size(), 1U);
   EXPECT_TRUE(fixture.ActionsOf<Reject>().empty());
 }
 
@@ -54,10 +54,10 @@
       for (const SendAttempt& next : again) EXPECT_EQ(next.server, first.server);
       EXPECT_TRUE(object % 2 == 1 || again.empty());
     } else {
-      ASSERT_EQ(again.size(), 1u);
+      ASSERT_EQ(again.size(), 1U);
       EXPECT_NE(again[0].server, ServerId{1});
     }
-    EXPECT_EQ(one.ActionsOf<Fail>().size(), again.empty() ? 1u : 0u);
+    EXPECT_EQ(one.ActionsOf<Fail>().size(), again.empty() ? 1U : 0U);
   }
 }
 
@@ -66,7 +66,7 @@
   fixture.Start();
   const SendAttempt sent = fixture.Send(7);
   fixture.AdvanceTime(1s);
-  ASSERT_EQ(fixture.ActionsOf<CancelAttempt>().size(), 1u);
+  ASSERT_EQ(fixture.ActionsOf<CancelAttempt>().size(), 1U);
   EXPECT_TRUE(fixture.ActionsOf<SendAttempt>().empty());
   fixture.Complete(sent.id, 0, Outcome::kCancelled);
   EXPECT_NE(fixture.OnlyAttempt().server, sent.server);
@@ -85,7 +85,7 @@
          attempt < 9) {
     fixture.Complete(first.id, attempt++, Outcome::kReset);
   }
-  EXPECT_LT(attempt, 5u);
+  EXPECT_LT(attempt, 5U);
 }
 
 }  // namespace
--- a/tests/routing/router_fixture.hpp
+++ b/tests/routing/router_fixture.hpp
@@ -1,9 +1,9 @@
-// A instance under scripted events, and what tests ask of the actions that come out.
+// A Router under scripted events, and what tests ask of the actions that come out.
 #pragma once
 
 #include <gtest/gtest.h>
 
-#include <string>
+#include <memory>
 #include <vector>
 
 #include "tinspan/router.hpp"
@@ -46,14 +46,14 @@
     settings.parent_overload_multiple = 2;
     settings.purge_window = 300ms;
     settings.purge_retention = 6s;
-    for (std::uint64_t id : {1, 2, 3}) endpoints.push_back(Cache(id));
-    for (std::uint64_t id : {11, 12}) {
-      endpoints.push_back({.id = ServerId{id}, .kind = kParentKind, .zone = ZoneId{1}});
+    for (const std::uint64_t server : {1, 2, 3}) endpoints.push_back(Cache(server));
+    for (const std::uint64_t server : {11, 12}) {
+      endpoints.push_back({.id = ServerId{server}, .kind = kParentKind, .zone = ZoneId{1}});
     }
     endpoints.push_back({.id = ServerId{21}, .kind = kOriginKind, .zone = ZoneId{1}});
   }
 
-  static EndpointInfo Cache(std::uint64_t id) { return {.id = ServerId{id}, .kind = kCacheKind}; }
+  static EndpointInfo Cache(std::uint64_t server) { return {.id = ServerId{server}, .kind = kCacheKind}; }
 
   void Start() {
     router = std::make_unique<Router>(settings, 1, now, actions);
@@ -107,7 +107,17 @@
     Complete(sent.id, 0, Outcome::kServed, note);
     return sent;
   }
-  // Fills that stay out for good while others are served, until one spares the origin; false: none did.
+  // Starts with forty more parents and twenty fills; objects not seen before are filled.
+  void StartWithManyParents() {
+    for (std::uint64_t server = 100; server < 140; ++server) {
+      endpoints.push_back({.id = ServerId{server}, .kind = kParentKind, .zone = ZoneId{1}});
+    }
+    Start();
+    for (std::uint64_t object = 1000; object < 1020; ++object) {
+      Complete(Send(object).id, 0, Outcome::kServed, FillNote::kFilled, 60ms);
+    }
+  }
+  // Fills that stay out for good while others are served, until one protects the origin; false: none did.
   bool LateFillsProtectTheOrigin() {
     for (std::uint64_t object = 1; object < 60; ++object) {
       RequestEvent slow = Request(object);
@@ -122,10 +132,10 @@
     }
     return false;
   }
-  // Lets time pass, ringing each timer when it is due; keeps the actions of all rings.
+  // Lets time pass, with each timer's event when it is due; keeps the actions of all.
   void AdvanceTime(Micros span) {
     const Micros end = now + span;
-    Actions kept;
+    Actions all;
     while (true) {
       std::size_t next = timers.size();
       for (std::size_t i = 0; i < timers.size(); ++i) {
@@ -136,10 +146,10 @@
       timers.erase(timers.begin() + static_cast<std::ptrdiff_t>(next));
       now = std::max(now, timer.at);
       Handle(TimerEvent{timer.token});
-      kept.insert(kept.end(), actions.begin(), actions.end());
+      all.insert(all.end(), actions.begin(), actions.end());
     }
     now = end;
-    actions = kept;
+    actions = all;
   }
 
   Settings settings;
--- a/tests/routing/server_table_test.cpp
+++ b/tests/routing/server_table_test.cpp
@@ -81,7 +81,7 @@
   }
   fixture.UpdateEndpoints(fixture.endpoints, EndpointsEvent::Kind::kFull);
   for (std::uint64_t object = 1; object < 50; ++object) {
-    EXPECT_LE(static_cast<std::uint64_t>(fixture.SendAndServe(object).server), 3u);
+    EXPECT_LE(static_cast<std::uint64_t>(fixture.SendAndServe(object).server), 3U);
   }
 }
 
