--- a/tests/routing/outcome_recorder_test.cpp
+++ b/tests/routing/outcome_recorder_test.cpp
@@ -62,22 +62,26 @@
   EXPECT_EQ(fixture.CountSentTo(ServerId{1}, 5000), 0);
 }
 
+// Sends a request whose fill fails if its source is parent 12, and is retried then.
+SendAttempt SendWithBadParent(RouterFixture& fixture) {
+  const SendAttempt sent = fixture.Send(7);
+  const bool is_bad = sent.source == ServerId{12};
+  if (is_bad) fixture.Complete(sent.id, 0, Outcome::kRejected, FillNote::kSourceUnreachable);
+  fixture.Complete(sent.id, is_bad ? 1 : 0, Outcome::kServed, FillNote::kFilled);
+  fixture.AdvanceTime(20ms);
+  return sent;
+}
+
 TEST(OutcomeRecorder, AttributesAFailedFillToItsSource) {
   RouterFixture fixture;
   fixture.Start();
   const ServerId home = fixture.SendAndServe(7).server;
   int bad_fills = 0;
-  int sent_to_home = 0;
   for (int i = 0; i < 12; ++i) {
-    const SendAttempt one = fixture.Send(7);
-    sent_to_home += one.server == home ? 1 : 0;
-    const bool is_bad = one.source == ServerId{12};
-    bad_fills += is_bad ? 1 : 0;
-    if (is_bad) fixture.Complete(one.id, 0, Outcome::kRejected, FillNote::kSourceUnreachable);
-    fixture.Complete(one.id, is_bad ? 1 : 0, Outcome::kServed, FillNote::kFilled);
-    fixture.AdvanceTime(20ms);
+    const SendAttempt sent = SendWithBadParent(fixture);
+    EXPECT_EQ(sent.server, home);
+    bad_fills += sent.source == ServerId{12} ? 1 : 0;
   }
-  EXPECT_EQ(sent_to_home, 12);
   EXPECT_GE(bad_fills, 2);
   EXPECT_LE(bad_fills, 4);  // then the parent is ejected and the next one fills
 }
--- a/tests/routing/outlier_detector_test.cpp
+++ b/tests/routing/outlier_detector_test.cpp
@@ -4,32 +4,29 @@
 namespace tinspan {
 namespace {
 
-// How many retries the last event led to at cache 1; none may lead to two at once.
-std::size_t RetriesAtFirstCache(const RouterFixture& fixture) {
-  const std::vector<SendAttempt> retries = fixture.ActionsOf<SendAttempt>();
-  EXPECT_LE(retries.size(), 1U);
-  return !retries.empty() && retries[0].server == ServerId{1} ? 1 : 0;
+// Sends a request that fails if cache 1 gets it, and is then served by another cache.
+SendAttempt SendWithFailingCache(RouterFixture& fixture, std::uint64_t object) {
+  const SendAttempt sent = fixture.Send(object);
+  const bool is_failing = sent.server == ServerId{1};
+  if (is_failing) {
+    fixture.Complete(sent.id, 0, Outcome::kConnectFailed);
+    EXPECT_LE(fixture.ActionsOf<SendAttempt>().size(), 1U);
+    for (const SendAttempt& retry : fixture.ActionsOf<SendAttempt>()) EXPECT_NE(retry.server, ServerId{1});
+  }
+  fixture.Complete(sent.id, is_failing ? 1 : 0, Outcome::kServed, FillNote::kHit);
+  fixture.AdvanceTime(10ms);
+  return sent;
 }
 
 TEST(OutlierDetector, SendsAFailingCacheHealthProbesOnly) {
   RouterFixture fixture;
   fixture.Start();
-  int sent = 0;
-  std::size_t retries_there = 0;
+  int sent_there = 0;
   for (std::uint64_t object = 1; object < 400; ++object) {
-    const SendAttempt one = fixture.Send(object);
-    const bool is_failing = one.server == ServerId{1};
-    sent += is_failing ? 1 : 0;
-    if (is_failing) {
-      fixture.Complete(one.id, 0, Outcome::kConnectFailed);
-      retries_there += RetriesAtFirstCache(fixture);
-    }
-    fixture.Complete(one.id, is_failing ? 1 : 0, Outcome::kServed, FillNote::kHit);
-    fixture.AdvanceTime(10ms);
+    sent_there += SendWithFailingCache(fixture, object).server == ServerId{1} ? 1 : 0;
   }
-  EXPECT_EQ(retries_there, 0U);
-  EXPECT_GE(sent, 3);
-  EXPECT_LE(sent, 10);
+  EXPECT_GE(sent_there, 3);
+  EXPECT_LE(sent_there, 10);
 }
 
 // Attempts in flight at cache 1 together; all others are served.
