--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -1,6 +1,7 @@
 // A gateway's first use of the library: an endpoint list, a request, an outcome.
 #include <cstdio>
 #include <tinspan/router.hpp>
+#include <vector>
 
 using namespace std::chrono_literals;
 
@@ -21,8 +22,9 @@
   tinspan::Actions actions;
   tinspan::Router router(settings, /*seed=*/7, /*now=*/0us, actions);
 
-  const tinspan::EndpointInfo endpoints[] = {{.id = tinspan::ServerId{10}, .kind = tinspan::KindId{0}},
-                                             {.id = tinspan::ServerId{20}, .kind = tinspan::KindId{1}}};
+  const std::vector<tinspan::EndpointInfo> endpoints = {
+      {.id = tinspan::ServerId{10}, .kind = tinspan::KindId{0}},
+      {.id = tinspan::ServerId{20}, .kind = tinspan::KindId{1}}};
   router.Handle(1ms, tinspan::EndpointsEvent{.endpoints = endpoints}, actions);
 
   const tinspan::RequestEvent request{
