--- a/src/routing/outcome_recorder.cpp
+++ b/src/routing/outcome_recorder.cpp
@@ -105,7 +105,7 @@
 }
 
 void OutcomeRecorder::RecordFailedFill(const Attempt& attempt, FillNote note) {
-  state_.outliers.RecordSignOfLife(attempt.server);
+  state_.outliers.RecordResponsive(attempt.server);
   const bool is_origin_fault = note == FillNote::kOriginFailed;
   const std::optional<ServerIndex> at_fault = is_origin_fault ? servers_.Origin() : attempt.Source();
   if (!at_fault) return;
@@ -122,7 +122,7 @@
     case Outcome::kConnectFailed:
       return state_.outliers.RecordUnreachable(attempt.server);
     case Outcome::kError:  // for the rest see AttributeErrors
-      return state_.outliers.RecordSignOfLife(attempt.server);
+      return state_.outliers.RecordResponsive(attempt.server);
     case Outcome::kReset:
       return state_.outliers.RecordReset(attempt.server, attempt.sent_at);
     default:
@@ -132,7 +132,7 @@
 }
 
 void OutcomeRecorder::RecordRejection(const Attempt& attempt, FillNote note) {
-  state_.outliers.RecordSignOfLife(attempt.server);
+  state_.outliers.RecordResponsive(attempt.server);
   // Without a slot for a fill it is the ingress link that is congested: hits may go on.
   if (note == FillNote::kNoFillSlot) return state_.ingress.RecordRejection();
   state_.capacity.RecordRejection(servers_[attempt.server].load);
@@ -163,7 +163,7 @@
   if (std::exchange(attempt.was_late, true)) return;
   state_.late_attempts.Add(1, kLateAttemptWeight);
   const auto is_silent = [&](ServerIndex index) {
-    return !state_.outliers.HasSignOfLifeSince(index, attempt.sent_at);
+    return !state_.outliers.WasResponsiveSince(index, attempt.sent_at);
   };
   if (is_silent(attempt.server)) {
     state_.outliers.RecordUnreachable(attempt.server);
--- a/src/routing/outcome_recorder.hpp
+++ b/src/routing/outcome_recorder.hpp
@@ -26,7 +26,7 @@
 
   // The server has given no sign of life since the attempt was sent.
   bool IsSilent(const Attempt& attempt) const {
-    return !state_.outliers.HasSignOfLifeSince(attempt.server, attempt.sent_at);
+    return !state_.outliers.WasResponsiveSince(attempt.server, attempt.sent_at);
   }
 
   // Who is at fault for an error shows once the request has ended: the server that gave it, unless another
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -16,7 +16,7 @@
 void OutlierDetector::RecordUnreachable(ServerIndex index) { Record(index, true, kUnreachableEvidence); }
 
 void OutlierDetector::RecordReset(ServerIndex index, Micros sent_at) {
-  RecordSignOfLife(index);
+  RecordResponsive(index);
   const Micros last_reset_at = std::exchange(servers_[index].health.last_reset_at, context_.now);
   if (sent_at >= last_reset_at) RecordFailure(index);
 }
@@ -25,7 +25,7 @@
   Server& server = servers_[index];
   Health& health = server.health;
   health.failure_rate += kOrdinaryWeight * evidence * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
-  if (!is_failure && evidence >= 1) RecordSignOfLife(index);  // a lighter sign may be another's
+  if (!is_failure && evidence >= 1) RecordResponsive(index);  // a lighter sign may be another's
   // What most servers show alike (answers lost on the way, congestion) is no reason to eject one; where all
   // are lost, each still passes the raised threshold.
   const double threshold = std::min(kMaxEjectThreshold, kEjectThreshold + MeanFailureRateOfPeers(index));
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -24,9 +24,9 @@
   void RecordReset(ServerIndex index, Micros sent_at);
 
   // A sign of life that is no answer to the request.
-  void RecordSignOfLife(ServerIndex index) { servers_[index].health.last_seen_at = context_.now; }
-  bool HasSignOfLifeSince(ServerIndex index, Micros time) const {
-    return servers_[index].health.last_seen_at >= time;
+  void RecordResponsive(ServerIndex index) { servers_[index].health.last_responsive_at = context_.now; }
+  bool WasResponsiveSince(ServerIndex index, Micros time) const {
+    return servers_[index].health.last_responsive_at >= time;
   }
 
   // Whether an ejected server may have one more request as a health probe.
--- a/src/routing/server.hpp
+++ b/src/routing/server.hpp
@@ -33,7 +33,7 @@
 struct Health {
   double failure_rate = 0;
   bool is_ejected = false;  // gets health probes only
-  Micros last_seen_at{-1};
+  Micros last_responsive_at{-1};
   Micros last_reset_at{-1};
   Micros next_probe_at{0};
   int probe_backoff = 1;  // in connect timeouts
