--- a/src/settings.cpp
+++ b/src/routing/settings_validation.cpp
@@ -1,10 +1,10 @@
-#include "settings.hpp"
+#include "routing/settings_validation.hpp"
 
 #include <stdexcept>
 
 namespace tinspan {
 
-void CheckSettings(const Settings& settings) {
+const Settings& Validated(const Settings& settings) {
   const auto need = [](bool good, const char* what) {
     if (!good) throw std::invalid_argument(what);
   };
@@ -22,6 +22,7 @@
              one.idempotency_window >= Micros{0},
          "settings: a class with a negative time");
   }
+  return settings;
 }
 
 }  // namespace tinspan
--- a/src/settings.hpp
+++ b/src/routing/settings_validation.hpp
@@ -5,7 +5,7 @@
 
 namespace tinspan {
 
-// Throws std::invalid_argument naming what makes no sense.
-void CheckSettings(const Settings& settings);
+// Gives its argument back, or throws std::invalid_argument naming what makes no sense.
+const Settings& Validated(const Settings& settings);
 
 }  // namespace tinspan
