Split the platform's upstream connections and endpoint watch by job, with typed results

cache_protocol encodes requests and decodes responses without I/O (tl::expected with FrameError and ResponseError), watch_event parses an event completely into a typed struct before any of it is applied, stalled_connections tells which connections to give up, upstream_exchange holds what is open on one. Order of writes, events and draws is as before.

--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -195,50 +195,53 @@
 bool DownstreamConnections::Call(Client& client, const RespMessage& message) {
   if (message.count < 4 || message.count > 5 || client.open.size() >= kMostOpen) return false;
   if (!ReadNumber<std::uint64_t>(message.words[1])) return false;
-  Asked asked;
+  PendingRequest asked;
   asked.connection = client.connection->id;
   asked.tag = message.words[1];
   asked.class_name = message.words[2];
   if (message.count == 5) asked.body = message.words[4];
   core::RequestReceived came;
   bool good = true, allowed = false;
-  good = EachField(message.words[3],
-                   [&](std::string_view name, std::string_view value) {
-                     good = good && value.size() <= kMostField;
-                     if (name == "ref") {
-                       asked.ref = value;
-                     } else if (name == "allow") {
-                       const auto millis = ReadNumber<double>(value);
-                       good = good && millis && *millis >= 0 && *millis < 1e9;
-                       allowed = good;
-                       if (good) came.time_left = Micros{static_cast<std::int64_t>(*millis * 1000)};
-                     } else if (name == "replay") {
-                       asked.key = value;
-                     } else if (name == "lookup") {
-                       asked.object = value;
-                     } else if (name == "block") {
-                       const auto part = ReadNumber<std::uint32_t>(value);
-                       good = good && part;
-                       came.part = part.value_or(0);
-                       asked.part = value;
-                     } else if (name == "family") {
-                       const auto group = ReadNumber<std::uint32_t>(value);
-                       good = good && group && *group <= 255;
-                       came.group = GroupId{group.value_or(0)};
-                     } else if (name == "room") {
-                       const auto size = ReadNumber<double>(value);
-                       good = good && size && *size >= 0 && *size <= kMostSize;
-                       came.size_kb = size.value_or(0);
-                     } else if (name == "cached") {
-                       asked.cached = value;
-                     }
-                   }) &&
+  good = FieldList::kValid == ForEachField(message.words[3],
+                                           [&](std::string_view name, std::string_view value) {
+                                             good = good && value.size() <= kMostField;
+                                             if (name == "ref") {
+                                               asked.reference = value;
+                                             } else if (name == "allow") {
+                                               const auto millis = ReadNumber<double>(value);
+                                               good = good && millis && *millis >= 0 && *millis < 1e9;
+                                               allowed = good;
+                                               if (good)
+                                                 came.time_left =
+                                                     Micros{static_cast<std::int64_t>(*millis * 1000)};
+                                             } else if (name == "replay") {
+                                               asked.idempotency_key = value;
+                                             } else if (name == "lookup") {
+                                               asked.object = value;
+                                             } else if (name == "block") {
+                                               const auto part = ReadNumber<std::uint32_t>(value);
+                                               good = good && part;
+                                               came.part = part.value_or(0);
+                                               asked.part = value;
+                                             } else if (name == "family") {
+                                               const auto group = ReadNumber<std::uint32_t>(value);
+                                               good = good && group && *group <= 255;
+                                               came.group = GroupId{group.value_or(0)};
+                                             } else if (name == "room") {
+                                               const auto size = ReadNumber<double>(value);
+                                               good = good && size && *size >= 0 && *size <= kMostSize;
+                                               came.size_kb = size.value_or(0);
+                                             } else if (name == "cached") {
+                                               asked.cached_copy = value;
+                                             }
+                                           }) &&
          good;
-  if (!good || !allowed || !IsHex(asked.ref, 16)) return false;
+  if (!good || !allowed || !IsHex(asked.reference, 16)) return false;
   // The id of a request that is open: servers tell answers apart by it, and one could serve the other.
-  if (refs_.contains(asked.ref) || client.open.contains(asked.tag)) return false;
+  if (refs_.contains(asked.reference) || client.open.contains(asked.tag)) return false;
   // Everything that goes on to a server as a word of a line must be one.
-  for (const std::string* word : {&asked.class_name, &asked.object, &asked.part, &asked.key, &asked.cached}) {
+  for (const std::string* word :
+       {&asked.class_name, &asked.object, &asked.part, &asked.idempotency_key, &asked.cached_copy}) {
     if (word->find_first_of(" \r\n,=") != std::string::npos) return false;
   }
   if (!asked.object.empty()) {
@@ -251,14 +254,14 @@
   asked.size_kb = came.size_kb;
   came.id = coordinator_.NextRequestId();
   client.open.emplace(asked.tag, came.id);
-  refs_.insert(asked.ref);
+  refs_.insert(asked.reference);
   held_bytes_ += asked.body.size();
   asked_.emplace(came.id, std::move(asked));
   events_.push_back(came);
   return true;
 }
 
-const Asked* DownstreamConnections::Find(RequestId id) const {
+const PendingRequest* DownstreamConnections::Find(RequestId id) const {
   const auto found = asked_.find(id);
   return found == asked_.end() ? nullptr : &found->second;
 }
@@ -356,7 +359,7 @@
   const auto found = asked_.find(id);
   if (found == asked_.end()) return;
   held_bytes_ -= found->second.body.size();
-  refs_.erase(found->second.ref);
+  refs_.erase(found->second.reference);
   asked_.erase(found);
 }
 
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -11,6 +11,7 @@
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
+#include "front/platform/pending_request.hpp"
 #include "front/platform/resp.hpp"
 #include "net/connection.hpp"
 #include "net/idle_connection_tracker.hpp"
@@ -18,27 +19,12 @@
 
 namespace tinspan::platform {
 
-// What of a request goes on to a server, unchanged; it outlives the buffer that it came in, since a further
-// attempt may need it.
-struct Asked {
-  std::uint64_t connection = 0;
-  std::string tag;
-  std::string ref;
-  std::string class_name;
-  std::string object;
-  std::string part;
-  std::string key;
-  std::string cached;
-  std::string body;
-  double size_kb = 0;  // as the module was told
-};
-
 class DownstreamConnections final : public net::Connection::Owner {
  public:
   DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
                         core::RequestCoordinator& coordinator, std::vector<core::Event>& events);
 
-  const Asked* Find(RequestId id) const;
+  const PendingRequest* Find(RequestId id) const;
   // The final answer; `body` is sent or copied before this returns.
   void Serve(RequestId id, bool same, std::string_view body);
   void Refuse(RequestId id, Micros retry_after);
@@ -105,7 +91,7 @@
   core::RequestCoordinator& coordinator_;
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
-  std::unordered_map<RequestId, Asked> asked_;
+  std::unordered_map<RequestId, PendingRequest> asked_;
   std::unordered_set<std::string> refs_;  // of the requests that are open
   std::size_t held_bytes_ = 0;            // bodies of the requests that are open
   bool held_ = false;
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -7,9 +7,9 @@
 
 ops::Figures PlatformFront::Figures() const {
   ops::Figures figures = counted_;
-  figures.pending = clients_.Open();
-  figures.members = caches_.Members();
-  figures.members_unavailable = changes_.Draining();
+  figures.pending = downstream_.Open();
+  figures.members = upstream_.EndpointCount();
+  figures.members_unavailable = endpoint_watcher_.DrainingCount();
   if (attached_.add_stats) attached_.add_stats(figures);
   return figures;
 }
@@ -17,9 +17,9 @@
 void PlatformFront::Execute(Micros now, const core::Command& command) {
   if (const auto* send = std::get_if<core::StartAttempt>(&command)) {
     ++counted_.upstream;
-    return caches_.Execute(now, *send);
+    return upstream_.Execute(now, *send);
   }
-  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return caches_.Execute(now, *stop);
+  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return upstream_.Execute(now, *stop);
   if (const auto* line = std::get_if<core::LogMessage>(&command))
     return log::Info("router.line", {}, "router: {}", line->text);
   const auto* const answer = std::get_if<core::CompleteRequest>(&command);
@@ -28,14 +28,14 @@
      : answer->status == core::CompletionStatus::kRejected ? counted_.rejected
                                                            : counted_.failed);
   if (answer->status == core::CompletionStatus::kServed) {
-    const UpstreamConnections::Served* const served = caches_.Answer(answer->id);
-    if (served != nullptr) return clients_.Serve(answer->id, served->same, served->body);
+    const ServedResponse* const served = upstream_.FindResponse(answer->id);
+    if (served != nullptr) return downstream_.Serve(answer->id, served->is_not_modified, served->body);
     log::Error("core.answer_without_bytes", {}, "an answer without its bytes");
-    return clients_.Fail(answer->id);
+    return downstream_.Fail(answer->id);
   }
   if (answer->status == core::CompletionStatus::kRejected)
-    return clients_.Refuse(answer->id, answer->retry_after);
-  clients_.Fail(answer->id);
+    return downstream_.Refuse(answer->id, answer->retry_after);
+  downstream_.Fail(answer->id);
 }
 
 // The file is read anew; requests, connections and all that was learnt stay. Where it cannot be used, what
@@ -46,10 +46,10 @@
     Retuned retuned = Retune(site_, told.site);
     if (retuned.changed) {
       coordinator_.Retune(retuned.site.settings);
-      clients_.SetClasses(retuned.site.classes);
+      downstream_.SetClasses(retuned.site.classes);
       site_ = std::move(retuned.site);
     }
-    changes_.Follow(told.changelog);
+    endpoint_watcher_.Follow(told.changelog);
     ++counted_.config_reloads;
     const auto joined = [](const std::vector<std::string>& names) {
       std::string out;
@@ -74,13 +74,13 @@
 
 void PlatformFront::EndRound(Micros now) {
   service_.Serving();  // the first round has applied what was known at the start
-  clients_.SendAway(service_.Now() == ops::Life::kStandby);
+  downstream_.SendAway(service_.Now() == ops::Life::kStandby);
   // Clients that are slow to take their answers hold up the servers' answers, not the memory.
-  caches_.SetReadPaused(clients_.Backlog() > most_backlog_);
-  clients_.EndRound(now);
-  caches_.EndRound(now);
-  changes_.EndRound();
-  caches_.Failing().EndRound(now);
+  upstream_.SetReadPaused(downstream_.Backlog() > most_backlog_);
+  downstream_.EndRound(now);
+  upstream_.EndRound(now);
+  endpoint_watcher_.EndRound();
+  upstream_.FailureLog().EndRound(now);
 }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -17,16 +17,16 @@
       : most_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
         coordinator_(coordinator),
         site_(config.site),
-        clients_(loop, config, coordinator, events),
-        caches_(loop, config, coordinator, clients_, events),
-        changes_(loop, config, caches_, events) {
+        downstream_(loop, config, coordinator, events),
+        upstream_(loop, config, coordinator, downstream_, events),
+        endpoint_watcher_(loop, config, upstream_, events) {
     if (config.ops)
       door_.emplace(
           loop, *config.ops, service_, [this] { return Figures(); }, views_);
   }
   void SetAttachedServices(front::AttachedServices attached) {
     views_ = attached.views;
-    caches_.Failing().ReportTo(attached.on_failing_servers);
+    upstream_.FailureLog().ReportTo(attached.on_failing_servers);
     attached_ = std::move(attached);
   }
 
@@ -35,11 +35,11 @@
   void Drain(Micros accept_until) override {
     if (attached_.on_drain) attached_.on_drain();
     service_.Stopping();
-    clients_.Drain(accept_until);
+    downstream_.Drain(accept_until);
   }
   bool Reload() override;
-  bool IsDrained() const override { return clients_.IsDrained(); }
-  std::uint16_t Port() const { return clients_.Port(); }
+  bool IsDrained() const override { return downstream_.IsDrained(); }
+  std::uint16_t Port() const { return downstream_.Port(); }
   std::optional<std::uint16_t> OpsPort() const {
     return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
   }
@@ -50,9 +50,9 @@
   const std::size_t most_backlog_;
   core::RequestCoordinator& coordinator_;
   Site site_;  // in force, with the classes of every retune
-  DownstreamConnections clients_;
-  UpstreamConnections caches_;
-  EndpointWatcher changes_;
+  DownstreamConnections downstream_;
+  UpstreamConnections upstream_;
+  EndpointWatcher endpoint_watcher_;
   ops::Service service_;
   ops::Figures counted_;  // what is counted as it happens; the rest is looked up when asked
   ops::Views views_;
--- /dev/null
+++ b/src/front/platform/stalled_connections.cpp
@@ -0,0 +1,54 @@
+#include "front/platform/stalled_connections.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace tinspan::platform {
+namespace {
+
+// Without a byte in the middle of a response. A packet that was lost once is sent again after 200 ms.
+constexpr Micros kPartialResponseTimeout{250'000};
+// A response that alone is overdue may be slow, so it is given a multiple of the time.
+constexpr int kSingleResponseFactor = 4;
+constexpr std::size_t kMinOverdueResponses = 2;
+
+}  // namespace
+
+StallDetector::StallDetector(Micros now, Micros response_timeout, UpstreamPool& pool)
+    : now_(now), response_timeout_(response_timeout) {
+  for (const UpstreamPool::PooledConnection& pooled : pool.Connections()) {
+    Micros& last_received_at = last_received_at_[pooled.server];
+    last_received_at = std::max(last_received_at, pooled.connection.LastReceivedAt());
+  }
+}
+
+std::optional<std::string_view> StallDetector::FindStall(const UpstreamPool::PooledConnection& pooled) const {
+  if (!pooled.connection.IsOpen()) return std::nullopt;
+  const bool is_partial = !pooled.connection.Unread().empty();
+  if (is_partial && now_ - pooled.connection.LastActivityAt() > kPartialResponseTimeout)
+    return "stalled in the middle of a response";
+  if (IsSilent(pooled)) return "silent while its server responds on other connections";
+  return std::nullopt;
+}
+
+// Nothing comes here while the server sends elsewhere: a response that never comes, and what is behind it
+// does not come either.
+bool StallDetector::IsSilent(const UpstreamPool::PooledConnection& pooled) const {
+  const Micros silent_since = pooled.SilentSince();
+  if (silent_since == Micros{0}) return false;
+  const auto last_received = last_received_at_.find(pooled.server);
+  const Micros last_received_at =
+      last_received == last_received_at_.end() ? Micros{0} : last_received->second;
+  if (last_received_at <= silent_since) return false;
+  std::size_t overdue_responses = 0;
+  bool is_one_long_overdue = false;
+  for (const auto& [reference, exchange] : pooled.state.exchanges) {
+    const Micros waited = now_ - std::max(exchange.started_at, silent_since);
+    const Micros timeout = response_timeout_ + exchange.transfer_time;
+    overdue_responses += waited > timeout ? 1 : 0;
+    is_one_long_overdue = is_one_long_overdue || waited > kSingleResponseFactor * timeout;
+  }
+  return overdue_responses >= kMinOverdueResponses || is_one_long_overdue;
+}
+
+}  // namespace tinspan::platform
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -1,70 +1,67 @@
-// The servers' side of the platform: the line protocol of shop caches, parents and the origin.
+// The servers' side of the platform: attempts on pooled connections to edge caches, parent caches and the
+// origin.
 #pragma once
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
+#include "front/platform/cache_protocol.hpp"
 #include "front/platform/downstream_connections.hpp"
+#include "front/platform/upstream_exchange.hpp"
 #include "front/upstream_failure_log.hpp"
 #include "net/connection_pool.hpp"
 #include "net/response_timeout_estimator.hpp"
 
 namespace tinspan::platform {
 
-// Where a server is and what it is called on the wire.
-struct Address {
+/// Where a server is and what it is called on the wire.
+struct ServerAddress {
   std::string name;
   net::Endpoint endpoint;
 };
 
-struct UpstreamConnectionState {
-  struct Exchange {
-    RequestId id{};
-    std::uint32_t attempt = 0;
-    std::uint64_t written = 0;  // the connection's count of queued bytes when the request was in; 0: not yet
-    Micros at{0};
-    Micros sending{0};  // what its answer's own bytes may take
-  };
-  std::unordered_map<std::string, Exchange> open;  // by the request's id on the wire
-  // Ids that do not go out on this connection again: given up or failed on it, or answered unasked. A late or
-  // a second answer could be taken for the new attempt's.
-  std::unordered_set<std::string> burnt;
-  bool up = false;                   // it has been open
-  std::vector<std::string> waiting;  // for the connection to come up or to take more, in order
-  std::size_t consume = 0;           // handled, still in the buffer
+/// A complete response that is ready to be passed on.
+struct ServedResponse {
+  bool is_not_modified = false;  // the client's own copy is current
+  std::string_view body;         // valid until the round ends
 };
 
-class UpstreamConnections final : public net::ConnectionPool<UpstreamConnectionState>::Callbacks {
+/// Executes the core's commands to servers and reports their outcomes as events. Not thread-safe; all
+/// arguments of the constructor must outlive it.
+class UpstreamConnections final : public UpstreamPool::Callbacks {
  public:
-  using Pool = net::ConnectionPool<UpstreamConnectionState>;
-  using PooledConnection = Pool::PooledConnection;
-  struct Served {
-    bool same = false;
-    std::string_view body;  // valid until the round ends
-  };
+  using PooledConnection = UpstreamPool::PooledConnection;
 
   UpstreamConnections(net::EventLoop& loop, const config::Platform& config,
-                      core::RequestCoordinator& coordinator, const DownstreamConnections& clients,
+                      core::RequestCoordinator& coordinator, const DownstreamConnections& downstream,
                       std::vector<core::Event>& events);
 
-  void Know(ServerId id, Address address);
-  void Forsake(ServerId id);  // gone: nothing new on its connections
-  void ForsakeAllBut(const std::unordered_set<ServerId>& named);
-  std::size_t Members() const { return addresses_.size(); }
+  /// Adds a server, or moves it to another address.
+  void AddEndpoint(ServerId id, ServerAddress address);
+  /// The server has gone: its connections get nothing new.
+  void RemoveEndpoint(ServerId id);
+  /// Removes all servers except these.
+  void RetainOnly(const std::unordered_set<ServerId>& servers);
+  std::size_t EndpointCount() const { return addresses_.size(); }
 
+  /// Assigns the attempt to a connection; its request is written at the round's end.
   void Execute(Micros now, const core::StartAttempt& command);
+  /// Cancels the attempt at once. Nothing happens if another one is in flight, or none.
   void Execute(Micros now, const core::AbortAttempt& command);
-  // The answer of the attempt that was reported served in this round, or nothing.
-  const Served* Answer(RequestId id) const;
+  /// The response of the attempt that was reported served in this round; null: there is none.
+  const ServedResponse* FindResponse(RequestId id) const;
 
-  void SetReadPaused(bool hold);
+  /// While paused no connection is read.
+  void SetReadPaused(bool paused);
+  /// Writes what is due, gives up stalled connections and frees closed ones.
   void EndRound(Micros now);
-  front::UpstreamFailureLog& Failing() { return failing_; }
+  front::UpstreamFailureLog& FailureLog() { return failure_log_; }
 
   void OnConnectionOpen(PooledConnection& pooled) override;
   void OnConnectionDrained(PooledConnection& pooled) override;
@@ -72,45 +69,53 @@
   void OnConnectionLost(PooledConnection& pooled) override;
 
  private:
-  struct Out {
+  struct InFlightAttempt {
     PooledConnection* pooled = nullptr;
-    core::StartAttempt send;
-    bool moved = false;  // to a second connection, since the first broke before it was out
+    core::StartAttempt command;
+    bool is_reassigned = false;  // to a second connection, since the first broke before the request was sent
+  };
+  struct DueRequest {
+    PooledConnection* pooled;  // valid until the sweep at the round's end
+    std::string reference;
+    bool has_waited;  // for its connection: the core is notified when it is sent
   };
+  enum class FrameResult { kHandled, kMalformed };
 
-  void Place(Micros now, const Asked& asked, Out out);
-  // What is to be written, at the round's end: every STOP of a round goes before every request of it. A
-  // server reads its connections in the order in which they became ready: with a request written first, the
-  // next copy of another, behind it, would be read before the STOP that came between on another connection.
-  void WriteDue(Micros now);
-  void Put(Micros now, PooledConnection& pooled, const std::string& ref, const core::StartAttempt& send);
-  void End(RequestId id, PooledConnection& pooled, core::AttemptCompleted ended);
-  void Burn(PooledConnection& pooled, const std::string& ref);
-  void Lose(PooledConnection& pooled, std::string_view why);
-  // Gives up connections that owe answers and do not move.
-  void Watch(Micros now);
-  // Bytes that the message at the front of `unread` takes, 0: not whole yet, npos: no message at all.
-  std::size_t Take(PooledConnection& pooled, std::string_view unread);
+  void Assign(Micros now, const PendingRequest& request, InFlightAttempt attempt);
+  // Writes what is due, at the round's end: every STOP of a round goes before every request of it. A server
+  // reads its connections in the order in which they became ready: with a request written first, the next
+  // attempt of another, behind it, would be read before the STOP that came between on another connection.
+  void WriteDueRequests(Micros now);
+  void WriteDueRequest(Micros now, const DueRequest& due);
+  void WriteRequest(Micros now, PooledConnection& pooled, const std::string& reference,
+                    const core::StartAttempt& command);
+  bool CanWrite(Micros now, const core::StartAttempt& command) const;
+  void CompleteAttempt(RequestId id, PooledConnection& pooled, core::AttemptCompleted completed);
+  void RetireRequestId(PooledConnection& pooled, const std::string& reference);
+  void CloseConnection(PooledConnection& pooled, std::string_view reason);
+  void ReportLost(Micros now, const PooledConnection& pooled, std::size_t open_requests);
+  void ReassignOrComplete(Micros now, PooledConnection& pooled, const UpstreamExchange& exchange);
+  bool CanReassign(const PooledConnection& pooled, const UpstreamExchange& exchange) const;
+  void CloseStalledConnections(Micros now);
+  FrameResult HandleFrame(PooledConnection& pooled, const ResponseFrame& frame);
+  void HandleResponse(PooledConnection& pooled, const std::string& reference, const Response& response,
+                      std::string_view body);
+  bool NamesCachedCopy(RequestId id, const Response& response) const;
 
   const config::Platform& config_;
   core::RequestCoordinator& coordinator_;
-  const DownstreamConnections& clients_;
+  const DownstreamConnections& downstream_;
   std::vector<core::Event>& events_;
-  std::unordered_map<ServerId, Address> addresses_;
-  std::unordered_map<RequestId, Out> out_;  // one attempt out at a time
-  std::unordered_map<RequestId, Served> served_;
-  bool held_ = false;
+  std::unordered_map<ServerId, ServerAddress> addresses_;
+  std::unordered_map<RequestId, InFlightAttempt> in_flight_;  // one attempt of a request at a time
+  std::unordered_map<RequestId, ServedResponse> served_;      // in this round
+  bool is_read_paused_ = false;
   net::EventLoop& loop_;
   net::ResponseTimeoutEstimator response_timeout_;
-  std::optional<Micros> watch_;  // when Watch looks again
-  struct Due {
-    PooledConnection* pooled;  // valid until the sweep at the round's end
-    std::string ref;
-    bool waited;  // for its connection: the core is told that it is out
-  };
-  std::vector<Due> due_;
-  front::UpstreamFailureLog failing_;
-  Pool pool_;
+  std::optional<Micros> next_stall_check_at_;
+  std::vector<DueRequest> due_requests_;
+  front::UpstreamFailureLog failure_log_;
+  UpstreamPool pool_;
 };
 
 }  // namespace tinspan::platform
--- /dev/null
+++ b/src/front/platform/watch_event.cpp
@@ -0,0 +1,103 @@
+#include "front/platform/watch_event.hpp"
+
+#include <simdjson.h>
+
+#include <string>
+#include <utility>
+
+namespace tinspan::platform {
+namespace {
+
+using simdjson::dom::element;
+
+constexpr std::int64_t kMicrosPerMillisecond = 1000;
+
+template <class Value>
+Value Get(const element& object, std::string_view key) {
+  Value value{};
+  if (object[key].get(value) != simdjson::SUCCESS) throw Malformed{std::string(key), "a value of its type"};
+  return value;
+}
+
+template <class Value>
+Value GetOr(const element& object, std::string_view key, Value absent) {
+  Value value{};
+  return object[key].get(value) == simdjson::SUCCESS ? value : absent;
+}
+
+Availability ParseAvailability(std::string_view state) {
+  return Choose<Availability>(state, "state",
+                              {{"up", Availability::kUp},
+                               {"draining", Availability::kDraining},
+                               {"removed", Availability::kRemoved}});
+}
+
+// By the name and not by the address: a new server may take the address of one that has gone.
+EndpointInfo ParseEndpointInfo(const element& server, std::string_view name, const Site& site) {
+  EndpointInfo info;
+  info.id = HashName(name);
+  info.weight = GetOr(server, "weight", 0.0);
+  info.cell = static_cast<std::uint32_t>(GetOr<std::uint64_t>(server, "cell", 0));
+  info.kind = KindId{PlaceOf(site.kinds, Get<std::string_view>(server, "kind"), "kind")};
+  info.zone = ZoneId{PlaceOf(site.zones, Get<std::string_view>(server, "zone"), "zone")};
+  info.started_at = Micros{GetOr<std::int64_t>(server, "started_ms", 0) * kMicrosPerMillisecond};
+  info.availability = ParseAvailability(Get<std::string_view>(server, "state"));
+  return info;
+}
+
+void AddServer(const element& server, const Site& site, EndpointListChange& change) {
+  const auto name = Get<std::string_view>(server, "id");
+  const EndpointInfo info = ParseEndpointInfo(server, name, site);
+  const auto address = net::Endpoint::Parse(GetOr<std::string_view>(server, "addr", ""));
+  if (!address && info.availability == Availability::kUp) throw Malformed{"addr", "an address and port"};
+  change.update.endpoints.push_back(info);
+  change.update.names.push_back({std::string(name), address ? address->Text() : std::string()});
+  change.addresses.push_back(address);
+}
+
+EndpointListChange ParseEndpointList(const element& fleet, const Site& site) {
+  EndpointListChange change;
+  change.update.source = "changelog";
+  change.update.version = GetOr<std::uint64_t>(fleet, "version", 0);
+  change.update.kind =
+      GetOr(fleet, "full", false) ? EndpointsEvent::Kind::kFull : EndpointsEvent::Kind::kDelta;
+  for (const element server : Get<simdjson::dom::array>(fleet, "servers")) AddServer(server, site, change);
+  return change;
+}
+
+core::PurgeReceived ParsePurge(const element& invalidation) {
+  core::PurgeReceived purge;
+  purge.purged_at = Micros{Get<std::int64_t>(invalidation, "time") * kMicrosPerMillisecond};
+  std::string_view object;
+  if (invalidation["object"].get(object) == simdjson::SUCCESS) {
+    purge.object = ParseObject(object, "object");
+  } else {
+    purge.group = GroupId{Get<std::uint64_t>(invalidation, "bucket")};
+  }
+  return purge;
+}
+
+}  // namespace
+
+WatchEventParser::WatchEventParser(const Site& site)
+    : site_(site), parser_(std::make_unique<simdjson::dom::parser>()) {}
+
+WatchEventParser::~WatchEventParser() = default;
+
+std::optional<WatchEvent> WatchEventParser::Parse(std::string_view json, std::uint64_t last_sequence) {
+  element root;
+  if (parser_->parse(json.data(), json.size()).get(root) != simdjson::SUCCESS)
+    throw Malformed{"event", "JSON"};
+  WatchEvent event;
+  event.sequence = Get<std::uint64_t>(root, "seq");
+  if (event.sequence <= last_sequence) return std::nullopt;
+  element change;
+  if (root["fleet"].get(change) == simdjson::SUCCESS) {
+    event.change = ParseEndpointList(change, site_);
+  } else if (root["invalidate"].get(change) == simdjson::SUCCESS) {
+    event.change = ParsePurge(change);
+  }
+  return event;
+}
+
+}  // namespace tinspan::platform
