--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -1,54 +1,45 @@
 #include "front/platform/downstream_connections.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <memory>
 #include <utility>
 
-#include "front/platform/fields.hpp"
 #include "log/log.hpp"
-#include "setup/retune.hpp"
 
 namespace tinspan::platform {
 namespace {
 
-constexpr std::size_t kMostMessage = 64 << 10;  // a write brings 48,000 bytes at most
-constexpr std::size_t kMostOpen = 32;           // requests on one connection
-constexpr std::size_t kMostField = 256;
-constexpr double kMostSize = 1e6;  // KB of a part; far beyond what is served at all
-// Messages of one connection in a round: whoever sends hundreds at once waits for the others in between.
-constexpr std::size_t kTurn = 32;
-// Answers that a client may leave unread: more than 32 of the largest. Nothing more is read from one that has
-// left so many, nor from any such client once all together hold a quarter of the memory.
+constexpr std::size_t kMaxMessageBytes = 64 << 10;  // a write brings 48,000 bytes at most
+constexpr std::size_t kMaxRequestsPerClient = 32;   // in flight
+// A client that sends hundreds at once waits for the others in between.
+constexpr std::size_t kMaxMessagesPerRound = 32;
+// Responses that a client may leave unread: more than 32 of the largest. Nothing more is read from one that
+// has left so many, nor from any such client once all together hold a quarter of the memory.
 constexpr net::Connection::Limits kLimits{
-    .max_read_bytes = kMostMessage, .max_write_bytes = 9 << 20, .close_on_peer_shutdown = true};
-constexpr std::size_t kFull = 8 << 20;
-constexpr Micros kStuck{10'000'000};     // a client that takes nothing of its answers for so long is let go
-constexpr Micros kStuckForAll{500'000};  // the same while what is unread holds up all servers' answers
-// Clients close connections that have been idle for 4 s. One that goes on holding its own has asked for all
-// it will ask. Newcomers are owed a close within 3 s.
-constexpr Micros kIdle{6'000'000};
-constexpr Micros kFirst{2'400'000};
-constexpr Micros kNewcomer{50'000};
-// How long a client is heard out after the end of our side. A request that crosses that end comes within
-// 50 ms and is sent anew; then the client closes.
-constexpr Micros kParting{300'000};
-// For the rest of a message that has begun to come when the doorman stops: some clients write slowly.
-constexpr Micros kRest{300'000};
-constexpr Micros kMostRest{600'000};
-constexpr std::size_t kMostPassedOver = 8;  // idle ones looked at for a newcomer's place
-
-// Clients hold a third of the descriptors at most; bad ones hold what they get. Half-read messages of all may
-// take a quarter of the memory.
-net::IdleConnectionLimits Rules(const config::Platform& config) {
-  const std::size_t memory = config.limits.memory_mb << 20;
-  return {.max_connections = std::min(config.limits.ClientSockets(), memory / 4 / kMostMessage),
-          .first_request_timeout = kFirst,
-          .idle_timeout = kIdle};
-}
-
-bool IsHex(std::string_view text, std::size_t length) {
-  return text.size() == length && std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
-         });
+    .max_read_bytes = kMaxMessageBytes, .max_write_bytes = 9 << 20, .close_on_peer_shutdown = true};
+constexpr std::size_t kMaxClientBacklog = 8 << 20;
+// A client that takes nothing of its responses for so long is closed; the second one holds while what is
+// unread keeps all servers' responses waiting.
+constexpr Micros kWriteStallTimeout{10'000'000};
+constexpr Micros kWriteStallTimeoutUnderPressure{500'000};
+// Clients close connections that have been idle for 4 s. One that keeps its own open longer sends no more
+// requests. Clients without a first request are to be closed within 3 s.
+constexpr Micros kIdleTimeout{6'000'000};
+constexpr Micros kFirstRequestTimeout{2'400'000};
+// How long input of a client is read and dropped after our side was shut down. A request that crosses the
+// shutdown comes within 50 ms and is sent again; then the client closes.
+constexpr Micros kLingerTime{300'000};
+constexpr std::size_t kMaxEvictionCandidates = 8;
+constexpr Micros kIdleCheckMargin{1000};
+
+// Clients hold a third of the descriptors at most; misbehaving ones hold what they get. Partial messages of
+// all may take a quarter of the memory.
+net::IdleConnectionLimits IdleLimits(const config::Platform& config) {
+  const std::size_t memory_bytes = config.limits.memory_mb << 20;
+  return {.max_connections = std::min(config.limits.ClientSockets(), memory_bytes / 4 / kMaxMessageBytes),
+          .first_request_timeout = kFirstRequestTimeout,
+          .idle_timeout = kIdleTimeout};
 }
 
 }  // namespace
@@ -60,252 +51,194 @@
       config_(config),
       coordinator_(coordinator),
       events_(events),
-      idle_connections_(Rules(config)),
+      idle_connections_(IdleLimits(config)),
       classes_(config.site.classes),
       listener_(
           loop, config.listen, [this](net::Fd fd) { Accept(std::move(fd)); }, /*shared=*/true) {}
 
 void DownstreamConnections::Accept(net::Fd fd) {
-  if (idle_connections_.IsFull() && !MakeRoom()) {
+  if (idle_connections_.IsFull() && !EvictIdleClient()) {
     log::Warn("client.turned_away", {{"connections", clients_.size()}},
-              "client turned away: {} connections, none of them idle", clients_.size());
+              "client rejected: {} connections, none of them idle", clients_.size());
     return;
   }
-  const std::uint64_t id = ++last_;
+  const std::uint64_t id = ++last_client_id_;
   Client& client = clients_[id];
   client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, kLimits);
   client.connection->id = id;
-  client.held = held_;
+  client.is_intake_paused = is_intake_paused_;
   idle_connections_.OnAccepted(id, net::Now());
 }
 
-// Lets one go that asks for nothing, passing over those whose request has just arrived.
-bool DownstreamConnections::MakeRoom() {
-  std::vector<std::uint64_t> asking;
-  bool made = false;
-  while (!made && asking.size() < kMostPassedOver) {
-    const auto spare = idle_connections_.EvictCandidate(net::Now());
-    if (!spare) break;
-    made = LetGo(clients_.at(*spare), net::Now());
-    if (!made) asking.push_back(*spare);
+// Makes place for a new client. Clients whose request has just arrived are passed over. False: none is idle.
+bool DownstreamConnections::EvictIdleClient() {
+  std::vector<std::uint64_t> passed_over;
+  bool is_evicted = false;
+  while (!is_evicted && passed_over.size() < kMaxEvictionCandidates) {
+    const auto candidate = idle_connections_.EvictCandidate(net::Now());
+    if (!candidate) break;
+    is_evicted = LingerUnlessInputPending(clients_.at(*candidate), net::Now());
+    if (!is_evicted) passed_over.push_back(*candidate);
   }
-  for (const std::uint64_t id : asking) Seat(clients_.at(id));
-  return made;
+  for (const std::uint64_t id : passed_over) TrackIdle(clients_.at(id));
+  return is_evicted;
 }
 
 void DownstreamConnections::OnData(net::Connection& connection) {
   Client& client = clients_.at(connection.id);
-  touched_.insert(connection.id);
-  if (client.held) {
-    LookAhead(client);
-    // As much as a turn holds is read ahead; the rest waits in the socket.
-    if (connection.Unread().size() >= kMostMessage) connection.SetReadPaused(true);
+  active_in_round_.insert(connection.id);
+  if (client.is_intake_paused) {
+    ScanForCancellations(client);
+    // One round's input is read ahead; the rest waits in the socket.
+    if (connection.Unread().size() >= kMaxMessageBytes) connection.SetReadPaused(true);
     return;
   }
-  for (std::size_t turn = 0; !connection.IsClosed(); ++turn) {
-    const std::string_view unread = connection.Unread().substr(client.consume);
+  for (std::size_t messages = 0; !connection.IsClosed(); ++messages) {
+    const std::string_view unread = connection.Unread().substr(client.bytes_handled);
     if (unread.empty()) break;
-    if (turn == kTurn) {
-      LookAhead(client);
+    if (messages == kMaxMessagesPerRound) {
+      ScanForCancellations(client);
       return connection.ScheduleRead();
     }
-    RespMessage message;
-    std::size_t used = 0;
-    const RespState state = ParseResp(unread, kMostMessage, message, used);
-    if (state == RespState::kPartial) {
-      connection.ExpectMessage(client.consume + used);
-      // One that rested and begins to write is given a newcomer's time for the whole of it.
-      if (client.open.empty() && connection.BytesQueued() > 0 && !std::exchange(client.partial, true))
-        idle_connections_.OnAccepted(connection.id, net::Now());
-      break;
-    }
-    if (state == RespState::kMalformed) {  // where the next message begins is not known
-      log::Debug("client.unreadable", {{"client", connection.id}},
-                 "client {}: input that cannot be read, connection closed", connection.id);
-      return Part(client, net::Now());
-    }
-    Handle(client, message);
-    client.consume += used;
+    const auto message = ParseResp(unread, kMaxMessageBytes);
+    if (!message) return HandleUnparsed(client, message.error());
+    HandleMessage(client, *message);
+    client.bytes_handled += message->size;
   }
 }
 
-// What a client has called off further on in its input, while its turn is over or nothing new is taken from
-// it: no attempt may begin for it meanwhile.
-void DownstreamConnections::LookAhead(Client& client) {
-  const std::string_view unread = client.connection->Unread();
-  for (std::size_t at = std::max(client.ahead, client.consume); at < unread.size();) {
-    RespMessage message;
-    std::size_t used = 0;
-    if (ParseResp(unread.substr(at), kMostMessage, message, used) != RespState::kWhole) break;
-    at += used;
-    client.ahead = at;
-    if (message.words[0] != "RPC.CANCEL" || message.count < 2) continue;
-    std::string tag(message.words[1].substr(0, kMostField));
-    client.open.contains(tag) ? Cancel(client, tag)
-                              : static_cast<void>(client.withdrawn.insert(std::move(tag)));
+void DownstreamConnections::HandleUnparsed(Client& client, const RespError& error) {
+  net::Connection& connection = *client.connection;
+  if (error.kind == RespError::Kind::kMalformed) {
+    log::Debug("client.unreadable", {{"client", connection.id}},
+               "client {}: malformed input, connection closed", connection.id);
+    return Linger(client, net::Now());
   }
+  connection.ExpectMessage(client.bytes_handled + error.bytes_needed);
+  // An idle client that begins to write is given a new client's time for the complete message.
+  const bool is_reused = client.requests.empty() && connection.BytesQueued() > 0;
+  if (is_reused && !std::exchange(client.has_partial_message, true))
+    idle_connections_.OnAccepted(connection.id, net::Now());
 }
 
-// Nothing new is taken from a client that is held; what it calls off is heeded all the same.
-void DownstreamConnections::Hold(Client& client, bool hold) {
-  if (std::exchange(client.held, hold) == hold || hold) return;
-  client.connection->SetReadPaused(false);
-  client.connection->ScheduleRead();
+// Finds what a client has cancelled further on in its input, while other messages are in front of it or no
+// new request is taken from the client: no attempt may start for it meanwhile.
+void DownstreamConnections::ScanForCancellations(Client& client) {
+  const std::string_view unread = client.connection->Unread();
+  for (std::size_t position = std::max(client.bytes_scanned, client.bytes_handled);
+       position < unread.size();) {
+    const auto message = ParseResp(unread.substr(position), kMaxMessageBytes);
+    if (!message) break;
+    position += message->size;
+    client.bytes_scanned = position;
+    if (message->words[0] != "RPC.CANCEL" || message->count < 2) continue;
+    std::string tag(message->words[1].substr(0, kMaxFieldBytes));
+    if (client.requests.contains(tag)) {
+      Cancel(client, tag);
+    } else {
+      client.cancelled_tags.insert(std::move(tag));
+    }
+  }
 }
 
-// A message whose frame is whole but that cannot be used is answered alone: what else is open on the
-// connection has nothing to do with it.
-void DownstreamConnections::Handle(Client& client, const RespMessage& message) {
+// A message whose frame is complete but that is invalid gets a response of its own: what else is in flight on
+// the connection has nothing to do with it.
+void DownstreamConnections::HandleMessage(Client& client, const RespMessage& message) {
   const std::string_view verb = message.words[0];
-  const std::string tag(message.count > 1 ? message.words[1].substr(0, kMostField) : std::string_view());
+  const std::string tag(message.count > 1 ? message.words[1].substr(0, kMaxFieldBytes) : std::string_view());
   if (verb == "RPC.CANCEL") {
-    client.withdrawn.erase(tag);
+    client.cancelled_tags.erase(tag);
     Cancel(client, tag);
-  } else if (verb == "RPC.CALL" && client.withdrawn.contains(tag)) {
-    // Called off already (LookAhead): nothing is owed.
   } else if (verb == "RPC.HEALTH") {
-    Reply(client, tag, accept_until_ == Micros::max() && !away_ ? "healthy" : "closing", {}, {});
-  } else if (verb != "RPC.CALL" || !Call(client, message)) {
-    log::Debug("client.unusable", {{"client", client.connection->id}},
-               "client {}: a request that cannot be used", client.connection->id);
-    Cancel(client, tag);  // two requests under one number: no answer could be told from the other's
-    Reply(client, tag, "error", {}, {});
+    const bool is_healthy = accept_until_ == Micros::max() && !is_standby_;
+    Write(client, tag, {.status = is_healthy ? "healthy" : "closing"});
+  } else if (verb != "RPC.CALL") {
+    RejectCall(client, tag);
+  } else if (!client.cancelled_tags.contains(tag)) {  // else no response is owed (ScanForCancellations)
+    if (!StartRequest(client, message)) RejectCall(client, tag);
   }
-  if (client.connection->IsClosed()) return;
-  Seat(client);
+  if (!client.connection->IsClosed()) TrackIdle(client);
 }
 
-void DownstreamConnections::Seat(Client& client) {
+void DownstreamConnections::RejectCall(Client& client, const std::string& tag) {
+  log::Debug("client.unusable", {{"client", client.connection->id}}, "client {}: an invalid request",
+             client.connection->id);
+  Cancel(client, tag);  // of two requests with one tag the responses could not be told apart
+  Write(client, tag, {.status = "error"});
+}
+
+void DownstreamConnections::TrackIdle(Client& client) {
   const net::Connection& connection = *client.connection;
-  client.partial = false;
-  if (!client.open.empty()) return idle_connections_.MarkActive(connection.id);
-  // Nothing has been said to one that withdrew all it asked.
-  connection.BytesQueued() > 0 ? idle_connections_.MarkIdle(connection.id, net::Now())
-                               : idle_connections_.OnAccepted(connection.id, connection.OpenedAt());
+  client.has_partial_message = false;
+  if (!client.requests.empty()) return idle_connections_.MarkActive(connection.id);
+  if (connection.BytesQueued() > 0) {
+    idle_connections_.MarkIdle(connection.id, net::Now());
+  } else {  // it has cancelled all its requests and got no response yet
+    idle_connections_.OnAccepted(connection.id, connection.OpenedAt());
+  }
 }
 
 void DownstreamConnections::Cancel(Client& client, const std::string& tag) {
-  const auto found = client.open.find(tag);
-  if (found == client.open.end()) return;  // crossed our answer
-  events_.push_back(core::ClientDisconnected{found->second});
-  Forget(found->second);
-  client.open.erase(found);
+  const auto found = client.requests.find(tag);
+  if (found == client.requests.end()) return;  // it crossed our response
+  events_.emplace_back(core::ClientDisconnected{found->second});
+  requests_.Remove(found->second);
+  client.requests.erase(found);
 }
 
-bool DownstreamConnections::Call(Client& client, const RespMessage& message) {
-  if (message.count < 4 || message.count > 5 || client.open.size() >= kMostOpen) return false;
-  if (!ReadNumber<std::uint64_t>(message.words[1])) return false;
-  PendingRequest asked;
-  asked.connection = client.connection->id;
-  asked.tag = message.words[1];
-  asked.class_name = message.words[2];
-  if (message.count == 5) asked.body = message.words[4];
-  core::RequestReceived came;
-  bool good = true, allowed = false;
-  good = FieldList::kValid == ForEachField(message.words[3],
-                                           [&](std::string_view name, std::string_view value) {
-                                             good = good && value.size() <= kMostField;
-                                             if (name == "ref") {
-                                               asked.reference = value;
-                                             } else if (name == "allow") {
-                                               const auto millis = ReadNumber<double>(value);
-                                               good = good && millis && *millis >= 0 && *millis < 1e9;
-                                               allowed = good;
-                                               if (good)
-                                                 came.time_left =
-                                                     Micros{static_cast<std::int64_t>(*millis * 1000)};
-                                             } else if (name == "replay") {
-                                               asked.idempotency_key = value;
-                                             } else if (name == "lookup") {
-                                               asked.object = value;
-                                             } else if (name == "block") {
-                                               const auto part = ReadNumber<std::uint32_t>(value);
-                                               good = good && part;
-                                               came.part = part.value_or(0);
-                                               asked.part = value;
-                                             } else if (name == "family") {
-                                               const auto group = ReadNumber<std::uint32_t>(value);
-                                               good = good && group && *group <= 255;
-                                               came.group = GroupId{group.value_or(0)};
-                                             } else if (name == "room") {
-                                               const auto size = ReadNumber<double>(value);
-                                               good = good && size && *size >= 0 && *size <= kMostSize;
-                                               came.size_kb = size.value_or(0);
-                                             } else if (name == "cached") {
-                                               asked.cached_copy = value;
-                                             }
-                                           }) &&
-         good;
-  if (!good || !allowed || !IsHex(asked.reference, 16)) return false;
-  // The id of a request that is open: servers tell answers apart by it, and one could serve the other.
-  if (refs_.contains(asked.reference) || client.open.contains(asked.tag)) return false;
-  // Everything that goes on to a server as a word of a line must be one.
-  for (const std::string* word :
-       {&asked.class_name, &asked.object, &asked.part, &asked.idempotency_key, &asked.cached_copy}) {
-    if (word->find_first_of(" \r\n,=") != std::string::npos) return false;
-  }
-  if (!asked.object.empty()) {
-    if (!IsHex(asked.object, 16)) return false;
-    came.object = ObjectId{*ReadNumber<std::uint64_t>(asked.object, 16)};
-  }
-  std::size_t place = 0;
-  if (!FindClass(classes_, asked.class_name, place)) return false;
-  came.class_id = ClassId{static_cast<std::uint32_t>(place)};
-  asked.size_kb = came.size_kb;
-  came.id = coordinator_.NextRequestId();
-  client.open.emplace(asked.tag, came.id);
-  refs_.insert(asked.reference);
-  held_bytes_ += asked.body.size();
-  asked_.emplace(came.id, std::move(asked));
-  events_.push_back(came);
-  return true;
+tl::expected<void, CallError> DownstreamConnections::StartRequest(Client& client,
+                                                                  const RespMessage& message) {
+  if (client.requests.size() >= kMaxRequestsPerClient) return tl::unexpected(CallError::kTooManyRequests);
+  auto call = ParseCall(message, classes_);
+  if (!call) return tl::unexpected(call.error());
+  // Servers tell responses apart by the reference: the response of one request could go to the other.
+  if (requests_.HasReference(call->request.reference) || client.requests.contains(call->request.tag))
+    return tl::unexpected(CallError::kDuplicate);
+  call->request.connection = client.connection->id;
+  call->received.id = coordinator_.NextRequestId();
+  client.requests.emplace(call->request.tag, call->received.id);
+  requests_.Add(call->received.id, std::move(call->request));
+  events_.emplace_back(call->received);
+  return {};
 }
 
-const PendingRequest* DownstreamConnections::Find(RequestId id) const {
-  const auto found = asked_.find(id);
-  return found == asked_.end() ? nullptr : &found->second;
+void DownstreamConnections::Respond(RequestId id, bool is_not_modified, std::string_view body) {
+  Complete(id, {.status = "done", .fields = is_not_modified ? "keep=1" : "", .body = body});
 }
 
-void DownstreamConnections::Serve(RequestId id, bool same, std::string_view body) {
-  Write(id, "done", same ? "keep=1" : "", body);
+void DownstreamConnections::Reject(RequestId id, Micros retry_after) {
+  const auto milliseconds = retry_after.count() / 1000;
+  const std::string fields = milliseconds > 0 ? "cooldown=" + std::to_string(milliseconds) : "";
+  Complete(id, {.status = "later", .fields = fields});
 }
-void DownstreamConnections::Refuse(RequestId id, Micros retry_after) {
-  const auto millis = retry_after.count() / 1000;
-  Write(id, "later", millis > 0 ? "cooldown=" + std::to_string(millis) : "", {});
-}
-void DownstreamConnections::Fail(RequestId id) { Write(id, "error", "", {}); }
-
-void DownstreamConnections::Write(RequestId id, std::string_view word, std::string_view fields,
-                                  std::string_view body) {
-  const auto found = asked_.find(id);
-  if (found == asked_.end()) return;
-  const auto place = clients_.find(found->second.connection);
-  if (place != clients_.end()) {
-    Client& client = place->second;
-    client.open.erase(found->second.tag);
-    Reply(client, found->second.tag, word, fields, body);
-    if (!client.connection->IsClosed()) Seat(client);
+
+void DownstreamConnections::Fail(RequestId id) { Complete(id, {.status = "error"}); }
+
+void DownstreamConnections::Complete(RequestId id, const ResponseMessage& response) {
+  const PendingRequest* const request = requests_.Find(id);
+  if (request == nullptr) return;
+  const auto found = clients_.find(request->connection);
+  if (found != clients_.end()) {
+    Client& client = found->second;
+    client.requests.erase(request->tag);
+    Write(client, request->tag, response);
+    if (!client.connection->IsClosed()) TrackIdle(client);
   }
-  Forget(id);
+  requests_.Remove(id);
 }
 
-void DownstreamConnections::Reply(Client& client, std::string_view tag, std::string_view word,
-                                  std::string_view fields, std::string_view body) {
-  if (client.connection->IsClosed()) return;
-  client.answered = true;
-  std::string head = "*4\r\n";
-  AppendBulk(head, tag);
-  AppendBulk(head, word);
-  AppendBulk(head, fields);
-  head.append("$").append(std::to_string(body.size())).append("\r\n");
-  if (!client.connection->Write(head, body, "\r\n")) {
-    log::Warn("client.reads_nothing", {{"client", client.connection->id}},
-              "client {}: reads none of its answers, connection closed", client.connection->id);
+void DownstreamConnections::Write(Client& client, std::string_view tag, const ResponseMessage& response) {
+  net::Connection& connection = *client.connection;
+  if (connection.IsClosed()) return;
+  client.has_response = true;
+  const std::string head = EncodeResponseHead(tag, response.status, response.fields, response.body.size());
+  if (!connection.Write(head, response.body, "\r\n")) {
+    log::Warn("client.reads_nothing", {{"client", connection.id}},
+              "client {}: reads none of its responses, connection closed", connection.id);
     return Close(client);
   }
-  if (client.connection->Backlog() > 0 && backed_.insert(client.connection->id).second) {
-    client.moved = net::Now();
-    client.sent = client.connection->BytesSent();
+  if (connection.Backlog() > 0 && backlogged_.insert(connection.id).second) {
+    client.StartProgress(net::Now());
   }
 }
 
@@ -313,135 +246,147 @@
 
 void DownstreamConnections::Close(Client& client) {
   client.connection->Close();
-  Abandon(client);
+  AbandonRequests(client);
   closed_.push_back(client.connection->id);
 }
 
-// What is open on a connection that ends has nobody to go to.
-void DownstreamConnections::Abandon(Client& client) {
-  for (const auto& [tag, id] : std::exchange(client.open, {})) {
-    events_.push_back(core::ClientDisconnected{id});
-    Forget(id);
+// What is in flight on a connection that ends has no client any more.
+void DownstreamConnections::AbandonRequests(Client& client) {
+  for (const auto& [tag, id] : std::exchange(client.requests, {})) {
+    events_.emplace_back(core::ClientDisconnected{id});
+    requests_.Remove(id);
   }
   idle_connections_.Remove(client.connection->id);
 }
 
-bool DownstreamConnections::LetGo(Client& client, Micros now) {
+// False: a request has just arrived, so the client stays.
+bool DownstreamConnections::LingerUnlessInputPending(Client& client, Micros now) {
   if (client.connection->HasPendingInput()) return false;
-  Part(client, now);
+  Linger(client, now);
   return true;
 }
 
-void DownstreamConnections::Part(Client& client, Micros now) {
-  Abandon(client);
+// Shuts our side down and reads on for a moment: a plain close resets the connection when input comes in that
+// moment, and the reset may destroy responses on their way.
+void DownstreamConnections::Linger(Client& client, Micros now) {
+  AbandonRequests(client);
   client.connection->SetReadPaused(false);  // what comes is read and dropped
   client.connection->ShutdownWhenDrained();
-  parting_.push_back({client.connection->id, now + kParting});
-  loop_.Timers().Set(now + kParting, [](Micros) {});
+  lingering_.push_back({client.connection->id, now + kLingerTime});
+  loop_.Timers().Set(now + kLingerTime, [](Micros) {});
 }
 
-// Those that have closed their side as well, or had their time. Not too many at once: each still holds its
-// descriptor.
-void DownstreamConnections::Depart(Micros now) {
-  const std::size_t most = config_.limits.PartingSockets();
-  std::size_t over = parting_.size() > most ? parting_.size() - most : 0;
-  std::erase_if(parting_, [&](const Parting& one) {
-    const auto found = clients_.find(one.id);
+// Closes clients that have closed their side as well, or had their time. Not too many linger at once: each
+// still holds its descriptor.
+void DownstreamConnections::CloseLingeringClients(Micros now) {
+  const std::size_t max_lingering = config_.limits.PartingSockets();
+  std::size_t excess = lingering_.size() > max_lingering ? lingering_.size() - max_lingering : 0;
+  std::erase_if(lingering_, [&](const LingeringClient& lingering) {
+    const auto found = clients_.find(lingering.id);
     if (found == clients_.end()) return true;
-    if (!found->second.connection->IsClosed() && now < one.until && over == 0) return false;
-    over -= over > 0 ? 1 : 0;
+    if (!found->second.connection->IsClosed() && now < lingering.until && excess == 0) return false;
+    excess -= excess > 0 ? 1 : 0;
     Close(found->second);
     return true;
   });
 }
 
-void DownstreamConnections::Forget(RequestId id) {
-  const auto found = asked_.find(id);
-  if (found == asked_.end()) return;
-  held_bytes_ -= found->second.body.size();
-  refs_.erase(found->second.reference);
-  asked_.erase(found);
-}
-
 std::size_t DownstreamConnections::Backlog() const {
   std::size_t sum = 0;
-  for (const std::uint64_t id : backed_) sum += clients_.at(id).connection->Backlog();
+  for (const std::uint64_t id : backlogged_) sum += clients_.at(id).connection->Backlog();
   return sum;
 }
 
 void DownstreamConnections::EndRound(Micros now) {
   if (listener_.IsOpen() && now >= accept_until_) listener_.CloseAfterAccepting();
-  // Bodies of all requests together could hold more than the memory limit: over a share of it they wait in
-  // the sockets.
-  const bool hold = held_bytes_ > config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
-  if (std::exchange(held_, hold) != hold) {
-    for (auto& [id, client] : clients_) Hold(client, hold);
-  }
-  for (const std::uint64_t id : touched_) {
+  PauseIntakeOverMemoryLimit();
+  ConsumeHandled();
+  if (now >= accept_until_ || is_standby_) CloseWhenStopping(now);
+  CheckBackloggedClients(now);
+  CloseIdleClients(now);
+  CloseLingeringClients(now);
+  EraseClosedClients();
+  ScheduleIdleCheck();
+}
+
+// Bodies of all requests together could take more than the memory limit: over an eighth of it they wait in
+// the sockets.
+void DownstreamConnections::PauseIntakeOverMemoryLimit() {
+  const bool is_paused = requests_.BodyBytes() > config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
+  if (std::exchange(is_intake_paused_, is_paused) == is_paused) return;
+  for (auto& [id, client] : clients_) client.SetIntakePaused(is_paused);
+}
+
+void DownstreamConnections::ConsumeHandled() {
+  for (const std::uint64_t id : active_in_round_) {
     const auto found = clients_.find(id);
     if (found == clients_.end() || found->second.connection->IsClosed()) continue;
     Client& client = found->second;
-    client.ahead -= std::min(client.ahead, client.consume);
-    if (client.consume > 0) client.connection->Consume(std::exchange(client.consume, 0));
+    client.bytes_scanned -= std::min(client.bytes_scanned, client.bytes_handled);
+    if (client.bytes_handled > 0) client.connection->Consume(std::exchange(client.bytes_handled, 0));
   }
-  touched_.clear();
-  if (now >= accept_until_ || away_) LeaveWhenStopping(now);
-  const bool much = Backlog() > (config_.limits.memory_mb << 20) / 4;
-  for (auto place = backed_.begin(); place != backed_.end();) {
-    Client& client = clients_.at(*place);
+  active_in_round_.clear();
+}
+
+void DownstreamConnections::CheckBackloggedClients(Micros now) {
+  const bool is_under_pressure = Backlog() > (config_.limits.memory_mb << 20) / 4;
+  const std::size_t max_backlog = is_under_pressure ? 0 : kMaxClientBacklog;
+  const Micros stall_timeout = is_under_pressure ? kWriteStallTimeoutUnderPressure : kWriteStallTimeout;
+  for (auto position = backlogged_.begin(); position != backlogged_.end();) {
+    Client& client = clients_.at(*position);
     net::Connection& connection = *client.connection;
     const std::size_t backlog = connection.IsClosed() ? 0 : connection.Backlog();
-    Hold(client, held_ || backlog > (much ? 0 : kFull));
-    if (connection.BytesSent() != std::exchange(client.sent, connection.BytesSent())) client.moved = now;
-    if (backlog > 0 && now - client.moved > (much ? kStuckForAll : kStuck)) {
+    client.SetIntakePaused(is_intake_paused_ || backlog > max_backlog);
+    client.UpdateProgress(now);
+    if (backlog > 0 && now - client.last_progress_at > stall_timeout) {
       log::Warn("client.stuck", {{"client", connection.id}, {"backlog", backlog}},
                 "client {}: takes no answers, connection closed", connection.id);
       Close(client);
     }
-    place = backlog == 0 || connection.IsClosed() ? backed_.erase(place) : std::next(place);
+    const bool is_done = backlog == 0 || connection.IsClosed();
+    position = is_done ? backlogged_.erase(position) : std::next(position);
   }
+}
+
+void DownstreamConnections::CloseIdleClients(Micros now) {
   while (const auto id = idle_connections_.NextExpired(now)) {
     Client& client = clients_.at(*id);
-    // One that has still to take its answers is not idle, nor one that has just asked.
-    if (client.connection->Backlog() > 0 || !LetGo(client, now)) idle_connections_.MarkIdle(*id, now);
+    // One that has yet to take its responses is not idle, nor one that has just sent a request.
+    if (client.connection->Backlog() > 0 || !LingerUnlessInputPending(client, now))
+      idle_connections_.MarkIdle(*id, now);
   }
-  Depart(now);
+}
+
+void DownstreamConnections::EraseClosedClients() {
   for (const std::uint64_t id : closed_) {
     clients_.erase(id);
-    backed_.erase(id);
+    backlogged_.erase(id);
   }
   closed_.clear();
-  Wake();
 }
 
-// Standby and the end: connections are let go once nothing is open on them.
-void DownstreamConnections::LeaveWhenStopping(Micros now) {
-  const bool last = now >= accept_until_;
-  for (auto& [id, client] : clients_) {  // walked at the end only: none that is idle stays
-    net::Connection& connection = *client.connection;
-    if (connection.IsClosed() || connection.IsLingering() || !client.open.empty() || connection.Backlog() > 0)
-      continue;
-    // A newcomer is given the moment in which its first request comes, one that writes the time for the rest:
-    // let go before it, the request would cross the close.
-    Micros due = std::max(connection.OpenedAt(), connection.LastReceivedAt()) + kNewcomer;
-    if (client.answered) due = now;
-    if (!connection.Unread().empty()) due = connection.LastReceivedAt() + kRest;
-    if (last) due = std::min(due, accept_until_ + kMostRest);
-    if (now >= due) {
-      LetGo(client, now);  // else it is read in the next round
-    } else if (!away_wake_ || *away_wake_ > due) {
-      away_wake_ = due;
-      loop_.Timers().Set(due, [this](Micros) { away_wake_.reset(); });
+// Standby and shutdown: connections are closed once nothing is in flight on them.
+void DownstreamConnections::CloseWhenStopping(Micros now) {
+  for (auto& [id, client] : clients_) {  // only while stopping: no idle connection remains
+    const net::Connection& connection = *client.connection;
+    if (connection.IsClosed() || connection.IsLingering()) continue;
+    if (!client.requests.empty() || connection.Backlog() > 0) continue;
+    const Micros due_at = client.StopDueAt(now, accept_until_);
+    if (now >= due_at) {
+      LingerUnlessInputPending(client, now);  // else its input is read in the next round
+    } else if (!next_stop_check_at_ || *next_stop_check_at_ > due_at) {
+      next_stop_check_at_ = due_at;
+      loop_.Timers().Set(due_at, [this](Micros) { next_stop_check_at_.reset(); });
     }
   }
 }
 
-// Newcomers and idle ones are let go in time, though nothing happens.
-void DownstreamConnections::Wake() {
-  const auto due = idle_connections_.NextDeadline();
-  if (!due || (wake_ && *wake_ <= *due)) return;
-  wake_ = *due + Micros{1000};
-  loop_.Timers().Set(*wake_, [this](Micros) { wake_.reset(); });
+// New and idle clients are closed in time, even if nothing else happens.
+void DownstreamConnections::ScheduleIdleCheck() {
+  const auto deadline = idle_connections_.NextDeadline();
+  if (!deadline || (next_idle_check_at_ && *next_idle_check_at_ <= *deadline)) return;
+  next_idle_check_at_ = *deadline + kIdleCheckMargin;
+  loop_.Timers().Set(*next_idle_check_at_, [this](Micros) { next_idle_check_at_.reset(); });
 }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -1,17 +1,21 @@
-// The clients' side of the platform: RESP requests in, final answers out.
+// The clients' side of the platform: RESP requests in, final responses out.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
-#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
-#include "front/platform/pending_request.hpp"
+#include "front/platform/client_protocol.hpp"
+#include "front/platform/downstream_client.hpp"
+#include "front/platform/pending_requests.hpp"
 #include "front/platform/resp.hpp"
 #include "net/connection.hpp"
 #include "net/idle_connection_tracker.hpp"
@@ -19,92 +23,98 @@
 
 namespace tinspan::platform {
 
+/// Accepts clients, turns their calls into events, and owns their requests until the final response. Not
+/// thread-safe; all arguments of the constructor must outlive it.
 class DownstreamConnections final : public net::Connection::Owner {
  public:
   DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
                         core::RequestCoordinator& coordinator, std::vector<core::Event>& events);
 
-  const PendingRequest* Find(RequestId id) const;
-  // The final answer; `body` is sent or copied before this returns.
-  void Serve(RequestId id, bool same, std::string_view body);
-  void Refuse(RequestId id, Micros retry_after);
+  /// Null: the request has its final response, or its client has gone.
+  const PendingRequest* Find(RequestId id) const { return requests_.Find(id); }
+
+  /// The final response; `body` is sent or copied before this returns. Nothing happens if the request is not
+  /// pending; the same holds for Reject and Fail.
+  void Respond(RequestId id, bool is_not_modified, std::string_view body);
+  /// The request was not served; 0: it is not known when to retry.
+  void Reject(RequestId id, Micros retry_after);
   void Fail(RequestId id);
 
+  /// Graceful shutdown: clients are accepted until then, and each is closed once nothing is in flight on it.
   void Drain(Micros accept_until) { accept_until_ = accept_until; }
-  // Standby: newcomers are still taken, and every connection is closed once nothing is open on it.
-  void SendAway(bool away) { away_ = away; }
-  // The names of the classes by place, after a retune (setup::Retune); the last place of a name is taken.
+  /// Standby: clients are still accepted, and every connection is closed once nothing is in flight on it.
+  void SetStandby(bool is_standby) { is_standby_ = is_standby; }
+  /// The names of the classes by position, after a retune (setup::Retune); the last position of a name
+  /// counts.
   void SetClasses(Names classes) { classes_ = std::move(classes); }
   bool IsDrained() const { return clients_.empty(); }
   std::uint16_t Port() const { return listener_.Port(); }
+  /// Bytes of responses that clients have yet to take, all clients together.
   std::size_t Backlog() const;
-  std::size_t Open() const {
-    return asked_.size();
-  }  // requests without their final answer  // bytes that clients have yet to take, all together
+  /// Requests without their final response.
+  std::size_t PendingCount() const { return requests_.Count(); }
   void EndRound(Micros now);
 
   void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection) override;
 
  private:
-  struct Client {
-    std::unique_ptr<net::Connection> connection;
-    std::unordered_map<std::string, RequestId> open;  // by tag
-    std::size_t consume = 0;                          // handled, still in the buffer
-    std::uint64_t sent = 0;                           // as seen last...
-    Micros moved{0};                                  // ...and when it changed
-    bool answered = false;                            // some answer was written to it
-    bool held = false;                                // nothing new is taken from it
-    bool partial = false;                             // a message after an answer has begun to come
-    std::size_t ahead = 0;                            // of what is unread, looked through by LookAhead
-    std::unordered_set<std::string> withdrawn;        // tags called off before their requests were handled
-  };
-  struct Parting {
+  using Client = DownstreamClient;
+  struct LingeringClient {
     std::uint64_t id;
     Micros until;
   };
+  struct ResponseMessage {
+    std::string_view status{};
+    std::string_view fields{};
+    std::string_view body{};
+  };
 
   void Accept(net::Fd fd);
-  bool MakeRoom();
-  void Handle(Client& client, const RespMessage& message);
-  bool Call(Client& client, const RespMessage& message);  // false: nothing that could be served
+  bool EvictIdleClient();
+
+  void HandleUnparsed(Client& client, const RespError& error);
+  void HandleMessage(Client& client, const RespMessage& message);
+  tl::expected<void, CallError> StartRequest(Client& client, const RespMessage& message);
+  void RejectCall(Client& client, const std::string& tag);
   void Cancel(Client& client, const std::string& tag);
-  void Reply(Client& client, std::string_view tag, std::string_view word, std::string_view fields,
-             std::string_view body);
-  void LookAhead(Client& client);
-  void Hold(Client& client, bool hold);
-  // Ends our side and hears the client out for a moment: a plain close resets the connection over what comes
-  // in that moment, and the reset may take answers with it. False: a request has just arrived, so it stays.
-  bool LetGo(Client& client, Micros now);
-  void Part(Client& client, Micros now);
-  void Depart(Micros now);
-  void LeaveWhenStopping(Micros now);
+  void ScanForCancellations(Client& client);
+  void TrackIdle(Client& client);
+
+  void Complete(RequestId id, const ResponseMessage& response);
+  void Write(Client& client, std::string_view tag, const ResponseMessage& response);
+
+  bool LingerUnlessInputPending(Client& client, Micros now);
+  void Linger(Client& client, Micros now);
   void Close(Client& client);
-  void Abandon(Client& client);
-  void Seat(Client& client);  // newcomer, busy or idle
-  void Wake();
-  void Write(RequestId id, std::string_view word, std::string_view fields, std::string_view body);
-  void Forget(RequestId id);
+  void AbandonRequests(Client& client);
+
+  void PauseIntakeOverMemoryLimit();
+  void ConsumeHandled();
+  void CloseWhenStopping(Micros now);
+  void CheckBackloggedClients(Micros now);
+  void CloseIdleClients(Micros now);
+  void CloseLingeringClients(Micros now);
+  void EraseClosedClients();
+  void ScheduleIdleCheck();
 
   net::EventLoop& loop_;
   const config::Platform& config_;
   core::RequestCoordinator& coordinator_;
   std::vector<core::Event>& events_;
   std::unordered_map<std::uint64_t, Client> clients_;
-  std::unordered_map<RequestId, PendingRequest> asked_;
-  std::unordered_set<std::string> refs_;  // of the requests that are open
-  std::size_t held_bytes_ = 0;            // bodies of the requests that are open
-  bool held_ = false;
+  PendingRequests requests_;
+  bool is_intake_paused_ = false;  // for all clients
   net::IdleConnectionTracker idle_connections_;
-  std::unordered_set<std::uint64_t> touched_;  // with bytes handled in this round
-  std::unordered_set<std::uint64_t> backed_;   // with answers not yet taken
-  std::vector<std::uint64_t> closed_;
-  std::deque<Parting> parting_;  // our side has ended, the oldest in front
-  std::optional<Micros> wake_;
-  std::optional<Micros> away_wake_;
-  std::uint64_t last_ = 0;
+  std::unordered_set<std::uint64_t> active_in_round_;  // clients whose input was handled in this round
+  std::unordered_set<std::uint64_t> backlogged_;       // clients that have yet to take responses
+  std::vector<std::uint64_t> closed_;                  // in this round
+  std::deque<LingeringClient> lingering_;              // our side has ended, the oldest in front
+  std::optional<Micros> next_idle_check_at_;
+  std::optional<Micros> next_stop_check_at_;
+  std::uint64_t last_client_id_ = 0;
   Micros accept_until_ = Micros::max();
-  bool away_ = false;
+  bool is_standby_ = false;
   Names classes_;
   net::Listener listener_;
 };
--- a/src/front/platform/endpoint_watcher.cpp
+++ b/src/front/platform/endpoint_watcher.cpp
@@ -90,8 +90,8 @@
   loop_.Timers().Cancel(timer_);
   const Micros timeout = connection_->IsOpen() ? kSilenceTimeout : kConnectTimeout;
   timer_ = loop_.Timers().Set(net::Now() + timeout, [this](Micros) {
-    log::Warn("changelog.silent", {{"seq", sequence_}}, "endpoint watch: silent, reconnecting after event {}",
-              sequence_);
+    log::Warn("changelog.silent", {{"seq", sequence_}},
+              "endpoint watch: silent, connecting anew after event {}", sequence_);
     Reconnect();
   });
 }
--- /dev/null
+++ b/src/front/platform/pending_requests.hpp
@@ -0,0 +1,34 @@
+// All requests of the platform's clients that wait for their final response.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "front/platform/pending_request.hpp"
+#include "tinspan/router.hpp"
+
+namespace tinspan::platform {
+
+/// Owns the pending requests and knows what their bodies take.
+class PendingRequests {
+ public:
+  /// `request.reference` must not be in use.
+  void Add(RequestId id, PendingRequest request);
+  /// Nothing happens if there is no such request.
+  void Remove(RequestId id);
+  /// Null: there is none. Valid until the request is removed.
+  const PendingRequest* Find(RequestId id) const;
+  /// Whether a pending request has this id on the wire.
+  bool HasReference(const std::string& reference) const { return references_.contains(reference); }
+  std::size_t Count() const { return requests_.size(); }
+  std::size_t BodyBytes() const { return body_bytes_; }
+
+ private:
+  std::unordered_map<RequestId, PendingRequest> requests_;
+  std::unordered_set<std::string> references_;
+  std::size_t body_bytes_ = 0;
+};
+
+}  // namespace tinspan::platform
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -1,13 +1,44 @@
 #include "front/platform/platform_front.hpp"
 
+#include <utility>
+#include <variant>
+
 #include "log/log.hpp"
-#include "setup/retune.hpp"
 
 namespace tinspan::platform {
+namespace {
+
+std::string Join(const std::vector<std::string>& names) {
+  std::string joined;
+  for (const std::string& name : names) joined += (joined.empty() ? "" : ",") + name;
+  return joined.empty() ? std::string("-") : joined;
+}
+
+}  // namespace
+
+PlatformFront::PlatformFront(net::EventLoop& loop, const config::Platform& config,
+                             core::RequestCoordinator& coordinator, std::vector<core::Event>& events)
+    : max_downstream_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
+      coordinator_(coordinator),
+      site_(config.site),
+      downstream_(loop, config, coordinator, events),
+      upstream_(loop, config, coordinator, downstream_, events),
+      endpoint_watcher_(loop, config, upstream_, events) {
+  if (config.ops) {
+    ops_door_.emplace(
+        loop, *config.ops, service_, [this] { return Figures(); }, views_);
+  }
+}
+
+void PlatformFront::SetAttachedServices(front::AttachedServices attached) {
+  views_ = attached.views;
+  upstream_.FailureLog().ReportTo(attached.on_failing_servers);
+  attached_ = std::move(attached);
+}
 
 ops::Figures PlatformFront::Figures() const {
-  ops::Figures figures = counted_;
-  figures.pending = downstream_.Open();
+  ops::Figures figures = counters_;
+  figures.pending = downstream_.PendingCount();
   figures.members = upstream_.EndpointCount();
   figures.members_unavailable = endpoint_watcher_.DrainingCount();
   if (attached_.add_stats) attached_.add_stats(figures);
@@ -15,68 +46,86 @@
 }
 
 void PlatformFront::Execute(Micros now, const core::Command& command) {
-  if (const auto* send = std::get_if<core::StartAttempt>(&command)) {
-    ++counted_.upstream;
-    return upstream_.Execute(now, *send);
-  }
-  if (const auto* stop = std::get_if<core::AbortAttempt>(&command)) return upstream_.Execute(now, *stop);
-  if (const auto* line = std::get_if<core::LogMessage>(&command))
-    return log::Info("router.line", {}, "router: {}", line->text);
-  const auto* const answer = std::get_if<core::CompleteRequest>(&command);
-  if (answer == nullptr) return;  // ForwardResponse: responses are complete here
-  ++(answer->status == core::CompletionStatus::kServed     ? counted_.completed
-     : answer->status == core::CompletionStatus::kRejected ? counted_.rejected
-                                                           : counted_.failed);
-  if (answer->status == core::CompletionStatus::kServed) {
-    const ServedResponse* const served = upstream_.FindResponse(answer->id);
-    if (served != nullptr) return downstream_.Serve(answer->id, served->is_not_modified, served->body);
-    log::Error("core.answer_without_bytes", {}, "an answer without its bytes");
-    return downstream_.Fail(answer->id);
+  if (const auto* const start = std::get_if<core::StartAttempt>(&command)) {
+    ++counters_.upstream;
+    upstream_.Execute(now, *start);
+  } else if (const auto* const abort = std::get_if<core::AbortAttempt>(&command)) {
+    upstream_.Execute(now, *abort);
+  } else if (const auto* const message = std::get_if<core::LogMessage>(&command)) {
+    log::Info("router.line", {}, "router: {}", message->text);
+  } else if (const auto* const complete = std::get_if<core::CompleteRequest>(&command)) {
+    Complete(*complete);
+  }  // else ForwardResponse: responses are complete here
+}
+
+void PlatformFront::Complete(const core::CompleteRequest& command) {
+  switch (command.status) {
+    case core::CompletionStatus::kServed:
+      ++counters_.completed;
+      return Respond(command.id);
+    case core::CompletionStatus::kRejected:
+      ++counters_.rejected;
+      return downstream_.Reject(command.id, command.retry_after);
+    default:
+      ++counters_.failed;
+      return downstream_.Fail(command.id);
   }
-  if (answer->status == core::CompletionStatus::kRejected)
-    return downstream_.Refuse(answer->id, answer->retry_after);
-  downstream_.Fail(answer->id);
 }
 
-// The file is read anew; requests, connections and all that was learnt stay. Where it cannot be used, what
-// was told before holds on.
+void PlatformFront::Respond(RequestId id) {
+  const ServedResponse* const response = upstream_.FindResponse(id);
+  if (response != nullptr) return downstream_.Respond(id, response->is_not_modified, response->body);
+  log::Error("core.answer_without_bytes", {}, "a served request without its response");
+  downstream_.Fail(id);
+}
+
+void PlatformFront::Drain(Micros accept_until) {
+  if (attached_.on_drain) attached_.on_drain();
+  service_.Stopping();
+  downstream_.Drain(accept_until);
+}
+
 bool PlatformFront::Reload() {
   try {
-    const config::Platform told = config::ReadPlatform();
-    Retuned retuned = Retune(site_, told.site);
-    if (retuned.changed) {
-      coordinator_.Retune(retuned.site.settings);
-      downstream_.SetClasses(retuned.site.classes);
-      site_ = std::move(retuned.site);
-    }
-    endpoint_watcher_.Follow(told.changelog);
-    ++counted_.config_reloads;
-    const auto joined = [](const std::vector<std::string>& names) {
-      std::string out;
-      for (const std::string& name : names) out += (out.empty() ? "" : ",") + name;
-      return out.empty() ? std::string("-") : out;
-    };
-    log::Info("config.reloaded",
-              {{"added", joined(retuned.added)},
-               {"dropped", joined(retuned.dropped)},
-               {"attempts", site_.settings.max_attempts}},
-              "configuration read anew: classes added or changed {}, no longer told {}, attempts {}; "
-              "changelog followed; the rest needs a restart",
-              joined(retuned.added), joined(retuned.dropped), site_.settings.max_attempts);
+    const config::Platform config = config::ReadPlatform();
+    Retuned retuned = Retune(site_, config.site);
+    const std::vector<std::string> added = retuned.added;
+    const std::vector<std::string> dropped = retuned.dropped;
+    if (retuned.changed) ApplySettings(std::move(retuned));
+    endpoint_watcher_.Follow(config.changelog);
+    ++counters_.config_reloads;
+    LogReload(added, dropped);
     return true;
   } catch (const config::Error& error) {
-    ++counted_.config_reload_errors;
+    ++counters_.config_reload_errors;
     log::Error("config.refused", {{"reason", error.what()}},
                "configuration not read anew, the old one holds: {}", error.what());
     return false;
   }
 }
 
+void PlatformFront::ApplySettings(Retuned retuned) {
+  coordinator_.Retune(retuned.site.settings);
+  downstream_.SetClasses(retuned.site.classes);
+  site_ = std::move(retuned.site);
+}
+
+void PlatformFront::LogReload(const std::vector<std::string>& added,
+                              const std::vector<std::string>& dropped) const {
+  const std::string added_names = Join(added);
+  const std::string dropped_names = Join(dropped);
+  log::Info("config.reloaded",
+            {{"added", added_names}, {"dropped", dropped_names}, {"attempts", site_.settings.max_attempts}},
+            "configuration read anew: classes added or changed {}, no longer listed {}, attempts {}; "
+            "endpoint watch followed; the rest needs a restart",
+            added_names, dropped_names, site_.settings.max_attempts);
+}
+
 void PlatformFront::EndRound(Micros now) {
-  service_.Serving();  // the first round has applied what was known at the start
-  downstream_.SendAway(service_.Now() == ops::Life::kStandby);
-  // Clients that are slow to take their answers hold up the servers' answers, not the memory.
-  upstream_.SetReadPaused(downstream_.Backlog() > most_backlog_);
+  service_.Serving();  // the first round has applied what the configuration knows
+  downstream_.SetStandby(service_.Now() == ops::Life::kStandby);
+  // Clients that are slow to take their responses hold up the servers' responses, not the memory.
+  upstream_.SetReadPaused(downstream_.Backlog() > max_downstream_backlog_);
   downstream_.EndRound(now);
   upstream_.EndRound(now);
   endpoint_watcher_.EndRound();
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -1,63 +1,63 @@
-// The platform's front: clients, servers and the change log round the core. It decides nothing.
+// The platform's front: clients, servers and the endpoint watch around the core. It decides nothing.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "front/ops/door.hpp"
 #include "front/platform/downstream_connections.hpp"
 #include "front/platform/endpoint_watcher.hpp"
 #include "front/platform/upstream_connections.hpp"
 #include "front/runner.hpp"
 #include "ops/ops.hpp"
+#include "setup/retune.hpp"
 
 namespace tinspan::platform {
 
+/// Connects the core with the platform's protocols: carries its commands out and collects its events. All
+/// arguments of the constructor must outlive it.
 class PlatformFront final : public front::Front {
  public:
   PlatformFront(net::EventLoop& loop, const config::Platform& config, core::RequestCoordinator& coordinator,
-                std::vector<core::Event>& events)
-      : most_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
-        coordinator_(coordinator),
-        site_(config.site),
-        downstream_(loop, config, coordinator, events),
-        upstream_(loop, config, coordinator, downstream_, events),
-        endpoint_watcher_(loop, config, upstream_, events) {
-    if (config.ops)
-      door_.emplace(
-          loop, *config.ops, service_, [this] { return Figures(); }, views_);
-  }
-  void SetAttachedServices(front::AttachedServices attached) {
-    views_ = attached.views;
-    upstream_.FailureLog().ReportTo(attached.on_failing_servers);
-    attached_ = std::move(attached);
-  }
+                std::vector<core::Event>& events);
+
+  /// Services that run beside the front; called once, before the first round.
+  void SetAttachedServices(front::AttachedServices attached);
 
   void Execute(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
-  void Drain(Micros accept_until) override {
-    if (attached_.on_drain) attached_.on_drain();
-    service_.Stopping();
-    downstream_.Drain(accept_until);
-  }
+  void Drain(Micros accept_until) override;
+  /// Reads the configuration file again; requests, connections and all that was learnt stay. Where the file
+  /// cannot be used, the settings before stay in force, and the result is false.
   bool Reload() override;
   bool IsDrained() const override { return downstream_.IsDrained(); }
   std::uint16_t Port() const { return downstream_.Port(); }
+  /// Nothing: the configuration names no port for operators.
   std::optional<std::uint16_t> OpsPort() const {
-    return door_ ? std::optional<std::uint16_t>(door_->Port()) : std::nullopt;
+    return ops_door_ ? std::optional<std::uint16_t>(ops_door_->Port()) : std::nullopt;
   }
 
  private:
   ops::Figures Figures() const;
+  void Complete(const core::CompleteRequest& command);
+  void Respond(RequestId id);
+  void ApplySettings(Retuned retuned);
+  void LogReload(const std::vector<std::string>& added, const std::vector<std::string>& dropped) const;
 
-  const std::size_t most_backlog_;
+  const std::size_t max_downstream_backlog_;
   core::RequestCoordinator& coordinator_;
   Site site_;  // in force, with the classes of every retune
   DownstreamConnections downstream_;
   UpstreamConnections upstream_;
   EndpointWatcher endpoint_watcher_;
   ops::Service service_;
-  ops::Figures counted_;  // what is counted as it happens; the rest is looked up when asked
+  ops::Figures counters_;  // what is counted as it happens; the rest is looked up when it is requested
   ops::Views views_;
   front::AttachedServices attached_;
-  std::optional<front::OpsDoor> door_;
+  std::optional<front::OpsDoor> ops_door_;
 };
 
 }  // namespace tinspan::platform
--- a/src/front/platform/resp.cpp
+++ b/src/front/platform/resp.cpp
@@ -1,51 +1,61 @@
 #include "front/platform/resp.hpp"
 
+#include <cstdint>
+
 #include "front/platform/fields.hpp"
 
 namespace tinspan::platform {
 namespace {
 
-constexpr std::size_t kLengthLine = 16;  // a marker, digits, CR LF: longer is no length
+using Kind = RespError::Kind;
+
+constexpr std::size_t kMaxLengthLine = 16;  // a marker, digits, CR: longer is no length
+constexpr std::string_view kLineEnd = "\r\n";
+
+tl::unexpected<RespError> Malformed() { return tl::unexpected(RespError{.kind = Kind::kMalformed}); }
+
+tl::unexpected<RespError> Incomplete(std::size_t bytes_needed) {
+  return tl::unexpected(RespError{.kind = Kind::kIncomplete, .bytes_needed = bytes_needed});
+}
 
-// The number of a line `<marker>N\r\n` at `at`, which moves behind it.
-RespState ReadLength(std::string_view text, char marker, std::size_t& at, std::size_t& number) {
-  if (at >= text.size()) return RespState::kPartial;
-  if (text[at] != marker) return RespState::kMalformed;
-  const std::size_t end = text.find('\n', at);
+// The number of the line `<marker>N\r\n` at `position`, which moves behind it.
+tl::expected<std::size_t, RespError> ReadLength(std::string_view text, char marker, std::size_t& position) {
+  if (position >= text.size()) return Incomplete(text.size() + 1);
+  if (text[position] != marker) return Malformed();
+  const std::size_t end = text.find('\n', position);
   if (end == std::string_view::npos) {
-    return text.size() - at > kLengthLine ? RespState::kMalformed : RespState::kPartial;
+    if (text.size() - position > kMaxLengthLine) return Malformed();
+    return Incomplete(text.size() + 1);
   }
-  if (end - at > kLengthLine || text[end - 1] != '\r') return RespState::kMalformed;
-  const auto value = ReadNumber<std::uint32_t>(text.substr(at + 1, end - at - 2));
-  if (!value) return RespState::kMalformed;
-  number = *value;
-  at = end + 1;
-  return RespState::kWhole;
+  if (end - position > kMaxLengthLine || text[end - 1] != '\r') return Malformed();
+  const auto length = ReadNumber<std::uint32_t>(text.substr(position + 1, end - position - 2));
+  if (!length) return Malformed();
+  position = end + 1;
+  return *length;
 }
 
 }  // namespace
 
-RespState ParseResp(std::string_view text, std::size_t most_bytes, RespMessage& out, std::size_t& used) {
-  std::size_t at = 0;
-  used = text.size() + 1;
-  RespState state = ReadLength(text, '*', at, out.count);
-  if (state != RespState::kWhole) return state;
-  if (out.count == 0 || out.count > RespMessage::kMost) return RespState::kMalformed;
-  for (std::size_t i = 0; i < out.count; ++i) {
-    std::size_t length = 0;
-    state = ReadLength(text, '$', at, length);
-    if (state != RespState::kWhole) return state;
-    if (length > most_bytes || at + length + 2 > most_bytes) return RespState::kMalformed;
-    if (at + length + 2 > text.size()) {
-      used = at + length + 2;
-      return RespState::kPartial;
-    }
-    if (text[at + length] != '\r' || text[at + length + 1] != '\n') return RespState::kMalformed;
-    out.words[i] = text.substr(at, length);
-    at += length + 2;
+tl::expected<RespMessage, RespError> ParseResp(std::string_view text, std::size_t max_bytes) {
+  RespMessage message;
+  std::size_t position = 0;
+  const auto count = ReadLength(text, '*', position);
+  if (!count) return tl::unexpected(count.error());
+  if (*count == 0 || *count > RespMessage::kMaxWords) return Malformed();
+  message.count = *count;
+  for (std::size_t index = 0; index < message.count; ++index) {
+    const auto length = ReadLength(text, '$', position);
+    if (!length) return tl::unexpected(length.error());
+    const std::size_t word_end = position + *length;
+    const std::size_t next = word_end + kLineEnd.size();
+    if (*length > max_bytes || next > max_bytes) return Malformed();
+    if (next > text.size()) return Incomplete(next);
+    if (text.substr(word_end, kLineEnd.size()) != kLineEnd) return Malformed();
+    message.words[index] = text.substr(position, *length);
+    position = next;
   }
-  used = at;
-  return RespState::kWhole;
+  message.size = position;
+  return message;
 }
 
 void AppendBulk(std::string& out, std::string_view word) {
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -88,7 +88,7 @@
   const Micros transfer_time =
       2 * TransferTime(request.size_kb, config_.site.settings.transfer_rate_kb_per_s);
   pooled.state.exchanges[reference] = {id, attempt.command.attempt, 0, now, transfer_time};
-  in_flight_[id] = std::move(attempt);
+  in_flight_[id] = attempt;
   if (pooled.connection.IsOpen()) {
     due_requests_.push_back({&pooled, reference, false});
   } else {
@@ -97,10 +97,12 @@
 }
 
 void UpstreamConnections::WriteDueRequests(Micros now) {
-  // By position: a connection that is closed on the way may add requests that are assigned to another.
-  for (std::size_t index = 0; index < due_requests_.size(); ++index) {
-    const DueRequest due = due_requests_[index];
+  // A connection that is closed on the way may add requests, which are assigned to another one.
+  std::size_t next = 0;
+  while (next < due_requests_.size()) {
+    const DueRequest due = due_requests_[next];
     WriteDueRequest(now, due);
+    ++next;
   }
   due_requests_.clear();
 }
@@ -238,7 +240,7 @@
     InFlightAttempt attempt = in_flight_.at(id);
     attempt.is_reassigned = true;
     pool_.Release(pooled, now);
-    return Assign(now, *downstream_.Find(id), std::move(attempt));
+    return Assign(now, *downstream_.Find(id), attempt);
   }
   Outcome outcome = Outcome::kConnectFailed;
   if (exchange.IsSent(pooled.connection)) {
