--- a/src/lease/health_record.cpp
+++ b/src/lease/health_record.cpp
@@ -8,14 +8,14 @@
 
 using members::State;
 
-nlohmann::json MemberCounts(const members::View& view) {
+nlohmann::json MemberCounts(const members::MembershipView& view) {
   return {{"alive", view.Count(State::kAlive)},
           {"suspect", view.Count(State::kSuspect)},
           {"dead", view.Count(State::kDead)},
           {"left", view.Count(State::kLeft)}};
 }
 
-nlohmann::json MembersNotAlive(const members::View& view) {
+nlohmann::json MembersNotAlive(const members::MembershipView& view) {
   nlohmann::json states = nlohmann::json::object();
   for (const auto& [name, member] : view.Members()) {
     if (states.size() >= kMaxNamedInRecord) break;
@@ -24,10 +24,10 @@
   return states;
 }
 
-std::set<std::uint64_t> FailingServers(const members::View& view) {
+std::set<std::uint64_t> FailingServers(const members::MembershipView& view) {
   std::set<std::uint64_t> servers;
   for (const auto& [name, member] : view.Members()) {
-    for (const std::uint64_t server : member.failing) {
+    for (const std::uint64_t server : member.failing_servers) {
       if (servers.size() < kMaxNamedInRecord) servers.insert(server);
     }
   }
@@ -36,7 +36,8 @@
 
 }  // namespace
 
-std::string BuildHealthRecord(const members::View& view, const WriteRequest& request, std::uint64_t wall_ms) {
+std::string BuildHealthRecord(const members::MembershipView& view, const WriteRequest& request,
+                              std::uint64_t wall_ms) {
   nlohmann::json record;
   record["number"] = request.number;
   record["token"] = ToNumber(request.token);
