--- a/src/front/platform/stalled_connections.cpp
+++ b/src/front/platform/stalled_connections.cpp
@@ -8,9 +8,9 @@
 
 // Without a byte in the middle of a response. A packet that was lost once is sent again after 200 ms.
 constexpr Micros kPartialResponseTimeout{250'000};
-// A response that alone is overdue may be slow, so it is given a multiple of the time.
+// A response that alone is late may be slow, so it is given a multiple of the time.
 constexpr int kSingleResponseFactor = 4;
-constexpr std::size_t kMinOverdueResponses = 2;
+constexpr std::size_t kMinLateResponses = 2;
 
 }  // namespace
 
@@ -40,15 +40,15 @@
   const Micros last_received_at =
       last_received == last_received_at_.end() ? Micros{0} : last_received->second;
   if (last_received_at <= silent_since) return false;
-  std::size_t overdue_responses = 0;
-  bool is_one_long_overdue = false;
+  std::size_t late_responses = 0;
+  bool has_very_late_response = false;
   for (const auto& [reference, exchange] : pooled.state.exchanges) {
     const Micros waited = now_ - std::max(exchange.started_at, silent_since);
     const Micros timeout = response_timeout_ + exchange.transfer_time;
-    overdue_responses += waited > timeout ? 1 : 0;
-    is_one_long_overdue = is_one_long_overdue || waited > kSingleResponseFactor * timeout;
+    late_responses += waited > timeout ? 1 : 0;
+    has_very_late_response = has_very_late_response || waited > kSingleResponseFactor * timeout;
   }
-  return overdue_responses >= kMinOverdueResponses || is_one_long_overdue;
+  return late_responses >= kMinLateResponses || has_very_late_response;
 }
 
 }  // namespace tinspan::platform
--- a/tests/platform/resp_test.cpp
+++ b/tests/platform/resp_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <string_view>
 
 namespace tinspan::platform {
 namespace {
@@ -26,9 +27,9 @@
 }
 
 TEST(ParseRespTest, NeedsMoreBytesForEachPrefixOfAMessage) {
-  const std::string text = "*2\r\n$3\r\nabc\r\n$12\r\nabcdefghijkl\r\n";
+  const std::string_view text = "*2\r\n$3\r\nabc\r\n$12\r\nabcdefghijkl\r\n";
   for (std::size_t size = 0; size < text.size(); ++size) {
-    const auto message = ParseResp(std::string_view(text).substr(0, size), kMaxBytes);
+    const auto message = ParseResp(text.substr(0, size), kMaxBytes);
     ASSERT_FALSE(message.has_value()) << size;
     EXPECT_EQ(message.error().kind, RespError::Kind::kIncomplete) << size;
     EXPECT_GT(message.error().bytes_needed, size);
--- /dev/null
+++ b/tests/platform/upstream_exchange_test.cpp
@@ -0,0 +1,44 @@
+#include "front/platform/upstream_exchange.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace tinspan::platform {
+namespace {
+
+constexpr int kIdsBeforeReplacement = 2048;
+
+TEST(RetiredRequestIdsTest, ContainsWhatWasAdded) {
+  RetiredRequestIds retired;
+  EXPECT_FALSE(retired.Contains("first"));
+  retired.Add("first");
+  EXPECT_TRUE(retired.Contains("first"));
+  EXPECT_FALSE(retired.Contains("second"));
+}
+
+TEST(RetiredRequestIdsTest, IsFullBeyondItsLimit) {
+  RetiredRequestIds retired;
+  for (int id = 0; id < kIdsBeforeReplacement; ++id) retired.Add(std::to_string(id));
+  EXPECT_FALSE(retired.IsFull());
+  retired.Add("one more");
+  EXPECT_TRUE(retired.IsFull());
+}
+
+TEST(RetiredRequestIdsTest, CountsAnIdOnce) {
+  RetiredRequestIds retired;
+  for (int repeat = 0; repeat <= kIdsBeforeReplacement; ++repeat) retired.Add("same");
+  EXPECT_FALSE(retired.IsFull());
+}
+
+TEST(UpstreamConnectionStateTest, AcceptsAnIdThatIsNeitherOpenNorRetired) {
+  UpstreamConnectionState state;
+  state.exchanges["open"] = {};
+  state.retired_request_ids.Add("retired");
+  EXPECT_FALSE(state.Accepts("open"));
+  EXPECT_FALSE(state.Accepts("retired"));
+  EXPECT_TRUE(state.Accepts("new"));
+}
+
+}  // namespace
+}  // namespace tinspan::platform
