--- a/tests/platform/watch_event_test.cpp
+++ b/tests/platform/watch_event_test.cpp
@@ -50,8 +50,8 @@
 }
 
 constexpr const char* kServer =
-    R"({"id":"edge-1","kind":"edge","zone":"south","state":"up","addr":"10.0.0.1:7000","weight":2.5,"cell":3,)"
-    R"("started_ms":1700000000000})";
+    R"({"id":"edge-1","kind":"edge","zone":"south","state":"up","addr":"10.0.0.1:7000","weight":2.5,)"
+    R"("cell":3,"started_ms":1700000000000})";
 
 TEST_F(WatchEventTest, ReadsTheSequenceNumber) { EXPECT_EQ(Parse(ListEvent(kServer))->sequence, 5u); }
 
