--- a/src/core/endpoint_states.cpp
+++ b/src/core/endpoint_states.cpp
@@ -28,20 +28,20 @@
   const auto found = states_.find(server);
   if (found == states_.end()) return true;
   const EndpointState& state = found->second;
-  return state.availability != Availability::kUp && now - state.leaving_since >= drain_window / 2;
+  return state.availability != Availability::kUp && now - state.draining_since >= drain_window / 2;
 }
 
-void EndpointStates::ForgetRemoved(Micros now) {
+void EndpointStates::PruneRemoved(Micros now) {
   std::erase_if(states_, [now](const auto& entry) {
     const EndpointState& state = entry.second;
-    return state.availability == Availability::kRemoved && now - state.leaving_since > kRemovedRetention;
+    return state.availability == Availability::kRemoved && now - state.draining_since > kRemovedRetention;
   });
 }
 
 // Draining, then removed: the window runs from the first of them.
 void EndpointStates::SetAvailability(Micros now, EndpointState& state, Availability availability) {
   const bool was_up = state.availability == Availability::kUp;
-  if (was_up && availability != Availability::kUp) state.leaving_since = now;
+  if (was_up && availability != Availability::kUp) state.draining_since = now;
   state.availability = availability;
 }
 
--- a/src/core/endpoint_states.hpp
+++ b/src/core/endpoint_states.hpp
@@ -15,12 +15,12 @@
   /// draining or removed for half of `drain_window` (the other half is left for the write).
   bool IsPastDrain(Micros now, ServerId server, Micros drain_window) const;
   /// Forgets servers that were removed long ago.
-  void ForgetRemoved(Micros now);
+  void PruneRemoved(Micros now);
 
  private:
   struct EndpointState {
     Availability availability = Availability::kUp;
-    Micros leaving_since{0};  // when it was first reported draining or removed
+    Micros draining_since{0};  // when it was first reported draining or removed
   };
 
   static void SetAvailability(Micros now, EndpointState& state, Availability availability);
--- a/src/core/purge_log.cpp
+++ b/src/core/purge_log.cpp
@@ -25,7 +25,7 @@
   });
 }
 
-void PurgeLog::Forget(Micros now, Micros retention) {
+void PurgeLog::Prune(Micros now, Micros retention) {
   const auto is_old = [&](const auto& entry) { return now - entry.second.purged_at > retention; };
   std::erase_if(objects_, is_old);
   std::erase_if(groups_, is_old);
--- a/src/core/purge_log.hpp
+++ b/src/core/purge_log.hpp
@@ -18,7 +18,7 @@
   /// does not cover the purge, and half of `purge_window` has passed since.
   bool IsOutdated(GroupId group, ObjectId object, Micros decided_at, Micros now, Micros purge_window) const;
   /// Forgets purges older than `retention`.
-  void Forget(Micros now, Micros retention);
+  void Prune(Micros now, Micros retention);
 
  private:
   struct Purge {
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -88,7 +88,7 @@
                             .part = event.part,
                             .size_kb = event.size_kb,
                             .is_retry = event.is_retry});
-  ForgetIfDone(event.id);
+  EraseIfDone(event.id);
 }
 
 Micros RequestCoordinator::AllowedTime(const RequestReceived& event) const {
@@ -113,7 +113,7 @@
     out_->emplace_back(AbortAttempt{event.id, attempt});
     CompleteAttempt(event.id, *request, attempt, {.outcome = Outcome::kCancelled});
   }
-  ForgetIfDone(event.id);
+  EraseIfDone(event.id);
 }
 
 void RequestCoordinator::On(const ResponseStarted& event) {
@@ -162,7 +162,7 @@
         break;
     }
   }
-  ForgetOutdated();
+  PruneOutdated();
 }
 
 void RequestCoordinator::OnAttemptTimeout(RequestId id, std::uint32_t attempt) {
@@ -179,14 +179,14 @@
   if (request == nullptr || request->is_answered || request->started_attempt) return;
   Complete(*request, CompleteRequest{.id = id, .status = CompletionStatus::kFailed});
   NotifyRouter(ClientDisconnectedEvent{id});
-  ForgetIfDone(id);
+  EraseIfDone(id);
 }
 
-void RequestCoordinator::ForgetOutdated() {
+void RequestCoordinator::PruneOutdated() {
   if (now_ < next_sweep_at_) return;
   next_sweep_at_ = now_ + options_.sweep_interval;
-  purges_.Forget(now_, kPurgeRetentionMultiple * settings_.purge_retention);
-  endpoints_.ForgetRemoved(now_);
+  purges_.Prune(now_, kPurgeRetentionMultiple * settings_.purge_retention);
+  endpoints_.PruneRemoved(now_);
 }
 
 // ---- What the Router wants done. ----
@@ -214,9 +214,9 @@
   const auto number = static_cast<std::uint32_t>(request->attempts.size());
   const Micros expires_at =
       action.expires_at > Micros{0} ? std::min(action.expires_at, request->deadline) : request->deadline;
-  const bool may_start = MayStart(*request, action, expires_at);
+  const bool can_start = CanStart(*request, action, expires_at);
   request->attempts.push_back({.server = action.server, .source = action.source, .sent_at = now_});
-  if (!may_start) {
+  if (!can_start) {
     pending_results_.push_back({.id = action.id, .attempt = number, .outcome = Outcome::kNotSent});
     return;
   }
@@ -295,11 +295,11 @@
                             .note = result.note,
                             .fill_wait = result.fill_wait,
                             .load = result.load});
-  ForgetIfDone(id);
+  EraseIfDone(id);
 }
 
 // Drops a request that has its answer and nothing outstanding.
-void RequestCoordinator::ForgetIfDone(RequestId id) {
+void RequestCoordinator::EraseIfDone(RequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || !found->second.is_answered) return;
   if (!found->second.HasOutstandingAttempt()) requests_.erase(found);
@@ -307,7 +307,7 @@
 
 // ---- The rules at the moment of sending. ----
 
-bool RequestCoordinator::MayStart(const Request& request, const SendAttempt& action,
+bool RequestCoordinator::CanStart(const Request& request, const SendAttempt& action,
                                   Micros expires_at) const {
   if (request.is_answered || request.HasOutstandingAttempt()) return false;
   if (request.attempts.size() >= request.max_attempts || expires_at <= now_) return false;
@@ -322,7 +322,7 @@
   const Attempt& waiting = request.attempts[attempt];
   if (!waiting.is_outstanding) return false;
   if (IsPastDrain(now, waiting.server) || IsPastDrain(now, waiting.source)) return false;
-  if (!MayRepeat(now, request, attempt)) return false;
+  if (!CanRepeat(now, request, attempt)) return false;
   return !purges_.IsOutdated(request.received.group, request.received.object, waiting.sent_at, now,
                              settings_.purge_window);
 }
@@ -330,7 +330,7 @@
 // The rule on effects at the moment of writing: whether an earlier attempt may have run, and the class allows
 // no further one any more. Guards against a key that lapses while the connection for a repeat comes up: the
 // Router looked at the window when it decided, and the server would run the request a second time.
-bool RequestCoordinator::MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const {
+bool RequestCoordinator::CanRepeat(Micros now, const Request& request, std::uint32_t attempt) const {
   const ClassSettings* const settings = FindClass(settings_, request.received.class_id);
   if (settings == nullptr || settings->effect == Effect::kIdempotent) return true;
   const auto end = request.attempts.begin() + attempt;
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -81,7 +81,7 @@
   void RunDueTasks();
   void OnAttemptTimeout(RequestId id, std::uint32_t attempt);
   void OnRequestDeadline(RequestId id);
-  void ForgetOutdated();
+  void PruneOutdated();
 
   // What the Router is told, and what it wants done.
   template <class RouterEvent>
@@ -99,12 +99,12 @@
   Micros AllowedTime(const RequestReceived& event) const;
   void Complete(Request& request, CompleteRequest answer);
   void CompleteAttempt(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted result);
-  void ForgetIfDone(RequestId id);
+  void EraseIfDone(RequestId id);
 
   // The rules at the moment of sending.
-  bool MayStart(const Request& request, const SendAttempt& action, Micros expires_at) const;
+  bool CanStart(const Request& request, const SendAttempt& action, Micros expires_at) const;
   bool IsPastDrain(Micros now, ServerId server) const;
-  bool MayRepeat(Micros now, const Request& request, std::uint32_t attempt) const;
+  bool CanRepeat(Micros now, const Request& request, std::uint32_t attempt) const;
   bool IsPurged(const Request& request, const Attempt& attempt, Micros issued_at) const;
   Micros LastAnswerAt() const;
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -100,12 +100,12 @@
   if (failed || peer_ended_) return Fail();
   // A full buffer waits for Consume: scheduled again and again meanwhile, the loop would spin.
   const bool is_full = filled_ - start_ >= ReadLimit();
-  if (MayRead() && !is_full) loop_.ScheduleAgain(handle_);
+  if (CanRead() && !is_full) loop_.ScheduleAgain(handle_);
 }
 
 Connection::ReadResult Connection::ReceiveRound() {
   std::size_t received = 0;
-  while (MayRead() && received < kMaxReadPerRound) {
+  while (CanRead() && received < kMaxReadPerRound) {
     if (filled_ == buffer_.size() && !MakeReadSpace()) return ReadResult::kOk;
     const ssize_t count = ::recv(fd_.Get(), buffer_.data() + filled_, buffer_.size() - filled_, 0);
     if (count > 0) {
@@ -136,7 +136,7 @@
 
 void Connection::Consume(std::size_t bytes) {
   start_ += bytes;
-  if (bytes > 0 && MayRead() && state_ == State::kOpen) loop_.ScheduleAgain(handle_);
+  if (bytes > 0 && CanRead() && state_ == State::kOpen) loop_.ScheduleAgain(handle_);
   if (start_ < filled_) return;
   start_ = filled_ = 0;
   expected_ = 0;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -114,7 +114,7 @@
   ReadResult ReceiveRound();
   bool MakeReadSpace();
   std::size_t ReadLimit() const;
-  bool MayRead() const { return more_in_socket_ && !read_paused_ && !closing_; }
+  bool CanRead() const { return more_in_socket_ && !read_paused_ && !closing_; }
   std::size_t SendNow(std::string_view head, std::string_view body, std::string_view tail);
   bool Flush();
   bool SendQueue();
