--- a/bench/record_cost.cpp
+++ b/bench/record_cost.cpp
@@ -26,7 +26,7 @@
           return HttpStandIn::Reply("200 OK", std::string(2000, 'x'), "Cache-Status: c; hit\r\n");
         }) {
     char name[] = "/tmp/tinspan-cost-XXXXXX";
-    CHECK(::mkdtemp(name) != nullptr);
+    CHECK_OR_THROW(::mkdtemp(name) != nullptr);
     folder = std::string(name) + "/";
     for (int i = 0; i < 4; ++i) consul.Set("shop-cache", "n" + std::to_string(i), {cache.Port()});
     consul.Set("main-stock", "stock", {cache.Port()});
@@ -104,7 +104,7 @@
 int AwaitReady(Program& program) {
   const int port = program.Port();
   for (const auto end = UnixMs() + kLimitMs;; ::usleep(10'000)) {
-    CHECK(UnixMs() < end);
+    CHECK_OR_THROW(UnixMs() < end);
     Peer client = Peer::Connect(port);
     client.Send("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n");
     if (client.Until("\r\n\r\n").starts_with("HTTP/1.1 200")) return port;
@@ -130,7 +130,7 @@
   int ports[3];
   for (int i = 0; i < 3; ++i) ports[i] = AwaitReady(*programs[i]);
   const int count = std::max(1, static_cast<int>(seconds * (rate > 0 ? rate : 5000)));
-  for (const int port : ports) CHECK(Ask(world, port, 500, 0) > 490);
+  for (const int port : ports) CHECK_OR_THROW(Ask(world, port, 500, 0) > 490);
   const std::uint64_t bytes = FolderBytes(world.folder + "records");
   std::vector<double> recording, control;
   double sums[3] = {0, 0, 0};
@@ -192,8 +192,14 @@
   const auto number = [&](int place, double absent) {
     return argc > place ? std::atof(argv[place]) : absent;
   };
-  if (mode == "pair") return Pairs(static_cast<int>(number(2, 60)), number(3, 0.3), number(4, 0));
-  if (mode == "churn") return Churn(static_cast<int>(number(2, 600'000)), static_cast<int>(number(3, 3600)));
+  try {
+    if (mode == "pair") return Pairs(static_cast<int>(number(2, 60)), number(3, 0.3), number(4, 0));
+    if (mode == "churn")
+      return Churn(static_cast<int>(number(2, 600'000)), static_cast<int>(number(3, 3600)));
+  } catch (const CheckFailure& failure) {
+    std::fprintf(stderr, "%s\n", failure.what());
+    return 1;
+  }
   std::fprintf(stderr,
                "usage: record_cost pair [PAIRS] [SECONDS] [RATE] | record_cost churn [REQUESTS] [CHANGES]\n");
   return 2;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -25,15 +25,7 @@
 #include <utility>
 #include <vector>
 
-// The running program's log is shown with a failure.
-inline std::function<std::string()> failure_log = [] { return std::string(); };
-#define CHECK(condition)                                                                                    \
-  do {                                                                                                      \
-    if (!(condition)) {                                                                                     \
-      std::fprintf(stderr, "%s:%d: failed: %s\n%s", __FILE__, __LINE__, #condition, failure_log().c_str()); \
-      std::exit(1);                                                                                         \
-    }                                                                                                       \
-  } while (false)
+#include "checks.hpp"
 
 constexpr int kLimitMs = 20'000;
 
@@ -60,13 +52,13 @@
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     at.sin_port = htons(static_cast<std::uint16_t>(port));
-    CHECK(::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    CHECK_OR_THROW(::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
     return Peer(fd);
   }
   void Send(std::string_view text) {
     while (!text.empty()) {
       const ssize_t n = ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
-      CHECK(n > 0);
+      CHECK_OR_THROW(n > 0);
       text.remove_prefix(static_cast<std::size_t>(n));
     }
   }
@@ -78,7 +70,7 @@
       if (::poll(&one, 1, 300) == 0) break;
       const ssize_t n =
           ::send(fd_, block.data(), std::min(block.size(), most - sent), MSG_NOSIGNAL | MSG_DONTWAIT);
-      CHECK(n > 0);
+      CHECK_OR_THROW(n > 0);
       sent += static_cast<std::size_t>(n);
     }
     return sent;
@@ -86,13 +78,13 @@
   // Through the first `mark`, which is left out of what is returned.
   std::string Until(std::string_view mark) {
     std::size_t at;
-    while ((at = in_.find(mark)) == std::string::npos) CHECK(More());
+    while ((at = in_.find(mark)) == std::string::npos) CHECK_OR_THROW(More());
     std::string out = in_.substr(0, at);
     in_.erase(0, at + mark.size());
     return out;
   }
   std::string Exactly(std::size_t n) {
-    while (in_.size() < n) CHECK(More());
+    while (in_.size() < n) CHECK_OR_THROW(More());
     std::string out = in_.substr(0, n);
     in_.erase(0, n);
     return out;
@@ -119,10 +111,10 @@
           start + std::chrono::microseconds(static_cast<std::int64_t>(1e6 * taken / bytes_per_s));
       std::this_thread::sleep_until(due);
       pollfd one{fd_, POLLIN, 0};
-      CHECK(::poll(&one, 1, kLimitMs) == 1);
+      CHECK_OR_THROW(::poll(&one, 1, kLimitMs) == 1);
       char block[16384];
       const ssize_t n = ::recv(fd_, block, std::min(sizeof block, total - in_.size()), 0);
-      CHECK(n > 0);
+      CHECK_OR_THROW(n > 0);
       in_.append(block, static_cast<std::size_t>(n));
       taken += static_cast<std::size_t>(n);
     }
@@ -163,7 +155,7 @@
  private:
   bool More() {
     pollfd one{fd_, POLLIN, 0};
-    CHECK(::poll(&one, 1, kLimitMs) == 1);
+    CHECK_OR_THROW(::poll(&one, 1, kLimitMs) == 1);
     char block[65536];
     const ssize_t n = ::recv(fd_, block, sizeof block, 0);
     if (n > 0) in_.append(block, static_cast<std::size_t>(n));
@@ -179,7 +171,7 @@
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CHECK(::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && ::listen(fd_, 64) == 0);
+    CHECK_OR_THROW(::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && ::listen(fd_, 64) == 0);
     socklen_t size = sizeof at;
     ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
     port = ntohs(at.sin_port);
@@ -187,7 +179,7 @@
   ~Server() { Close(); }
   Peer Accept() {
     pollfd one{fd_, POLLIN, 0};
-    CHECK(::poll(&one, 1, kLimitMs) == 1);
+    CHECK_OR_THROW(::poll(&one, 1, kLimitMs) == 1);
     return Peer(::accept(fd_, nullptr, nullptr));
   }
   bool Quiet(int ms) {
@@ -211,7 +203,7 @@
   explicit TempFile(const std::string& text) {
     char name[] = "/tmp/tinspan-test-XXXXXX";
     const int fd = ::mkstemp(name);
-    CHECK(fd >= 0);
+    CHECK_OR_THROW(fd >= 0);
     ::close(fd);
     path = name;
     std::ofstream(path) << text;
@@ -226,11 +218,11 @@
   Program(std::vector<std::string> arguments, std::map<std::string, std::string> environment,
           rlim_t descriptors = 0, bool full_log = false) {
     int pipes[2];
-    CHECK(::pipe(pipes) == 0);
+    CHECK_OR_THROW(::pipe(pipes) == 0);
     if (full_log) {
       const std::string block(4096, '\n');
-      CHECK(::fcntl(pipes[1], F_SETPIPE_SZ, 4096) == 4096);
-      CHECK(::write(pipes[1], block.data(), block.size()) == static_cast<ssize_t>(block.size()));
+      CHECK_OR_THROW(::fcntl(pipes[1], F_SETPIPE_SZ, 4096) == 4096);
+      CHECK_OR_THROW(::write(pipes[1], block.data(), block.size()) == static_cast<ssize_t>(block.size()));
     }
     pid_ = ::fork();
     if (pid_ == 0) {
@@ -271,7 +263,7 @@
     while (true) {
       const std::size_t end = rest_.find('\n');
       if (end == std::string::npos) {
-        CHECK(More());
+        CHECK_OR_THROW(More());
         continue;
       }
       const std::string line = rest_.substr(0, end);
@@ -289,7 +281,7 @@
   void Asleep() const {
     const long long end = UnixMs() + kLimitMs;
     for (int asleep = 0; asleep < 5;) {
-      CHECK(UnixMs() < end);
+      CHECK_OR_THROW(UnixMs() < end);
       std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
       std::string stat;
       std::getline(in, stat);
@@ -312,7 +304,7 @@
  private:
   bool More() {
     pollfd one{out_, POLLIN, 0};
-    CHECK(::poll(&one, 1, kLimitMs) == 1);
+    CHECK_OR_THROW(::poll(&one, 1, kLimitMs) == 1);
     char block[4096];
     const ssize_t n = ::read(out_, block, sizeof block);
     if (n > 0) rest_.append(block, static_cast<std::size_t>(n));
@@ -329,7 +321,7 @@
   explicit Stopped(Program& program) : program_(program) {
     program_.Signal(SIGSTOP);
     int status = 0;
-    CHECK(::waitpid(program_.Pid(), &status, WUNTRACED) == program_.Pid() && WIFSTOPPED(status));
+    CHECK_OR_THROW(::waitpid(program_.Pid(), &status, WUNTRACED) == program_.Pid() && WIFSTOPPED(status));
   }
   ~Stopped() { program_.Signal(SIGCONT); }
 
@@ -337,6 +329,8 @@
   Program& program_;
 };
 
+// For the files that do not use GoogleTest yet.
+#define CHECK(condition) CHECK_OR_THROW(condition)
 using Cases = std::map<std::string, std::function<void()>>;
 inline int RunCases(const Cases& cases, int argc, char** argv) {
   const auto found = cases.find(argc > 1 ? argv[1] : "");
--- a/tests/net/kv_standin.hpp
+++ b/tests/net/kv_standin.hpp
@@ -14,7 +14,7 @@
   KvStandin() : thread_([this] { Run(); }) {}
   ~KvStandin() {
     stop_ = true;
-    thread_.join();
+    thread_.Join();
   }
   std::string Address() const { return server_.Address(); }
   struct Record {
@@ -64,7 +64,7 @@
   }
   static std::uint64_t After(const std::string& text, const std::string& mark) {
     const std::size_t at = text.find(mark);
-    CHECK(at != std::string::npos);
+    CHECK_OR_THROW(at != std::string::npos);
     return std::stoull(text.substr(at + mark.size()));
   }
   void Run() {
@@ -144,5 +144,5 @@
   Record record_;
   tinspan::lease::History history_;
   std::atomic<bool> stop_{false}, hold_{false}, holding_{false}, release_{false}, drop_{false};
-  std::thread thread_;
+  TestThread thread_;
 };
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -8,35 +8,38 @@
 
 namespace {
 
-void Serves() {
+TEST(PlatformTest, ServesHealthProbesAndCalls) {
   World world;
   Peer client = world.Client();
   client.Send(Bulk({"RPC.HEALTH", "1", ""}));
-  CHECK((Answer(client) == std::vector<std::string>{"1", "healthy", "", ""}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "healthy", "", ""}));
   client.Send(Call("2", ",cached=4be0c1927d55a6f3"));
   Peer cache = Chosen(world);
   const std::string line = cache.Until("\r\n");
-  CHECK(line.starts_with(std::string("REQ ") + kRef + " queue=pages,path=7f3a9c21e0b4d655,blk=3,budget="));
+  ASSERT_TRUE(
+      line.starts_with(std::string("REQ ") + kRef + " queue=pages,path=7f3a9c21e0b4d655,blk=3,budget="));
   // Nearly all of what the client allows is its answer's: some allow little more than the sending time.
-  CHECK(std::stoi(line.substr(line.find("budget=") + 7)) >= 2'485);
-  CHECK(line.find(",miss=p-1") != std::string::npos && line.find(",prio=1") != std::string::npos);
-  CHECK(line.find(",f=share+swr") != std::string::npos);
-  CHECK(line.ends_with(",mine=4be0c1927d55a6f3 0") && cache.Until("\r\n").empty());
+  ASSERT_GE(std::stoi(line.substr(line.find("budget=") + 7)), 2'485);
+  ASSERT_NE(line.find(",miss=p-1"), std::string::npos);
+  ASSERT_NE(line.find(",prio=1"), std::string::npos);
+  ASSERT_NE(line.find(",f=share+swr"), std::string::npos);
+  ASSERT_TRUE(line.ends_with(",mine=4be0c1927d55a6f3 0"));
+  ASSERT_TRUE(cache.Until("\r\n").empty());
   // Every byte value, and more than a socket takes at once; the answer comes in pieces.
   std::string body;
   for (int i = 0; i < 240'000; ++i) body += static_cast<char>(i * 7 + i / 256);
   const std::string answer = Ok(body, ",detail=pulled,use=inflight:7;util:0.61;x1:0.2");
   for (std::size_t at = 0; at < answer.size(); at += 50'000) cache.Send(answer.substr(at, 50'000));
-  CHECK((Answer(client) == std::vector<std::string>{"2", "done", "", body}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"2", "done", "", body}));
   // The client's copy is the one: no bytes, and that is said.
   client.Send(Call("3", ",cached=4be0c1927d55a6f3"));
   cache.Until("\r\n\r\n");
   cache.Send(std::string(kRef) + " SAME entity=4be0c1927d55a6f3,issued=" + std::to_string(UnixMs()) +
              " 0\r\n\r\n");
-  CHECK((Answer(client) == std::vector<std::string>{"3", "done", "keep=1", ""}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"3", "done", "keep=1", ""}));
 }
 
-void PassesAWriteUnchanged() {
+TEST(PlatformTest, ForwardsAWriteUnchanged) {
   World world;
   Peer client = world.Client();
   const std::string body(48'000, '\xfe');
@@ -47,11 +50,12 @@
        body}));
   Peer cache = Chosen(world);
   const std::string line = cache.Until("\r\n");
-  CHECK(line.find(",uniq=5c0f6e1a2b3d4c59a8b7c6d5e4f30211") != std::string::npos);
-  CHECK(line.find(",miss=o-1") != std::string::npos && line.ends_with(" 48000"));
-  CHECK(cache.Exactly(48'002) == body + "\r\n");
+  ASSERT_NE(line.find(",uniq=5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), std::string::npos);
+  ASSERT_NE(line.find(",miss=o-1"), std::string::npos);
+  ASSERT_TRUE(line.ends_with(" 48000"));
+  ASSERT_EQ(cache.Exactly(48'002), body + "\r\n");
   cache.Send(Ok("sold"));
-  CHECK(Answer(client)[3] == "sold");
+  ASSERT_EQ(Answer(client)[3], "sold");
 }
 
 // Guards against trusting what never ran or may have: each word leads to a further attempt elsewhere.
@@ -65,14 +69,14 @@
   end(cache);
   // The cache whose answer broke off has the copy by now and may be asked again; the others are passed over.
   Peer next = again ? Chosen(world) : (first ? world.cache_b : world.cache_a).Accept();
-  CHECK(next.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  CHECK_OR_THROW(next.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   next.Send(Ok("abc"));
-  CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+  CHECK_OR_THROW((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
 }
 
 // A server that goes silent: the client has its final answer before it gives up, once, and the server is
 // told.
-void AnswersAtTheDeadline() {
+TEST(PlatformTest, AnswersOnceBeforeTheDeadline) {
   World world;
   Peer client = world.Client();
   const auto start = UnixMs();
@@ -80,34 +84,35 @@
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   const auto answer = Answer(client);
-  CHECK(UnixMs() - start < 750 && (answer[1] == "later" || answer[1] == "error"));
-  CHECK(cache.Until("\r\n") == std::string("STOP ") + kRef);
+  ASSERT_LT(UnixMs() - start, 750);
+  ASSERT_TRUE(answer[1] == "later" || answer[1] == "error");
+  ASSERT_EQ(cache.Until("\r\n"), std::string("STOP ") + kRef);
   cache.Send(Ok("too late"));
   client.Send(Bulk({"RPC.HEALTH", "2", ""}));
-  CHECK(Answer(client)[0] == "2");  // nothing of the late answer came before
+  ASSERT_EQ(Answer(client)[0], "2");  // nothing of the late answer came before
 }
 
-void StopsWhatAClientLeaves() {
+TEST(PlatformTest, StopsAttemptsOfCancelledAndClosedClients) {
   World world;
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   client.Send(Bulk({"RPC.CANCEL", "1"}));
-  CHECK(cache.Until("\r\n") == std::string("STOP ") + kRef);
+  ASSERT_EQ(cache.Until("\r\n"), std::string("STOP ") + kRef);
   cache.Send(Ok("nobody's"));
   client.Send(Bulk({"RPC.HEALTH", "2", ""}));
-  CHECK(Answer(client)[0] == "2");
+  ASSERT_EQ(Answer(client)[0], "2");
   client.Send(Call("3"));
   Peer fresh = Chosen(world);  // an id given up here goes out on another connection
   fresh.Until("\r\n\r\n");
   client.Close();  // the same when the connection ends
-  CHECK(fresh.Until("\r\n") == std::string("STOP ") + kRef);
+  ASSERT_EQ(fresh.Until("\r\n"), std::string("STOP ") + kRef);
 }
 
 // Guards against a removed server's queued sends and sources, and against taking a new server at an old
 // address for the one that has gone.
-void FollowsTheChangeLog() {
+TEST(PlatformTest, FollowsTheEndpointWatch) {
   World world;
   Peer client = world.Client();
   world.log.Send(Fleet(2, false,
@@ -120,24 +125,24 @@
                  "\n3\n");
   world.log.Close();
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 3");  // all of it is applied by now
+  ASSERT_EQ(world.log.Until("\n"), "since 3");  // all of it is applied by now
   client.Send(Call("1"));
   Peer cache = world.cache_a.Accept();
-  CHECK(cache.Until("\r\n\r\n").find(",miss=o-1") != std::string::npos);  // no parent is left
+  ASSERT_NE(cache.Until("\r\n\r\n").find(",miss=o-1"), std::string::npos);  // no parent is left
   cache.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
+  ASSERT_EQ(Answer(client)[3], "abc");
   // A number that is ahead, and silence: both times it connects anew.
   world.log.Send("9\n");
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 3");
-  CHECK(world.log.Silent(100));
+  ASSERT_EQ(world.log.Until("\n"), "since 3");
+  ASSERT_TRUE(world.log.Silent(100));
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 3");
+  ASSERT_EQ(world.log.Until("\n"), "since 3");
 }
 
 // Guards against a change log that moves: what it tells from then on comes from the new address. State and
 // open requests stay, and a file that cannot be used changes nothing.
-void FollowsANewConfiguration() {
+TEST(PlatformTest, FollowsAReloadedConfiguration) {
   World world;
   Peer client = world.Client();
   client.Send(Call("1"));
@@ -148,34 +153,34 @@
     world.program->Signal(SIGHUP);
   };
   reload("{\"seed\": half a fi");
-  CHECK(world.program->Line("old one holds").find("JSON") != std::string::npos);
+  ASSERT_NE(world.program->Line("old one holds").find("JSON"), std::string::npos);
   Server moved;
   std::string config = world.config;
   config.replace(config.find(world.changelog.Address()), world.changelog.Address().size(), moved.Address());
   world.log.Send(Fleet(2, false, Member("s-x", world.cache_a.Address())) + "\n");
   world.log.Close();
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 2");  // the old one is still followed
+  ASSERT_EQ(world.log.Until("\n"), "since 2");  // the old one is still followed
   reload(config);
   Peer log = moved.Accept();
-  CHECK(log.Until("\n") == "since 2");
-  CHECK(world.log.ToEnd().empty());
+  ASSERT_EQ(log.Until("\n"), "since 2");
+  ASSERT_TRUE(world.log.ToEnd().empty());
   cache.Send(Ok("abc"));
-  CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
 }
 
 // Guards against a change log that tells half an event and stops, tells events twice, or one that nobody can
 // use: none may keep the later ones away.
-void OutlivesABadChangeLog() {
+TEST(PlatformTest, RecoversFromMalformedEndpointEvents) {
   World world;
   const std::string bad = R"({"seq":2,"fleet":{"servers":[{"id":"s-q","kind":"unheard of"}]}})";
   const std::string gone = Fleet(3, false, Member("s-a", world.cache_a.Address(), "box", "removed"));
   world.log.Send(bad + "\n" + gone + "\n");
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 1");  // it may have been spoilt on the way: asked for once more
+  ASSERT_EQ(world.log.Until("\n"), "since 1");  // it may have been spoilt on the way: asked for once more
   world.log.Send(bad + "\n" + gone + "\n");
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 2");
+  ASSERT_EQ(world.log.Until("\n"), "since 2");
   const std::string event = Fleet(4, false, Member("p-1", world.parent.Address(), "up", "removed"));
   world.log.Send(gone + "\n" + gone + "\n");
   const auto start = UnixMs();
@@ -184,24 +189,25 @@
     ::usleep(100'000);
   }
   Peer log = world.changelog.Accept();
-  CHECK(log.Until("\n") == "since 3" && UnixMs() - start < 3'000);
+  ASSERT_EQ(log.Until("\n"), "since 3");
+  ASSERT_LT(UnixMs() - start, 3'000);
   log.Send(event + "\n");
   log.Close();
-  CHECK(world.changelog.Accept().Until("\n") == "since 4");
+  ASSERT_EQ(world.changelog.Accept().Until("\n"), "since 4");
   Peer client = world.Client();
   client.Send(Call("1"));
-  CHECK(world.cache_b.Accept().Until("\r\n\r\n").find(",miss=o-1") != std::string::npos);
+  ASSERT_NE(world.cache_b.Accept().Until("\r\n\r\n").find(",miss=o-1"), std::string::npos);
 }
 
 // No copy older than a purge goes out once the grace is over, whatever the cache says.
-void HeedsPurges() {
+TEST(PlatformTest, AppliesPurgesToCachedResponses) {
   World world;
   const auto purged = UnixMs();
   world.log.Send(R"({"seq":2,"invalidate":{"object":"7f3a9c21e0b4d655","time":)" + std::to_string(purged) +
                  "}}\n" + R"({"seq":3,"invalidate":{"bucket":200,"time":)" + std::to_string(purged) + "}}\n");
   world.log.Close();
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 3");
+  ASSERT_EQ(world.log.Until("\n"), "since 3");
   while (UnixMs() < purged + 1'300) ::usleep(10'000);
   Peer client = world.Client();
   client.Send(Call("1"));
@@ -209,35 +215,36 @@
   Peer cache = Chosen(world, &first);
   const std::string line = cache.Until("\r\n\r\n");
   const std::size_t at = line.find(",within=");
-  CHECK(at != std::string::npos && std::stol(line.substr(at + 8)) <= UnixMs() - purged);
-  CHECK(line.find("share") == std::string::npos);  // a fill under way may have begun before the purge
+  ASSERT_NE(at, std::string::npos);
+  ASSERT_LE(std::stol(line.substr(at + 8)), UnixMs() - purged);
+  ASSERT_EQ(line.find("share"), std::string::npos);  // a fill under way may have begun before the purge
   cache.Send(std::string(kRef) + " OK entity=e0,issued=" + std::to_string(purged - 5) + " 3\r\nold\r\n");
   Peer next = (first ? world.cache_b : world.cache_a).Accept();
   next.Until("\r\n\r\n");
   next.Send(Ok("new"));
-  CHECK(Answer(client)[3] == "new");
+  ASSERT_EQ(Answer(client)[3], "new");
 }
 
-void ClosesOnMalformedInput() {
+TEST(PlatformTest, ClosesConnectionsOnMalformedInput) {
   World world;
   for (const std::string& bad :
        {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("*1\r\n$99999999\r\n"), std::string("*0\r\n"),
         std::string("*-3\r\n"), std::string("*2\r\n$8\r\nRPC.CALL\r\n$70000\r\n")}) {
     Peer client = world.Client();
     client.Send(bad);
-    CHECK(client.ToEnd().empty());
+    ASSERT_TRUE(client.ToEnd().empty());
   }
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send("no answer\r\n");  // nor does a server's
-  CHECK(cache.ToEnd() == std::string("STOP ") + kRef + "\r\n");
+  ASSERT_EQ(cache.ToEnd(), std::string("STOP ") + kRef + "\r\n");
 }
 
 // Guards against one unusable message taking along what else is open on its connection, against two requests
 // under one id, and against a flood that keeps others waiting.
-void AnswersTheUnusableAlone() {
+TEST(PlatformTest, RejectsOnlyTheUnusableRequest) {
   World world;
   Peer client = world.Client();
   client.Send(Call("1"));
@@ -258,10 +265,10 @@
       {"RPC.SING", "2"}};
   for (const auto& words : bad) {
     client.Send(Bulk(words));
-    CHECK((Answer(client) == std::vector<std::string>{"2", "error", "", ""}));
+    ASSERT_EQ(Answer(client), (std::vector<std::string>{"2", "error", "", ""}));
   }
   client.Send(Bulk({"RPC.CALL", "x", "pages", start + "500", ""}));
-  CHECK(Answer(client)[1] == "error");
+  ASSERT_EQ(Answer(client)[1], "error");
   // A flood on another connection: 32 at most are open, the others are told at once, by whichever word.
   Peer flood = world.Client();
   std::string many;
@@ -269,20 +276,22 @@
     many += Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", "9b1f03aa5c7e2" + std::to_string(i));
   }
   flood.Send(many);
-  for (int i = 0; i < 268; ++i) CHECK(Answer(flood)[1] != "done");
+  for (int i = 0; i < 268; ++i) {
+    ASSERT_NE(Answer(flood)[1], "done");
+  }
   cache.Send(Ok("abc"));
-  CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
   // Two requests under one number: one answer, which serves neither.
   client.Send(Call("5", "", 2500, "7f3a9c21e0b4d655", kOther));
   client.Send(Call("5", "", 2500, "7f3a9c21e0b4d655", "9b1f03aa5c7e2d43"));
-  CHECK((Answer(client) == std::vector<std::string>{"5", "error", "", ""}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"5", "error", "", ""}));
   client.Send(Bulk({"RPC.HEALTH", "6", ""}));
-  CHECK(Answer(client)[0] == "6");
+  ASSERT_EQ(Answer(client)[0], "6");
 }
 
 // Guards against connections that say nothing, or half of something, or that asked once and stay: they are
 // let go, and they never keep others out.
-void LetsSilentClientsGo() {
+TEST(PlatformTest, ClosesIdleClients) {
   World world(0, true, "64");
   Peer client = world.Client();
   client.Send(Call("1"));
@@ -296,18 +305,20 @@
   for (int i = 0; i < 100; ++i) {  // more than there is place for
     holders.push_back(world.Client());
     holders.back().Send(Bulk({"RPC.HEALTH", "1", ""}));
-    CHECK(Answer(holders.back())[1] == "healthy");
+    ASSERT_EQ(Answer(holders.back())[1], "healthy");
   }
-  CHECK(holders.front().ToEnd().empty());
+  ASSERT_TRUE(holders.front().ToEnd().empty());
   cache.Send(Ok("abc"));  // what has a request open stays throughout
-  CHECK(Answer(client)[3] == "abc");
-  for (Peer* const one : {&silent, &half, &withdrawn}) CHECK(one->ToEnd().empty());
-  CHECK(UnixMs() - start < 3'000);
+  ASSERT_EQ(Answer(client)[3], "abc");
+  for (Peer* const one : {&silent, &half, &withdrawn}) {
+    ASSERT_TRUE(one->ToEnd().empty());
+  }
+  ASSERT_LT(UnixMs() - start, 3'000);
 }
 
 // Guards against a server that stops half way through an answer: what waits on that connection goes
 // elsewhere.
-void GivesUpOnAStalledAnswer() {
+TEST(PlatformTest, RetriesElsewhereAfterAStalledResponse) {
   World world;
   Peer client = world.Client();
   const auto start = UnixMs();
@@ -315,16 +326,17 @@
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(std::string(kRef) + " OK entity=e,issued=1 100\r\nhalf");
-  CHECK(cache.ToEnd() == std::string("STOP ") + kRef + "\r\n");
+  ASSERT_EQ(cache.ToEnd(), std::string("STOP ") + kRef + "\r\n");
   Peer next = Chosen(world);
   next.Until("\r\n\r\n");
   next.Send(Ok("whole"));
-  CHECK(Answer(client)[3] == "whole" && UnixMs() - start < 1'500);
+  ASSERT_EQ(Answer(client)[3], "whole");
+  ASSERT_LT(UnixMs() - start, 1'500);
 }
 
 // Guards against a connection on which nothing comes any more while its server lives: it gets nothing new,
 // and what waits on it is tried again in time.
-void LeavesASilentConnection() {
+TEST(PlatformTest, SendsNothingNewOnASilentConnection) {
   World world(0, false);
   Peer client = world.Client();
   const auto ask = [&](const std::string& tag, const std::string& ref) {
@@ -337,42 +349,44 @@
   Peer dead = world.cache_a.Accept();
   for (int i = 0; i < 4; ++i) dead.Until("\r\n\r\n");
   Peer live = world.cache_a.Accept();  // the risk is spread
-  CHECK(live.Until("\r\n\r\n").starts_with("REQ " + refs[4]));
-  CHECK(dead.Silent(600));  // that another connection came up is no word of the server
+  ASSERT_TRUE(live.Until("\r\n\r\n").starts_with("REQ " + refs[4]));
+  ASSERT_TRUE(dead.Silent(600));  // that another connection came up is no word of the server
   live.Send(Ok("abc", "", refs[4]));
-  CHECK(Answer(client)[0] == "5");
+  ASSERT_EQ(Answer(client)[0], "5");
   // Silent for too long, while the other spoke. What it owed goes out again: STOP first, as a close may come
   // late.
   const std::string end = dead.ToEnd();
-  for (int i = 0; i < 4; ++i) CHECK(end.find("STOP " + refs[i] + "\r\n") != std::string::npos);
+  for (int i = 0; i < 4; ++i) {
+    ASSERT_NE(end.find("STOP " + refs[i] + "\r\n"), std::string::npos);
+  }
   for (int i = 0; i < 4; ++i) {
     const std::string line = live.Until("\r\n\r\n");
     live.Send(Ok("def", "", line.substr(4, 16)));
-    CHECK(Answer(client)[3] == "def");
+    ASSERT_EQ(Answer(client)[3], "def");
   }
 }
 
 // Guards against an answer that came before it was asked for, and against a copy of one that was: neither may
 // serve what comes later under that id.
-void TakesNoAnswerUnasked() {
+TEST(PlatformTest, IgnoresUnsolicitedResponses) {
   World world(0, false);
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = world.cache_a.Accept();
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc") + Ok("abc") + Ok("not yours", "", kOther));
-  CHECK(Answer(client)[3] == "abc");
+  ASSERT_EQ(Answer(client)[3], "abc");
   client.Send(Bulk({"RPC.HEALTH", "2", ""}));
-  CHECK(Answer(client)[0] == "2");
+  ASSERT_EQ(Answer(client)[0], "2");
   client.Send(Call("3", "", 2500, "7f3a9c21e0b4d655", kOther));
   Peer fresh = world.cache_a.Accept();  // that id does not go out where it has been answered
-  CHECK(fresh.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+  ASSERT_TRUE(fresh.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
   fresh.Send(Ok("right", "", kOther));
-  CHECK((Answer(client) == std::vector<std::string>{"3", "done", "", "right"}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"3", "done", "", "right"}));
 }
 
 // A planned restart: clients are taken for a while yet, what was taken is finished, and the end is clean.
-void StopsCleanly() {
+TEST(PlatformTest, ShutsDownGracefully) {
   World world;
   Peer client = world.Client();
   client.Send(Call("1"));
@@ -382,30 +396,30 @@
   world.program->Line("stopping");
   Peer late = world.Client();
   late.Send(Bulk({"RPC.HEALTH", "7", ""}));
-  CHECK(Answer(late)[1] == "closing");
-  CHECK(late.ToEnd().empty());  // idle, and the time for new ones is over
+  ASSERT_EQ(Answer(late)[1], "closing");
+  ASSERT_TRUE(late.ToEnd().empty());  // idle, and the time for new ones is over
   cache.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
-  CHECK(world.program->Wait() == 0);
+  ASSERT_EQ(Answer(client)[3], "abc");
+  ASSERT_EQ(world.program->Wait(), 0);
 }
 
 // Guards against a listener that never hears of a waiting client again once descriptors ran out.
-void OutlivesItsDescriptors() {
+TEST(PlatformTest, SurvivesDescriptorExhaustion) {
   World world(40);
   std::vector<Peer> clients;
   for (int i = 0; i < 60; ++i) clients.push_back(world.Client());
-  CHECK(clients.back().ToEnd().empty());  // taken and closed at once, not left waiting
+  ASSERT_TRUE(clients.back().ToEnd().empty());  // taken and closed at once, not left waiting
   clients.clear();
   for (int i = 0;; ++i) {  // those that went are closed on the other side in its own time
     Peer client = world.Client();
     client.Send(Bulk({"RPC.HEALTH", "1", ""}));
     if (!client.ToEndOr("healthy").empty()) break;
-    CHECK(i < 1000);
+    ASSERT_LT(i, 1000);
   }
 }
 
 // A client that takes nothing of its answers, and one that is served meanwhile.
-void BearsASlowClient() {
+TEST(PlatformTest, BuffersForASlowClient) {
   World world(0, false);
   Peer slow = world.Client(), client = world.Client();
   const std::string body(240'000, 'x');
@@ -414,19 +428,20 @@
     const std::string ref = "9b1f03aa5c7e2d" + std::to_string(i);
     slow.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
     if (i == 10) cache = world.cache_a.Accept();
-    CHECK(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
     client.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", kOther));
-    CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
     cache.Send(Ok(body, "", ref) + Ok("abc", "", kOther));
-    CHECK(Answer(client)[3] == "abc");  // so the one before it on the wire is through as well
+    ASSERT_EQ(Answer(client)[3], "abc");  // so the one before it on the wire is through as well
+  }
+  for (int i = 10; i < 42; ++i) {
+    ASSERT_EQ(Answer(slow), (std::vector<std::string>{std::to_string(i), "done", "", body}));
   }
-  for (int i = 10; i < 42; ++i)
-    CHECK((Answer(slow) == std::vector<std::string>{std::to_string(i), "done", "", body}));
 }
 
 // Clients that read nothing and have filled their share of the memory hold the servers' answers back, and so
 // everybody else: they are let go soon, not after the 10 s that a slow one has otherwise.
-void LetsNoClientHoldUpAll() {
+TEST(PlatformTest, KeepsServingWhileOneClientFloods) {
   World world(0, false, "1024", "32");
   std::vector<Peer> slow;
   Peer client = world.Client(), cache;
@@ -436,12 +451,12 @@
     const std::string ref = "9b1f03aa5c7e2" + std::to_string(i);
     slow.back().Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
     if (i == 100) cache = world.cache_a.Accept();
-    CHECK(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
     client.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", kOther));
-    CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
     cache.Send(Ok(body, "", ref) + Ok("abc", "", kOther));
     const auto start = UnixMs();
-    CHECK(Answer(client)[3] == "abc");
+    ASSERT_EQ(Answer(client)[3], "abc");
     if (UnixMs() - start > 300) break;  // it was held up, and is not any more
   }
   world.program->Line("takes no answers, connection closed");
@@ -451,12 +466,12 @@
 // beside a client that is served meanwhile: neither may hold it up, the slow one gets every byte unchanged,
 // and the change log is connected anew and followed. Guards against answers queued behind a thin line and a
 // loop that waits on a half line.
-void ServesBesideASlowReaderAndAStalledChangeLog() {
+TEST(PlatformTest, ServesBesideASlowReaderAndAStalledEndpointWatch) {
   World world(0, false);
   Peer slow = world.Client(), client = world.Client(), cache;
   const int kept =
       64 * 1024;  // so that the slow one's kernel buffer holds little and the doorman holds the rest
-  CHECK(::setsockopt(slow.Descriptor(), SOL_SOCKET, SO_RCVBUF, &kept, sizeof kept) == 0);
+  ASSERT_EQ(::setsockopt(slow.Descriptor(), SOL_SOCKET, SO_RCVBUF, &kept, sizeof kept), 0);
   std::string body(240'000, 'x');
   for (std::size_t i = 0; i < body.size(); ++i) body[i] = static_cast<char>('a' + i % 26);
   std::vector<std::string> expected;
@@ -464,7 +479,7 @@
     const std::string ref = "9b1f03aa5c7e2d" + std::to_string(i);
     slow.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
     if (i == 10) cache = world.cache_a.Accept();
-    CHECK(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
     cache.Send(Ok(body, "", ref));
     expected.push_back(Bulk({std::to_string(i), "done", "", body}));
   }
@@ -472,38 +487,38 @@
   for (const auto& one : expected) all += one;
   const auto start = UnixMs();
   std::string read;
-  std::thread reader([&] { read = slow.Paced(all.size(), 1e6); });
+  TestThread reader([&] { read = slow.Paced(all.size(), 1e6); });
   // The change log breaks off in the middle of an event and says nothing more.
   const std::string event = Fleet(2, false, Member("p-1", world.parent.Address(), "up", "removed"));
   world.log.Send(event.substr(0, 20));
   std::int64_t worst = 0;
   for (int i = 0; i < 15; ++i) {  // one request each 100 ms while the slow one reads
     client.Send(Call(std::to_string(100 + i), "", 2500, "7f3a9c21e0b4d655", kOther));
-    CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
     const auto answered = UnixMs();
     cache.Send(Ok("abc", "", kOther));
-    CHECK(Answer(client)[3] == "abc");
+    ASSERT_EQ(Answer(client)[3], "abc");
     worst = std::max(worst, UnixMs() - answered);
     ::usleep(100'000);
   }
-  CHECK(worst <
-        100);  // from the cache's answer to the client's, while a slow one and a stalled log are there
+  ASSERT_LT(worst,
+            100);  // from the cache's answer to the client's, while a slow one and a stalled log are there
   Peer log = world.changelog.Accept();  // a change log without a whole line for 1.8 s is connected anew
-  CHECK(log.Until("\n") == "since 1");
-  CHECK(UnixMs() - start < 3'000);
+  ASSERT_EQ(log.Until("\n"), "since 1");
+  ASSERT_LT(UnixMs() - start, 3'000);
   log.Send(event + "\n");
   log.Close();
-  CHECK(world.changelog.Accept().Until("\n") == "since 2");  // and followed
-  reader.join();
-  CHECK(UnixMs() - start >= 1'500);  // it was read slowly...
-  CHECK(read == all);                // ...and every byte is there, in order
+  ASSERT_EQ(world.changelog.Accept().Until("\n"), "since 2");  // and followed
+  reader.Join();
+  ASSERT_GE(UnixMs() - start, 1'500);  // it was read slowly...
+  ASSERT_TRUE(read == all);            // ...and every byte is there, in order
 }
 
 // Called off while its connection was not up and asked for again there, a request waited on it twice and went
 // out twice: a second copy. Where the connection comes up just as the attempt's time runs out (it is called
 // off each aim, 250 ms, and the SYN is sent again after 1 s), STOP follows at once, and a next attempt may
 // follow that; what must never come is a second REQ without a STOP before it.
-void SendsOnceOnASlowConnection() {
+TEST(PlatformTest, SendsOneCopyOnASlowConnection) {
   std::string settings = kSettings;
   for (const auto& [from, to] : {std::pair{R"("promiseMs":2000.0,"aimStretch":2.0)", R"("promiseMs":250.0)"},
                                  std::pair{R"("connectTimeoutMs":400.0)", R"("connectTimeoutMs":5000.0)"},
@@ -511,15 +526,15 @@
     settings.replace(settings.find(from), std::string_view(from).size(), to);
   }
   World world(0, false, "1024", "192", settings);
-  CHECK(::listen(world.cache_a.Descriptor(), 0) == 0);
+  ASSERT_EQ(::listen(world.cache_a.Descriptor(), 0), 0);
   Peer first =
       Peer::Connect(world.cache_a.port);  // fills the queue: the next one's SYN is dropped, and sent again
   Peer client = world.Client();
   client.Send(Call("1", "", 10'000));
-  CHECK(client.Silent(600));  // past the aim: called off and asked for again
+  ASSERT_TRUE(client.Silent(600));  // past the aim: called off and asked for again
   world.cache_a.Accept();
   Peer cache = world.cache_a.Accept();
-  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   const std::string after = cache.During(150);
   bool stopped = false;
   for (std::size_t at = 0; at < after.size();) {
@@ -527,7 +542,7 @@
     const std::string line = after.substr(at, end == std::string::npos ? std::string::npos : end - at);
     if (line.starts_with("STOP ")) stopped = true;
     if (line.starts_with("REQ ")) {
-      CHECK(stopped);  // a second copy while the first was out
+      ASSERT_TRUE(stopped);  // a second copy while the first was out
       stopped = false;
     }
     at = end == std::string::npos ? after.size() : end + 2;
@@ -538,7 +553,7 @@
 // them): no copy of a request while another is out. Four requests wait on one connection and their time runs
 // out while the program is held; a fifth client's request and the four's next attempts go to a second
 // connection to the same server in the very round in which the four are stopped on the first.
-void StopsGoBeforeAllRequestsOfARound() {
+TEST(PlatformTest, SendsStopsBeforeRequestsOfTheSameRound) {
   std::string settings = kSettings;
   for (const auto& [from, to] : {std::pair{R"("promiseMs":2000.0,"aimStretch":2.0)", R"("promiseMs":800.0)"},
                                  std::pair{R"("passThroughOk":true)", R"("passThroughOk":false)"}}) {
@@ -558,15 +573,15 @@
   Peer second = world.cache_a.Accept();
   second.Until("\r\n\r\n");
   second.Send(Ok("abc", "", "9b1f03aa5c7e2d45"));
-  CHECK(Answer(client)[0] == "5");
+  ASSERT_EQ(Answer(client)[0], "5");
   world.program->Signal(SIGSTOP);
   call(6);
-  CHECK(first.Silent(1'000));  // past the four's aim
+  ASSERT_TRUE(first.Silent(1'000));  // past the four's aim
   const int ready = ::epoll_create1(0);
   const std::map<int, Peer*> peers{{first.Descriptor(), &first}, {second.Descriptor(), &second}};
   for (const auto& [fd, peer] : peers) {
     epoll_event event{EPOLLIN, {.fd = fd}};
-    CHECK(::epoll_ctl(ready, EPOLL_CTL_ADD, fd, &event) == 0);
+    ASSERT_EQ(::epoll_ctl(ready, EPOLL_CTL_ADD, fd, &event), 0);
   }
   world.program->Signal(SIGCONT);
   std::map<std::string, int> out;
@@ -576,73 +591,54 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(200));  // all of the round is in
     epoll_event events[2];
     const int count = ::epoll_wait(ready, events, 2, kLimitMs);
-    CHECK(count > 0);
+    ASSERT_GT(count, 0);
     for (int i = 0; i < count; ++i) {
       const int fd = events[i].data.fd;
       char block[65536];
       const ssize_t n = ::recv(fd, block, sizeof block, 0);
-      CHECK(n > 0);
+      ASSERT_GT(n, 0);
       std::istringstream lines(std::string(block, static_cast<std::size_t>(n)));
       for (std::string line; std::getline(lines, line);) {
         std::istringstream words(line);
         std::string word, ref;
         words >> word >> ref;
         if (word == "STOP") {
-          CHECK(out.erase(ref) == 1);
+          ASSERT_EQ(out.erase(ref), 1);
           ++stops;
         } else if (word == "REQ") {
-          CHECK(out.emplace(ref, fd).second);  // a second copy while the first is out
+          ASSERT_TRUE(out.emplace(ref, fd).second);  // a second copy while the first is out
           again += ref != "9b1f03aa5c7e2d46";
         }
       }
     }
   }
-  CHECK(stops > 0);
+  ASSERT_GT(stops, 0);
   ::close(ready);
 }
 
-}  // namespace
+TEST(PlatformTest, RetriesElsewhereAfterBusy) {
+  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " BUSY - 0\r\n\r\n"); });
+}
 
-int main(int argc, char** argv) {
-  const Cases cases{
-      {"serves", Serves},
-      {"stops_go_before_all_requests_of_a_round", StopsGoBeforeAllRequestsOfARound},
-      {"passes_a_write_unchanged", PassesAWriteUnchanged},
-      {"moves_on_after_busy",
-       [] { MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " BUSY - 0\r\n\r\n"); }); }},
-      {"moves_on_after_miss",
-       [] { MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " MISS - 0\r\n\r\n"); }); }},
-      {"moves_on_after_err",
-       [] { MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " ERR - 0\r\n\r\n"); }); }},
-      {"moves_on_after_void",
-       [] { MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " VOID - 0\r\n\r\n"); }); }},
-      {"moves_on_after_half_an_answer",
-       [] {
-         MovesOnAfter(
-             [](Peer& c) {
-               c.Send(std::string(kRef) + " OK entity=e,issued=1 100\r\nhalf");
-               c.Reset();
-             },
-             true);
-       }},
-      {"answers_at_the_deadline", AnswersAtTheDeadline},
-      {"stops_what_a_client_leaves", StopsWhatAClientLeaves},
-      {"follows_the_change_log", FollowsTheChangeLog},
-      {"follows_a_new_configuration", FollowsANewConfiguration},
-      {"outlives_a_bad_change_log", OutlivesABadChangeLog},
-      {"heeds_purges", HeedsPurges},
-      {"closes_on_malformed_input", ClosesOnMalformedInput},
-      {"answers_the_unusable_alone", AnswersTheUnusableAlone},
-      {"lets_silent_clients_go", LetsSilentClientsGo},
-      {"gives_up_on_a_stalled_answer", GivesUpOnAStalledAnswer},
-      {"leaves_a_silent_connection", LeavesASilentConnection},
-      {"takes_no_answer_unasked", TakesNoAnswerUnasked},
-      {"stops_cleanly", StopsCleanly},
-      {"outlives_its_descriptors", OutlivesItsDescriptors},
-      {"bears_a_slow_client", BearsASlowClient},
-      {"sends_once_on_a_slow_connection", SendsOnceOnASlowConnection},
-      {"lets_no_client_hold_up_all", LetsNoClientHoldUpAll},
-      {"serves_beside_a_slow_reader_and_a_stalled_change_log", ServesBesideASlowReaderAndAStalledChangeLog},
-  };
-  return RunCases(cases, argc, argv);
+TEST(PlatformTest, RetriesElsewhereAfterMiss) {
+  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " MISS - 0\r\n\r\n"); });
 }
+
+TEST(PlatformTest, RetriesElsewhereAfterErr) {
+  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " ERR - 0\r\n\r\n"); });
+}
+
+TEST(PlatformTest, RetriesElsewhereAfterVoid) {
+  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " VOID - 0\r\n\r\n"); });
+}
+
+TEST(PlatformTest, RetriesAfterHalfAResponse) {
+  MovesOnAfter(
+      [](Peer& c) {
+        c.Send(std::string(kRef) + " OK entity=e,issued=1 100\r\nhalf");
+        c.Reset();
+      },
+      true);
+}
+
+}  // namespace
--- a/tests/net/platform_world.hpp
+++ b/tests/net/platform_world.hpp
@@ -59,7 +59,7 @@
                                         std::move(environment), descriptors);
     port = program->Port();
     log = changelog.Accept();
-    CHECK(log.Until("\n") == "since 1");
+    CHECK_OR_THROW(log.Until("\n") == "since 1");
   }
   Peer Client() { return Peer::Connect(port); }
 };
@@ -70,13 +70,13 @@
   return out;
 }
 inline std::vector<std::string> Answer(Peer& client) {
-  CHECK(client.Until("\r\n") == "*4");
+  CHECK_OR_THROW(client.Until("\r\n") == "*4");
   std::vector<std::string> words;
   for (int i = 0; i < 4; ++i) {
-    CHECK(client.Exactly(1) == "$");
+    CHECK_OR_THROW(client.Exactly(1) == "$");
     const auto length = std::stoul(client.Until("\r\n"));
     words.push_back(client.Exactly(length));
-    CHECK(client.Exactly(2) == "\r\n");
+    CHECK_OR_THROW(client.Exactly(2) == "\r\n");
   }
   return words;
 }
@@ -97,7 +97,7 @@
     if (!world.cache_b.Quiet(5))
       return first ? (*first = false, world.cache_b.Accept()) : world.cache_b.Accept();
   }
-  CHECK(false);
+  CHECK_OR_THROW(false);
   return Peer();
 }
 inline std::string Ok(const std::string& body, const std::string& fields = "",
--- a/tests/net/relay.hpp
+++ b/tests/net/relay.hpp
@@ -14,7 +14,7 @@
   explicit Relay(std::uint64_t seed = 1) : random_(seed), thread_([this] { Run(); }) {}
   ~Relay() {
     stop_ = true;
-    thread_.join();
+    thread_.Join();
     for (const Seat& seat : seats_) ::close(seat.fd);
   }
   // A seat for a member that is to come: the port that it advertises.
@@ -23,7 +23,7 @@
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CHECK(fd >= 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    CHECK_OR_THROW(fd >= 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
     socklen_t size = sizeof at;
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -114,5 +114,5 @@
   std::mt19937_64 random_;
   std::atomic<std::uint64_t> dropped_{0};
   std::atomic<bool> stop_{false};
-  std::thread thread_;
+  TestThread thread_;
 };
--- a/tests/net/standin.hpp
+++ b/tests/net/standin.hpp
@@ -21,12 +21,12 @@
   void End() {
     if (ended_.exchange(true)) return;
     ::shutdown(server_.Descriptor(), SHUT_RDWR);
-    thread_.join();
+    thread_.Join();
     {
       const std::lock_guard held(lock_);
       for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
     }
-    for (std::thread& one : threads_) one.join();
+    for (TestThread& one : threads_) one.Join();
   }
   int Port() const { return server_.port; }
   std::string Address() const { return server_.Address(); }
@@ -79,9 +79,9 @@
   Server server_;
   std::mutex lock_;
   std::list<int> open_;
-  std::list<std::thread> threads_;
+  std::list<TestThread> threads_;
   std::atomic<bool> ended_ = false;
-  std::thread thread_;
+  TestThread thread_;
 };
 
 class ConsulStandIn {
--- a/tests/net/view_fleet.hpp
+++ b/tests/net/view_fleet.hpp
@@ -31,7 +31,7 @@
   // `more`: further keys of every doorman's file, each followed by a comma.
   explicit ViewFleet(int count, std::string more = "") : more_(std::move(more)) {
     for (int i = 0; i < count; ++i) Add();
-    CHECK(Settled(kBoundMs) >= 0);
+    CHECK_OR_THROW(Settled(kBoundMs) >= 0);
   }
   int Add() {
     const int member = static_cast<int>(all.size());
@@ -77,16 +77,17 @@
     caller.Send("members\n");
     std::istringstream in(caller.ToEnd());
     std::string line;
-    CHECK(std::getline(in, line) && line == "done");
+    CHECK_OR_THROW(std::getline(in, line) && line == "done");
     Seen seen;
     while (std::getline(in, line) && line != "end") {
       std::istringstream words(line);
       std::string name, address, zone, age;
       Entry entry;
-      CHECK(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >> entry.failing);
+      CHECK_OR_THROW(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >>
+                     entry.failing);
       seen[name] = entry;
     }
-    CHECK(seen.size() <= all.size());
+    CHECK_OR_THROW(seen.size() <= all.size());
     return seen;
   }
   // What is so: which of them live (and, with `side`, are on that side), as `member` should see it.
@@ -145,7 +146,7 @@
     caller.Send("stats\n");
     const std::string answer = caller.ToEnd();
     const std::size_t at = answer.find("\nproxy_" + name + " ");
-    CHECK(at != std::string::npos);
+    CHECK_OR_THROW(at != std::string::npos);
     return std::stoull(answer.substr(at + name.size() + 8));
   }
 
