Run crossings_test under GoogleTest

A check of several parts joined by && is an ASSERT for each part.

| file | cases before | TESTs after | checks before | ASSERT after | CHECK_OR_THROW after | | --- | --- | --- | --- | --- | --- | | crossings_test.cpp | 26 | 26 | 64 | 57 | 14 |

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -23,7 +23,7 @@
 }
 void Healthy(Peer& client, const std::string& tag) {
   client.Send(Bulk({"RPC.HEALTH", tag, ""}));
-  CHECK(Answer(client)[0] == tag);
+  CHECK_OR_THROW(Answer(client)[0] == tag);
 }
 
 // A doorman with its door, to see what it has taken in.
@@ -38,7 +38,7 @@
     const std::string line = "proxy_" + figure + " " + std::to_string(value) + "\n";
     const auto limit = UnixMs() + kLimitMs;
     for (std::string figures; figures.find(line) == std::string::npos;) {
-      CHECK(UnixMs() < limit);
+      CHECK_OR_THROW(UnixMs() < limit);
       Peer operators = Peer::Connect(door);
       operators.Send("stats\n");
       figures = operators.Until("end\n");
@@ -52,7 +52,7 @@
 };
 
 // More than a buffer holds, and the end behind it: nothing of it is sent on.
-void NothingForWhoSentMuchAndLeft() {
+TEST(CrossingsTest, SendsNothingForAClientThatSentMuchAndLeft) {
   World world;
   Peer client = world.Client();
   Healthy(client, "1");
@@ -60,17 +60,19 @@
     const Stopped stopped(*world.program);
     std::string calls;
     for (int i = 0; i < 560; ++i) calls += Call(std::to_string(i + 2), "", 2500, "7f3a9c21e0b4d655", Ref(i));
-    CHECK(client.Push(calls, calls.size()) > 65'536);  // more than a buffer
+    ASSERT_GT(client.Push(calls, calls.size()), 65'536);  // more than a buffer
     client.Reset();
   }
   Peer other = world.Client();
   Healthy(other, "1");
   Healthy(other, "2");
-  CHECK(world.cache_a.Quiet(200) && world.cache_b.Quiet(1) && world.origin.Quiet(1));
+  ASSERT_TRUE(world.cache_a.Quiet(200));
+  ASSERT_TRUE(world.cache_b.Quiet(1));
+  ASSERT_TRUE(world.origin.Quiet(1));
 }
 
 // Calls and their cancels in one go, more of them than one turn: none is sent on.
-void NothingForWhatIsCalledOffFurtherOn() {
+TEST(CrossingsTest, SendsNothingForARequestCancelledLaterInTheInput) {
   World world;
   Peer client = world.Client();
   Healthy(client, "1");
@@ -82,12 +84,13 @@
     client.Send(text);
   }
   Healthy(client, "100");
-  CHECK(world.cache_a.Quiet(200) && world.cache_b.Quiet(1));
+  ASSERT_TRUE(world.cache_a.Quiet(200));
+  ASSERT_TRUE(world.cache_b.Quiet(1));
   client.Send(Call("101"));  // and it is served as before
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
+  ASSERT_EQ(Answer(client)[3], "abc");
 }
 
 // Bodies over the doorman's share of memory: nothing new is taken. Who leaves or calls off is heeded.
@@ -96,7 +99,7 @@
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = Chosen(world);
-  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  CHECK_OR_THROW(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   Peer writer = world.Client();
   const std::string body(48'000, 'w');
   for (int i = 0; i < 16; ++i) writer.Send(Order(std::to_string(i + 1), Ref(i), body));
@@ -104,17 +107,17 @@
   for (int tag = 1;; ++tag) {  // until nothing new is taken
     late.Send(Bulk({"RPC.HEALTH", std::to_string(tag), ""}));
     if (late.Silent(200)) break;
-    CHECK(Answer(late)[0] == std::to_string(tag) && tag < 1000);
+    CHECK_OR_THROW(Answer(late)[0] == std::to_string(tag) && tag < 1000);
   }
   const auto left = UnixMs();
   leave(client);
   // More orders may be written to the same connection; the STOP comes among them.
   cache.Until(std::string("STOP ") + kRef + "\r\n");
-  CHECK(UnixMs() - left < 1'000);  // not at the deadline
+  CHECK_OR_THROW(UnixMs() - left < 1'000);  // not at the deadline
 }
 
 // A table full of idle clients, a newcomer, and a request from the one that has been idle longest.
-void ANewcomerTakesNoPlaceOfWhoJustAsked() {
+TEST(CrossingsTest, EvictsNoClientThatHasJustAsked) {
   World world(0, true, "64");
   std::vector<Peer> idle;
   for (int i = 0; i < 27; ++i) {  // all that 64 descriptors allow
@@ -131,13 +134,13 @@
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
-  CHECK((Answer(idle[0]) == std::vector<std::string>{"2", "done", "", "abc"}));
-  CHECK(Answer(newcomer)[1] == "healthy");  // the place of the next one
-  CHECK(idle[1].ToEnd().empty());
+  ASSERT_EQ(Answer(idle[0]), (std::vector<std::string>{"2", "done", "", "abc"}));
+  ASSERT_EQ(Answer(newcomer)[1], "healthy");  // the place of the next one
+  ASSERT_TRUE(idle[1].ToEnd().empty());
 }
 
 // Answers that the socket has not taken, then input that cannot be read: they arrive whole before the end.
-void AnswersArriveBeforeTheEnd() {
+TEST(CrossingsTest, DeliversResponsesBeforeEndOfStream) {
   OpenWorld world;
   Peer client = world.Client();
   const std::string body(240'000, 'b');
@@ -161,12 +164,13 @@
   const std::string all = client.ToEnd();
   std::size_t done = 0;
   for (std::size_t at = 0; (at = all.find("$4\r\ndone\r\n", at)) != std::string::npos; ++at) ++done;
-  CHECK(done >= served);
-  CHECK(all.ends_with("\r\n") && all.size() > served * body.size());
+  ASSERT_GE(done, served);
+  ASSERT_TRUE(all.ends_with("\r\n"));
+  ASSERT_GT(all.size(), served * body.size());
 }
 
 // A connection in the backlog, and a request written to it, in the moment in which accepting ends.
-void TakesTheBacklogBeforeItEnds() {
+TEST(CrossingsTest, AcceptsTheBacklogBeforeShutdown) {
   World world;
   world.program->Signal(SIGTERM);
   world.program->Line("stopping");
@@ -180,14 +184,14 @@
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
-  CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
-  CHECK(client.ToEnd().empty());
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
+  ASSERT_TRUE(client.ToEnd().empty());
   client.Close();
-  CHECK(world.program->Wait() == 0);
+  ASSERT_EQ(world.program->Wait(), 0);
 }
 
 // A request of which a piece comes just when accepting ends, and the rest after it, is answered.
-void HearsARequestOutThatComesInPieces() {
+TEST(CrossingsTest, ReceivesAFragmentedRequestDuringShutdown) {
   World world;
   Peer client = world.Client(), other = world.Client();
   Healthy(client, "1");
@@ -202,33 +206,35 @@
     client.Send(call.substr(20, 20));
     other.Send(Bulk({"RPC.HEALTH", "2", ""}));
   }
-  CHECK(Answer(other)[1] == "closing");  // the round in which accepting ended has come
+  ASSERT_EQ(Answer(other)[1], "closing");  // the round in which accepting ended has come
   client.Send(call.substr(40));
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
-  CHECK((Answer(client) == std::vector<std::string>{"2", "done", "", "abc"}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"2", "done", "", "abc"}));
   client.Close();
-  CHECK(world.program->Wait() == 0);
+  ASSERT_EQ(world.program->Wait(), 0);
 }
 
 // Who rests until the doorman ends is let go without a reset, and what it writes after that end is not sent
 // on.
-void EndsItsSideBeforeItCloses() {
+TEST(CrossingsTest, HalfClosesBeforeItCloses) {
   World world;
   Peer client = world.Client();
   Healthy(client, "1");
   world.program->Signal(SIGTERM);
-  CHECK(client.ToEnd().empty());  // the end, in order
-  client.Send(Call("2"));         // crosses it: the client will ask elsewhere
-  CHECK(world.cache_a.Quiet(100) && world.cache_b.Quiet(1));
+  ASSERT_TRUE(client.ToEnd().empty());  // the end, in order
+  client.Send(Call("2"));               // crosses it: the client will ask elsewhere
+  ASSERT_TRUE(world.cache_a.Quiet(100));
+  ASSERT_TRUE(world.cache_b.Quiet(1));
   client.Close();
-  CHECK(world.program->Wait() == 0);
-  CHECK(world.cache_a.Quiet(1) && world.cache_b.Quiet(1));
+  ASSERT_EQ(world.program->Wait(), 0);
+  ASSERT_TRUE(world.cache_a.Quiet(1));
+  ASSERT_TRUE(world.cache_b.Quiet(1));
 }
 
 // Both signals in one round, in both orders: the configuration is read anew and the program ends in order.
-void HeedsBothSignalsOfARound() {
+TEST(CrossingsTest, HandlesBothSignalsOfOneRound) {
   for (const bool reload_first : {true, false}) {
     World world;
     Peer client = world.Client();
@@ -242,14 +248,14 @@
     }
     world.program->Line("configuration read anew");
     cache.Send(Ok("abc"));
-    CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+    ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
     client.Close();
-    CHECK(world.program->Wait() == 0);
+    ASSERT_EQ(world.program->Wait(), 0);
   }
 }
 
 // A whole list that leaves a server out: it is forgotten like one that is told removed.
-void AWholeListForgetsWhoIsLeftOut() {
+TEST(CrossingsTest, RemovesEndpointsMissingFromACompleteList) {
   OpenWorld world;
   world.Await("members", 4);
   world.log.Send(
@@ -260,13 +266,13 @@
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = world.cache_b.Accept();
-  CHECK(cache.Until("\r\n\r\n").find(",miss=o-1") != std::string::npos);  // the parent has gone as well
+  ASSERT_NE(cache.Until("\r\n\r\n").find(",miss=o-1"), std::string::npos);  // the parent has gone as well
   cache.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
+  ASSERT_EQ(Answer(client)[3], "abc");
 }
 
 // An event that breaks in its middle: what stood before the break has not been heard.
-void AnEventThatBreaksTellsNothing() {
+TEST(CrossingsTest, AppliesNothingOfABrokenEvent) {
   OpenWorld world;
   Server stranger;
   const std::string begun = Member("s-a", stranger.Address()) + "," + Member("s-b", stranger.Address()) +
@@ -274,19 +280,19 @@
   std::string broken = Fleet(2, false, begun + "," + Member("s-z", stranger.Address(), "no such kind"));
   world.log.Send(broken + "\n");
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 1");
+  ASSERT_EQ(world.log.Until("\n"), "since 1");
   world.Await("members", 4);
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
-  CHECK(stranger.Quiet(1));
+  ASSERT_EQ(Answer(client)[3], "abc");
+  ASSERT_TRUE(stranger.Quiet(1));
 }
 
 // Discovery moves: until the new one has spoken, the old one's drain is heard.
-void HearsADrainWhileDiscoveryMoves() {
+TEST(CrossingsTest, NoticesADrainWhileDiscoveryMoves) {
   OpenWorld world;
   world.log.Send("1\n");
   Peer client = world.Client();
@@ -296,32 +302,32 @@
   config.replace(config.find(world.changelog.Address()), world.changelog.Address().size(), moved.Address());
   world.Reload(config);
   Peer silent = moved.Accept();
-  CHECK(silent.Until("\n") == "since 1");
+  ASSERT_EQ(silent.Until("\n"), "since 1");
   world.log.Send(Fleet(2, false, Member("s-a", world.cache_a.Address(), "box", "draining")) + "\n2\n");
   world.Await("members_unavailable", 1);
   // The new one speaks: it brings what it knows, and the old watch ends.
   silent.Send(Fleet(2, false, Member("s-a", world.cache_a.Address(), "box", "draining")) + "\n2\n");
-  CHECK(world.log.ToEnd().empty());
+  ASSERT_TRUE(world.log.ToEnd().empty());
   world.Await("members_unavailable", 1);
 }
 
 // A reload that names the address of a watch that has fallen silent: it is made anew at once.
-void AReloadAsksAWatchThatIsSilent() {
+TEST(CrossingsTest, ReconnectsASilentWatchOnReload) {
   OpenWorld world;
   world.log.Send("1\n");
   std::this_thread::sleep_for(std::chrono::milliseconds(1'350));
   world.Reload(world.config);
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 1");
+  ASSERT_EQ(world.log.Until("\n"), "since 1");
   world.program->Line("configuration read anew");
   world.Reload(world.config);
   world.program->Line("configuration read anew");  // with all that was said in between
-  CHECK(world.program->log.find("silent, connecting anew") == std::string::npos);
+  ASSERT_EQ(world.program->log.find("silent, connecting anew"), std::string::npos);
 }
 
 // Idle clients have taken all that they can get, and discovery is away: a drain told on its return is heeded,
 // the door answers and requests are served.
-void IdleClientsFillTheDescriptorsWhileDiscoveryIsDown() {
+TEST(CrossingsTest, RecoversDiscoveryWhenIdleClientsFillTheDescriptors) {
   OpenWorld world(64, "64");
   std::vector<Peer> idle;
   Peer client = world.Client();
@@ -334,7 +340,7 @@
   world.log.Close();
   for (int i = 0; i < 3; ++i) world.changelog.Accept().Close();
   world.log = world.changelog.Accept();
-  CHECK(world.log.Until("\n") == "since 1");
+  ASSERT_EQ(world.log.Until("\n"), "since 1");
   world.log.Send(Fleet(2, false, Member("s-a", world.cache_a.Address(), "box", "removed")) + "\n2\n");
   world.Await("members", 3);
   client = world.Client();  // a newcomer finds room
@@ -342,29 +348,30 @@
   Peer cache = world.cache_b.Accept();
   cache.Until("\r\n\r\n");
   cache.Send(Ok("abc"));
-  CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+  ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
 }
 
 // No descriptor is left for a connection to a server: the request is refused, the server is not accused.
-void BlamesNoServerForItsOwnDescriptors() {
+TEST(CrossingsTest, BlamesNoEndpointForItsOwnDescriptorLimit) {
   OpenWorld world(48);
   Peer client = world.Client();
   Healthy(client, "1");
   std::vector<Peer> idle;
   for (int i = 0; i < 60; ++i) idle.push_back(world.Client());
   client.Send(Call("2"));
-  CHECK(Answer(client)[1] == "later");
-  CHECK(world.cache_a.Quiet(1) && world.cache_b.Quiet(1));
+  ASSERT_EQ(Answer(client)[1], "later");
+  ASSERT_TRUE(world.cache_a.Quiet(1));
+  ASSERT_TRUE(world.cache_b.Quiet(1));
   world.program->Signal(SIGTERM);
   idle.clear();
   client.Close();
-  CHECK(world.program->Wait() == 0);
-  CHECK(world.program->log.find("connection lost") == std::string::npos);
+  ASSERT_EQ(world.program->Wait(), 0);
+  ASSERT_EQ(world.program->log.find("connection lost"), std::string::npos);
 }
 
 std::string With(std::string settings, const std::string& was, const std::string& is) {
   const std::size_t at = settings.find(was);
-  CHECK(at != std::string::npos);
+  CHECK_OR_THROW(at != std::string::npos);
   return settings.replace(at, was.size(), is);
 }
 
@@ -373,9 +380,9 @@
 class Shut {
  public:
   explicit Shut(Server& server) : server_(server) {
-    CHECK(::listen(server.Descriptor(), 0) == 0);
+    CHECK_OR_THROW(::listen(server.Descriptor(), 0) == 0);
     for (bool full = false; !full;) {
-      CHECK(fillers_.size() < 16);
+      CHECK_OR_THROW(fillers_.size() < 16);
       const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
       sockaddr_in at{};
       at.sin_family = AF_INET;
@@ -389,7 +396,7 @@
   }
   // The next connection that is not one of ours.
   Peer Open() {
-    CHECK(::listen(server_.Descriptor(), 64) == 0);
+    CHECK_OR_THROW(::listen(server_.Descriptor(), 64) == 0);
     for (Peer& filler : fillers_) ours_.push_back(Port(filler.Descriptor(), false));
     while (true) {
       Peer peer = server_.Accept();
@@ -402,7 +409,8 @@
   static int Port(int fd, bool of_peer) {
     sockaddr_in at{};
     socklen_t size = sizeof at;
-    CHECK((of_peer ? ::getpeername : ::getsockname)(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    CHECK_OR_THROW((of_peer ? ::getpeername : ::getsockname)(fd, reinterpret_cast<sockaddr*>(&at), &size) ==
+                   0);
     return ntohs(at.sin_port);
   }
   Server& server_;
@@ -418,50 +426,50 @@
   Peer client = world.Client(), other = world.Client();
   client.Send(Call("1"));
   client.Send(Bulk({"RPC.HEALTH", "2", ""}));
-  CHECK(Answer(client)[0] == "2");
+  CHECK_OR_THROW(Answer(client)[0] == "2");
   leave(client);
   Healthy(other, "1");
   Peer cache = shut.Open();
-  CHECK(cache.Silent(300));
+  CHECK_OR_THROW(cache.Silent(300));
 }
 
 // A keyed request whose answer broke off is asked for again within its window only, and the window lapses
 // while the connection for that comes up.
-void NoRepeatOnceItsWindowHasLapsed() {
+TEST(CrossingsTest, DoesNotRetryAfterTheIdempotencyWindow) {
   World world(0, false, "1024", "192",
               With(With(kSettings, "\"connectTimeoutMs\":400.0", "\"connectTimeoutMs\":3000.0"),
                    "\"windowMs\":6000.0", "\"windowMs\":500.0"));
   Peer client = world.Client();
   client.Send(Order("1", kRef, "paid"));
   Peer cache = world.cache_a.Accept();
-  CHECK(cache.Until("paid\r\n").starts_with(std::string("REQ ") + kRef));
+  ASSERT_TRUE(cache.Until("paid\r\n").starts_with(std::string("REQ ") + kRef));
   Shut shut(world.cache_a);
   cache.Reset();
   std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the window, and more
   Peer again = shut.Open();
-  CHECK(Answer(client)[1] != "done");
-  CHECK(again.Silent(200));
+  ASSERT_NE(Answer(client)[1], "done");
+  ASSERT_TRUE(again.Silent(200));
 }
 
 // A server that has stopped reading: a STOP that its socket does not take is no STOP, and the rest of the
 // request before it must not arrive after the next attempt has begun. The connection is ended at once.
-void EndsAConnectionThatTakesNoStop() {
+TEST(CrossingsTest, ClosesAConnectionThatTakesNoStop) {
   World world(0, false);
   const int small = 4096;
-  CHECK(::setsockopt(world.cache_a.Descriptor(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
+  ASSERT_EQ(::setsockopt(world.cache_a.Descriptor(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small), 0);
   Peer client = world.Client();
   client.Send(Call("1"));
   Peer cache = world.cache_a.Accept();
-  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   const std::string body(48'000, 'w');
   bool ended = false;
   client.Send(Bulk({"RPC.CANCEL", "1"}));
   for (int i = 2; i < 100 && !ended; ++i) {  // each is called off, none is read: more than a socket takes
     client.Send(Order(std::to_string(i), Ref(i), body) + Bulk({"RPC.HEALTH", std::to_string(1'000 + i), ""}));
-    CHECK(Answer(client)[0] == std::to_string(1'000 + i));
+    ASSERT_EQ(Answer(client)[0], std::to_string(1'000 + i));
     client.Send(Bulk({"RPC.CANCEL", std::to_string(i)}) +
                 Bulk({"RPC.HEALTH", std::to_string(2'000 + i), ""}));
-    CHECK(Answer(client)[0] == std::to_string(2'000 + i));
+    ASSERT_EQ(Answer(client)[0], std::to_string(2'000 + i));
     pollfd one{cache.Descriptor(), 0, 0};
     ended = ::poll(&one, 1, 0) == 1 && (one.revents & (POLLHUP | POLLERR)) != 0;
   }
@@ -469,11 +477,11 @@
     pollfd one{cache.Descriptor(), 0, 0};
     ended = ::poll(&one, 1, 1'000) == 1;  // the end may be on its way
   }
-  CHECK(ended);
+  ASSERT_TRUE(ended);
 }
 
 // "The client's copy is the one" holds for the copy that the client has named, and for no other.
-void ACopyIsCurrentOnlyByItsOwnName() {
+TEST(CrossingsTest, RevalidatesACopyOnlyByItsOwnEntityTag) {
   for (const std::string& held : {std::string(",cached=4be0c1927d55a6f3"), std::string()}) {
     World world;
     Peer client = world.Client();
@@ -486,13 +494,13 @@
     Peer other = (first ? world.cache_b : world.cache_a).Accept();
     other.Until("\r\n\r\n");
     other.Send(Ok("abc"));
-    CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+    ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
   }
 }
 
 // A request in flight at a server that hangs, with a long deadline, when SIGTERM comes: its client is told
 // before SIGKILL may come, and may ask elsewhere.
-void AnswersBeforeTheKill() {
+TEST(CrossingsTest, AnswersBeforeTheKillDeadline) {
   World world(0, false, "1024", "192", With(kSettings, "\"giveUpMs\":2500.0", "\"giveUpMs\":9000.0"));
   Peer client = world.Client();
   client.Send(Call("1", "", 8'500));
@@ -501,14 +509,14 @@
   world.program->Signal(SIGTERM);
   const auto told = UnixMs();
   const auto answer = Answer(client);
-  CHECK(answer[1] == "later" || answer[1] == "error");
-  CHECK(UnixMs() - told < 3'700);
+  ASSERT_TRUE(answer[1] == "later" || answer[1] == "error");
+  ASSERT_LT(UnixMs() - told, 3'700);
   client.Close();
-  CHECK(world.program->Wait() == 0);
+  ASSERT_EQ(world.program->Wait(), 0);
 }
 
 // Thirty doormans killed at once and started again: nine in ten are ready within 10 s.
-void ThirtyComeBackAtOnce() {
+TEST(CrossingsTest, ThirtyInstancesRecoverWithinTheBudget) {
   constexpr int kDoormans = 30;
   World world;
   const auto start = [&] {
@@ -529,11 +537,11 @@
     client.Send(Bulk({"RPC.HEALTH", "1", ""}));
     ready += Answer(client)[1] == "healthy" && UnixMs() - killed < 10'000;
   }
-  CHECK(ready >= kDoormans * 9 / 10);
+  ASSERT_GE(ready, kDoormans * 9 / 10);
 }
 
 // Settings of other customers: one class, one attempt, windows of milliseconds, no parents, nobody counted.
-void ServesUnderOtherCustomersSettings() {
+TEST(CrossingsTest, ServesUnderOtherCustomersSettings) {
   const std::vector<std::string> all{
       With(kSettings, "\"maxAttempts\":8", "\"maxAttempts\":1"),
       With(kSettings, "\"windowMs\":5000.0", "\"windowMs\":1.0"),
@@ -553,54 +561,34 @@
     Peer cache = world.cache_a.Accept();
     cache.Until("\r\n\r\n");
     cache.Send(Ok("abc"));
-    CHECK((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
+    ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
   }
 }
 
-}  // namespace
+TEST(CrossingsTest, NoticesAClientThatClosesWhilePaused) {
+  HeedsWhoLeavesWhileHeld([](Peer& client) { client.Close(); });
+}
+
+TEST(CrossingsTest, NoticesAClientThatHalfClosesWhilePaused) {
+  HeedsWhoLeavesWhileHeld(
+      [](Peer& client) { CHECK_OR_THROW(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
+}
+
+TEST(CrossingsTest, NoticesACancelWhilePaused) {
+  HeedsWhoLeavesWhileHeld([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
+}
 
-int main(int argc, char** argv) {
-  return RunCases(
-      {{"nothing_for_who_sent_much_and_left", NothingForWhoSentMuchAndLeft},
-       {"nothing_for_what_is_called_off_further_on", NothingForWhatIsCalledOffFurtherOn},
-       {"heeds_who_closes_while_held", [] { HeedsWhoLeavesWhileHeld([](Peer& client) { client.Close(); }); }},
-       {"heeds_who_half_closes_while_held",
-        [] {
-          HeedsWhoLeavesWhileHeld([](Peer& client) { CHECK(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
-        }},
-       {"heeds_a_cancel_while_held",
-        [] { HeedsWhoLeavesWhileHeld([](Peer& client) {
-               client.Send(Bulk({"RPC.CANCEL", "1"}));
-             }); }},
-       {"a_newcomer_takes_no_place_of_who_just_asked", ANewcomerTakesNoPlaceOfWhoJustAsked},
-       {"answers_arrive_before_the_end", AnswersArriveBeforeTheEnd},
-       {"takes_the_backlog_before_it_ends", TakesTheBacklogBeforeItEnds},
-       {"hears_a_request_out_that_comes_in_pieces", HearsARequestOutThatComesInPieces},
-       {"ends_its_side_before_it_closes", EndsItsSideBeforeItCloses},
-       {"heeds_both_signals_of_a_round", HeedsBothSignalsOfARound},
-       {"a_whole_list_forgets_who_is_left_out", AWholeListForgetsWhoIsLeftOut},
-       {"an_event_that_breaks_tells_nothing", AnEventThatBreaksTellsNothing},
-       {"hears_a_drain_while_discovery_moves", HearsADrainWhileDiscoveryMoves},
-       {"a_reload_asks_a_watch_that_is_silent", AReloadAsksAWatchThatIsSilent},
-       {"idle_clients_fill_the_descriptors_while_discovery_is_down",
-        IdleClientsFillTheDescriptorsWhileDiscoveryIsDown},
-       {"nothing_for_who_closed_while_it_connected",
-        [] { NothingForWhoLeftWhileItConnected([](Peer& client) { client.Close(); }); }},
-       {"nothing_for_who_half_closed_while_it_connected",
-        [] {
-          NothingForWhoLeftWhileItConnected(
-              [](Peer& client) { CHECK(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
-        }},
-       {"nothing_for_what_was_called_off_while_it_connected",
-        [] {
-          NothingForWhoLeftWhileItConnected([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
-        }},
-       {"no_repeat_once_its_window_has_lapsed", NoRepeatOnceItsWindowHasLapsed},
-       {"ends_a_connection_that_takes_no_stop", EndsAConnectionThatTakesNoStop},
-       {"a_copy_is_current_only_by_its_own_name", ACopyIsCurrentOnlyByItsOwnName},
-       {"answers_before_the_kill", AnswersBeforeTheKill},
-       {"thirty_come_back_at_once", ThirtyComeBackAtOnce},
-       {"serves_under_other_customers_settings", ServesUnderOtherCustomersSettings},
-       {"blames_no_server_for_its_own_descriptors", BlamesNoServerForItsOwnDescriptors}},
-      argc, argv);
+TEST(CrossingsTest, SendsNothingForAClientThatClosedDuringConnect) {
+  NothingForWhoLeftWhileItConnected([](Peer& client) { client.Close(); });
 }
+
+TEST(CrossingsTest, SendsNothingForAClientThatHalfClosedDuringConnect) {
+  NothingForWhoLeftWhileItConnected(
+      [](Peer& client) { CHECK_OR_THROW(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
+}
+
+TEST(CrossingsTest, SendsNothingForARequestCancelledDuringConnect) {
+  NothingForWhoLeftWhileItConnected([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
+}
+
+}  // namespace
