Run ops_test under GoogleTest

A check of several parts joined by && is an ASSERT for each part.

| file | cases before | TESTs after | checks before | ASSERT after | CHECK_OR_THROW after | | --- | --- | --- | --- | --- | --- | | ops_test.cpp | 7 | 7 | 60 | 61 | 1 |

--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -11,7 +11,7 @@
   const long long asked = UnixMs();
   caller.Send(call + "\n");
   std::string answer = caller.Until("\n");
-  CHECK(UnixMs() - asked < 1000);
+  CHECK_OR_THROW(UnixMs() - asked < 1000);
   return answer;
 }
 int OpsPort(Program& program) {
@@ -27,35 +27,35 @@
   int ops = 0;
 };
 
-void AnswersEachCall() {
+TEST(OpsTest, AnswersEachCommand) {
   OpsWorld world;
-  CHECK(world.Ask("status") == "done serving");
-  CHECK(world.Ask("status who=night-shift") == "done serving");
-  CHECK(world.Ask("status\r") == "done serving");
-  CHECK(world.Ask("reboot").starts_with("error unknown call reboot"));
-  CHECK(world.Ask("status now please").starts_with("error "));
-  CHECK(world.Ask("").starts_with("error "));
+  ASSERT_EQ(world.Ask("status"), "done serving");
+  ASSERT_EQ(world.Ask("status who=night-shift"), "done serving");
+  ASSERT_EQ(world.Ask("status\r"), "done serving");
+  ASSERT_TRUE(world.Ask("reboot").starts_with("error unknown call reboot"));
+  ASSERT_TRUE(world.Ask("status now please").starts_with("error "));
+  ASSERT_TRUE(world.Ask("").starts_with("error "));
   // Figures under the prefix, one after another, closed by `end`.
   Peer caller = Peer::Connect(world.ops);
   caller.Send("stats\n");
-  CHECK(caller.Until("\n") == "done");
+  ASSERT_EQ(caller.Until("\n"), "done");
   const std::string figures = caller.Until("end\n");
   for (const char* name : {"proxy_completed_total 0", "proxy_rejected_total 0", "proxy_failed_total 0",
                            "proxy_upstream_requests_total 0", "proxy_pending 0", "proxy_members 4",
                            "proxy_members_unavailable 0", "proxy_config_reloads_total 0",
                            "proxy_config_reload_errors_total 0"}) {
-    CHECK(figures.find(std::string("\n") + name + "\n") != std::string::npos);
+    ASSERT_NE(figures.find(std::string("\n") + name + "\n"), std::string::npos);
   }
-  CHECK(caller.ToEnd().empty());  // one call a connection
+  ASSERT_TRUE(caller.ToEnd().empty());  // one call a connection
   // An over-long line is answered at once, not waited on.
   Peer long_one = Peer::Connect(world.ops);
   long_one.Send(std::string(2000, 'x'));
-  CHECK(long_one.Until("\n").starts_with("error line longer"));
+  ASSERT_TRUE(long_one.Until("\n").starts_with("error line longer"));
 }
 
 // Callers that send nothing or half a line, more than the door holds, while clients are served: every
 // whole call is still answered within the second.
-void OutlastsSilentCallers() {
+TEST(OpsTest, ClosesSilentCallers) {
   OpsWorld world;
   std::vector<Peer> silent;
   for (int i = 0; i < 100; ++i) {
@@ -66,24 +66,26 @@
   client.Send(Call("1"));
   Peer cache = Chosen(world);
   cache.Until("\r\n\r\n");
-  for (int i = 0; i < 20; ++i) CHECK(world.Ask("status") == "done serving");
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_EQ(world.Ask("status"), "done serving");
+  }
   cache.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
+  ASSERT_EQ(Answer(client)[3], "abc");
   Peer caller = Peer::Connect(world.ops);
   caller.Send("stats\n");
   caller.Until("done\n");
-  CHECK(caller.Until("end\n").find("\nproxy_completed_total 1\n") != std::string::npos);
+  ASSERT_NE(caller.Until("end\n").find("\nproxy_completed_total 1\n"), std::string::npos);
   // A half call that is finished late is answered as whole.
   Peer late = Peer::Connect(world.ops);
   late.Send("stat");
-  CHECK(late.Silent(200));
+  ASSERT_TRUE(late.Silent(200));
   late.Send("us\n");
-  CHECK(late.Until("\n") == "done serving");
+  ASSERT_EQ(late.Until("\n"), "done serving");
 }
 
 // Standby: no becomes the answer at once; what is open is finished; every kept connection is closed once
 // nothing is open on it; newcomers are still served. Active: yes again, and connections are kept.
-void StandsByAndComesBack() {
+TEST(OpsTest, DrainsAndResumes) {
   OpsWorld world;
   Peer kept = world.Client();
   kept.Send(Call("1"));
@@ -91,40 +93,40 @@
   cache.Until("\r\n\r\n");
   Peer idle = world.Client();
   idle.Send(Bulk({"RPC.HEALTH", "1", ""}));
-  CHECK(Answer(idle)[1] == "healthy");
-  CHECK(world.Ask("standby") == "done standby");
-  CHECK(world.Ask("status") == "error standby");
-  CHECK(idle.ToEnd().empty());  // held idle: let go at once
+  ASSERT_EQ(Answer(idle)[1], "healthy");
+  ASSERT_EQ(world.Ask("standby"), "done standby");
+  ASSERT_EQ(world.Ask("status"), "error standby");
+  ASSERT_TRUE(idle.ToEnd().empty());  // held idle: let go at once
   cache.Send(Ok("abc"));
-  CHECK(Answer(kept)[3] == "abc");
-  CHECK(kept.ToEnd().empty());  // its last request answered: let go
+  ASSERT_EQ(Answer(kept)[3], "abc");
+  ASSERT_TRUE(kept.ToEnd().empty());  // its last request answered: let go
   // One that comes now is served, then let go too.
   Peer newcomer = world.Client();
   newcomer.Send(Bulk({"RPC.HEALTH", "2", ""}));
-  CHECK(Answer(newcomer)[1] == "closing");
-  CHECK(newcomer.ToEnd().empty());
-  CHECK(world.Ask("standby") == "done standby");  // twice is once
-  CHECK(world.Ask("active") == "done active");
-  CHECK(world.Ask("status") == "done serving");
+  ASSERT_EQ(Answer(newcomer)[1], "closing");
+  ASSERT_TRUE(newcomer.ToEnd().empty());
+  ASSERT_EQ(world.Ask("standby"), "done standby");  // twice is once
+  ASSERT_EQ(world.Ask("active"), "done active");
+  ASSERT_EQ(world.Ask("status"), "done serving");
   Peer again = world.Client();
   again.Send(Bulk({"RPC.HEALTH", "3", ""}));
-  CHECK(Answer(again)[1] == "healthy");
-  CHECK(again.Silent(300));  // kept
+  ASSERT_EQ(Answer(again)[1], "healthy");
+  ASSERT_TRUE(again.Silent(300));  // kept
   // Standby then active at once: nothing is lost on the kept connection.
-  CHECK(world.Ask("standby") == "done standby");
-  CHECK(world.Ask("active") == "done active");
-  CHECK(world.Ask("status") == "done serving");
+  ASSERT_EQ(world.Ask("standby"), "done standby");
+  ASSERT_EQ(world.Ask("active"), "done active");
+  ASSERT_EQ(world.Ask("status"), "done serving");
   world.program->Signal(SIGTERM);
   world.program->Line("stopping");
-  CHECK(world.Ask("status") == "error stopping");
-  CHECK(world.Ask("active").starts_with("error stopping"));
+  ASSERT_EQ(world.Ask("status"), "error stopping");
+  ASSERT_TRUE(world.Ask("active").starts_with("error stopping"));
 }
 
 // A zero-downtime upgrade: a second process at the same address (SO_REUSEPORT) says yes, the first gets
 // SIGTERM while a client goes on using its kept connection with a request that allows 10 s and a class
 // that allows 6 s. SIGKILL may come 3.7 s after SIGTERM: the answer must be there before, and new
 // connections are served by the second.
-void UpgradesWithoutALoss() {
+TEST(OpsTest, UpgradesWithoutLosingRequests) {
   std::string settings = kSettings;
   settings.replace(settings.find(R"("giveUpMs":2500.0)"), 17, R"("giveUpMs":6000.0)");
   OpsWorld old(settings);
@@ -133,52 +135,52 @@
                            {"PROXY_LISTEN", "127.0.0.1:" + std::to_string(old.port)},
                            {"PROXY_CONFIG", old.file->path},
                            {"PROXY_OPS", "127.0.0.1:0"}});
-  CHECK(next.Port() == old.port);
+  ASSERT_EQ(next.Port(), old.port);
   const int next_ops = OpsPort(next);
   Peer next_log = old.changelog.Accept();
-  CHECK(next_log.Until("\n") == "since 1");
-  CHECK(Ask(next_ops, "status") == "done serving");
+  ASSERT_EQ(next_log.Until("\n"), "since 1");
+  ASSERT_EQ(Ask(next_ops, "status"), "done serving");
   old.program->Signal(SIGTERM);
   const long long signalled = UnixMs();
   old.program->Line("stopping");
   kept.Send(Call("1", "", 10'000));
   Peer cache = Chosen(old);
   cache.Until("\r\n\r\n");  // and never answered
-  CHECK(Answer(kept)[1] != "done");
-  CHECK(UnixMs() - signalled < 3'700);
-  CHECK(kept.ToEnd().empty());
-  CHECK(old.program->Wait() == 0);
+  ASSERT_NE(Answer(kept)[1], "done");
+  ASSERT_LT(UnixMs() - signalled, 3'700);
+  ASSERT_TRUE(kept.ToEnd().empty());
+  ASSERT_EQ(old.program->Wait(), 0);
   Peer fresh = old.Client();
   fresh.Send(Bulk({"RPC.HEALTH", "1", ""}));
-  CHECK(Answer(fresh)[1] == "healthy");
+  ASSERT_EQ(Answer(fresh)[1], "healthy");
 }
 
 // An upgrade whose new process cannot start (its door's address is taken, as by the old one's): it says why
 // and ends with 1, and the old one goes on serving, on its kept connections and on new ones, and says yes.
-void AFailedUpgradeLeavesTheOldServing() {
+TEST(OpsTest, KeepsServingAfterAFailedUpgrade) {
   OpsWorld old;
   Peer kept = old.Client();
   Program next({"serve"}, {{"PROXY_NAME", "n0"},
                            {"PROXY_LISTEN", "127.0.0.1:" + std::to_string(old.port)},
                            {"PROXY_CONFIG", old.file->path},
                            {"PROXY_OPS", "127.0.0.1:" + std::to_string(old.ops)}});
-  CHECK(next.Wait() == 1);
-  CHECK(next.log.find("address") != std::string::npos || next.log.find("in use") != std::string::npos);
-  CHECK(old.Ask("status") == "done serving");
+  ASSERT_EQ(next.Wait(), 1);
+  ASSERT_TRUE(next.log.find("address") != std::string::npos || next.log.find("in use") != std::string::npos);
+  ASSERT_EQ(old.Ask("status"), "done serving");
   kept.Send(Call("1"));
   Peer cache = Chosen(old);
-  CHECK(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   cache.Send(Ok("abc"));
-  CHECK((Answer(kept) == std::vector<std::string>{"1", "done", "", "abc"}));
+  ASSERT_EQ(Answer(kept), (std::vector<std::string>{"1", "done", "", "abc"}));
   Peer fresh = old.Client();
   fresh.Send(Bulk({"RPC.HEALTH", "1", ""}));
-  CHECK(Answer(fresh)[1] == "healthy");
+  ASSERT_EQ(Answer(fresh)[1], "healthy");
 }
 
 // SIGHUP with files that must be turned down whole (the old one holds, the error names the key, the
 // figures count it), then a good one that renames a class and allows one attempt: the new name is served
 // under it, while a request open from before keeps its eight attempts and moves on after a BUSY.
-void RetunesOnSighup() {
+TEST(OpsTest, ReloadsSettingsOnSighup) {
   OpsWorld world;
   Peer client = world.Client();
   client.Send(Call("1"));
@@ -201,22 +203,22 @@
       {with(R"("maxAttempts":8)", R"("maxAttempts":-1)"), "settings.limits.maxAttempts"}};
   for (const auto& [text, key] : bad) {
     reload(text);
-    CHECK(world.program->Line("old one holds").find(key) != std::string::npos);
+    ASSERT_NE(world.program->Line("old one holds").find(key), std::string::npos);
   }
   Peer caller = Peer::Connect(world.ops);
   caller.Send("stats\n");
   const std::string figures = caller.ToEnd();
-  CHECK(figures.find("\nproxy_config_reload_errors_total 5\n") != std::string::npos);
-  CHECK(figures.find("\nproxy_config_reloads_total 0\n") != std::string::npos);
+  ASSERT_NE(figures.find("\nproxy_config_reload_errors_total 5\n"), std::string::npos);
+  ASSERT_NE(figures.find("\nproxy_config_reloads_total 0\n"), std::string::npos);
   reload(with(R"("maxAttempts":8)", R"("maxAttempts":1)")
              .replace(world.config.find(R"("name":"pages")"), 14, R"("name":"fresh")"));
-  CHECK(world.program->Line("configuration read anew").find("added or changed fresh") != std::string::npos);
+  ASSERT_NE(world.program->Line("configuration read anew").find("added or changed fresh"), std::string::npos);
   // The open one came under eight attempts: after BUSY it goes to the other cache.
   cache.Send(std::string(kRef) + " BUSY - 0\r\n\r\n");
   Peer next = (first ? world.cache_b : world.cache_a).Accept();
-  CHECK(next.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  ASSERT_TRUE(next.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   next.Send(Ok("abc"));
-  CHECK(Answer(client)[3] == "abc");
+  ASSERT_EQ(Answer(client)[3], "abc");
   // The new class is served, under its one attempt: after BUSY the client is answered, not another cache.
   client.Send(
       Bulk({"RPC.CALL", "2", "fresh",
@@ -233,17 +235,19 @@
       }
     }
   }
-  CHECK(asked != nullptr && line.starts_with(std::string("REQ ") + kOther + " queue=fresh,"));
+  ASSERT_NE(asked, nullptr);
+  ASSERT_TRUE(line.starts_with(std::string("REQ ") + kOther + " queue=fresh,"));
   const long long busy = UnixMs();
   asked->Send(std::string(kOther) + " BUSY - 0\r\n\r\n");
   const std::vector<std::string> answer = Answer(client);
-  CHECK(answer[0] == "2" && answer[1] != "done");
-  CHECK(UnixMs() - busy < 1000);  // at once, not at the deadline: no second attempt was allowed
+  ASSERT_EQ(answer[0], "2");
+  ASSERT_NE(answer[1], "done");
+  ASSERT_LT(UnixMs() - busy, 1000);  // at once, not at the deadline: no second attempt was allowed
 }
 
 // A signal that comes as the program says that it serves, before its loop runs, is heeded like any other:
 // SIGHUP does not end it, SIGTERM ends it with 0. The full log holds the program at that very word.
-void HeedsSignalsFromItsFirstWord() {
+TEST(OpsTest, HandlesSignalsFromItsFirstLogLine) {
   Server cache, changelog;
   const TempFile file(
       R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,)"
@@ -256,22 +260,9 @@
   program.Asleep();
   program.Signal(SIGHUP);
   program.Signal(SIGTERM);
-  CHECK(program.Wait() == 0);
-  CHECK(program.log.find("serving at ") != std::string::npos);
-  CHECK(program.log.find("stopped, all that was taken is answered") != std::string::npos);
+  ASSERT_EQ(program.Wait(), 0);
+  ASSERT_NE(program.log.find("serving at "), std::string::npos);
+  ASSERT_NE(program.log.find("stopped, all that was taken is answered"), std::string::npos);
 }
 
 }  // namespace
-
-int main(int argc, char** argv) {
-  const Cases cases{
-      {"answers_each_call", AnswersEachCall},
-      {"outlasts_silent_callers", OutlastsSilentCallers},
-      {"stands_by_and_comes_back", StandsByAndComesBack},
-      {"upgrades_without_a_loss", UpgradesWithoutALoss},
-      {"a_failed_upgrade_leaves_the_old_serving", AFailedUpgradeLeavesTheOldServing},
-      {"retunes_on_sighup", RetunesOnSighup},
-      {"heeds_signals_from_its_first_word", HeedsSignalsFromItsFirstWord},
-  };
-  return RunCases(cases, argc, argv);
-}
