Run http_test under GoogleTest

A check of several parts joined by && is an ASSERT for each part.

| file | cases before | TESTs after | checks before | ASSERT after | CHECK_OR_THROW after | | --- | --- | --- | --- | --- | --- | | http_test.cpp | 17 | 17 | 106 | 119 | 5 |

--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -59,7 +59,7 @@
 Answer Read(Peer& client) {
   Answer out;
   out.head = Message(client, &out.body);
-  CHECK(out.head.starts_with("HTTP/1.1 "));
+  CHECK_OR_THROW(out.head.starts_with("HTTP/1.1 "));
   out.status = std::stoi(out.head.substr(9));
   return out;
 }
@@ -111,7 +111,7 @@
 
   explicit World(bool two = false) {
     char name[] = "/tmp/tinspan-test-XXXXXX";
-    CHECK(::mkdtemp(name) != nullptr);
+    CHECK_OR_THROW(::mkdtemp(name) != nullptr);
     folder = std::string(name) + "/";
     Write("keys.json", R"({"keys":[)" + kShared + ",{" + kPublic + "}]}");
     Write("own.json", kOwn);
@@ -152,8 +152,8 @@
   }
   void Asked(Peer& peer) {
     asked = peer.Until("\r\n\r\n");
-    CHECK(asked.starts_with("GET /v1/health/service/") &&
-          asked.find("X-Consul-Token: consul-secret") != std::string::npos);
+    CHECK_OR_THROW(asked.starts_with("GET /v1/health/service/") &&
+                   asked.find("X-Consul-Token: consul-secret") != std::string::npos);
   }
   // Answers the waiting query, and waits for the next and for the catalogue's.
   void TellHealth(const std::string& service, int index, const std::string& health) {
@@ -161,7 +161,8 @@
     peer.Send(Reply("200 OK", "[" + health + "]", "X-Consul-Index: " + std::to_string(index) + "\r\n"));
     Asked(peer);
     if (!catalogs.contains(service)) catalogs[service] = consul.Accept();
-    CHECK(catalogs[service].Until("\r\n\r\n").starts_with("GET /v1/catalog/service/" + service + " "));
+    CHECK_OR_THROW(
+        catalogs[service].Until("\r\n\r\n").starts_with("GET /v1/catalog/service/" + service + " "));
   }
   void TellCatalog(const std::string& service, const std::string& catalog) {
     const std::string body = "[" + catalog + "]";  // in chunks, as Consul sends longer ones
@@ -195,7 +196,7 @@
 
 const std::string kScan = "/scans/estate/book.jpg?page=3";
 
-void ServesALink() {
+TEST(HttpTest, ServesASignedLink) {
   World world;
   Peer client = world.Client();
   // The same object, written otherwise: what is verified is the canonical form, and it is what is fetched.
@@ -203,61 +204,68 @@
                   "Referer: https://a/?URISigningPackage=leak\r\nRange: bytes=0-\r\n"));
   Peer server = world.cache.Accept();
   const std::string asked = Message(server);
-  CHECK(asked.starts_with("GET " + kScan + "&URISigningPackage=") &&
-        asked.find("\r\nRange: bytes=0-\r\n") != std::string::npos);
-  CHECK(asked.find("leak") == std::string::npos &&
-        asked.find("Host: scans.example.is\r\n") != std::string::npos);
-  CHECK(asked.find("source=stock/c") != std::string::npos);
+  ASSERT_TRUE(asked.starts_with("GET " + kScan + "&URISigningPackage="));
+  ASSERT_NE(asked.find("\r\nRange: bytes=0-\r\n"), std::string::npos);
+  ASSERT_EQ(asked.find("leak"), std::string::npos);
+  ASSERT_NE(asked.find("Host: scans.example.is\r\n"), std::string::npos);
+  ASSERT_NE(asked.find("source=stock/c"), std::string::npos);
   // Signed anew, with the gateway's key: valid since a leeway ago, until the deadline and a leeway more.
   const std::string target = asked.substr(4, asked.find(" HTTP/1.1") - 4);
   const auto claims = KeySet::FromJwks(R"({"keys":[)" + kOwn + "]}", "own")
                           .Verify(target.substr(target.find("Package=") + 8));
-  CHECK(claims && claims->find(HashContainer(kOrigin + kScan)) != std::string::npos);
+  ASSERT_TRUE(claims);
+  ASSERT_NE(claims->find(HashContainer(kOrigin + kScan)), std::string::npos);
   const auto number = [&](const char* name) { return std::stol(claims->substr(claims->find(name) + 6)); };
   const auto now = UnixMs() / 1000;
-  CHECK(number("\"nbf\":") <= now - 5 && number("\"nbf\":") >= now - 7 && number("\"iat\":") <= now - 5);
-  CHECK(number("\"exp\":") >= now + 5 && number("\"exp\":") <= now + 9);
+  ASSERT_LE(number("\"nbf\":"), now - 5);
+  ASSERT_GE(number("\"nbf\":"), now - 7);
+  ASSERT_LE(number("\"iat\":"), now - 5);
+  ASSERT_GE(number("\"exp\":"), now + 5);
+  ASSERT_LE(number("\"exp\":"), now + 9);
   std::string body;
   for (int i = 0; i < 300'000; ++i) body += static_cast<char>(i * 7 + i / 256);
   server.Send(Reply("200 OK", body, "ETag: \"e1\"\r\nCache-Status: c; hit\r\n"));
   const Answer answer = Read(client);
-  CHECK(answer.status == 200 && answer.body == body && answer.head.find("ETag: \"e1\"") != std::string::npos);
+  ASSERT_EQ(answer.status, 200);
+  ASSERT_EQ(answer.body, body);
+  ASSERT_NE(answer.head.find("ETag: \"e1\""), std::string::npos);
   // The connection goes on, on both sides; a HEAD has no body, chunks pass as they are.
   client.Send("HEAD " + Signed(kScan, Package(kScan, Times(60))) +
               " HTTP/1.1\r\nHost: scans.example.is\r\n\r\n");
-  CHECK(Message(server).starts_with("HEAD "));
+  ASSERT_TRUE(Message(server).starts_with("HEAD "));
   server.Send("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n");
-  CHECK(client.Until("\r\n\r\n").find("Content-Length: 300000") != std::string::npos);
+  ASSERT_NE(client.Until("\r\n\r\n").find("Content-Length: 300000"), std::string::npos);
   client.Send(Get(kScan, Bearer(Token(kShared, Times(60)))));
-  CHECK(Message(server).starts_with("GET " + kScan));
+  ASSERT_TRUE(Message(server).starts_with("GET " + kScan));
   server.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n");
   client.Until("\r\n\r\n");
-  CHECK(client.Until("0\r\nT: v\r\n\r\n") == "3;x=y\r\nabc\r\n");
+  ASSERT_EQ(client.Until("0\r\nT: v\r\n\r\n"), "3;x=y\r\nabc\r\n");
   // No token has reached the log.
   world.program->Signal(SIGTERM);
-  CHECK(world.program->Wait() == 0 && world.program->log.find("eyJ") == std::string::npos);
+  ASSERT_EQ(world.program->Wait(), 0);
+  ASSERT_EQ(world.program->log.find("eyJ"), std::string::npos);
 }
 
-void RefusesBadLinks() {
+TEST(HttpTest, RejectsInvalidLinks) {
   World world;
   const auto link = [&](const std::string& package) { return world.Status(Get(Signed(kScan, package))); };
   const std::string good = Package(kScan, Times(60));
   std::string forged = good;
   forged[forged.find('.') + 5] ^= 1;
-  CHECK(link(forged) == 403);
-  CHECK(link(good.substr(0, good.rfind('.') + 1)) == 403);            // no signature
-  CHECK(link(Package(kScan, Times(-6))) == 403);                      // expired, outside the leeway
-  CHECK(link(Package(kScan, Times(60, 6))) == 403);                   // early, outside the leeway
-  CHECK(link(Package("/scans/estate/other.jpg", Times(60))) == 403);  // of another path
-  CHECK(link(Package("/scans/estate/book.jpg", Times(60))) == 403);   // of another query
-  CHECK(link(Package(kScan, Times(60), kOther)) == 403);              // by another key under this id
-  CHECK(link(Package(kScan, Times(60), kNext)) == 403);               // by a key that is not in the set
-  CHECK(link(Package(kScan, Times(60), kShared, "")) == 403);         // no cdniv
-  CHECK(link(Package(kScan, Times(60), kShared, R"(,"cdniv":2)")) == 403);
-  CHECK(link(Package(kScan, Times(60), kShared, R"(,"cdniv":1,"cdnicrit":"cdniip")")) == 403);
-  CHECK(link(Package(kScan, Times(60), kShared, R"(,"cdniv":1,"aud":"south")")) == 403);
-  CHECK(link(Package(kScan, R"("iss":"shop")")) == 403);  // never expires
-  CHECK(link(Token(kShared, Times(60))) == 403);          // a token is no link
+  ASSERT_EQ(link(forged), 403);
+  ASSERT_EQ(link(good.substr(0, good.rfind('.') + 1)), 403);            // no signature
+  ASSERT_EQ(link(Package(kScan, Times(-6))), 403);                      // expired, outside the leeway
+  ASSERT_EQ(link(Package(kScan, Times(60, 6))), 403);                   // early, outside the leeway
+  ASSERT_EQ(link(Package("/scans/estate/other.jpg", Times(60))), 403);  // of another path
+  ASSERT_EQ(link(Package("/scans/estate/book.jpg", Times(60))), 403);   // of another query
+  ASSERT_EQ(link(Package(kScan, Times(60), kOther)), 403);              // by another key under this id
+  ASSERT_EQ(link(Package(kScan, Times(60), kNext)), 403);               // by a key that is not in the set
+  ASSERT_EQ(link(Package(kScan, Times(60), kShared, "")), 403);         // no cdniv
+  ASSERT_EQ(link(Package(kScan, Times(60), kShared, R"(,"cdniv":2)")), 403);
+  ASSERT_EQ(link(Package(kScan, Times(60), kShared, R"(,"cdniv":1,"cdnicrit":"cdniip")")), 403);
+  ASSERT_EQ(link(Package(kScan, Times(60), kShared, R"(,"cdniv":1,"aud":"south")")), 403);
+  ASSERT_EQ(link(Package(kScan, R"("iss":"shop")")), 403);  // never expires
+  ASSERT_EQ(link(Token(kShared, Times(60))), 403);          // a token is no link
   // The algorithm is the key's: neither none, nor the public key taken for a secret, nor a critical header.
   const auto forge = [&](const std::string& header, const std::string& secret) {
     const std::string payload = good.substr(good.find('.') + 1, good.rfind('.') - good.find('.') - 1);
@@ -267,19 +275,19 @@
         R"({"kty":"oct","kid":"x","alg":"HS256","k":")" + tinspan::http::Base64Url(secret) + "\"}";
     return input + "." + tinspan::http::Base64Url(Key::FromJwk(jwk, "x").Sign(input));
   };
-  CHECK(link(forge(R"({"alg":"none","kid":"shared-1"})", "")) == 403);
-  CHECK(link(forge(R"({"alg":"HS256","kid":"pair-1"})", "{" + kPublic + "}")) == 403);
+  ASSERT_EQ(link(forge(R"({"alg":"none","kid":"shared-1"})", "")), 403);
+  ASSERT_EQ(link(forge(R"({"alg":"HS256","kid":"pair-1"})", "{" + kPublic + "}")), 403);
   const std::string secret = *tinspan::http::FromBase64Url(kShared.substr(kShared.find("\"k\":\"") + 5, 86));
-  CHECK(link(forge(R"({"alg":"HS256","kid":"shared-1","crit":["b64"],"b64":true})", secret)) == 403);
-  CHECK(link(forge(R"({"alg":"HS256"})", secret)) == 403);  // names no key
-  CHECK(world.Status(Get(Signed(Signed(kScan, good), good))) == 400);
-  CHECK(world.Status(Get(Signed("/scans/estate%2Fbook.jpg?page=3", good))) == 400);
-  CHECK(world.Status("GET " + Signed(kScan, good) + " HTTP/1.1\r\nHost: elsewhere.example\r\n\r\n") == 421);
-  CHECK(world.Status(Get("/nowhere")) == 404);
-  CHECK(world.cache.Quiet(0));  // nothing of all this was asked for
+  ASSERT_EQ(link(forge(R"({"alg":"HS256","kid":"shared-1","crit":["b64"],"b64":true})", secret)), 403);
+  ASSERT_EQ(link(forge(R"({"alg":"HS256"})", secret)), 403);  // names no key
+  ASSERT_EQ(world.Status(Get(Signed(Signed(kScan, good), good))), 400);
+  ASSERT_EQ(world.Status(Get(Signed("/scans/estate%2Fbook.jpg?page=3", good))), 400);
+  ASSERT_EQ(world.Status("GET " + Signed(kScan, good) + " HTTP/1.1\r\nHost: elsewhere.example\r\n\r\n"), 421);
+  ASSERT_EQ(world.Status(Get("/nowhere")), 404);
+  ASSERT_TRUE(world.cache.Quiet(0));  // nothing of all this was asked for
 }
 
-void AllowsForSkew() {
+TEST(HttpTest, AllowsForClockSkew) {
   World world;
   Peer client = world.Client(), server;
   const std::string regex = Token(
@@ -291,12 +299,12 @@
     if (std::exchange(first, false)) server = world.cache.Accept();
     Message(server);
     server.Send(Reply("200 OK", "scan"));
-    CHECK(Read(client).body == "scan");
+    ASSERT_EQ(Read(client).body, "scan");
   }
 }
 
 // A link that expires while its scan is halfway sent: the transfer is finished, a new request is refused.
-void ExpiresMidTransfer() {
+TEST(HttpTest, CompletesATransferThatOutlivesItsLink) {
   World world;
   Peer client = world.Client();
   const std::string request =
@@ -306,48 +314,49 @@
   Message(server);
   server.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
   client.Until("\r\n\r\n");
-  CHECK(client.Exactly(4) == "half");
+  ASSERT_EQ(client.Exactly(4), "half");
   for (const auto end = UnixMs() + kLimitMs; world.Status(request) != 403;) {
-    CHECK(UnixMs() < end);
+    ASSERT_LT(UnixMs(), end);
     Peer more = world.cache.Accept();  // still good: answered, and tried again
     Message(more);
     more.Send(Reply("200 OK", "", "Connection: close\r\n"));
   }
   server.Send("done");
-  CHECK(client.Exactly(4) == "done");
+  ASSERT_EQ(client.Exactly(4), "done");
 }
 
-void ChecksTokens() {
+TEST(HttpTest, ChecksTokens) {
   World world;
   Peer client = world.Client();
   client.Send(Get("/pages/a"));
   Answer answer = Read(client);
-  CHECK(answer.status == 401 &&
-        answer.head.find("WWW-Authenticate: Bearer realm=\"north\"\r\n") != std::string::npos);
+  ASSERT_EQ(answer.status, 401);
+  ASSERT_NE(answer.head.find("WWW-Authenticate: Bearer realm=\"north\"\r\n"), std::string::npos);
   for (const std::string& bad :
        {Token(kShared, Times(-6)), Token(kOther, Times(60)), Token(kNext, Times(60)),
         Package("/pages/a", Times(60)), Token(kShared, Times(60) + R"(,"aud":["south"])")}) {
     client.Send(Get("/pages/a", Bearer(bad)));
     answer = Read(client);
-    CHECK(answer.status == 401 && answer.head.find("error=\"invalid_token\"") != std::string::npos);
+    ASSERT_EQ(answer.status, 401);
+    ASSERT_NE(answer.head.find("error=\"invalid_token\""), std::string::npos);
   }
   client.Send(Get("/pages/a", Bearer(Token(kPair, Times(60) + R"(,"aud":["south","north"])"))));
   Peer server = world.cache.Accept();
   const std::string asked = Message(server);
-  CHECK(asked.find("Authorization: Bearer ") ==
-        asked.rfind("Authorization:"));  // ours in place of the client's
-  CHECK(asked.find(kPair) == std::string::npos);
+  ASSERT_EQ(asked.find("Authorization: Bearer "),
+            asked.rfind("Authorization:"));  // ours in place of the client's
+  ASSERT_EQ(asked.find(kPair), std::string::npos);
   server.Send(Reply("404 Not Found", "no such page"));
-  CHECK(Read(client).body == "no such page");
+  ASSERT_EQ(Read(client).body, "no such page");
   // Rotation: the next key comes in, the first goes.
   world.Write("keys.json", R"({"keys":[)" + kNext + "]}");
   world.program->Signal(SIGHUP);
   world.program->Line("keys read again");
-  CHECK(world.Status(Get("/pages/a", Bearer(Token(kShared, Times(60))))) == 401);
+  ASSERT_EQ(world.Status(Get("/pages/a", Bearer(Token(kShared, Times(60))))), 401);
   client.Send(Get("/pages/a", Bearer(Token(kNext, Times(60)))));
   Message(server);
   server.Send(Reply("200 OK", "page"));
-  CHECK(Read(client).body == "page");
+  ASSERT_EQ(Read(client).body, "page");
 }
 
 std::string Order(const std::string& key, const std::string& body) {
@@ -355,24 +364,25 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-void PassesOrders() {
+TEST(HttpTest, ForwardsOrders) {
   World world;
-  CHECK(world.Status(Order("", "one copy")) == 400);  // no key
-  CHECK(world.Status(Get("/orders", Bearer(Token(kShared, Times(60))))) == 405);
+  ASSERT_EQ(world.Status(Order("", "one copy")), 400);  // no key
+  ASSERT_EQ(world.Status(Get("/orders", Bearer(Token(kShared, Times(60))))), 405);
   Peer client = world.Client();
   client.Send(Order("Idempotency-Key: \"k-1\"\r\n", "one copy"));
   Peer server = world.cache.Accept();
   std::string body;
   const std::string asked = Message(server, &body);
-  CHECK(asked.starts_with("POST /orders HTTP/1.1") &&
-        asked.find("Idempotency-Key: \"k-1\"\r\n") != std::string::npos);
-  CHECK(body == "one copy" && asked.find("source=stock/c") != std::string::npos);
+  ASSERT_TRUE(asked.starts_with("POST /orders HTTP/1.1"));
+  ASSERT_NE(asked.find("Idempotency-Key: \"k-1\"\r\n"), std::string::npos);
+  ASSERT_EQ(body, "one copy");
+  ASSERT_NE(asked.find("source=stock/c"), std::string::npos);
   server.Send(Reply("201 Created", "reserved"));
-  CHECK(Read(client).status == 201);
+  ASSERT_EQ(Read(client).status, 201);
 }
 
 // What a server answers, or does, and what the client is told.
-void MapsFailures() {
+TEST(HttpTest, MapsUpstreamFailuresToStatuses) {
   const auto play = [](const std::function<void(Peer&)>& act) {
     World world;  // a new one each: the module remembers a server's failures
     Peer client = world.Client();
@@ -391,19 +401,21 @@
   const auto reply = [](const std::string& status) {
     return [=](Peer& s) { s.Send(Reply(status, "", "Connection: close\r\n")); };
   };
-  CHECK(play(reply("401 Unauthorized")).status == 502);  // our signature, not the client's
-  CHECK(play(reply("403 Forbidden")).status == 502);
+  ASSERT_EQ(play(reply("401 Unauthorized")).status, 502);  // our signature, not the client's
+  ASSERT_EQ(play(reply("403 Forbidden")).status, 502);
   const Answer full = play(reply("429 Too Many Requests"));
-  CHECK(full.status == 503 && full.head.find("Retry-After: 2\r\n") != std::string::npos);
-  CHECK(play([](Peer& s) { s.Reset(); }).status == 503);
-  CHECK(play([](Peer& s) { s.Send("HTTP/1.1 200 OK\r\n\r\nno end"); }).status ==
-        503);  // an end that does not show
-  CHECK(play([](Peer& s) {
-          s.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
-        }).status == 503);
+  ASSERT_EQ(full.status, 503);
+  ASSERT_NE(full.head.find("Retry-After: 2\r\n"), std::string::npos);
+  ASSERT_EQ(play([](Peer& s) { s.Reset(); }).status, 503);
+  ASSERT_EQ(play([](Peer& s) { s.Send("HTTP/1.1 200 OK\r\n\r\nno end"); }).status,
+            503);  // an end that does not show
+  ASSERT_EQ(play([](Peer& s) {
+              s.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            }).status,
+            503);
 }
 
-void AnswersAtTheDeadline() {
+TEST(HttpTest, AnswersAtTheDeadline) {
   World world;
   Peer client = world.Client();
   const auto start = UnixMs();
@@ -411,13 +423,14 @@
   Peer server = world.cache.Accept();
   Message(server);
   const Answer answer = Read(client);
-  CHECK(answer.status == 504 && UnixMs() - start < 1'550);
-  CHECK(server.ToEnd().empty());  // given up on the wire as well
+  ASSERT_EQ(answer.status, 504);
+  ASSERT_LT(UnixMs() - start, 1'550);
+  ASSERT_TRUE(server.ToEnd().empty());  // given up on the wire as well
 }
 
 // A begun answer that breaks, or stops moving, is seen as broken: short of its length, and the connection
 // ends.
-void BreaksVisibly() {
+TEST(HttpTest, BreaksOffATruncatedResponse) {
   World world;
   for (const bool silent : {false, true}) {
     Peer client = world.Client();
@@ -426,14 +439,14 @@
     Message(server);
     server.Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
     client.Until("\r\n\r\n");
-    CHECK(client.Exactly(4) == "half");
+    ASSERT_EQ(client.Exactly(4), "half");
     if (!silent) server.Reset();
-    CHECK(client.ToEnd().empty());
+    ASSERT_TRUE(client.ToEnd().empty());
   }
 }
 
 // A client that stops reading holds its server back; all arrives once it reads again.
-void HoldsServersBack() {
+TEST(HttpTest, AppliesBackpressureToServers) {
   World world;
   Peer client = world.Client();
   client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
@@ -443,7 +456,7 @@
   server.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(total) + "\r\n\r\n");
   const std::string block(1 << 20, 'x');
   const std::size_t pushed = server.Push(block, total);
-  CHECK(pushed < total);  // the gateway does not take it all in
+  ASSERT_LT(pushed, total);  // the gateway does not take it all in
   client.Until("\r\n\r\n");
   for (std::size_t sent = pushed, got = 0; got < total; got += 1 << 20) {
     if (sent < total) sent += server.Push(block, total - sent);
@@ -451,48 +464,50 @@
   }
 }
 
-void FollowsConsul() {
+TEST(HttpTest, FollowsConsul) {
   World world(true);
-  CHECK(world.asked.find("?index=7&wait=30s") != std::string::npos);
+  ASSERT_NE(world.asked.find("?index=7&wait=30s"), std::string::npos);
   const auto served_by = [&](Server& server) { return world.ServedBy(server); };
   // In maintenance it drains, critical is gone; warning is up. Either way the other one serves.
   const std::string both = Entry("n1", world.cache) + "," + Entry("n2", world.second);
   world.Tell("shop-cache", 8,
              Health("n1", "critical", "_service_maintenance:c") + "," + Health("n2", "warning"), both);
-  CHECK(served_by(world.second));
+  ASSERT_TRUE(served_by(world.second));
   world.Tell("shop-cache", 9, Health("n1", "passing") + "," + Health("n2", "critical"), both);
-  CHECK(served_by(world.cache));
+  ASSERT_TRUE(served_by(world.cache));
   world.Tell("shop-cache", 10, Health("n1", "passing"), Entry("n1", world.cache));  // absent is gone
-  CHECK(served_by(world.cache));
+  ASSERT_TRUE(served_by(world.cache));
   // An index that goes back starts over.
   world.Tell("shop-cache", 4, Health("n1", "passing"), Entry("n1", world.cache));
-  CHECK(world.asked.find("?index=0&") != std::string::npos);
+  ASSERT_NE(world.asked.find("?index=0&"), std::string::npos);
   // A query that fails keeps the list, and is tried again.
   world.watches.at("shop-cache").Send(Reply("500 Internal Server Error", "no leader"));
   world.Await();
-  CHECK(served_by(world.cache));
+  ASSERT_TRUE(served_by(world.cache));
   world.watches.at("shop-cache").Reset();
   world.Await();
-  CHECK(served_by(world.cache));
+  ASSERT_TRUE(served_by(world.cache));
 }
 
 // What health says of nodes that are known holds at once, though the catalogue's answer never comes, and the
 // next word of health is heard meanwhile; the catalogue's answer still counts when it comes.
-void HeedsHealthBeforeTheCatalog() {
+TEST(HttpTest, AppliesHealthBeforeTheCatalog) {
   World world(true);
   const auto served_by = [&](Server& server) { return world.ServedBy(server); };
   const auto told = [&] { world.program->Line("shop-cache: 1 changes"); };
   world.TellHealth("shop-cache", 8, Health("n1", "critical") + "," + Health("n2", "passing"));
   told();
-  CHECK(served_by(world.second) && world.cache.Quiet(0));
+  ASSERT_TRUE(served_by(world.second));
+  ASSERT_TRUE(world.cache.Quiet(0));
   Peer& watch = world.watches.at("shop-cache");  // the catalogue is still silent
   watch.Send(Reply("200 OK",
                    "[" + Health("n1", "critical") + "," + Health("n2", "critical", "_node_maintenance") + "]",
                    "X-Consul-Index: 9\r\n"));
   told();
-  CHECK(served_by(world.stock) && world.second.Quiet(0));
+  ASSERT_TRUE(served_by(world.stock));
+  ASSERT_TRUE(world.second.Quiet(0));
   world.Asked(watch);
-  CHECK(world.asked.find("?index=9&") != std::string::npos);
+  ASSERT_NE(world.asked.find("?index=9&"), std::string::npos);
   watch.Send(Reply("200 OK", "[" + Health("n1", "passing") + "," + Health("n2", "critical") + "]",
                    "X-Consul-Index: 10\r\n"));
   told();
@@ -502,12 +517,12 @@
   world.TellCatalog("shop-cache", both);
   told();
   // Health has changed since that was asked: it is asked again.
-  CHECK(world.catalogs.at("shop-cache").Until("\r\n\r\n").starts_with("GET /v1/catalog/service/"));
+  ASSERT_TRUE(world.catalogs.at("shop-cache").Until("\r\n\r\n").starts_with("GET /v1/catalog/service/"));
 }
 
 // What comes after the first list has just started, cold: without a figure yet of what one bears the module
 // asks the main stock in its place.
-void TreatsNewNodesAsCold() {
+TEST(HttpTest, WarmsUpNewNodes) {
   World world;
   world.Tell("shop-cache", 8, Health("n1", "critical") + "," + Health("n2", "passing"),
              Entry("n1", world.cache) + "," + Entry("n2", world.second));
@@ -516,61 +531,62 @@
   Peer stock = world.stock.Accept();
   Message(stock);
   stock.Send(Reply("200 OK", "page"));
-  CHECK(Read(client).body == "page" && world.second.Quiet(0));
+  ASSERT_EQ(Read(client).body, "page");
+  ASSERT_TRUE(world.second.Quiet(0));
 }
 
-void PurgesForOperators() {
+TEST(HttpTest, PurgesForOperators) {
   World world;
   const auto purge = [&](const std::string& token, const std::string& body) {
     return world.Status("POST /-/purge HTTP/1.1\r\nHost: x\r\n" + Bearer(token) +
                         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   };
   const std::string body = R"({"object":"/scans/estate/book.jpg?page=3"})";
-  CHECK(purge("a guess of the same size", body) == 401);
-  CHECK(purge(Token(kShared, Times(60)), body) == 401);  // a client's token is none of an operator's
-  CHECK(purge("an operator's long token", R"({"colour":1})") == 400);
-  CHECK(world.Status(Get("/-/healthy")) == 200);
-  CHECK(purge("an operator's long token", body) == 204);
+  ASSERT_EQ(purge("a guess of the same size", body), 401);
+  ASSERT_EQ(purge(Token(kShared, Times(60)), body), 401);  // a client's token is none of an operator's
+  ASSERT_EQ(purge("an operator's long token", R"({"colour":1})"), 400);
+  ASSERT_EQ(world.Status(Get("/-/healthy")), 200);
+  ASSERT_EQ(purge("an operator's long token", body), 204);
   const auto start = UnixMs();
   while (UnixMs() < start + 1'100) ::usleep(10'000);
   Peer client = world.Client();
   client.Send(Get(Signed(kScan, Package(kScan, Times(60)))));
   Peer server = world.cache.Accept();
   const std::string asked = Message(server);
-  CHECK(asked.find("Cache-Control: max-age=1\r\n") != std::string::npos);
+  ASSERT_NE(asked.find("Cache-Control: max-age=1\r\n"), std::string::npos);
   server.Send(Reply("200 OK", "old", "Age: 60\r\n"));  // from before the purge: not passed on
   Peer next = world.stock.Accept();
   Message(next);
   next.Send(Reply("200 OK", "new"));
-  CHECK(Read(client).body == "new");
+  ASSERT_EQ(Read(client).body, "new");
 }
 
 // Where two readers could disagree on where a message ends, or it is too large: refused, and the connection
 // ends.
 // A client with a request open that pipelines more than a buffer and goes: its request is given up at once,
 // though the end stands behind what is not read.
-void GivesUpForWhoHasGone() {
+TEST(HttpTest, AbortsAttemptsOfADisconnectedClient) {
   World world;
   Peer client = world.Client();
   client.Send(Get(kScan, Bearer(Token(kShared, Times(60)))));
   Peer server = world.cache.Accept();
   Message(server);
   const std::string more(200'000, 'x');
-  CHECK(client.Push(more, more.size()) > 0);
+  ASSERT_GT(client.Push(more, more.size()), 0);
   const auto left = UnixMs();
   client.Reset();
-  CHECK(server.ToEnd().empty());
-  CHECK(UnixMs() - left < 700);  // not at the deadline, 1.5 s from the start
+  ASSERT_TRUE(server.ToEnd().empty());
+  ASSERT_LT(UnixMs() - left, 700);  // not at the deadline, 1.5 s from the start
 }
 
 // A request of which a piece comes just when the gateway ends accepting, and the rest after it, is answered.
-void HearsOutWhoWritesWhileItStops() {
+TEST(HttpTest, ReceivesARequestStillBeingWrittenDuringShutdown) {
   World world;
   Peer client = world.Client(), other = world.Client();
   const std::string request = Get(kScan, Bearer(Token(kShared, Times(60))));
   client.Send(request.substr(0, 10));
   other.Send(Get("/-/healthy"));
-  CHECK(Read(other).status == 200);
+  ASSERT_EQ(Read(other).status, 200);
   world.program->Signal(SIGTERM);
   world.program->Line("stopping");
   {
@@ -579,61 +595,40 @@
     client.Send(request.substr(10, 10));
     other.Send(Get("/-/healthy"));
   }
-  CHECK(Read(other).status == 503);  // the round in which accepting ended has come
+  ASSERT_EQ(Read(other).status, 503);  // the round in which accepting ended has come
   client.Send(request.substr(20));
   Peer server = world.cache.Accept();
   Message(server);
   server.Send(Reply("200 OK", "page"));
-  CHECK(Read(client).body == "page");
+  ASSERT_EQ(Read(client).body, "page");
   client.Close();
-  CHECK(world.program->Wait() == 0);
+  ASSERT_EQ(world.program->Wait(), 0);
 }
 
-void IsStrict() {
+TEST(HttpTest, RejectsAmbiguousMessages) {
   World world;
   const std::string host = "Host: scans.example.is\r\n";
   const auto refused = [&](const std::string& request) {
     Peer client = world.Client();
     client.Send(request);
     const int status = Read(client).status;
-    CHECK(client.ToEnd().empty());
+    CHECK_OR_THROW(client.ToEnd().empty());
     return status;
   };
   const std::string post = "POST /orders HTTP/1.1\r\n" + host;
-  CHECK(refused(post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == 400);
-  CHECK(refused(post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello") == 400);
-  CHECK(refused(post + "Content-Length: +5\r\n\r\nhello") == 400);
-  CHECK(refused(post + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == 411);
-  CHECK(refused(post + "Content-Length: 48001\r\n\r\n") == 413);
-  CHECK(refused("GET / HTTP/1.1\r\n\r\n") == 400);
-  CHECK(refused("GET / HTTP/1.1\r\n" + host + host + "\r\n") == 400);
-  CHECK(refused("GET / HTTP/1.1\r\n" + host + " folded\r\n\r\n") == 400);
-  CHECK(refused("GET / HTTP/1.1\r\n" + host + "A : b\r\n\r\n") == 400);
-  CHECK(refused("GET / HTTP/1.1\r\n" + host + "A: b\nC: d\r\n\r\n") == 400);
-  CHECK(refused("GET / HTTP/1.0\r\n" + host + "\r\n") == 505);
-  CHECK(refused("GET /" + std::string(9'000, 'a') + " HTTP/1.1\r\n" + host + "\r\n") == 414);
-  CHECK(refused("GET / HTTP/1.1\r\n" + host + "A: " + std::string(30'000, 'a') + "\r\n\r\n") == 431);
+  ASSERT_EQ(refused(post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400);
+  ASSERT_EQ(refused(post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello"), 400);
+  ASSERT_EQ(refused(post + "Content-Length: +5\r\n\r\nhello"), 400);
+  ASSERT_EQ(refused(post + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 411);
+  ASSERT_EQ(refused(post + "Content-Length: 48001\r\n\r\n"), 413);
+  ASSERT_EQ(refused("GET / HTTP/1.1\r\n\r\n"), 400);
+  ASSERT_EQ(refused("GET / HTTP/1.1\r\n" + host + host + "\r\n"), 400);
+  ASSERT_EQ(refused("GET / HTTP/1.1\r\n" + host + " folded\r\n\r\n"), 400);
+  ASSERT_EQ(refused("GET / HTTP/1.1\r\n" + host + "A : b\r\n\r\n"), 400);
+  ASSERT_EQ(refused("GET / HTTP/1.1\r\n" + host + "A: b\nC: d\r\n\r\n"), 400);
+  ASSERT_EQ(refused("GET / HTTP/1.0\r\n" + host + "\r\n"), 505);
+  ASSERT_EQ(refused("GET /" + std::string(9'000, 'a') + " HTTP/1.1\r\n" + host + "\r\n"), 414);
+  ASSERT_EQ(refused("GET / HTTP/1.1\r\n" + host + "A: " + std::string(30'000, 'a') + "\r\n\r\n"), 431);
 }
 
 }  // namespace
-
-int main(int argc, char** argv) {
-  return RunCases({{"serves_a_link", ServesALink},
-                   {"refuses_bad_links", RefusesBadLinks},
-                   {"allows_for_skew", AllowsForSkew},
-                   {"expires_mid_transfer", ExpiresMidTransfer},
-                   {"checks_tokens", ChecksTokens},
-                   {"passes_orders", PassesOrders},
-                   {"maps_failures", MapsFailures},
-                   {"answers_at_the_deadline", AnswersAtTheDeadline},
-                   {"breaks_visibly", BreaksVisibly},
-                   {"holds_servers_back", HoldsServersBack},
-                   {"follows_consul", FollowsConsul},
-                   {"heeds_health_before_the_catalog", HeedsHealthBeforeTheCatalog},
-                   {"treats_new_nodes_as_cold", TreatsNewNodesAsCold},
-                   {"purges_for_operators", PurgesForOperators},
-                   {"gives_up_for_who_has_gone", GivesUpForWhoHasGone},
-                   {"hears_out_who_writes_while_it_stops", HearsOutWhoWritesWhileItStops},
-                   {"is_strict", IsStrict}},
-                  argc, argv);
-}
