Run incident_test under GoogleTest

Cause: as for the platform's tests: cases and checks of our own, and a failing case ran no destructor. A check of several parts joined by && is an ASSERT for each part. The load's threads are TestThreads, and fail() throws what it printed, with the place that called it.

| file | cases before | TESTs after | checks before | ASSERT after | CHECK_OR_THROW after | | --- | --- | --- | --- | --- | --- | | incident_test.cpp | 1 | 1 | 10, and 10 places that call fail | 6, and the 10 | 5 |

--- a/tests/net/incident_test.cpp
+++ b/tests/net/incident_test.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <source_location>
 
 #include "front/http/access.hpp"
 #include "standin.hpp"
@@ -33,7 +34,7 @@
     const int fd = ::open(path.c_str(), O_RDWR);
     at_ = static_cast<volatile std::int64_t*>(::mmap(nullptr, 8, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0));
     ::close(fd);
-    CHECK(at_ != MAP_FAILED);
+    CHECK_OR_THROW(at_ != MAP_FAILED);
   }
   void Set(std::int64_t micros) { *at_ = micros; }
   std::map<std::string, std::string> Environment() const {
@@ -74,7 +75,7 @@
   ~Load() { Stop(); }
   const Counts& Stop() {
     over_ = true;
-    if (thread_.joinable()) thread_.join();
+    thread_.Join();
     return counts_;
   }
 
@@ -102,7 +103,7 @@
   int port_, number_;
   std::atomic<bool> over_ = false;
   Counts counts_;
-  std::thread thread_;
+  TestThread thread_;
 };
 
 struct World {
@@ -111,7 +112,7 @@
         cache_b([this](auto& head, auto&) { return Serve(head); }),
         stock([this](auto& head, auto&) { return Serve(head); }) {
     char name[] = "/tmp/tinspan-incident-XXXXXX";
-    CHECK(::mkdtemp(name) != nullptr);
+    CHECK_OR_THROW(::mkdtemp(name) != nullptr);
     folder = std::string(name) + "/";
     consul.Set("shop-cache", "n1", {cache_a.Port()});
     consul.Set("shop-cache", "n2", {cache_b.Port()});
@@ -221,7 +222,7 @@
     Peer client = Peer::Connect(port);
     client.Send("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n");
     if (client.Until("\r\n\r\n").starts_with("HTTP/1.1 200")) return;
-    CHECK(UnixMs() < end);
+    CHECK_OR_THROW(UnixMs() < end);
     SleepMs(5);
   }
 }
@@ -239,7 +240,7 @@
 std::int64_t Micros(const Json& time) {
   const std::string text = time;
   std::tm utc{};
-  CHECK(::strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &utc) != nullptr);
+  CHECK_OR_THROW(::strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &utc) != nullptr);
   return std::int64_t{::timegm(&utc)} * 1'000'000 + std::stol(text.substr(20, 6));
 }
 
@@ -247,12 +248,22 @@
   const std::string path = folder + "report.json";
   const std::string command =
       std::string(TINSPAN_PROGRAM) + " report " + arguments + " --format json -o " + path + " > /dev/null";
-  CHECK(std::system(command.c_str()) == 0);
+  CHECK_OR_THROW(std::system(command.c_str()) == 0);
   std::ifstream in(path);
   return Json::parse(in);
 }
 
-void ScriptedIncident() {
+// What a report says, a line for each sentence and each item, to be shown with a failure.
+std::string Describe(const Json& report) {
+  std::string text;
+  for (const Json& sentence : report["sentences"]) text += "  " + sentence.get<std::string>() + "\n";
+  for (const char* const list : {"events", "classes", "incidents", "instances"}) {
+    for (const Json& item : report[list]) text += "  " + item.dump() + "\n";
+  }
+  return text;
+}
+
+TEST(IncidentTest, ReportsAScriptedIncident) {
   World world;
   Clock ahead(world.folder + "ahead"), stepping(world.folder + "stepping");
   ahead.Set(1'000'000);
@@ -298,7 +309,9 @@
   SleepMs(1200);
   did("a wave of 10 purges began");
   for (int g = 0; g < 10; ++g) {
-    for (const Instance& one : instances) CHECK(PurgeGroup(one.port, "g" + std::to_string(g)) == 204);
+    for (const Instance& one : instances) {
+      ASSERT_EQ(PurgeGroup(one.port, "g" + std::to_string(g)), 204);
+    }
   }
   SleepMs(1500);
 
@@ -320,7 +333,9 @@
   SleepMs(2200);
   world.overloaded = false;
   world.hold = false;
-  for (const int i : {2, 3}) CHECK(instances[static_cast<std::size_t>(i)].program->Wait() == 128 + SIGKILL);
+  for (const int i : {2, 3}) {
+    ASSERT_EQ(instances[static_cast<std::size_t>(i)].program->Wait(), 128 + SIGKILL);
+  }
   for (const int i : {2, 3}) start(i);
   for (const int i : {2, 3}) run(i);
   SleepMs(500);
@@ -331,7 +346,7 @@
   for (int i = 0; i < kInstances; ++i) {
     did("north-" + std::to_string(i) + " stopped");
     instances[static_cast<std::size_t>(i)].program->Signal(SIGTERM);
-    CHECK(instances[static_cast<std::size_t>(i)].program->Wait() == 0);
+    ASSERT_EQ(instances[static_cast<std::size_t>(i)].program->Wait(), 0);
   }
 
   // To look at by hand what the report makes of it.
@@ -339,15 +354,9 @@
     fs::copy(world.folder + "records", keep, fs::copy_options::recursive);
   }
   const Json report = Report(world.folder, world.folder + "records");
-  const auto fail = [&](const std::string& what) {
-    std::fprintf(stderr, "%s\n", what.c_str());
-    for (const Json& one : report["sentences"])
-      std::fprintf(stderr, "  %s\n", one.get<std::string>().c_str());
-    for (const Json& one : report["events"]) std::fprintf(stderr, "  %s\n", one.dump().c_str());
-    for (const Json& one : report["classes"]) std::fprintf(stderr, "  %s\n", one.dump().c_str());
-    for (const Json& one : report["incidents"]) std::fprintf(stderr, "  %s\n", one.dump().c_str());
-    for (const Json& one : report["instances"]) std::fprintf(stderr, "  %s\n", one.dump().c_str());
-    std::exit(1);
+  const auto fail = [&](const std::string& what,
+                        const std::source_location& where = std::source_location::current()) {
+    throw CheckFailure(where.file_name(), static_cast<int>(where.line()), what + "\n" + Describe(report));
   };
   // Every event of the script is there, in its order, at its time within what the report claims. A word takes
   // its time to be heard: 1 s is generous on a machine that does other things.
@@ -396,7 +405,8 @@
     if (std::abs(one["earned"].get<double>() - worth * static_cast<double>(counts.served[name])) > 1e-6)
       fail("worth of " + name);
   }
-  CHECK(counts.served["pages"] > 100 && counts.refused["pages"] > 0);
+  ASSERT_GT(counts.served["pages"], 100);
+  ASSERT_GT(counts.refused["pages"], 0);
   // The incident, with both deaths before it.
   if (report["incidents"].empty()) fail("no incident");
   int died = 0;
@@ -409,9 +419,7 @@
       if (!one["kept"].get<bool>()) fail(one.dump());
     }
   }
-  CHECK(report["troubles"].size() <= 2);  // a tail that was torn by each kill
+  ASSERT_LE(report["troubles"].size(), 2);  // a tail that was torn by each kill
 }
 
 }  // namespace
-
-int main(int argc, char** argv) { return RunCases({{"scripted_incident", ScriptedIncident}}, argc, argv); }
