--- a/bench/lease_scale.cpp
+++ b/bench/lease_scale.cpp
@@ -50,7 +50,7 @@
       views_.Add("", {0, 1, 2}, true);
       leases_.Add();
     }
-    views_.on_change = [this](int observer, const members::Change&, Micros) {
+    views_.on_change = [this](int observer, const members::StateChange&, Micros) {
       has_view_changed_[observer] = true;
     };
   }
--- a/src/lease/codec.cpp
+++ b/src/lease/codec.cpp
@@ -5,7 +5,7 @@
 
 #include "lease/lease.pb.h"
 #include "lease/options.hpp"
-#include "members/view.hpp"
+#include "members/types.hpp"
 
 namespace tinspan::lease {
 namespace {
--- a/src/lease/health_record.hpp
+++ b/src/lease/health_record.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "lease/publisher.hpp"
-#include "members/view.hpp"
+#include "members/membership_view.hpp"
 
 namespace tinspan::lease {
 
@@ -16,6 +16,7 @@
 
 /// The record as JSON: what `view` shows of the fleet, under the number and token of `request`. `wall_ms` is
 /// the wall clock in milliseconds.
-std::string BuildHealthRecord(const members::View& view, const WriteRequest& request, std::uint64_t wall_ms);
+std::string BuildHealthRecord(const members::MembershipView& view, const WriteRequest& request,
+                              std::uint64_t wall_ms);
 
 }  // namespace tinspan::lease
