--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -328,16 +328,3 @@
  private:
   Program& program_;
 };
-
-// For the files that do not use GoogleTest yet.
-#define CHECK(condition) CHECK_OR_THROW(condition)
-using Cases = std::map<std::string, std::function<void()>>;
-inline int RunCases(const Cases& cases, int argc, char** argv) {
-  const auto found = cases.find(argc > 1 ? argv[1] : "");
-  if (found == cases.end()) {
-    for (const auto& [name, run] : cases) std::puts(name.c_str());
-    return 2;
-  }
-  found->second();
-  return 0;
-}
--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -41,10 +41,11 @@
     caller.Send("leases\n");
     std::istringstream in(caller.ToEnd());
     std::string line, lease, left;
-    CHECK(std::getline(in, line) && line == "done" && std::getline(in, line));
+    CHECK_OR_THROW(std::getline(in, line) && line == "done" && std::getline(in, line));
     std::istringstream words(line);
     LeaseReport held;
-    CHECK(words >> lease >> held.holder >> held.token >> held.left >> held.role && lease == "health");
+    CHECK_OR_THROW(words >> lease >> held.holder >> held.token >> held.left >> held.role &&
+                   lease == "health");
     // It held at some moment from `before` to now, and for `left` from then: so from now to before + left at
     // least, with the slowest true time that its clock allows.
     if (held.role == "holder") {
@@ -69,7 +70,7 @@
     for (;;) {
       holder = Holder(unasked);
       if (holder >= 0 && !excluded.contains(holder)) return UnixMs() - start;
-      CHECK(UnixMs() - start < kConvergenceLimitMs);
+      CHECK_OR_THROW(UnixMs() - start < kConvergenceLimitMs);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
@@ -82,14 +83,14 @@
       if (stored.flags > token && first == 0) first = stored.number;
       if (stored.flags > token && stored.number >= first + count) return;
       Holder();
-      CHECK(UnixMs() - start < kConvergenceLimitMs);
+      CHECK_OR_THROW(UnixMs() - start < kConvergenceLimitMs);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
   void ExpectNoViolation() {
     for (const auto& broken : {history.FindViolation(), store.Broken()}) {
       if (broken) std::fprintf(stderr, "history: %s\n", broken->c_str());
-      CHECK(!broken);
+      CHECK_OR_THROW(!broken);
     }
   }
   std::uint64_t TokenOf(int member) { return QueryLease(member).token; }
@@ -100,65 +101,70 @@
 };
 
 // All at once ask for it, one gets it, and it stays with that one; every door and the command name it.
-void OneHoldsAndPublishes() {
+TEST(LeasesTest, OneHolderPublishes) {
   LeaseFleet five(6);  // the sixth has no vote
   int holder = -1;
   five.WaitForHolder(holder);
   const std::uint64_t token = five.TokenOf(holder);
   five.WaitForWrites(0, 20);
-  CHECK(five.Holder() == holder && five.TokenOf(holder) == token);
+  ASSERT_EQ(five.Holder(), holder);
+  ASSERT_EQ(five.TokenOf(holder), token);
   const auto stored = five.store.Stored();
-  CHECK(stored.flags == token);
-  CHECK(stored.text.find("\"holder\":\"" + five.fleet.instances[holder].name + "\"") != std::string::npos);
-  CHECK(stored.text.find("\"alive\":6") != std::string::npos);
+  ASSERT_EQ(stored.flags, token);
+  ASSERT_NE(stored.text.find("\"holder\":\"" + five.fleet.instances[holder].name + "\""), std::string::npos);
+  ASSERT_NE(stored.text.find("\"alive\":6"), std::string::npos);
   for (int i = 0; i < 6; ++i) {
     for (const long long end = UnixMs() + kConvergenceLimitMs;;) {
       const LeaseReport held = five.QueryLease(i);
       if (held.holder == five.fleet.instances[holder].name && held.token == token) break;
-      CHECK(UnixMs() < end);
+      ASSERT_LT(UnixMs(), end);
     }
   }
   Program shown({"leases", "--door", "127.0.0.1:" + std::to_string(five.fleet.instances[0].ops_port)}, {});
-  CHECK(shown.Wait() == 0);
-  CHECK(shown.log.find("health") != std::string::npos &&
-        shown.log.find(std::to_string(token)) != std::string::npos);
+  ASSERT_EQ(shown.Wait(), 0);
+  ASSERT_NE(shown.log.find("health"), std::string::npos);
+  ASSERT_NE(shown.log.find(std::to_string(token)), std::string::npos);
   // A write that was taken and whose answer was lost is not done twice; a store that is gone ends no lease.
   five.store.DropNextAnswer();
   five.WaitForWrites(token - 1, 10);
-  CHECK(five.fleet.Metric(holder, "lease_store_failures_total") >= 1);
-  CHECK(five.Holder() == holder);
+  ASSERT_GE(five.fleet.Metric(holder, "lease_store_failures_total"), 1);
+  ASSERT_EQ(five.Holder(), holder);
   five.ExpectNoViolation();
 }
 
 // Stopped past its lease and resumed: another holds meanwhile, and nothing is taken under the old token. It
 // was stopped with a write on its way, which arrives after the other's first.
-void AStoppedHolderIsFenced() {
+TEST(LeasesTest, FencesAStoppedHolder) {
   LeaseFleet five;
   int first = -1, second = -1;
   five.WaitForHolder(first);
   const std::uint64_t old = five.TokenOf(first);
   five.WaitForWrites(old - 1, 3);
   five.store.HoldNextWrite();
-  for (const long long end = UnixMs() + kLimitMs; !five.store.Holding();) CHECK(UnixMs() < end);
+  for (const long long end = UnixMs() + kLimitMs; !five.store.Holding();) {
+    ASSERT_LT(UnixMs(), end);
+  }
   five.fleet.instances[first].program->Signal(SIGSTOP);
   const long long took = five.WaitForHolder(second, {first}, {first});
   ReportDuration("a stopped holder's lease taken over", took);
-  CHECK(took < kMaxTakeoverMs);
+  ASSERT_LT(took, kMaxTakeoverMs);
   const std::uint64_t next = five.TokenOf(second);
-  CHECK(next > old);
-  for (const long long end = UnixMs() + kLimitMs; five.store.Stored().flags < next;) CHECK(UnixMs() < end);
+  ASSERT_GT(next, old);
+  for (const long long end = UnixMs() + kLimitMs; five.store.Stored().flags < next;) {
+    ASSERT_LT(UnixMs(), end);
+  }
   five.store.Release();  // the old write arrives
   five.fleet.instances[first].program->Signal(SIGCONT);
   five.WaitForWrites(old, 10);
-  CHECK(five.store.Refused() >= 1);
-  CHECK(five.QueryLease(first).role != "holder");
-  CHECK(five.fleet.Metric(first, "lease_lapsed_total") == 1);
-  CHECK(five.Holder() == second);
+  ASSERT_GE(five.store.Refused(), 1);
+  ASSERT_NE(five.QueryLease(first).role, "holder");
+  ASSERT_EQ(five.fleet.Metric(first, "lease_lapsed_total"), 1);
+  ASSERT_EQ(five.Holder(), second);
   five.ExpectNoViolation();
 }
 
 // Cut off from all others but not from the store it writes to: it stops, another goes on from its number.
-void ACutOffHolderStops() {
+TEST(LeasesTest, AnIsolatedHolderStops) {
   LeaseFleet five;
   int first = -1, second = -1;
   five.WaitForHolder(first);
@@ -171,19 +177,19 @@
   }
   const long long took = five.WaitForHolder(second, {first});
   ReportDuration("a cut-off holder's lease taken over", took);
-  CHECK(took < kMaxTakeoverMs);
+  ASSERT_LT(took, kMaxTakeoverMs);
   five.WaitForWrites(old, 5);
-  CHECK(five.QueryLease(first).role != "holder");
+  ASSERT_NE(five.QueryLease(first).role, "holder");
   five.fleet.relay.Heal();
-  CHECK(five.fleet.TimeToConverge(kConvergenceLimitMs) >= 0);
+  ASSERT_GE(five.fleet.TimeToConverge(kConvergenceLimitMs), 0);
   five.WaitForWrites(old, 5);
-  CHECK(five.Holder() == second);
+  ASSERT_EQ(five.Holder(), second);
   five.ExpectNoViolation();
 }
 
 // Killed in the middle of its lease: the next goes on from the record that stands, none left out, none twice.
 // The one that comes back has forgotten what it promised and is silent first.
-void AKilledHolderIsFollowed() {
+TEST(LeasesTest, ReplacesAKilledHolder) {
   LeaseFleet five;
   int first = -1, second = -1;
   five.WaitForHolder(first);
@@ -194,21 +200,22 @@
   const std::uint64_t number = five.store.Stored().number;
   const long long took = five.WaitForHolder(second);
   ReportDuration("a killed holder's lease taken over", took);
-  CHECK(took < kMaxTakeoverMs);
+  ASSERT_LT(took, kMaxTakeoverMs);
   five.WaitForWrites(old, 3);
-  CHECK(five.store.Stored().number > number);
+  ASSERT_GT(five.store.Stored().number, number);
   five.fleet.Start(first);
   five.fleet.WaitUntilReady(first);
-  CHECK(five.QueryLease(first).role == "voter-silent");
-  for (const long long end = UnixMs() + kConvergenceLimitMs; five.QueryLease(first).role != "voter";)
-    CHECK(UnixMs() < end);
+  ASSERT_EQ(five.QueryLease(first).role, "voter-silent");
+  for (const long long end = UnixMs() + kConvergenceLimitMs; five.QueryLease(first).role != "voter";) {
+    ASSERT_LT(UnixMs(), end);
+  }
   five.WaitForWrites(old, 3);
-  CHECK(five.Holder() == second);
+  ASSERT_EQ(five.Holder(), second);
   five.ExpectNoViolation();
 }
 
 // Two on one side, three on the other: the two hold nothing, whoever held before.
-void AMinorityHoldsNothing() {
+TEST(LeasesTest, AMinorityHoldsNoLease) {
   LeaseFleet five;
   int first = -1, second = -1;
   five.WaitForHolder(first);
@@ -221,19 +228,21 @@
   }
   const long long took = five.WaitForHolder(second, {first});
   ReportDuration("taken over by the majority", took);
-  CHECK(took < kMaxTakeoverMs && second != with);
+  ASSERT_LT(took, kMaxTakeoverMs);
+  ASSERT_NE(second, with);
   five.WaitForWrites(old, 3);
   for (const long long end = UnixMs() + 2 * kLengthMs; UnixMs() < end;) {
-    CHECK(five.QueryLease(first).role != "holder" && five.QueryLease(with).role != "holder");
-    CHECK(five.Holder() == second);
+    ASSERT_NE(five.QueryLease(first).role, "holder");
+    ASSERT_NE(five.QueryLease(with).role, "holder");
+    ASSERT_EQ(five.Holder(), second);
   }
   five.fleet.relay.Heal();
-  CHECK(five.fleet.TimeToConverge(kConvergenceLimitMs) >= 0);
+  ASSERT_GE(five.fleet.TimeToConverge(kConvergenceLimitMs), 0);
   five.ExpectNoViolation();
 }
 
 // One clock a tenth fast, and the holder stopped again and again: never two.
-void AFastClockHoldsAlone() {
+TEST(LeasesTest, AFastClockHoldsNoSecondLease) {
   LeaseFleet five;
   five.fleet.Kill(2);
   five.fleet.Start(2, {{"LD_PRELOAD", TINSPAN_CLOCK},
@@ -248,7 +257,7 @@
     last = five.store.Stored().flags;
     five.fleet.instances[holder].program->Signal(SIGSTOP);
     int next = -1;
-    CHECK(five.WaitForHolder(next, {holder}, {holder}) < kMaxTakeoverMs);
+    ASSERT_LT(five.WaitForHolder(next, {holder}, {holder}), kMaxTakeoverMs);
     five.fleet.instances[holder].program->Signal(SIGCONT);
     five.ExpectNoViolation();
   }
@@ -257,7 +266,7 @@
 }
 
 // Told to stop, it lets the lease go: it is handed on without waiting for the lease to run out.
-void AStoppingHolderHandsOver() {
+TEST(LeasesTest, AStoppingHolderHandsOver) {
   LeaseFleet five;
   int first = -1, second = -1;
   five.WaitForHolder(first);
@@ -267,12 +276,12 @@
   five.WaitForWrites(old - 1, 3);
   five.fleet.instances[first].program->Signal(SIGTERM);
   five.history.RecordEnd(Token{old}, Steady());
-  CHECK(five.fleet.instances[first].program->Wait() == 0);
-  CHECK(five.fleet.instances[first].program->log.find("health released, token") != std::string::npos);
+  ASSERT_EQ(five.fleet.instances[first].program->Wait(), 0);
+  ASSERT_NE(five.fleet.instances[first].program->log.find("health released, token"), std::string::npos);
   five.fleet.instances[first].program.reset();
   const long long took = five.WaitForHolder(second);
   ReportDuration("a stopping holder's lease handed on", took);
-  CHECK(second != first);
+  ASSERT_NE(second, first);
   five.WaitForWrites(old, 3);
   five.ExpectNoViolation();
 }
@@ -286,17 +295,17 @@
   };
   Gateways() {
     char name[] = "/tmp/tinspan-test-XXXXXX";
-    CHECK(::mkdtemp(name) != nullptr);
+    CHECK_OR_THROW(::mkdtemp(name) != nullptr);
     folder = name;
     for (int i = 0; i < 5; ++i) relay.Add();
     for (int i = 0; i < 5; ++i) {
       const std::string at = folder + "/g" + std::to_string(i);
       Program init({"init", at}, {});
-      CHECK(init.Wait() == 0);
+      CHECK_OR_THROW(init.Wait() == 0);
       One& one = all.emplace_back();
       one.file = at + "/gateway.json";
       std::ifstream token(at + "/operator.token");
-      CHECK(std::getline(token, one.token));
+      CHECK_OR_THROW(std::getline(token, one.token));
       std::ifstream in(one.file);
       nlohmann::json told = nlohmann::json::parse(in);
       told["name"] = "n" + std::to_string(i);
@@ -334,14 +343,14 @@
     caller.Send("leases\n");
     std::istringstream in(caller.ToEnd());
     std::string line, lease, holder, token, left, role, word;
-    CHECK(std::getline(in, line) && line == "done" && std::getline(in, line));
+    CHECK_OR_THROW(std::getline(in, line) && line == "done" && std::getline(in, line));
     std::istringstream words(line);
-    CHECK(words >> lease >> holder >> token >> left >> role && lease == "purge");
+    CHECK_OR_THROW(words >> lease >> holder >> token >> left >> role && lease == "purge");
     if (name == "role") return role;
     while (words >> word) {
       if (word.starts_with(name + "=")) return word.substr(name.size() + 1);
     }
-    CHECK(false);
+    CHECK_OR_THROW(false);
     return {};
   }
   int Holder() {
@@ -349,7 +358,7 @@
       for (int i = 0; i < 5; ++i) {
         if (all[i].program && StatusField(i, "role") == "holder") return i;
       }
-      CHECK(UnixMs() < end);
+      CHECK_OR_THROW(UnixMs() < end);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
@@ -358,14 +367,14 @@
     ::Peer caller = ::Peer::Connect(all[at].http);
     caller.Send("POST /-/purge HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + all[at].token +
                 "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    CHECK(caller.Until("\r\n").starts_with("HTTP/1.1 204"));
+    CHECK_OR_THROW(caller.Until("\r\n").starts_with("HTTP/1.1 204"));
   }
   // Milliseconds until each of `members` has applied so many that came from others.
   long long WaitForApplied(const std::map<int, int>& members) {
     const long long start = UnixMs();
     for (const auto& [i, count] : members) {
       while (StatusField(i, "applied") != std::to_string(count)) {
-        CHECK(UnixMs() - start < kConvergenceLimitMs);
+        CHECK_OR_THROW(UnixMs() - start < kConvergenceLimitMs);
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
       }
     }
@@ -378,7 +387,7 @@
 
 // An operator's purge at any gateway is applied at every other; the holder is killed when it has reached
 // some, and the next one finishes: every gateway has applied it once.
-void APurgeReachesTheFleet() {
+TEST(LeasesTest, APurgeReachesTheFleet) {
   Gateways five;
   const int holder = five.Holder();
   const int origin = (holder + 1) % 5;
@@ -387,7 +396,7 @@
   five.Purge(origin, "/scans/estate/book.jpg?page=3");
   const long long took = five.WaitForApplied(once);
   ReportDuration("a purge applied by the fleet", took);
-  CHECK(took < 1'000);
+  ASSERT_LT(took, 1'000);
   // The holder reaches the origin alone, and then dies.
   for (int i = 0; i < 5; ++i) {
     if (i != origin && i != holder) five.relay.Cut(holder, i);
@@ -396,7 +405,9 @@
   once[holder] = 2;
   five.WaitForApplied({{holder, 2}});
   for (int i = 0; i < 5; ++i) {
-    if (i != holder) CHECK(five.StatusField(i, "applied") == (i == origin ? "0" : "1"));
+    if (i != holder) {
+      ASSERT_EQ(five.StatusField(i, "applied"), (i == origin ? "0" : "1"));
+    }
   }
   five.all[holder].program.reset();
   five.relay.Heal();
@@ -404,8 +415,8 @@
   once.erase(holder);
   const long long finished = five.WaitForApplied(once);
   ReportDuration("a killed holder's purge finished", finished);
-  CHECK(finished < kMaxTakeoverMs);
-  CHECK(five.Holder() != holder);
+  ASSERT_LT(finished, kMaxTakeoverMs);
+  ASSERT_NE(five.Holder(), holder);
   five.Purge((origin + 1) % 5 == holder ? (origin + 2) % 5 : (origin + 1) % 5, "/pages/third");
   five.WaitForApplied({{origin, 1}});
 }
@@ -413,7 +424,7 @@
 // An upgrade: the second process of a voter waits for the port longer than a voter is silent, while the first
 // goes on granting under the same name. Its silence begins when the port is its own, or it would grant a
 // lease twice.
-void AnUpgradedVoterIsSilentFromItsPortOn() {
+TEST(LeasesTest, AnUpgradedVoterStaysSilentUntilItsPromisesExpire) {
   LeaseFleet five;
   int holder = -1;
   five.WaitForHolder(holder);
@@ -423,7 +434,7 @@
   std::ifstream in(one.file->path);
   std::getline(in, text, '\0');
   const std::string any = R"("members":{"fleet":"shop","listen":"127.0.0.1:0")";
-  CHECK(text.find(any) != std::string::npos);
+  ASSERT_NE(text.find(any), std::string::npos);
   text.replace(text.find(any), any.size(),
                R"("members":{"fleet":"shop","listen":"127.0.0.1:)" + std::to_string(one.port) + "\"");
   one.file = std::make_unique<TempFile>(text);
@@ -435,28 +446,30 @@
   for (const long long end = UnixMs() + 4 * kLengthMs; UnixMs() < end;) {
     ::Peer caller = ::Peer::Connect(door);
     caller.Send("leases\n");
-    CHECK(caller.ToEnd().find("voter-silent") != std::string::npos);
+    ASSERT_NE(caller.ToEnd().find("voter-silent"), std::string::npos);
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
   old->Signal(SIGTERM);
-  CHECK(old->Wait() == 0);
+  ASSERT_EQ(old->Wait(), 0);
   one.program->Line("members at ");
   one.ops_port = door;
   const long long began = UnixMs();
-  while (five.QueryLease(voter).role == "voter-silent") CHECK(UnixMs() - began < kConvergenceLimitMs);
+  while (five.QueryLease(voter).role == "voter-silent") {
+    ASSERT_LT(UnixMs() - began, kConvergenceLimitMs);
+  }
   const long long silent = UnixMs() - began;
   ReportDuration("an upgraded voter silent", silent);
-  CHECK(silent > kLengthMs);
-  CHECK(five.Holder() == holder);
+  ASSERT_GT(silent, kLengthMs);
+  ASSERT_EQ(five.Holder(), holder);
   five.ExpectNoViolation();
 }
 
 // Off where the file has no leases; a file that could grant a lease twice is rejected, naming the key.
-void OffWithoutLeases() {
+TEST(LeasesTest, IsOffWithoutLeases) {
   MembershipFleet off(1);
   ::Peer caller = ::Peer::Connect(off.instances[0].ops_port);
   caller.Send("leases\n");
-  CHECK(caller.Until("\n") == "error leases are off here");
+  ASSERT_EQ(caller.Until("\n"), "error leases are off here");
   std::string text;
   std::ifstream in(off.instances[0].file->path);
   std::getline(in, text, '\0');
@@ -472,7 +485,7 @@
     const int status = check.Wait();
     return std::pair{status, check.log};
   };
-  CHECK(checked("a", "a").first == 0);
+  ASSERT_EQ(checked("a", "a").first, 0);
   for (const auto& [from, to, key] : std::vector<std::tuple<std::string, std::string, std::string>>{
            {R"("a","b","c")", R"("a","b")", "leases.voters"},
            {R"("a","b","c")", R"("a","b","a")", "leases.voters.2"},
@@ -484,24 +497,10 @@
            {R"("store":"127.0.0.1:8500")", R"("store":"127.0.0.1:8500","key":"a b")",
             "leases.publish.key"}}) {
     const auto [status, log] = checked(from, to);
-    CHECK(status != 0);
-    CHECK(log.find(": " + key + " (line ") != std::string::npos ||
-          log.find(": " + key + ": ") != std::string::npos);
+    ASSERT_NE(status, 0);
+    ASSERT_TRUE(log.find(": " + key + " (line ") != std::string::npos ||
+                log.find(": " + key + ": ") != std::string::npos);
   }
 }
 
 }  // namespace
-
-int main(int argc, char** argv) {
-  return RunCases({{"one_holds_and_publishes", OneHoldsAndPublishes},
-                   {"a_stopped_holder_is_fenced", AStoppedHolderIsFenced},
-                   {"a_cut_off_holder_stops", ACutOffHolderStops},
-                   {"a_killed_holder_is_followed", AKilledHolderIsFollowed},
-                   {"a_minority_holds_nothing", AMinorityHoldsNothing},
-                   {"a_fast_clock_holds_alone", AFastClockHoldsAlone},
-                   {"a_stopping_holder_hands_over", AStoppingHolderHandsOver},
-                   {"a_purge_reaches_the_fleet", APurgeReachesTheFleet},
-                   {"an_upgraded_voter_is_silent_from_its_port_on", AnUpgradedVoterIsSilentFromItsPortOn},
-                   {"off_without_leases", OffWithoutLeases}},
-                  argc, argv);
-}
