--- a/bench/record_cost.cpp
+++ b/bench/record_cost.cpp
@@ -85,7 +85,7 @@
 // So many requests, one after the other, at that rate (0: as fast as they are answered). How many were
 // served.
 int Ask(const World& world, int port, int count, double rate) {
-  Peer client = Peer::Connect(port);
+  TcpPeer client = TcpPeer::Connect(port);
   const auto start = std::chrono::steady_clock::now();
   int served = 0;
   for (int i = 0; i < count; ++i) {
@@ -93,9 +93,9 @@
     client.Send("GET /" + std::string(i % 2 == 0 ? "scans" : "pages") + "/g" + std::to_string(i % 16) + "/o" +
                 std::to_string(i % 500) + " HTTP/1.1\r\nHost: scans.example.is\r\nAuthorization: Bearer " +
                 world.token + "\r\n\r\n");
-    const std::string head = client.Until("\r\n\r\n") + "\r\n";
+    const std::string head = client.ReadUntil("\r\n\r\n") + "\r\n";
     const std::size_t at = head.find("Content-Length: ");
-    if (at != std::string::npos) client.Exactly(std::stoul(head.substr(at + 16)));
+    if (at != std::string::npos) client.ReadExactly(std::stoul(head.substr(at + 16)));
     served += head.starts_with("HTTP/1.1 200") ? 1 : 0;
   }
   return served;
@@ -103,11 +103,11 @@
 
 int AwaitReady(Program& program) {
   const int port = program.Port();
-  for (const auto end = UnixMs() + kLimitMs;; ::usleep(10'000)) {
+  for (const auto end = UnixMs() + kWaitLimitMs;; ::usleep(10'000)) {
     CHECK_OR_THROW(UnixMs() < end);
-    Peer client = Peer::Connect(port);
+    TcpPeer client = TcpPeer::Connect(port);
     client.Send("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n");
-    if (client.Until("\r\n\r\n").starts_with("HTTP/1.1 200")) return port;
+    if (client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 200")) return port;
   }
 }
 
--- a/tests/net/cli_test.cpp
+++ b/tests/net/cli_test.cpp
@@ -168,15 +168,15 @@
   place.FreePort();
   {
     Program program({"serve", "-f", place.folder + "/gateway/gateway.json", "--log-format", "json"}, {});
-    const Json line = Json::parse(program.Line("serve.listening"));
+    const Json line = Json::parse(program.ReadLogThrough("serve.listening"));
     ASSERT_EQ(line["event"], "serve.listening");
     ASSERT_EQ(line["level"], "info");
     ASSERT_EQ(line["name"], "gateway-north");
-    ASSERT_TRUE(Json::parse(program.Line("consul.query_failed"))["again_ms"].is_number_integer());
+    ASSERT_TRUE(Json::parse(program.ReadLogThrough("consul.query_failed"))["again_ms"].is_number_integer());
     program.Signal(SIGHUP);
-    program.Line("keys.reloaded");
+    program.ReadLogThrough("keys.reloaded");
     const std::string cat = "tinspan records cat --kind life gateway/records";
-    for (const auto end = UnixMs() + kLimitMs; !Has(place.Run(cat), "\"reloaded\"");) {
+    for (const auto end = UnixMs() + kWaitLimitMs; !Has(place.Run(cat), "\"reloaded\"");) {
       ASSERT_LT(UnixMs(), end);
     }
     program.Signal(SIGKILL);
@@ -208,7 +208,7 @@
       place.Run("echo another token of its size > wrong && tinspan console --once --token-file wrong" + url);
   ASSERT_EQ(wrong.status, 1);
   ASSERT_TRUE(Has(wrong, "the operator's token is not accepted"));
-  Server silent;
+  TcpListener silent;
   const Ran stalled = place.Run("tinspan console --once --from http://" + silent.Address() + token);
   ASSERT_EQ(stalled.status, 1);
   ASSERT_TRUE(Has(stalled, "no answer from " + silent.Address()));
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -16,13 +16,13 @@
   return text;
 }
 std::string Order(const std::string& tag, const std::string& ref, const std::string& body) {
-  return Bulk({"RPC.CALL", tag, "orders",
-               "ref=" + ref + ",allow=3000,replay=5c0f6e1a2b3d4c59a8b7c6d5" + ref.substr(8) +
-                   ",lookup=7f3a9c21e0b4d655,block=0,family=17",
-               body});
+  return EncodeCommand({"RPC.CALL", tag, "orders",
+                        "ref=" + ref + ",allow=3000,replay=5c0f6e1a2b3d4c59a8b7c6d5" + ref.substr(8) +
+                            ",lookup=7f3a9c21e0b4d655,block=0,family=17",
+                        body});
 }
-void Healthy(Peer& client, const std::string& tag) {
-  client.Send(Bulk({"RPC.HEALTH", tag, ""}));
+void Healthy(TcpPeer& client, const std::string& tag) {
+  client.Send(EncodeCommand({"RPC.HEALTH", tag, ""}));
   CHECK_OR_THROW(Answer(client)[0] == tag);
 }
 
@@ -30,18 +30,18 @@
 struct OpenWorld : World {
   explicit OpenWorld(rlim_t descriptors = 0, const std::string& sockets = "1024")
       : World(descriptors, true, sockets, "192", kSettings, {{"PROXY_OPS", "127.0.0.1:0"}}) {
-    const std::string line = program->Line("operators' door at ");
+    const std::string line = program->ReadLogThrough("operators' door at ");
     door = std::stoi(line.substr(line.rfind(':') + 1));
   }
   // Returns once the figure has that value.
   void Await(const std::string& figure, std::size_t value) {
     const std::string line = "proxy_" + figure + " " + std::to_string(value) + "\n";
-    const auto limit = UnixMs() + kLimitMs;
+    const auto limit = UnixMs() + kWaitLimitMs;
     for (std::string figures; figures.find(line) == std::string::npos;) {
       CHECK_OR_THROW(UnixMs() < limit);
-      Peer operators = Peer::Connect(door);
+      TcpPeer operators = TcpPeer::Connect(door);
       operators.Send("stats\n");
-      figures = operators.Until("end\n");
+      figures = operators.ReadUntil("end\n");
     }
   }
   void Reload(const std::string& text) {
@@ -54,106 +54,106 @@
 // More than a buffer holds, and the end behind it: nothing of it is sent on.
 TEST(CrossingsTest, SendsNothingForAClientThatSentMuchAndLeft) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   Healthy(client, "1");
   {
-    const Stopped stopped(*world.program);
+    const StoppedProgram stopped(*world.program);
     std::string calls;
     for (int i = 0; i < 560; ++i) calls += Call(std::to_string(i + 2), "", 2500, "7f3a9c21e0b4d655", Ref(i));
-    ASSERT_GT(client.Push(calls, calls.size()), 65'536);  // more than a buffer
+    ASSERT_GT(client.SendUntilBlocked(calls, calls.size()), 65'536);  // more than a buffer
     client.Reset();
   }
-  Peer other = world.Client();
+  TcpPeer other = world.Client();
   Healthy(other, "1");
   Healthy(other, "2");
-  ASSERT_TRUE(world.cache_a.Quiet(200));
-  ASSERT_TRUE(world.cache_b.Quiet(1));
-  ASSERT_TRUE(world.origin.Quiet(1));
+  ASSERT_TRUE(world.cache_a.HasNoConnectionFor(200));
+  ASSERT_TRUE(world.cache_b.HasNoConnectionFor(1));
+  ASSERT_TRUE(world.origin.HasNoConnectionFor(1));
 }
 
 // Calls and their cancels in one go, more of them than one turn: none is sent on.
 TEST(CrossingsTest, SendsNothingForARequestCancelledLaterInTheInput) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   Healthy(client, "1");
   {
-    const Stopped stopped(*world.program);
+    const StoppedProgram stopped(*world.program);
     std::string text;
     for (int i = 0; i < 40; ++i) text += Call(std::to_string(i + 2), "", 2500, "7f3a9c21e0b4d655", Ref(i));
-    for (int i = 0; i < 40; ++i) text += Bulk({"RPC.CANCEL", std::to_string(i + 2)});
+    for (int i = 0; i < 40; ++i) text += EncodeCommand({"RPC.CANCEL", std::to_string(i + 2)});
     client.Send(text);
   }
   Healthy(client, "100");
-  ASSERT_TRUE(world.cache_a.Quiet(200));
-  ASSERT_TRUE(world.cache_b.Quiet(1));
+  ASSERT_TRUE(world.cache_a.HasNoConnectionFor(200));
+  ASSERT_TRUE(world.cache_b.HasNoConnectionFor(1));
   client.Send(Call("101"));  // and it is served as before
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client)[3], "abc");
 }
 
 // Bodies over the doorman's share of memory: nothing new is taken. Who leaves or calls off is heeded.
-void HeedsWhoLeavesWhileHeld(const std::function<void(Peer&)>& leave) {
+void HeedsWhoLeavesWhileHeld(const std::function<void(TcpPeer&)>& leave) {
   World world(0, true, "1024", "2");
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  CHECK_OR_THROW(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
-  Peer writer = world.Client();
+  TcpPeer cache = Chosen(world);
+  CHECK_OR_THROW(cache.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  TcpPeer writer = world.Client();
   const std::string body(48'000, 'w');
   for (int i = 0; i < 16; ++i) writer.Send(Order(std::to_string(i + 1), Ref(i), body));
-  Peer late = world.Client();
+  TcpPeer late = world.Client();
   for (int tag = 1;; ++tag) {  // until nothing new is taken
-    late.Send(Bulk({"RPC.HEALTH", std::to_string(tag), ""}));
-    if (late.Silent(200)) break;
+    late.Send(EncodeCommand({"RPC.HEALTH", std::to_string(tag), ""}));
+    if (late.IsSilentFor(200)) break;
     CHECK_OR_THROW(Answer(late)[0] == std::to_string(tag) && tag < 1000);
   }
   const auto left = UnixMs();
   leave(client);
   // More orders may be written to the same connection; the STOP comes among them.
-  cache.Until(std::string("STOP ") + kRef + "\r\n");
+  cache.ReadUntil(std::string("STOP ") + kRef + "\r\n");
   CHECK_OR_THROW(UnixMs() - left < 1'000);  // not at the deadline
 }
 
 // A table full of idle clients, a newcomer, and a request from the one that has been idle longest.
 TEST(CrossingsTest, EvictsNoClientThatHasJustAsked) {
   World world(0, true, "64");
-  std::vector<Peer> idle;
+  std::vector<TcpPeer> idle;
   for (int i = 0; i < 27; ++i) {  // all that 64 descriptors allow
     idle.push_back(world.Client());
     Healthy(idle.back(), "1");
   }
-  Peer newcomer;
+  TcpPeer newcomer;
   {
-    const Stopped stopped(*world.program);
+    const StoppedProgram stopped(*world.program);
     newcomer = world.Client();
-    newcomer.Send(Bulk({"RPC.HEALTH", "1", ""}));
+    newcomer.Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
     idle[0].Send(Call("2"));
   }
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(idle[0]), (std::vector<std::string>{"2", "done", "", "abc"}));
   ASSERT_EQ(Answer(newcomer)[1], "healthy");  // the place of the next one
-  ASSERT_TRUE(idle[1].ToEnd().empty());
+  ASSERT_TRUE(idle[1].ReadToEnd().empty());
 }
 
 // Answers that the socket has not taken, then input that cannot be read: they arrive whole before the end.
 TEST(CrossingsTest, DeliversResponsesBeforeEndOfStream) {
   OpenWorld world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const std::string body(240'000, 'b');
-  std::vector<Peer> caches;
+  std::vector<TcpPeer> caches;
   std::string calls;
   for (int i = 0; i < 30; ++i) calls += Call(std::to_string(i + 1), "", 2500, "7f3a9c21e0b4d655", Ref(i));
   client.Send(calls);
   std::size_t served = 0;
   std::string expected;
   while (served < 12) {  // of those that the doorman has let through, four on a connection
-    Peer cache = Chosen(world);
+    TcpPeer cache = Chosen(world);
     for (int i = 0; i < 4 && served < 12; ++i) {
-      const std::string line = cache.Until("\r\n\r\n");
+      const std::string line = cache.ReadUntil("\r\n\r\n");
       cache.Send(Ok(body, "", line.substr(4, 16)));
       ++served;
     }
@@ -161,7 +161,7 @@
   }
   world.Await("completed_total", served);
   client.Send("garbage\r\n");
-  const std::string all = client.ToEnd();
+  const std::string all = client.ReadToEnd();
   std::size_t done = 0;
   for (std::size_t at = 0; (at = all.find("$4\r\ndone\r\n", at)) != std::string::npos; ++at) ++done;
   ASSERT_GE(done, served);
@@ -173,19 +173,19 @@
 TEST(CrossingsTest, AcceptsTheBacklogBeforeShutdown) {
   World world;
   world.program->Signal(SIGTERM);
-  world.program->Line("stopping");
-  Peer client;
+  world.program->ReadLogThrough("stopping");
+  TcpPeer client;
   {
-    const Stopped stopped(*world.program);
+    const StoppedProgram stopped(*world.program);
     client = world.Client();
     client.Send(Call("1"));
     std::this_thread::sleep_for(std::chrono::milliseconds(900));  // past the end of accepting
   }
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
-  ASSERT_TRUE(client.ToEnd().empty());
+  ASSERT_TRUE(client.ReadToEnd().empty());
   client.Close();
   ASSERT_EQ(world.program->Wait(), 0);
 }
@@ -193,23 +193,23 @@
 // A request of which a piece comes just when accepting ends, and the rest after it, is answered.
 TEST(CrossingsTest, ReceivesAFragmentedRequestDuringShutdown) {
   World world;
-  Peer client = world.Client(), other = world.Client();
+  TcpPeer client = world.Client(), other = world.Client();
   Healthy(client, "1");
   Healthy(other, "1");
   const std::string call = Call("2");
   client.Send(call.substr(0, 20));
   world.program->Signal(SIGTERM);
-  world.program->Line("stopping");
+  world.program->ReadLogThrough("stopping");
   {
-    const Stopped stopped(*world.program);
+    const StoppedProgram stopped(*world.program);
     std::this_thread::sleep_for(std::chrono::milliseconds(800));  // past the end of accepting
     client.Send(call.substr(20, 20));
-    other.Send(Bulk({"RPC.HEALTH", "2", ""}));
+    other.Send(EncodeCommand({"RPC.HEALTH", "2", ""}));
   }
   ASSERT_EQ(Answer(other)[1], "closing");  // the round in which accepting ended has come
   client.Send(call.substr(40));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"2", "done", "", "abc"}));
   client.Close();
@@ -220,33 +220,33 @@
 // on.
 TEST(CrossingsTest, HalfClosesBeforeItCloses) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   Healthy(client, "1");
   world.program->Signal(SIGTERM);
-  ASSERT_TRUE(client.ToEnd().empty());  // the end, in order
-  client.Send(Call("2"));               // crosses it: the client will ask elsewhere
-  ASSERT_TRUE(world.cache_a.Quiet(100));
-  ASSERT_TRUE(world.cache_b.Quiet(1));
+  ASSERT_TRUE(client.ReadToEnd().empty());  // the end, in order
+  client.Send(Call("2"));                   // crosses it: the client will ask elsewhere
+  ASSERT_TRUE(world.cache_a.HasNoConnectionFor(100));
+  ASSERT_TRUE(world.cache_b.HasNoConnectionFor(1));
   client.Close();
   ASSERT_EQ(world.program->Wait(), 0);
-  ASSERT_TRUE(world.cache_a.Quiet(1));
-  ASSERT_TRUE(world.cache_b.Quiet(1));
+  ASSERT_TRUE(world.cache_a.HasNoConnectionFor(1));
+  ASSERT_TRUE(world.cache_b.HasNoConnectionFor(1));
 }
 
 // Both signals in one round, in both orders: the configuration is read anew and the program ends in order.
 TEST(CrossingsTest, HandlesBothSignalsOfOneRound) {
   for (const bool reload_first : {true, false}) {
     World world;
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(Call("1"));
-    Peer cache = Chosen(world);
-    cache.Until("\r\n\r\n");
+    TcpPeer cache = Chosen(world);
+    cache.ReadUntil("\r\n\r\n");
     {
-      const Stopped stopped(*world.program);
+      const StoppedProgram stopped(*world.program);
       world.program->Signal(reload_first ? SIGHUP : SIGTERM);
       world.program->Signal(reload_first ? SIGTERM : SIGHUP);
     }
-    world.program->Line("configuration read anew");
+    world.program->ReadLogThrough("configuration read anew");
     cache.Send(Ok("abc"));
     ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
     client.Close();
@@ -263,10 +263,10 @@
             Member("s-b", world.cache_b.Address()) + "," + Member("o-1", world.origin.Address(), "store")) +
       "\n2\n");
   world.Await("members", 2);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = world.cache_b.Accept();
-  ASSERT_NE(cache.Until("\r\n\r\n").find(",miss=o-1"), std::string::npos);  // the parent has gone as well
+  TcpPeer cache = world.cache_b.Accept();
+  ASSERT_NE(cache.ReadUntil("\r\n\r\n").find(",miss=o-1"), std::string::npos);  // the parent has gone as well
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client)[3], "abc");
 }
@@ -274,40 +274,40 @@
 // An event that breaks in its middle: what stood before the break has not been heard.
 TEST(CrossingsTest, AppliesNothingOfABrokenEvent) {
   OpenWorld world;
-  Server stranger;
+  TcpListener stranger;
   const std::string begun = Member("s-a", stranger.Address()) + "," + Member("s-b", stranger.Address()) +
                             "," + Member("s-n", stranger.Address());
   std::string broken = Fleet(2, false, begun + "," + Member("s-z", stranger.Address(), "no such kind"));
   world.log.Send(broken + "\n");
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 1");
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 1");
   world.Await("members", 4);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client)[3], "abc");
-  ASSERT_TRUE(stranger.Quiet(1));
+  ASSERT_TRUE(stranger.HasNoConnectionFor(1));
 }
 
 // Discovery moves: until the new one has spoken, the old one's drain is heard.
 TEST(CrossingsTest, NoticesADrainWhileDiscoveryMoves) {
   OpenWorld world;
   world.log.Send("1\n");
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   Healthy(client, "1");
-  Server moved;
+  TcpListener moved;
   std::string config = world.config;
   config.replace(config.find(world.changelog.Address()), world.changelog.Address().size(), moved.Address());
   world.Reload(config);
-  Peer silent = moved.Accept();
-  ASSERT_EQ(silent.Until("\n"), "since 1");
+  TcpPeer silent = moved.Accept();
+  ASSERT_EQ(silent.ReadUntil("\n"), "since 1");
   world.log.Send(Fleet(2, false, Member("s-a", world.cache_a.Address(), "box", "draining")) + "\n2\n");
   world.Await("members_unavailable", 1);
   // The new one speaks: it brings what it knows, and the old watch ends.
   silent.Send(Fleet(2, false, Member("s-a", world.cache_a.Address(), "box", "draining")) + "\n2\n");
-  ASSERT_TRUE(world.log.ToEnd().empty());
+  ASSERT_TRUE(world.log.ReadToEnd().empty());
   world.Await("members_unavailable", 1);
 }
 
@@ -318,10 +318,10 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(1'350));
   world.Reload(world.config);
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 1");
-  world.program->Line("configuration read anew");
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 1");
+  world.program->ReadLogThrough("configuration read anew");
   world.Reload(world.config);
-  world.program->Line("configuration read anew");  // with all that was said in between
+  world.program->ReadLogThrough("configuration read anew");  // with all that was said in between
   ASSERT_EQ(world.program->log.find("silent, connecting anew"), std::string::npos);
 }
 
@@ -329,24 +329,24 @@
 // the door answers and requests are served.
 TEST(CrossingsTest, RecoversDiscoveryWhenIdleClientsFillTheDescriptors) {
   OpenWorld world(64, "64");
-  std::vector<Peer> idle;
-  Peer client = world.Client();
+  std::vector<TcpPeer> idle;
+  TcpPeer client = world.Client();
   for (int i = 0; i < 80; ++i) {
     idle.push_back(world.Client());
-    idle.back().Send(Bulk({"RPC.HEALTH", "1", ""}));
+    idle.back().Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
   }
-  std::vector<Peer> callers;  // the door's are bounded as well
-  for (int i = 0; i < 30; ++i) callers.push_back(Peer::Connect(world.door));
+  std::vector<TcpPeer> callers;  // the door's are bounded as well
+  for (int i = 0; i < 30; ++i) callers.push_back(TcpPeer::Connect(world.door));
   world.log.Close();
   for (int i = 0; i < 3; ++i) world.changelog.Accept().Close();
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 1");
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 1");
   world.log.Send(Fleet(2, false, Member("s-a", world.cache_a.Address(), "box", "removed")) + "\n2\n");
   world.Await("members", 3);
   client = world.Client();  // a newcomer finds room
   client.Send(Call("1"));
-  Peer cache = world.cache_b.Accept();
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = world.cache_b.Accept();
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
 }
@@ -354,14 +354,14 @@
 // No descriptor is left for a connection to a server: the request is refused, the server is not accused.
 TEST(CrossingsTest, BlamesNoEndpointForItsOwnDescriptorLimit) {
   OpenWorld world(48);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   Healthy(client, "1");
-  std::vector<Peer> idle;
+  std::vector<TcpPeer> idle;
   for (int i = 0; i < 60; ++i) idle.push_back(world.Client());
   client.Send(Call("2"));
   ASSERT_EQ(Answer(client)[1], "later");
-  ASSERT_TRUE(world.cache_a.Quiet(1));
-  ASSERT_TRUE(world.cache_b.Quiet(1));
+  ASSERT_TRUE(world.cache_a.HasNoConnectionFor(1));
+  ASSERT_TRUE(world.cache_b.HasNoConnectionFor(1));
   world.program->Signal(SIGTERM);
   idle.clear();
   client.Close();
@@ -379,7 +379,7 @@
 // and tried again by the kernel a second later.
 class Shut {
  public:
-  explicit Shut(Server& server) : server_(server) {
+  explicit Shut(TcpListener& server) : server_(server) {
     CHECK_OR_THROW(::listen(server.Descriptor(), 0) == 0);
     for (bool full = false; !full;) {
       CHECK_OR_THROW(fillers_.size() < 16);
@@ -395,11 +395,11 @@
     }
   }
   // The next connection that is not one of ours.
-  Peer Open() {
+  TcpPeer Open() {
     CHECK_OR_THROW(::listen(server_.Descriptor(), 64) == 0);
-    for (Peer& filler : fillers_) ours_.push_back(Port(filler.Descriptor(), false));
+    for (TcpPeer& filler : fillers_) ours_.push_back(Port(filler.Descriptor(), false));
     while (true) {
-      Peer peer = server_.Accept();
+      TcpPeer peer = server_.Accept();
       const int from = Port(peer.Descriptor(), true);
       if (std::find(ours_.begin(), ours_.end(), from) == ours_.end()) return peer;
     }
@@ -413,24 +413,24 @@
                    0);
     return ntohs(at.sin_port);
   }
-  Server& server_;
-  std::vector<Peer> fillers_;
+  TcpListener& server_;
+  std::vector<TcpPeer> fillers_;
   std::vector<int> ours_;
 };
 
 // Its client leaves while a request waits for a connection: when that comes up, nothing is written to it.
-void NothingForWhoLeftWhileItConnected(const std::function<void(Peer&)>& leave) {
+void NothingForWhoLeftWhileItConnected(const std::function<void(TcpPeer&)>& leave) {
   World world(0, false, "1024", "192",
               With(kSettings, "\"connectTimeoutMs\":400.0", "\"connectTimeoutMs\":3000.0"));
   Shut shut(world.cache_a);
-  Peer client = world.Client(), other = world.Client();
+  TcpPeer client = world.Client(), other = world.Client();
   client.Send(Call("1"));
-  client.Send(Bulk({"RPC.HEALTH", "2", ""}));
+  client.Send(EncodeCommand({"RPC.HEALTH", "2", ""}));
   CHECK_OR_THROW(Answer(client)[0] == "2");
   leave(client);
   Healthy(other, "1");
-  Peer cache = shut.Open();
-  CHECK_OR_THROW(cache.Silent(300));
+  TcpPeer cache = shut.Open();
+  CHECK_OR_THROW(cache.IsSilentFor(300));
 }
 
 // A keyed request whose answer broke off is asked for again within its window only, and the window lapses
@@ -439,16 +439,16 @@
   World world(0, false, "1024", "192",
               With(With(kSettings, "\"connectTimeoutMs\":400.0", "\"connectTimeoutMs\":3000.0"),
                    "\"windowMs\":6000.0", "\"windowMs\":500.0"));
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Order("1", kRef, "paid"));
-  Peer cache = world.cache_a.Accept();
-  ASSERT_TRUE(cache.Until("paid\r\n").starts_with(std::string("REQ ") + kRef));
+  TcpPeer cache = world.cache_a.Accept();
+  ASSERT_TRUE(cache.ReadUntil("paid\r\n").starts_with(std::string("REQ ") + kRef));
   Shut shut(world.cache_a);
   cache.Reset();
   std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the window, and more
-  Peer again = shut.Open();
+  TcpPeer again = shut.Open();
   ASSERT_NE(Answer(client)[1], "done");
-  ASSERT_TRUE(again.Silent(200));
+  ASSERT_TRUE(again.IsSilentFor(200));
 }
 
 // A server that has stopped reading: a STOP that its socket does not take is no STOP, and the rest of the
@@ -457,18 +457,19 @@
   World world(0, false);
   const int small = 4096;
   ASSERT_EQ(::setsockopt(world.cache_a.Descriptor(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small), 0);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = world.cache_a.Accept();
-  ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  TcpPeer cache = world.cache_a.Accept();
+  ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   const std::string body(48'000, 'w');
   bool ended = false;
-  client.Send(Bulk({"RPC.CANCEL", "1"}));
+  client.Send(EncodeCommand({"RPC.CANCEL", "1"}));
   for (int i = 2; i < 100 && !ended; ++i) {  // each is called off, none is read: more than a socket takes
-    client.Send(Order(std::to_string(i), Ref(i), body) + Bulk({"RPC.HEALTH", std::to_string(1'000 + i), ""}));
+    client.Send(Order(std::to_string(i), Ref(i), body) +
+                EncodeCommand({"RPC.HEALTH", std::to_string(1'000 + i), ""}));
     ASSERT_EQ(Answer(client)[0], std::to_string(1'000 + i));
-    client.Send(Bulk({"RPC.CANCEL", std::to_string(i)}) +
-                Bulk({"RPC.HEALTH", std::to_string(2'000 + i), ""}));
+    client.Send(EncodeCommand({"RPC.CANCEL", std::to_string(i)}) +
+                EncodeCommand({"RPC.HEALTH", std::to_string(2'000 + i), ""}));
     ASSERT_EQ(Answer(client)[0], std::to_string(2'000 + i));
     pollfd one{cache.Descriptor(), 0, 0};
     ended = ::poll(&one, 1, 0) == 1 && (one.revents & (POLLHUP | POLLERR)) != 0;
@@ -484,15 +485,15 @@
 TEST(CrossingsTest, RevalidatesACopyOnlyByItsOwnEntityTag) {
   for (const std::string& held : {std::string(",cached=4be0c1927d55a6f3"), std::string()}) {
     World world;
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(Call("1", held));
     bool first = false;
-    Peer cache = Chosen(world, &first);
-    cache.Until("\r\n\r\n");
+    TcpPeer cache = Chosen(world, &first);
+    cache.ReadUntil("\r\n\r\n");
     cache.Send(std::string(kRef) + " SAME entity=0000c1927d55a6f3,issued=" + std::to_string(UnixMs()) +
                " 0\r\n\r\n");
-    Peer other = (first ? world.cache_b : world.cache_a).Accept();
-    other.Until("\r\n\r\n");
+    TcpPeer other = (first ? world.cache_b : world.cache_a).Accept();
+    other.ReadUntil("\r\n\r\n");
     other.Send(Ok("abc"));
     ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
   }
@@ -502,10 +503,10 @@
 // before SIGKILL may come, and may ask elsewhere.
 TEST(CrossingsTest, AnswersBeforeTheKillDeadline) {
   World world(0, false, "1024", "192", With(kSettings, "\"giveUpMs\":2500.0", "\"giveUpMs\":9000.0"));
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1", "", 8'500));
-  Peer cache = world.cache_a.Accept();
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = world.cache_a.Accept();
+  cache.ReadUntil("\r\n\r\n");
   world.program->Signal(SIGTERM);
   const auto told = UnixMs();
   const auto answer = Answer(client);
@@ -516,7 +517,7 @@
 }
 
 // Thirty doormans killed at once and started again: nine in ten are ready within 10 s.
-TEST(CrossingsTest, ThirtyInstancesRecoverWithinTheBudget) {
+TEST(CrossingsTest, ThirtyInstancesRestartAtOnce) {
   constexpr int kDoormans = 30;
   World world;
   const auto start = [&] {
@@ -533,8 +534,8 @@
   for (auto& one : fleet) one = start();
   int ready = 0;
   for (auto& one : fleet) {
-    Peer client = Peer::Connect(one->Port());
-    client.Send(Bulk({"RPC.HEALTH", "1", ""}));
+    TcpPeer client = TcpPeer::Connect(one->Port());
+    client.Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
     ready += Answer(client)[1] == "healthy" && UnixMs() - killed < 10'000;
   }
   ASSERT_GE(ready, kDoormans * 9 / 10);
@@ -556,39 +557,39 @@
       With(kSettings, "\"retryAfter\":true", "\"retryAfter\":false")};
   for (const std::string& settings : all) {
     World world(0, false, "1024", "192", settings);
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(Call("1"));
-    Peer cache = world.cache_a.Accept();
-    cache.Until("\r\n\r\n");
+    TcpPeer cache = world.cache_a.Accept();
+    cache.ReadUntil("\r\n\r\n");
     cache.Send(Ok("abc"));
     ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
   }
 }
 
 TEST(CrossingsTest, NoticesAClientThatClosesWhilePaused) {
-  HeedsWhoLeavesWhileHeld([](Peer& client) { client.Close(); });
+  HeedsWhoLeavesWhileHeld([](TcpPeer& client) { client.Close(); });
 }
 
 TEST(CrossingsTest, NoticesAClientThatHalfClosesWhilePaused) {
   HeedsWhoLeavesWhileHeld(
-      [](Peer& client) { CHECK_OR_THROW(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
+      [](TcpPeer& client) { CHECK_OR_THROW(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
 }
 
 TEST(CrossingsTest, NoticesACancelWhilePaused) {
-  HeedsWhoLeavesWhileHeld([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
+  HeedsWhoLeavesWhileHeld([](TcpPeer& client) { client.Send(EncodeCommand({"RPC.CANCEL", "1"})); });
 }
 
 TEST(CrossingsTest, SendsNothingForAClientThatClosedDuringConnect) {
-  NothingForWhoLeftWhileItConnected([](Peer& client) { client.Close(); });
+  NothingForWhoLeftWhileItConnected([](TcpPeer& client) { client.Close(); });
 }
 
 TEST(CrossingsTest, SendsNothingForAClientThatHalfClosedDuringConnect) {
   NothingForWhoLeftWhileItConnected(
-      [](Peer& client) { CHECK_OR_THROW(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
+      [](TcpPeer& client) { CHECK_OR_THROW(::shutdown(client.Descriptor(), SHUT_WR) == 0); });
 }
 
 TEST(CrossingsTest, SendsNothingForARequestCancelledDuringConnect) {
-  NothingForWhoLeftWhileItConnected([](Peer& client) { client.Send(Bulk({"RPC.CANCEL", "1"})); });
+  NothingForWhoLeftWhileItConnected([](TcpPeer& client) { client.Send(EncodeCommand({"RPC.CANCEL", "1"})); });
 }
 
 }  // namespace
--- a/tests/net/fleet_view_test.cpp
+++ b/tests/net/fleet_view_test.cpp
@@ -96,7 +96,7 @@
 // Its clock an hour back at a restart, so that its incarnation is older than what is known of it; and a jump
 // by an hour while it runs.
 TEST(FleetViewTest, ToleratesAClockThatJumps) {
-  TempFile offset(std::string(8, '\0'));
+  TemporaryFile offset(std::string(8, '\0'));
   const auto shift = [&](std::int64_t micros) {
     std::fstream out(offset.path, std::ios::in | std::ios::out | std::ios::binary);
     out.write(reinterpret_cast<const char*>(&micros), sizeof micros);
@@ -140,7 +140,7 @@
           ::sendto(fd, one.data(), one.size(), 0, reinterpret_cast<sockaddr*>(&address), sizeof address),
           static_cast<ssize_t>(one.size()));
     }
-    const long long end = UnixMs() + kLimitMs;
+    const long long end = UnixMs() + kWaitLimitMs;
     while (fleet.Metric(0, "fleet_datagrams_refused_total") < round * bad.size()) {
       ASSERT_LT(UnixMs(), end);
     }
@@ -157,10 +157,10 @@
   MembershipFleet fleet(8);
   ProxyInstance& instance = fleet.instances[1];
   const std::string client = instance.program->log.substr(instance.program->log.find("serving at "));
-  Peer caller = Peer::Connect(PortOf(client.substr(0, client.find('\n'))));
+  TcpPeer caller = TcpPeer::Connect(PortOf(client.substr(0, client.find('\n'))));
   caller.Send(Call("1"));
-  Peer asked = fleet.cache.Accept();
-  asked.Until("\r\n\r\n");
+  TcpPeer asked = fleet.cache.Accept();
+  asked.ReadUntil("\r\n\r\n");
   asked.Reset();
   const long long start = UnixMs();
   for (int i = 0; i < 8;) {
@@ -185,9 +185,9 @@
 // Off where the file names no members, as on the platform; an upgrade's second process waits for the port.
 TEST(FleetViewTest, IsOffByDefaultAndWaitsForItsPort) {
   World off(0, true, "1024", "192", kSettings, {{"PROXY_OPS", "127.0.0.1:0"}});
-  Peer caller = Peer::Connect(PortOf(off.program->Line("operators' door at ")));
+  TcpPeer caller = TcpPeer::Connect(PortOf(off.program->ReadLogThrough("operators' door at ")));
   caller.Send("members\n");
-  ASSERT_EQ(caller.Until("\n"), "error members are off here");
+  ASSERT_EQ(caller.ReadUntil("\n"), "error members are off here");
   ASSERT_EQ(off.program->log.find("members"), std::string::npos);
   MembershipFleet fleet(8);
   std::string text;
@@ -198,20 +198,20 @@
   text.replace(
       text.find(any), any.size(),
       R"("members":{"fleet":"shop","listen":"127.0.0.1:)" + std::to_string(fleet.instances[4].port) + "\"");
-  const TempFile fixed(text);
+  const TemporaryFile fixed(text);
   Program next({"serve"}, {{"PROXY_NAME", "n4"},
                            {"PROXY_LISTEN", "127.0.0.1:0"},
                            {"PROXY_CONFIG", fixed.path},
                            {"PROXY_OPS", "127.0.0.1:0"}});
-  next.Line("is in use");
-  const int door = PortOf(next.Line("operators' door at "));
-  Peer status = Peer::Connect(door);
+  next.ReadLogThrough("is in use");
+  const int door = PortOf(next.ReadLogThrough("operators' door at "));
+  TcpPeer status = TcpPeer::Connect(door);
   status.Send("status\n");
-  ASSERT_EQ(status.Until("\n"), "done serving");
+  ASSERT_EQ(status.ReadUntil("\n"), "done serving");
   const std::uint64_t before = fleet.View(4)["n4"].incarnation;
   fleet.instances[4].program->Signal(SIGTERM);
   ASSERT_EQ(fleet.instances[4].program->Wait(), 0);
-  next.Line("members at ");
+  next.ReadLogThrough("members at ");
   fleet.instances[4].ops_port = door;
   ASSERT_GE(fleet.TimeToConverge(kConvergenceLimitMs), 0);
   ASSERT_GT(fleet.View(0)["n4"].incarnation, before);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -49,14 +49,14 @@
   std::string body;
 };
 // A request or an answer with a Content-Length.
-std::string Message(Peer& peer, std::string* body = nullptr) {
-  const std::string head = peer.Until("\r\n\r\n") + "\r\n";
+std::string Message(TcpPeer& peer, std::string* body = nullptr) {
+  const std::string head = peer.ReadUntil("\r\n\r\n") + "\r\n";
   const std::size_t at = head.find("Content-Length: ");
-  const std::string got = at == std::string::npos ? "" : peer.Exactly(std::stoul(head.substr(at + 16)));
+  const std::string got = at == std::string::npos ? "" : peer.ReadExactly(std::stoul(head.substr(at + 16)));
   if (body != nullptr) *body = got;
   return head;
 }
-Answer Read(Peer& client) {
+Answer Read(TcpPeer& client) {
   Answer out;
   out.head = Message(client, &out.body);
   CHECK_OR_THROW(out.head.starts_with("HTTP/1.1 "));
@@ -94,18 +94,18 @@
   return R"({"Node":{"Node":")" + node + R"("},"Service":{"ID":"c"},"Checks":[{"CheckID":")" + check +
          R"(","Status":")" + status + R"("}]})";
 }
-std::string Entry(const std::string& node, const Server& server) {
+std::string Entry(const std::string& node, const TcpListener& server) {
   return R"({"Node":")" + node +
          R"(","Address":"127.0.0.1","ServiceID":"c","ServiceAddress":"","ServicePort":)" +
          std::to_string(server.port) + R"(,"ServiceMeta":{},"ServiceWeights":{"Passing":1}})";
 }
 
 struct World {
-  Server consul, cache, second, stock;
+  TcpListener consul, cache, second, stock;
   std::string folder;
   std::unique_ptr<Program> program;
-  std::map<std::string, Peer> watches;  // by service; a health query waits on each
-  std::map<std::string, Peer> catalogs;
+  std::map<std::string, TcpPeer> watches;  // by service; a health query waits on each
+  std::map<std::string, TcpPeer> catalogs;
   std::string asked;  // the last health query
   int port = 0;
 
@@ -145,24 +145,24 @@
   void Write(const std::string& name, const std::string& text) { std::ofstream(folder + name) << text; }
   // The next watch that connects and asks.
   void Await() {
-    Peer peer = consul.Accept();
+    TcpPeer peer = consul.Accept();
     Asked(peer);
     const std::string service = asked.substr(23, asked.find('?') - 23);
     watches[service] = std::move(peer);
   }
-  void Asked(Peer& peer) {
-    asked = peer.Until("\r\n\r\n");
+  void Asked(TcpPeer& peer) {
+    asked = peer.ReadUntil("\r\n\r\n");
     CHECK_OR_THROW(asked.starts_with("GET /v1/health/service/") &&
                    asked.find("X-Consul-Token: consul-secret") != std::string::npos);
   }
   // Answers the waiting query, and waits for the next and for the catalogue's.
   void TellHealth(const std::string& service, int index, const std::string& health) {
-    Peer& peer = watches.at(service);
+    TcpPeer& peer = watches.at(service);
     peer.Send(Reply("200 OK", "[" + health + "]", "X-Consul-Index: " + std::to_string(index) + "\r\n"));
     Asked(peer);
     if (!catalogs.contains(service)) catalogs[service] = consul.Accept();
     CHECK_OR_THROW(
-        catalogs[service].Until("\r\n\r\n").starts_with("GET /v1/catalog/service/" + service + " "));
+        catalogs[service].ReadUntil("\r\n\r\n").starts_with("GET /v1/catalog/service/" + service + " "));
   }
   void TellCatalog(const std::string& service, const std::string& catalog) {
     const std::string body = "[" + catalog + "]";  // in chunks, as Consul sends longer ones
@@ -175,20 +175,20 @@
   void Tell(const std::string& service, int index, const std::string& health, const std::string& catalog) {
     TellHealth(service, index, health);
     TellCatalog(service, catalog);
-    program->Line("nodes listed: " + service);
+    program->ReadLogThrough("nodes listed: " + service);
   }
-  Peer Client() { return Peer::Connect(port); }
+  TcpPeer Client() { return TcpPeer::Connect(port); }
   // Whether a new request goes to that server, and its answer to the client.
-  bool ServedBy(Server& server) {
-    Peer client = Client();
+  bool ServedBy(TcpListener& server) {
+    TcpPeer client = Client();
     client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-    Peer peer = server.Accept();
+    TcpPeer peer = server.Accept();
     Message(peer);
     peer.Send(Reply("200 OK", "page", "Connection: close\r\n"));
     return Read(client).body == "page";
   }
   int Status(const std::string& request) {
-    Peer client = Client();
+    TcpPeer client = Client();
     client.Send(request);
     return Read(client).status;
   }
@@ -198,11 +198,11 @@
 
 TEST(HttpTest, ServesASignedLink) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   // The same object, written otherwise: what is verified is the canonical form, and it is what is fetched.
   client.Send(Get(Signed("/x/../scans/%65state/book.jpg?page=3", Package(kScan, Times(60))),
                   "Referer: https://a/?URISigningPackage=leak\r\nRange: bytes=0-\r\n"));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   const std::string asked = Message(server);
   ASSERT_TRUE(asked.starts_with("GET " + kScan + "&URISigningPackage="));
   ASSERT_NE(asked.find("\r\nRange: bytes=0-\r\n"), std::string::npos);
@@ -234,12 +234,12 @@
               " HTTP/1.1\r\nHost: scans.example.is\r\n\r\n");
   ASSERT_TRUE(Message(server).starts_with("HEAD "));
   server.Send("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n");
-  ASSERT_NE(client.Until("\r\n\r\n").find("Content-Length: 300000"), std::string::npos);
+  ASSERT_NE(client.ReadUntil("\r\n\r\n").find("Content-Length: 300000"), std::string::npos);
   client.Send(Get(kScan, Bearer(Token(kShared, Times(60)))));
   ASSERT_TRUE(Message(server).starts_with("GET " + kScan));
   server.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n");
-  client.Until("\r\n\r\n");
-  ASSERT_EQ(client.Until("0\r\nT: v\r\n\r\n"), "3;x=y\r\nabc\r\n");
+  client.ReadUntil("\r\n\r\n");
+  ASSERT_EQ(client.ReadUntil("0\r\nT: v\r\n\r\n"), "3;x=y\r\nabc\r\n");
   // No token has reached the log.
   world.program->Signal(SIGTERM);
   ASSERT_EQ(world.program->Wait(), 0);
@@ -284,12 +284,12 @@
   ASSERT_EQ(world.Status(Get(Signed("/scans/estate%2Fbook.jpg?page=3", good))), 400);
   ASSERT_EQ(world.Status("GET " + Signed(kScan, good) + " HTTP/1.1\r\nHost: elsewhere.example\r\n\r\n"), 421);
   ASSERT_EQ(world.Status(Get("/nowhere")), 404);
-  ASSERT_TRUE(world.cache.Quiet(0));  // nothing of all this was asked for
+  ASSERT_TRUE(world.cache.HasNoConnectionFor(0));  // nothing of all this was asked for
 }
 
 TEST(HttpTest, AllowsForClockSkew) {
   World world;
-  Peer client = world.Client(), server;
+  TcpPeer client = world.Client(), server;
   const std::string regex = Token(
       kShared, Times(60) + R"(,"cdniv":1,"cdniuc":"regex:https://scans\\.example\\.is/scans/estate/.*")");
   bool first = true;
@@ -306,28 +306,28 @@
 // A link that expires while its scan is halfway sent: the transfer is finished, a new request is refused.
 TEST(HttpTest, CompletesATransferThatOutlivesItsLink) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const std::string request =
       Get(Signed(kScan, Package(kScan, Times(-3.5))));  // within the leeway for 1.5 s more
   client.Send(request);
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   Message(server);
   server.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
-  client.Until("\r\n\r\n");
-  ASSERT_EQ(client.Exactly(4), "half");
-  for (const auto end = UnixMs() + kLimitMs; world.Status(request) != 403;) {
+  client.ReadUntil("\r\n\r\n");
+  ASSERT_EQ(client.ReadExactly(4), "half");
+  for (const auto end = UnixMs() + kWaitLimitMs; world.Status(request) != 403;) {
     ASSERT_LT(UnixMs(), end);
-    Peer more = world.cache.Accept();  // still good: answered, and tried again
+    TcpPeer more = world.cache.Accept();  // still good: answered, and tried again
     Message(more);
     more.Send(Reply("200 OK", "", "Connection: close\r\n"));
   }
   server.Send("done");
-  ASSERT_EQ(client.Exactly(4), "done");
+  ASSERT_EQ(client.ReadExactly(4), "done");
 }
 
 TEST(HttpTest, ChecksTokens) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Get("/pages/a"));
   Answer answer = Read(client);
   ASSERT_EQ(answer.status, 401);
@@ -341,7 +341,7 @@
     ASSERT_NE(answer.head.find("error=\"invalid_token\""), std::string::npos);
   }
   client.Send(Get("/pages/a", Bearer(Token(kPair, Times(60) + R"(,"aud":["south","north"])"))));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   const std::string asked = Message(server);
   ASSERT_EQ(asked.find("Authorization: Bearer "),
             asked.rfind("Authorization:"));  // ours in place of the client's
@@ -351,7 +351,7 @@
   // Rotation: the next key comes in, the first goes.
   world.Write("keys.json", R"({"keys":[)" + kNext + "]}");
   world.program->Signal(SIGHUP);
-  world.program->Line("keys read again");
+  world.program->ReadLogThrough("keys read again");
   ASSERT_EQ(world.Status(Get("/pages/a", Bearer(Token(kShared, Times(60))))), 401);
   client.Send(Get("/pages/a", Bearer(Token(kNext, Times(60)))));
   Message(server);
@@ -368,9 +368,9 @@
   World world;
   ASSERT_EQ(world.Status(Order("", "one copy")), 400);  // no key
   ASSERT_EQ(world.Status(Get("/orders", Bearer(Token(kShared, Times(60))))), 405);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Order("Idempotency-Key: \"k-1\"\r\n", "one copy"));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   std::string body;
   const std::string asked = Message(server, &body);
   ASSERT_TRUE(asked.starts_with("POST /orders HTTP/1.1"));
@@ -383,33 +383,33 @@
 
 // What a server answers, or does, and what the client is told.
 TEST(HttpTest, MapsUpstreamFailuresToStatuses) {
-  const auto play = [](const std::function<void(Peer&)>& act) {
+  const auto play = [](const std::function<void(TcpPeer&)>& act) {
     World world;  // a new one each: the module remembers a server's failures
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-    while (client.Silent(10)) {  // as many attempts as the module makes, wherever it makes them
-      for (Server* const at : {&world.cache, &world.stock}) {
-        if (at->Quiet(0)) continue;
-        Peer server = at->Accept();
+    while (client.IsSilentFor(10)) {  // as many attempts as the module makes, wherever it makes them
+      for (TcpListener* const at : {&world.cache, &world.stock}) {
+        if (at->HasNoConnectionFor(0)) continue;
+        TcpPeer server = at->Accept();
         Message(server);
         act(server);
-        client.Silent(50);  // whatever comes of it
+        client.IsSilentFor(50);  // whatever comes of it
       }
     }
     return Read(client);
   };
   const auto reply = [](const std::string& status) {
-    return [=](Peer& s) { s.Send(Reply(status, "", "Connection: close\r\n")); };
+    return [=](TcpPeer& s) { s.Send(Reply(status, "", "Connection: close\r\n")); };
   };
   ASSERT_EQ(play(reply("401 Unauthorized")).status, 502);  // our signature, not the client's
   ASSERT_EQ(play(reply("403 Forbidden")).status, 502);
   const Answer full = play(reply("429 Too Many Requests"));
   ASSERT_EQ(full.status, 503);
   ASSERT_NE(full.head.find("Retry-After: 2\r\n"), std::string::npos);
-  ASSERT_EQ(play([](Peer& s) { s.Reset(); }).status, 503);
-  ASSERT_EQ(play([](Peer& s) { s.Send("HTTP/1.1 200 OK\r\n\r\nno end"); }).status,
+  ASSERT_EQ(play([](TcpPeer& s) { s.Reset(); }).status, 503);
+  ASSERT_EQ(play([](TcpPeer& s) { s.Send("HTTP/1.1 200 OK\r\n\r\nno end"); }).status,
             503);  // an end that does not show
-  ASSERT_EQ(play([](Peer& s) {
+  ASSERT_EQ(play([](TcpPeer& s) {
               s.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
             }).status,
             503);
@@ -417,15 +417,15 @@
 
 TEST(HttpTest, AnswersAtTheDeadline) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const auto start = UnixMs();
   client.Send(Order("Idempotency-Key: k\r\n", ""));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   Message(server);
   const Answer answer = Read(client);
   ASSERT_EQ(answer.status, 504);
   ASSERT_LT(UnixMs() - start, 1'550);
-  ASSERT_TRUE(server.ToEnd().empty());  // given up on the wire as well
+  ASSERT_TRUE(server.ReadToEnd().empty());  // given up on the wire as well
 }
 
 // A begun answer that breaks, or stops moving, is seen as broken: short of its length, and the connection
@@ -433,41 +433,41 @@
 TEST(HttpTest, BreaksOffATruncatedResponse) {
   World world;
   for (const bool silent : {false, true}) {
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-    Peer server = world.cache.Accept();
+    TcpPeer server = world.cache.Accept();
     Message(server);
     server.Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
-    client.Until("\r\n\r\n");
-    ASSERT_EQ(client.Exactly(4), "half");
+    client.ReadUntil("\r\n\r\n");
+    ASSERT_EQ(client.ReadExactly(4), "half");
     if (!silent) server.Reset();
-    ASSERT_TRUE(client.ToEnd().empty());
+    ASSERT_TRUE(client.ReadToEnd().empty());
   }
 }
 
 // A client that stops reading holds its server back; all arrives once it reads again.
 TEST(HttpTest, AppliesBackpressureToServers) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   Message(server);
   const std::size_t total = 64 << 20;
   server.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(total) + "\r\n\r\n");
   const std::string block(1 << 20, 'x');
-  const std::size_t pushed = server.Push(block, total);
+  const std::size_t pushed = server.SendUntilBlocked(block, total);
   ASSERT_LT(pushed, total);  // the gateway does not take it all in
-  client.Until("\r\n\r\n");
+  client.ReadUntil("\r\n\r\n");
   for (std::size_t sent = pushed, got = 0; got < total; got += 1 << 20) {
-    if (sent < total) sent += server.Push(block, total - sent);
-    client.Exactly(1 << 20);
+    if (sent < total) sent += server.SendUntilBlocked(block, total - sent);
+    client.ReadExactly(1 << 20);
   }
 }
 
 TEST(HttpTest, FollowsConsul) {
   World world(true);
   ASSERT_NE(world.asked.find("?index=7&wait=30s"), std::string::npos);
-  const auto served_by = [&](Server& server) { return world.ServedBy(server); };
+  const auto served_by = [&](TcpListener& server) { return world.ServedBy(server); };
   // In maintenance it drains, critical is gone; warning is up. Either way the other one serves.
   const std::string both = Entry("n1", world.cache) + "," + Entry("n2", world.second);
   world.Tell("shop-cache", 8,
@@ -493,19 +493,19 @@
 // next word of health is heard meanwhile; the catalogue's answer still counts when it comes.
 TEST(HttpTest, AppliesHealthBeforeTheCatalog) {
   World world(true);
-  const auto served_by = [&](Server& server) { return world.ServedBy(server); };
-  const auto told = [&] { world.program->Line("shop-cache: 1 changes"); };
+  const auto served_by = [&](TcpListener& server) { return world.ServedBy(server); };
+  const auto told = [&] { world.program->ReadLogThrough("shop-cache: 1 changes"); };
   world.TellHealth("shop-cache", 8, Health("n1", "critical") + "," + Health("n2", "passing"));
   told();
   ASSERT_TRUE(served_by(world.second));
-  ASSERT_TRUE(world.cache.Quiet(0));
-  Peer& watch = world.watches.at("shop-cache");  // the catalogue is still silent
+  ASSERT_TRUE(world.cache.HasNoConnectionFor(0));
+  TcpPeer& watch = world.watches.at("shop-cache");  // the catalogue is still silent
   watch.Send(Reply("200 OK",
                    "[" + Health("n1", "critical") + "," + Health("n2", "critical", "_node_maintenance") + "]",
                    "X-Consul-Index: 9\r\n"));
   told();
   ASSERT_TRUE(served_by(world.stock));
-  ASSERT_TRUE(world.second.Quiet(0));
+  ASSERT_TRUE(world.second.HasNoConnectionFor(0));
   world.Asked(watch);
   ASSERT_NE(world.asked.find("?index=9&"), std::string::npos);
   watch.Send(Reply("200 OK", "[" + Health("n1", "passing") + "," + Health("n2", "critical") + "]",
@@ -517,7 +517,7 @@
   world.TellCatalog("shop-cache", both);
   told();
   // Health has changed since that was asked: it is asked again.
-  ASSERT_TRUE(world.catalogs.at("shop-cache").Until("\r\n\r\n").starts_with("GET /v1/catalog/service/"));
+  ASSERT_TRUE(world.catalogs.at("shop-cache").ReadUntil("\r\n\r\n").starts_with("GET /v1/catalog/service/"));
 }
 
 // What comes after the first list has just started, cold: without a figure yet of what one bears the module
@@ -526,13 +526,13 @@
   World world;
   world.Tell("shop-cache", 8, Health("n1", "critical") + "," + Health("n2", "passing"),
              Entry("n1", world.cache) + "," + Entry("n2", world.second));
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Get("/pages/a", Bearer(Token(kShared, Times(60)))));
-  Peer stock = world.stock.Accept();
+  TcpPeer stock = world.stock.Accept();
   Message(stock);
   stock.Send(Reply("200 OK", "page"));
   ASSERT_EQ(Read(client).body, "page");
-  ASSERT_TRUE(world.second.Quiet(0));
+  ASSERT_TRUE(world.second.HasNoConnectionFor(0));
 }
 
 TEST(HttpTest, PurgesForOperators) {
@@ -549,13 +549,13 @@
   ASSERT_EQ(purge("an operator's long token", body), 204);
   const auto start = UnixMs();
   while (UnixMs() < start + 1'100) ::usleep(10'000);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Get(Signed(kScan, Package(kScan, Times(60)))));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   const std::string asked = Message(server);
   ASSERT_NE(asked.find("Cache-Control: max-age=1\r\n"), std::string::npos);
   server.Send(Reply("200 OK", "old", "Age: 60\r\n"));  // from before the purge: not passed on
-  Peer next = world.stock.Accept();
+  TcpPeer next = world.stock.Accept();
   Message(next);
   next.Send(Reply("200 OK", "new"));
   ASSERT_EQ(Read(client).body, "new");
@@ -567,37 +567,37 @@
 // though the end stands behind what is not read.
 TEST(HttpTest, AbortsAttemptsOfADisconnectedClient) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Get(kScan, Bearer(Token(kShared, Times(60)))));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   Message(server);
   const std::string more(200'000, 'x');
-  ASSERT_GT(client.Push(more, more.size()), 0);
+  ASSERT_GT(client.SendUntilBlocked(more, more.size()), 0);
   const auto left = UnixMs();
   client.Reset();
-  ASSERT_TRUE(server.ToEnd().empty());
+  ASSERT_TRUE(server.ReadToEnd().empty());
   ASSERT_LT(UnixMs() - left, 700);  // not at the deadline, 1.5 s from the start
 }
 
 // A request of which a piece comes just when the gateway ends accepting, and the rest after it, is answered.
 TEST(HttpTest, ReceivesARequestStillBeingWrittenDuringShutdown) {
   World world;
-  Peer client = world.Client(), other = world.Client();
+  TcpPeer client = world.Client(), other = world.Client();
   const std::string request = Get(kScan, Bearer(Token(kShared, Times(60))));
   client.Send(request.substr(0, 10));
   other.Send(Get("/-/healthy"));
   ASSERT_EQ(Read(other).status, 200);
   world.program->Signal(SIGTERM);
-  world.program->Line("stopping");
+  world.program->ReadLogThrough("stopping");
   {
-    const Stopped stopped(*world.program);
+    const StoppedProgram stopped(*world.program);
     std::this_thread::sleep_for(std::chrono::milliseconds(800));  // past the end of accepting
     client.Send(request.substr(10, 10));
     other.Send(Get("/-/healthy"));
   }
   ASSERT_EQ(Read(other).status, 503);  // the round in which accepting ended has come
   client.Send(request.substr(20));
-  Peer server = world.cache.Accept();
+  TcpPeer server = world.cache.Accept();
   Message(server);
   server.Send(Reply("200 OK", "page"));
   ASSERT_EQ(Read(client).body, "page");
@@ -609,10 +609,10 @@
   World world;
   const std::string host = "Host: scans.example.is\r\n";
   const auto refused = [&](const std::string& request) {
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(request);
     const int status = Read(client).status;
-    CHECK_OR_THROW(client.ToEnd().empty());
+    CHECK_OR_THROW(client.ReadToEnd().empty());
     return status;
   };
   const std::string post = "POST /orders HTTP/1.1\r\n" + host;
--- a/tests/net/incident_test.cpp
+++ b/tests/net/incident_test.cpp
@@ -82,7 +82,7 @@
  private:
   void Run() {
     const std::string token = Token();
-    Peer client = Peer::Connect(port_);
+    TcpPeer client = TcpPeer::Connect(port_);
     for (int i = 0; !over_; ++i) {
       const std::string& name = kClasses[static_cast<std::size_t>(i) % 3];
       const std::string object = std::to_string(number_) + "-" + std::to_string(i % 30);
@@ -92,9 +92,9 @@
                       ? "POST /orders" + common + "Idempotency-Key: " + object + "-" + std::to_string(i) +
                             "\r\nContent-Length: 4\r\n\r\nbook"
                       : "GET /" + name + "/g" + std::to_string(i % 12) + "/" + object + common + "\r\n");
-      const std::string head = client.Until("\r\n\r\n") + "\r\n";
+      const std::string head = client.ReadUntil("\r\n\r\n") + "\r\n";
       const std::size_t at = head.find("Content-Length: ");
-      if (at != std::string::npos) client.Exactly(std::stoul(head.substr(at + 16)));
+      if (at != std::string::npos) client.ReadExactly(std::stoul(head.substr(at + 16)));
       const int status = std::stoi(head.substr(9));
       ++(status == 200 ? counts_.served : status == 503 ? counts_.refused : counts_.other)[name];
       SleepMs(8);
@@ -218,23 +218,23 @@
 
 // When the gateway at `port` has heard of every service.
 void AwaitReady(int port) {
-  for (const auto end = UnixMs() + kLimitMs;;) {
-    Peer client = Peer::Connect(port);
+  for (const auto end = UnixMs() + kWaitLimitMs;;) {
+    TcpPeer client = TcpPeer::Connect(port);
     client.Send("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n");
-    if (client.Until("\r\n\r\n").starts_with("HTTP/1.1 200")) return;
+    if (client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 200")) return;
     CHECK_OR_THROW(UnixMs() < end);
     SleepMs(5);
   }
 }
 
 int PurgeGroup(int port, const std::string& group) {
-  Peer client = Peer::Connect(port);
+  TcpPeer client = TcpPeer::Connect(port);
   const std::string body = R"({"group":")" + group + "\"}";
   client.Send(
       "POST /-/purge HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer an operator's long "
       "token\r\nContent-Length: " +
       std::to_string(body.size()) + "\r\n\r\n" + body);
-  return std::stoi(client.Until("\r\n\r\n").substr(9));
+  return std::stoi(client.ReadUntil("\r\n\r\n").substr(9));
 }
 
 std::int64_t Micros(const Json& time) {
@@ -316,10 +316,10 @@
   SleepMs(1500);
 
   // Two die, each with one request open; what they had answered 0.4 s before is on disk.
-  std::vector<Peer> held;
+  std::vector<TcpPeer> held;
   for (const int i : {2, 3}) stop(i);
   for (const int i : {2, 3}) {
-    held.push_back(Peer::Connect(instances[static_cast<std::size_t>(i)].port));
+    held.push_back(TcpPeer::Connect(instances[static_cast<std::size_t>(i)].port));
     held.back().Send("GET /pages/held/x HTTP/1.1\r\nHost: scans.example.is\r\nAuthorization: Bearer " +
                      Token() + "\r\n\r\n");
     ++counts.lost["pages"];
--- a/tests/net/kv_standin.hpp
+++ b/tests/net/kv_standin.hpp
@@ -9,6 +9,7 @@
 #include "harness.hpp"
 #include "lease/history.hpp"
 
+/// The store, with a thread of its own.
 class KvStandin {
  public:
   KvStandin() : thread_([this] { Run(); }) {}
@@ -143,7 +144,7 @@
     return true;
   }
 
-  Server server_;
+  TcpListener server_;
   mutable std::mutex mutex_;
   Record record_;
   tinspan::lease::History history_;
--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -37,9 +37,9 @@
   // What its door says; none: it does not answer (stopped).
   LeaseReport QueryLease(int member) {
     const Micros before = Steady();
-    ::Peer caller = ::Peer::Connect(fleet.instances[member].ops_port);
+    ::TcpPeer caller = ::TcpPeer::Connect(fleet.instances[member].ops_port);
     caller.Send("leases\n");
-    std::istringstream in(caller.ToEnd());
+    std::istringstream in(caller.ReadToEnd());
     std::string line, lease, left;
     CHECK_OR_THROW(std::getline(in, line) && line == "done" && std::getline(in, line));
     std::istringstream words(line);
@@ -141,7 +141,7 @@
   const std::uint64_t old = five.TokenOf(first);
   five.WaitForWrites(old - 1, 3);
   five.store.HoldNextWrite();
-  for (const long long end = UnixMs() + kLimitMs; !five.store.Holding();) {
+  for (const long long end = UnixMs() + kWaitLimitMs; !five.store.Holding();) {
     ASSERT_LT(UnixMs(), end);
   }
   five.fleet.instances[first].program->Signal(SIGSTOP);
@@ -150,7 +150,7 @@
   ASSERT_LT(took, kMaxTakeoverMs);
   const std::uint64_t next = five.TokenOf(second);
   ASSERT_GT(next, old);
-  for (const long long end = UnixMs() + kLimitMs; five.store.Stored().flags < next;) {
+  for (const long long end = UnixMs() + kWaitLimitMs; five.store.Stored().flags < next;) {
     ASSERT_LT(UnixMs(), end);
   }
   five.store.Release();  // the old write arrives
@@ -332,16 +332,16 @@
     One& one = all[i];
     one.program = std::make_unique<Program>(std::vector<std::string>{"serve", "-f", one.file},
                                             std::map<std::string, std::string>{});
-    const std::string line = one.program->Line("members at ");
+    const std::string line = one.program->ReadLogThrough("members at ");
     relay.Seated(i, PortOf(line.substr(0, line.find(" advertised"))));
     one.http = one.program->Port();
-    one.ops = PortOf(one.program->Line("operators' door at "));
+    one.ops = PortOf(one.program->ReadLogThrough("operators' door at "));
   }
   // What its door says of `purge`: a word named so, or the role.
   std::string StatusField(int i, const std::string& name) {
-    ::Peer caller = ::Peer::Connect(all[i].ops);
+    ::TcpPeer caller = ::TcpPeer::Connect(all[i].ops);
     caller.Send("leases\n");
-    std::istringstream in(caller.ToEnd());
+    std::istringstream in(caller.ReadToEnd());
     std::string line, lease, holder, token, left, role, word;
     CHECK_OR_THROW(std::getline(in, line) && line == "done" && std::getline(in, line));
     std::istringstream words(line);
@@ -364,10 +364,10 @@
   }
   void Purge(int at, const std::string& path) {
     const std::string body = R"({"object":")" + path + R"("})";
-    ::Peer caller = ::Peer::Connect(all[at].http);
+    ::TcpPeer caller = ::TcpPeer::Connect(all[at].http);
     caller.Send("POST /-/purge HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + all[at].token +
                 "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    CHECK_OR_THROW(caller.Until("\r\n").starts_with("HTTP/1.1 204"));
+    CHECK_OR_THROW(caller.ReadUntil("\r\n").starts_with("HTTP/1.1 204"));
   }
   // Milliseconds until each of `members` has applied so many that came from others.
   long long WaitForApplied(const std::map<int, int>& members) {
@@ -437,21 +437,21 @@
   ASSERT_NE(text.find(any), std::string::npos);
   text.replace(text.find(any), any.size(),
                R"("members":{"fleet":"shop","listen":"127.0.0.1:)" + std::to_string(one.port) + "\"");
-  one.file = std::make_unique<TempFile>(text);
+  one.file = std::make_unique<TemporaryFile>(text);
   const std::unique_ptr<Program> old = std::move(one.program);
   five.fleet.Start(voter);
-  one.program->Line("is in use");
-  const int door = PortOf(one.program->Line("operators' door at "));
+  one.program->ReadLogThrough("is in use");
+  const int door = PortOf(one.program->ReadLogThrough("operators' door at "));
   // Twice a voter's silence and what it would wait alone, before the port is free.
   for (const long long end = UnixMs() + 4 * kLengthMs; UnixMs() < end;) {
-    ::Peer caller = ::Peer::Connect(door);
+    ::TcpPeer caller = ::TcpPeer::Connect(door);
     caller.Send("leases\n");
-    ASSERT_NE(caller.ToEnd().find("voter-silent"), std::string::npos);
+    ASSERT_NE(caller.ReadToEnd().find("voter-silent"), std::string::npos);
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
   old->Signal(SIGTERM);
   ASSERT_EQ(old->Wait(), 0);
-  one.program->Line("members at ");
+  one.program->ReadLogThrough("members at ");
   one.ops_port = door;
   const long long began = UnixMs();
   while (five.QueryLease(voter).role == "voter-silent") {
@@ -467,9 +467,9 @@
 // Off where the file has no leases; a file that could grant a lease twice is rejected, naming the key.
 TEST(LeasesTest, IsOffWithoutLeases) {
   MembershipFleet off(1);
-  ::Peer caller = ::Peer::Connect(off.instances[0].ops_port);
+  ::TcpPeer caller = ::TcpPeer::Connect(off.instances[0].ops_port);
   caller.Send("leases\n");
-  ASSERT_EQ(caller.Until("\n"), "error leases are off here");
+  ASSERT_EQ(caller.ReadUntil("\n"), "error leases are off here");
   std::string text;
   std::ifstream in(off.instances[0].file->path);
   std::getline(in, text, '\0');
@@ -479,7 +479,7 @@
     std::string leases = good, file = text;
     leases.replace(leases.find(from), from.size(), to);
     file.replace(file.find("\"settings\""), 10, leases);
-    const TempFile written(file);
+    const TemporaryFile written(file);
     Program check({"check-config"},
                   {{"PROXY_NAME", "n0"}, {"PROXY_LISTEN", "127.0.0.1:0"}, {"PROXY_CONFIG", written.path}});
     const int status = check.Wait();
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -10,12 +10,12 @@
 
 TEST(PlatformTest, ServesHealthProbesAndCalls) {
   World world;
-  Peer client = world.Client();
-  client.Send(Bulk({"RPC.HEALTH", "1", ""}));
+  TcpPeer client = world.Client();
+  client.Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "healthy", "", ""}));
   client.Send(Call("2", ",cached=4be0c1927d55a6f3"));
-  Peer cache = Chosen(world);
-  const std::string line = cache.Until("\r\n");
+  TcpPeer cache = Chosen(world);
+  const std::string line = cache.ReadUntil("\r\n");
   ASSERT_TRUE(
       line.starts_with(std::string("REQ ") + kRef + " queue=pages,path=7f3a9c21e0b4d655,blk=3,budget="));
   // Nearly all of what the client allows is its answer's: some allow little more than the sending time.
@@ -24,7 +24,7 @@
   ASSERT_NE(line.find(",prio=1"), std::string::npos);
   ASSERT_NE(line.find(",f=share+swr"), std::string::npos);
   ASSERT_TRUE(line.ends_with(",mine=4be0c1927d55a6f3 0"));
-  ASSERT_TRUE(cache.Until("\r\n").empty());
+  ASSERT_TRUE(cache.ReadUntil("\r\n").empty());
   // Every byte value, and more than a socket takes at once; the answer comes in pieces.
   std::string body;
   for (int i = 0; i < 240'000; ++i) body += static_cast<char>(i * 7 + i / 256);
@@ -33,7 +33,7 @@
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"2", "done", "", body}));
   // The client's copy is the one: no bytes, and that is said.
   client.Send(Call("3", ",cached=4be0c1927d55a6f3"));
-  cache.Until("\r\n\r\n");
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(std::string(kRef) + " SAME entity=4be0c1927d55a6f3,issued=" + std::to_string(UnixMs()) +
              " 0\r\n\r\n");
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"3", "done", "keep=1", ""}));
@@ -41,35 +41,35 @@
 
 TEST(PlatformTest, ForwardsAWriteUnchanged) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const std::string body(48'000, '\xfe');
-  client.Send(Bulk(
+  client.Send(EncodeCommand(
       {"RPC.CALL", "5", "orders",
        std::string("ref=") + kRef +
            ",allow=3000,replay=5c0f6e1a2b3d4c59a8b7c6d5e4f30211,lookup=7f3a9c21e0b4d655,block=0,family=17",
        body}));
-  Peer cache = Chosen(world);
-  const std::string line = cache.Until("\r\n");
+  TcpPeer cache = Chosen(world);
+  const std::string line = cache.ReadUntil("\r\n");
   ASSERT_NE(line.find(",uniq=5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), std::string::npos);
   ASSERT_NE(line.find(",miss=o-1"), std::string::npos);
   ASSERT_TRUE(line.ends_with(" 48000"));
-  ASSERT_EQ(cache.Exactly(48'002), body + "\r\n");
+  ASSERT_EQ(cache.ReadExactly(48'002), body + "\r\n");
   cache.Send(Ok("sold"));
   ASSERT_EQ(Answer(client)[3], "sold");
 }
 
 // Guards against trusting what never ran or may have: each word leads to a further attempt elsewhere.
-void MovesOnAfter(const std::function<void(Peer&)>& end, bool again = false) {
+void MovesOnAfter(const std::function<void(TcpPeer&)>& end, bool again = false) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
   bool first = false;
-  Peer cache = Chosen(world, &first);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world, &first);
+  cache.ReadUntil("\r\n\r\n");
   end(cache);
   // The cache whose answer broke off has the copy by now and may be asked again; the others are passed over.
-  Peer next = again ? Chosen(world) : (first ? world.cache_b : world.cache_a).Accept();
-  CHECK_OR_THROW(next.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  TcpPeer next = again ? Chosen(world) : (first ? world.cache_b : world.cache_a).Accept();
+  CHECK_OR_THROW(next.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
   next.Send(Ok("abc"));
   CHECK_OR_THROW((Answer(client) == std::vector<std::string>{"1", "done", "", "abc"}));
 }
@@ -78,43 +78,43 @@
 // told.
 TEST(PlatformTest, AnswersOnceBeforeTheDeadline) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const auto start = UnixMs();
   client.Send(Call("1", "", 700));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   const auto answer = Answer(client);
   ASSERT_LT(UnixMs() - start, 750);
   ASSERT_TRUE(answer[1] == "later" || answer[1] == "error");
-  ASSERT_EQ(cache.Until("\r\n"), std::string("STOP ") + kRef);
+  ASSERT_EQ(cache.ReadUntil("\r\n"), std::string("STOP ") + kRef);
   cache.Send(Ok("too late"));
-  client.Send(Bulk({"RPC.HEALTH", "2", ""}));
+  client.Send(EncodeCommand({"RPC.HEALTH", "2", ""}));
   ASSERT_EQ(Answer(client)[0], "2");  // nothing of the late answer came before
 }
 
 TEST(PlatformTest, StopsAttemptsOfCancelledAndClosedClients) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
-  client.Send(Bulk({"RPC.CANCEL", "1"}));
-  ASSERT_EQ(cache.Until("\r\n"), std::string("STOP ") + kRef);
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
+  client.Send(EncodeCommand({"RPC.CANCEL", "1"}));
+  ASSERT_EQ(cache.ReadUntil("\r\n"), std::string("STOP ") + kRef);
   cache.Send(Ok("nobody's"));
-  client.Send(Bulk({"RPC.HEALTH", "2", ""}));
+  client.Send(EncodeCommand({"RPC.HEALTH", "2", ""}));
   ASSERT_EQ(Answer(client)[0], "2");
   client.Send(Call("3"));
-  Peer fresh = Chosen(world);  // an id given up here goes out on another connection
-  fresh.Until("\r\n\r\n");
+  TcpPeer fresh = Chosen(world);  // an id given up here goes out on another connection
+  fresh.ReadUntil("\r\n\r\n");
   client.Close();  // the same when the connection ends
-  ASSERT_EQ(fresh.Until("\r\n"), std::string("STOP ") + kRef);
+  ASSERT_EQ(fresh.ReadUntil("\r\n"), std::string("STOP ") + kRef);
 }
 
 // Guards against a removed server's queued sends and sources, and against taking a new server at an old
 // address for the one that has gone.
 TEST(PlatformTest, FollowsTheEndpointWatch) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   world.log.Send(Fleet(2, false,
                        Member("s-a", world.cache_a.Address(), "box", "removed") + "," +
                            Member("s-c", world.cache_a.Address())) +
@@ -125,46 +125,46 @@
                  "\n3\n");
   world.log.Close();
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 3");  // all of it is applied by now
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 3");  // all of it is applied by now
   client.Send(Call("1"));
-  Peer cache = world.cache_a.Accept();
-  ASSERT_NE(cache.Until("\r\n\r\n").find(",miss=o-1"), std::string::npos);  // no parent is left
+  TcpPeer cache = world.cache_a.Accept();
+  ASSERT_NE(cache.ReadUntil("\r\n\r\n").find(",miss=o-1"), std::string::npos);  // no parent is left
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client)[3], "abc");
   // A number that is ahead, and silence: both times it connects anew.
   world.log.Send("9\n");
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 3");
-  ASSERT_TRUE(world.log.Silent(100));
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 3");
+  ASSERT_TRUE(world.log.IsSilentFor(100));
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 3");
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 3");
 }
 
 // Guards against a change log that moves: what it tells from then on comes from the new address. State and
 // open requests stay, and a file that cannot be used changes nothing.
 TEST(PlatformTest, FollowsAReloadedConfiguration) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   const auto reload = [&](const std::string& text) {
     std::ofstream(world.file->path) << text;
     world.program->Signal(SIGHUP);
   };
   reload("{\"seed\": half a fi");
-  ASSERT_NE(world.program->Line("old one holds").find("JSON"), std::string::npos);
-  Server moved;
+  ASSERT_NE(world.program->ReadLogThrough("old one holds").find("JSON"), std::string::npos);
+  TcpListener moved;
   std::string config = world.config;
   config.replace(config.find(world.changelog.Address()), world.changelog.Address().size(), moved.Address());
   world.log.Send(Fleet(2, false, Member("s-x", world.cache_a.Address())) + "\n");
   world.log.Close();
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 2");  // the old one is still followed
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 2");  // the old one is still followed
   reload(config);
-  Peer log = moved.Accept();
-  ASSERT_EQ(log.Until("\n"), "since 2");
-  ASSERT_TRUE(world.log.ToEnd().empty());
+  TcpPeer log = moved.Accept();
+  ASSERT_EQ(log.ReadUntil("\n"), "since 2");
+  ASSERT_TRUE(world.log.ReadToEnd().empty());
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"1", "done", "", "abc"}));
 }
@@ -177,10 +177,10 @@
   const std::string gone = Fleet(3, false, Member("s-a", world.cache_a.Address(), "box", "removed"));
   world.log.Send(bad + "\n" + gone + "\n");
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 1");  // it may have been spoilt on the way: asked for once more
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 1");  // it may have been spoilt on the way: asked for once more
   world.log.Send(bad + "\n" + gone + "\n");
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 2");
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 2");
   const std::string event = Fleet(4, false, Member("p-1", world.parent.Address(), "up", "removed"));
   world.log.Send(gone + "\n" + gone + "\n");
   const auto start = UnixMs();
@@ -188,15 +188,15 @@
     world.log.Send(std::string(1, one));
     ::usleep(100'000);
   }
-  Peer log = world.changelog.Accept();
-  ASSERT_EQ(log.Until("\n"), "since 3");
+  TcpPeer log = world.changelog.Accept();
+  ASSERT_EQ(log.ReadUntil("\n"), "since 3");
   ASSERT_LT(UnixMs() - start, 3'000);
   log.Send(event + "\n");
   log.Close();
-  ASSERT_EQ(world.changelog.Accept().Until("\n"), "since 4");
-  Peer client = world.Client();
+  ASSERT_EQ(world.changelog.Accept().ReadUntil("\n"), "since 4");
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  ASSERT_NE(world.cache_b.Accept().Until("\r\n\r\n").find(",miss=o-1"), std::string::npos);
+  ASSERT_NE(world.cache_b.Accept().ReadUntil("\r\n\r\n").find(",miss=o-1"), std::string::npos);
 }
 
 // No copy older than a purge goes out once the grace is over, whatever the cache says.
@@ -207,20 +207,20 @@
                  "}}\n" + R"({"seq":3,"invalidate":{"bucket":200,"time":)" + std::to_string(purged) + "}}\n");
   world.log.Close();
   world.log = world.changelog.Accept();
-  ASSERT_EQ(world.log.Until("\n"), "since 3");
+  ASSERT_EQ(world.log.ReadUntil("\n"), "since 3");
   while (UnixMs() < purged + 1'300) ::usleep(10'000);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
   bool first = false;
-  Peer cache = Chosen(world, &first);
-  const std::string line = cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world, &first);
+  const std::string line = cache.ReadUntil("\r\n\r\n");
   const std::size_t at = line.find(",within=");
   ASSERT_NE(at, std::string::npos);
   ASSERT_LE(std::stol(line.substr(at + 8)), UnixMs() - purged);
   ASSERT_EQ(line.find("share"), std::string::npos);  // a fill under way may have begun before the purge
   cache.Send(std::string(kRef) + " OK entity=e0,issued=" + std::to_string(purged - 5) + " 3\r\nold\r\n");
-  Peer next = (first ? world.cache_b : world.cache_a).Accept();
-  next.Until("\r\n\r\n");
+  TcpPeer next = (first ? world.cache_b : world.cache_a).Accept();
+  next.ReadUntil("\r\n\r\n");
   next.Send(Ok("new"));
   ASSERT_EQ(Answer(client)[3], "new");
 }
@@ -230,26 +230,26 @@
   for (const std::string& bad :
        {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("*1\r\n$99999999\r\n"), std::string("*0\r\n"),
         std::string("*-3\r\n"), std::string("*2\r\n$8\r\nRPC.CALL\r\n$70000\r\n")}) {
-    Peer client = world.Client();
+    TcpPeer client = world.Client();
     client.Send(bad);
-    ASSERT_TRUE(client.ToEnd().empty());
+    ASSERT_TRUE(client.ReadToEnd().empty());
   }
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send("no answer\r\n");  // nor does a server's
-  ASSERT_EQ(cache.ToEnd(), std::string("STOP ") + kRef + "\r\n");
+  ASSERT_EQ(cache.ReadToEnd(), std::string("STOP ") + kRef + "\r\n");
 }
 
 // Guards against one unusable message taking along what else is open on its connection, against two requests
 // under one id, and against a flood that keeps others waiting.
 TEST(PlatformTest, RejectsOnlyTheUnusableRequest) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   const std::string start = std::string("ref=") + kOther + ",allow=";
   const std::vector<std::vector<std::string>> bad{
       {"RPC.CALL", "2", "nonsense", start + "500", ""},
@@ -264,13 +264,13 @@
       {"RPC.CALL", "2", "pages", std::string("ref=") + kRef + ",allow=500,lookup=00003a9c21e0b4d6", ""},
       {"RPC.SING", "2"}};
   for (const auto& words : bad) {
-    client.Send(Bulk(words));
+    client.Send(EncodeCommand(words));
     ASSERT_EQ(Answer(client), (std::vector<std::string>{"2", "error", "", ""}));
   }
-  client.Send(Bulk({"RPC.CALL", "x", "pages", start + "500", ""}));
+  client.Send(EncodeCommand({"RPC.CALL", "x", "pages", start + "500", ""}));
   ASSERT_EQ(Answer(client)[1], "error");
   // A flood on another connection: 32 at most are open, the others are told at once, by whichever word.
-  Peer flood = world.Client();
+  TcpPeer flood = world.Client();
   std::string many;
   for (int i = 100; i < 400; ++i) {
     many += Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", "9b1f03aa5c7e2" + std::to_string(i));
@@ -285,7 +285,7 @@
   client.Send(Call("5", "", 2500, "7f3a9c21e0b4d655", kOther));
   client.Send(Call("5", "", 2500, "7f3a9c21e0b4d655", "9b1f03aa5c7e2d43"));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"5", "error", "", ""}));
-  client.Send(Bulk({"RPC.HEALTH", "6", ""}));
+  client.Send(EncodeCommand({"RPC.HEALTH", "6", ""}));
   ASSERT_EQ(Answer(client)[0], "6");
 }
 
@@ -293,25 +293,25 @@
 // let go, and they never keep others out.
 TEST(PlatformTest, ClosesIdleClients) {
   World world(0, true, "64");
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   const auto start = UnixMs();
-  Peer silent = world.Client(), half = world.Client(), withdrawn = world.Client();
+  TcpPeer silent = world.Client(), half = world.Client(), withdrawn = world.Client();
   half.Send("*5\r\n$8\r\nRPC.CALL\r\n$1\r\n");
-  withdrawn.Send(Call("1", "", 2500, "7f3a9c21e0b4d655", kOther) + Bulk({"RPC.CANCEL", "1"}));
-  std::vector<Peer> holders;
+  withdrawn.Send(Call("1", "", 2500, "7f3a9c21e0b4d655", kOther) + EncodeCommand({"RPC.CANCEL", "1"}));
+  std::vector<TcpPeer> holders;
   for (int i = 0; i < 100; ++i) {  // more than there is place for
     holders.push_back(world.Client());
-    holders.back().Send(Bulk({"RPC.HEALTH", "1", ""}));
+    holders.back().Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
     ASSERT_EQ(Answer(holders.back())[1], "healthy");
   }
-  ASSERT_TRUE(holders.front().ToEnd().empty());
+  ASSERT_TRUE(holders.front().ReadToEnd().empty());
   cache.Send(Ok("abc"));  // what has a request open stays throughout
   ASSERT_EQ(Answer(client)[3], "abc");
-  for (Peer* const one : {&silent, &half, &withdrawn}) {
-    ASSERT_TRUE(one->ToEnd().empty());
+  for (TcpPeer* const one : {&silent, &half, &withdrawn}) {
+    ASSERT_TRUE(one->ReadToEnd().empty());
   }
   ASSERT_LT(UnixMs() - start, 3'000);
 }
@@ -320,15 +320,15 @@
 // elsewhere.
 TEST(PlatformTest, RetriesElsewhereAfterAStalledResponse) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const auto start = UnixMs();
   client.Send(Call("1", "", 10'000));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(std::string(kRef) + " OK entity=e,issued=1 100\r\nhalf");
-  ASSERT_EQ(cache.ToEnd(), std::string("STOP ") + kRef + "\r\n");
-  Peer next = Chosen(world);
-  next.Until("\r\n\r\n");
+  ASSERT_EQ(cache.ReadToEnd(), std::string("STOP ") + kRef + "\r\n");
+  TcpPeer next = Chosen(world);
+  next.ReadUntil("\r\n\r\n");
   next.Send(Ok("whole"));
   ASSERT_EQ(Answer(client)[3], "whole");
   ASSERT_LT(UnixMs() - start, 1'500);
@@ -338,29 +338,30 @@
 // and what waits on it is tried again in time.
 TEST(PlatformTest, SendsNothingNewOnASilentConnection) {
   World world(0, false);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const auto ask = [&](const std::string& tag, const std::string& ref) {
-    client.Send(Bulk({"RPC.CALL", tag, "pages",
-                      "ref=" + ref + ",allow=5000,lookup=7f3a9c21e0b4d655,block=3,family=17,room=10", ""}));
+    client.Send(
+        EncodeCommand({"RPC.CALL", tag, "pages",
+                       "ref=" + ref + ",allow=5000,lookup=7f3a9c21e0b4d655,block=3,family=17,room=10", ""}));
   };
   std::vector<std::string> refs;
   for (int i = 10; i < 30; ++i) refs.push_back("9b1f03aa5c7e2d" + std::to_string(i));
   for (int i = 0; i < 5; ++i) ask(std::to_string(i + 1), refs[i]);
-  Peer dead = world.cache_a.Accept();
-  for (int i = 0; i < 4; ++i) dead.Until("\r\n\r\n");
-  Peer live = world.cache_a.Accept();  // the risk is spread
-  ASSERT_TRUE(live.Until("\r\n\r\n").starts_with("REQ " + refs[4]));
-  ASSERT_TRUE(dead.Silent(600));  // that another connection came up is no word of the server
+  TcpPeer dead = world.cache_a.Accept();
+  for (int i = 0; i < 4; ++i) dead.ReadUntil("\r\n\r\n");
+  TcpPeer live = world.cache_a.Accept();  // the risk is spread
+  ASSERT_TRUE(live.ReadUntil("\r\n\r\n").starts_with("REQ " + refs[4]));
+  ASSERT_TRUE(dead.IsSilentFor(600));  // that another connection came up is no word of the server
   live.Send(Ok("abc", "", refs[4]));
   ASSERT_EQ(Answer(client)[0], "5");
   // Silent for too long, while the other spoke. What it owed goes out again: STOP first, as a close may come
   // late.
-  const std::string end = dead.ToEnd();
+  const std::string end = dead.ReadToEnd();
   for (int i = 0; i < 4; ++i) {
     ASSERT_NE(end.find("STOP " + refs[i] + "\r\n"), std::string::npos);
   }
   for (int i = 0; i < 4; ++i) {
-    const std::string line = live.Until("\r\n\r\n");
+    const std::string line = live.ReadUntil("\r\n\r\n");
     live.Send(Ok("def", "", line.substr(4, 16)));
     ASSERT_EQ(Answer(client)[3], "def");
   }
@@ -370,17 +371,17 @@
 // serve what comes later under that id.
 TEST(PlatformTest, IgnoresUnsolicitedResponses) {
   World world(0, false);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = world.cache_a.Accept();
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = world.cache_a.Accept();
+  cache.ReadUntil("\r\n\r\n");
   cache.Send(Ok("abc") + Ok("abc") + Ok("not yours", "", kOther));
   ASSERT_EQ(Answer(client)[3], "abc");
-  client.Send(Bulk({"RPC.HEALTH", "2", ""}));
+  client.Send(EncodeCommand({"RPC.HEALTH", "2", ""}));
   ASSERT_EQ(Answer(client)[0], "2");
   client.Send(Call("3", "", 2500, "7f3a9c21e0b4d655", kOther));
-  Peer fresh = world.cache_a.Accept();  // that id does not go out where it has been answered
-  ASSERT_TRUE(fresh.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+  TcpPeer fresh = world.cache_a.Accept();  // that id does not go out where it has been answered
+  ASSERT_TRUE(fresh.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
   fresh.Send(Ok("right", "", kOther));
   ASSERT_EQ(Answer(client), (std::vector<std::string>{"3", "done", "", "right"}));
 }
@@ -388,16 +389,16 @@
 // A planned restart: clients are taken for a while yet, what was taken is finished, and the end is clean.
 TEST(PlatformTest, ShutsDownGracefully) {
   World world;
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   client.Send(Call("1"));
-  Peer cache = Chosen(world);
-  cache.Until("\r\n\r\n");
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
   world.program->Signal(SIGTERM);
-  world.program->Line("stopping");
-  Peer late = world.Client();
-  late.Send(Bulk({"RPC.HEALTH", "7", ""}));
+  world.program->ReadLogThrough("stopping");
+  TcpPeer late = world.Client();
+  late.Send(EncodeCommand({"RPC.HEALTH", "7", ""}));
   ASSERT_EQ(Answer(late)[1], "closing");
-  ASSERT_TRUE(late.ToEnd().empty());  // idle, and the time for new ones is over
+  ASSERT_TRUE(late.ReadToEnd().empty());  // idle, and the time for new ones is over
   cache.Send(Ok("abc"));
   ASSERT_EQ(Answer(client)[3], "abc");
   ASSERT_EQ(world.program->Wait(), 0);
@@ -406,14 +407,14 @@
 // Guards against a listener that never hears of a waiting client again once descriptors ran out.
 TEST(PlatformTest, SurvivesDescriptorExhaustion) {
   World world(40);
-  std::vector<Peer> clients;
+  std::vector<TcpPeer> clients;
   for (int i = 0; i < 60; ++i) clients.push_back(world.Client());
-  ASSERT_TRUE(clients.back().ToEnd().empty());  // taken and closed at once, not left waiting
+  ASSERT_TRUE(clients.back().ReadToEnd().empty());  // taken and closed at once, not left waiting
   clients.clear();
   for (int i = 0;; ++i) {  // those that went are closed on the other side in its own time
-    Peer client = world.Client();
-    client.Send(Bulk({"RPC.HEALTH", "1", ""}));
-    if (!client.ToEndOr("healthy").empty()) break;
+    TcpPeer client = world.Client();
+    client.Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
+    if (!client.ReadUntilOrEmpty("healthy").empty()) break;
     ASSERT_LT(i, 1000);
   }
 }
@@ -421,16 +422,16 @@
 // A client that takes nothing of its answers, and one that is served meanwhile.
 TEST(PlatformTest, BuffersForASlowClient) {
   World world(0, false);
-  Peer slow = world.Client(), client = world.Client();
+  TcpPeer slow = world.Client(), client = world.Client();
   const std::string body(240'000, 'x');
-  Peer cache;
+  TcpPeer cache;
   for (int i = 10; i < 42; ++i) {  // each is answered before the next is asked, and none is read
     const std::string ref = "9b1f03aa5c7e2d" + std::to_string(i);
     slow.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
     if (i == 10) cache = world.cache_a.Accept();
-    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with("REQ " + ref));
     client.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", kOther));
-    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
     cache.Send(Ok(body, "", ref) + Ok("abc", "", kOther));
     ASSERT_EQ(Answer(client)[3], "abc");  // so the one before it on the wire is through as well
   }
@@ -441,25 +442,25 @@
 
 // Clients that read nothing and have filled their share of the memory hold the servers' answers back, and so
 // everybody else: they are let go soon, not after the 10 s that a slow one has otherwise.
-TEST(PlatformTest, KeepsServingWhileOneClientFloods) {
+TEST(PlatformTest, ClosesStalledReadersThatHoldUpOthers) {
   World world(0, false, "1024", "32");
-  std::vector<Peer> slow;
-  Peer client = world.Client(), cache;
+  std::vector<TcpPeer> slow;
+  TcpPeer client = world.Client(), cache;
   const std::string body(240'000, 'x');
   for (int i = 100; i < 228; ++i) {
     if ((i - 100) % 32 == 0) slow.push_back(world.Client());
     const std::string ref = "9b1f03aa5c7e2" + std::to_string(i);
     slow.back().Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
     if (i == 100) cache = world.cache_a.Accept();
-    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with("REQ " + ref));
     client.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", kOther));
-    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
     cache.Send(Ok(body, "", ref) + Ok("abc", "", kOther));
     const auto start = UnixMs();
     ASSERT_EQ(Answer(client)[3], "abc");
     if (UnixMs() - start > 300) break;  // it was held up, and is not any more
   }
-  world.program->Line("takes no answers, connection closed");
+  world.program->ReadLogThrough("takes no answers, connection closed");
 }
 
 // A client that reads 1 MB a second and a change log that breaks off in the middle of a line and stalls,
@@ -468,7 +469,7 @@
 // loop that waits on a half line.
 TEST(PlatformTest, ServesBesideASlowReaderAndAStalledEndpointWatch) {
   World world(0, false);
-  Peer slow = world.Client(), client = world.Client(), cache;
+  TcpPeer slow = world.Client(), client = world.Client(), cache;
   const int kept =
       64 * 1024;  // so that the slow one's kernel buffer holds little and the doorman holds the rest
   ASSERT_EQ(::setsockopt(slow.Descriptor(), SOL_SOCKET, SO_RCVBUF, &kept, sizeof kept), 0);
@@ -479,22 +480,22 @@
     const std::string ref = "9b1f03aa5c7e2d" + std::to_string(i);
     slow.Send(Call(std::to_string(i), "", 2500, "7f3a9c21e0b4d655", ref));
     if (i == 10) cache = world.cache_a.Accept();
-    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with("REQ " + ref));
+    ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with("REQ " + ref));
     cache.Send(Ok(body, "", ref));
-    expected.push_back(Bulk({std::to_string(i), "done", "", body}));
+    expected.push_back(EncodeCommand({std::to_string(i), "done", "", body}));
   }
   std::string all;
   for (const auto& one : expected) all += one;
   const auto start = UnixMs();
   std::string read;
-  TestThread reader([&] { read = slow.Paced(all.size(), 1e6); });
+  TestThread reader([&] { read = slow.ReadPaced(all.size(), 1e6); });
   // The change log breaks off in the middle of an event and says nothing more.
   const std::string event = Fleet(2, false, Member("p-1", world.parent.Address(), "up", "removed"));
   world.log.Send(event.substr(0, 20));
   std::int64_t worst = 0;
   for (int i = 0; i < 15; ++i) {  // one request each 100 ms while the slow one reads
     client.Send(Call(std::to_string(100 + i), "", 2500, "7f3a9c21e0b4d655", kOther));
-    ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
+    ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kOther));
     const auto answered = UnixMs();
     cache.Send(Ok("abc", "", kOther));
     ASSERT_EQ(Answer(client)[3], "abc");
@@ -503,12 +504,12 @@
   }
   ASSERT_LT(worst,
             100);  // from the cache's answer to the client's, while a slow one and a stalled log are there
-  Peer log = world.changelog.Accept();  // a change log without a whole line for 1.8 s is connected anew
-  ASSERT_EQ(log.Until("\n"), "since 1");
+  TcpPeer log = world.changelog.Accept();  // a change log without a whole line for 1.8 s is connected anew
+  ASSERT_EQ(log.ReadUntil("\n"), "since 1");
   ASSERT_LT(UnixMs() - start, 3'000);
   log.Send(event + "\n");
   log.Close();
-  ASSERT_EQ(world.changelog.Accept().Until("\n"), "since 2");  // and followed
+  ASSERT_EQ(world.changelog.Accept().ReadUntil("\n"), "since 2");  // and followed
   reader.Join();
   ASSERT_GE(UnixMs() - start, 1'500);  // it was read slowly...
   ASSERT_TRUE(read == all);            // ...and every byte is there, in order
@@ -527,15 +528,15 @@
   }
   World world(0, false, "1024", "192", settings);
   ASSERT_EQ(::listen(world.cache_a.Descriptor(), 0), 0);
-  Peer first =
-      Peer::Connect(world.cache_a.port);  // fills the queue: the next one's SYN is dropped, and sent again
-  Peer client = world.Client();
+  TcpPeer first =
+      TcpPeer::Connect(world.cache_a.port);  // fills the queue: the next one's SYN is dropped, and sent again
+  TcpPeer client = world.Client();
   client.Send(Call("1", "", 10'000));
-  ASSERT_TRUE(client.Silent(600));  // past the aim: called off and asked for again
+  ASSERT_TRUE(client.IsSilentFor(600));  // past the aim: called off and asked for again
   world.cache_a.Accept();
-  Peer cache = world.cache_a.Accept();
-  ASSERT_TRUE(cache.Until("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
-  const std::string after = cache.During(150);
+  TcpPeer cache = world.cache_a.Accept();
+  ASSERT_TRUE(cache.ReadUntil("\r\n\r\n").starts_with(std::string("REQ ") + kRef));
+  const std::string after = cache.ReadFor(150);
   bool stopped = false;
   for (std::size_t at = 0; at < after.size();) {
     const std::size_t end = after.find("\r\n", at);
@@ -560,25 +561,25 @@
     settings.replace(settings.find(from), std::string_view(from).size(), to);
   }
   World world(0, false, "1024", "192", settings);
-  Peer client = world.Client();
+  TcpPeer client = world.Client();
   const auto call = [&](int number) {
     client.Send(Call(std::to_string(number), "", 10'000, "7f3a9c21e0b4d655",
                      "9b1f03aa5c7e2d4" + std::to_string(number)));
   };
   call(1);
-  Peer first = world.cache_a.Accept();
+  TcpPeer first = world.cache_a.Accept();
   for (int i = 2; i <= 4; ++i) call(i);
-  for (int i = 1; i <= 4; ++i) first.Until("\r\n\r\n");
+  for (int i = 1; i <= 4; ++i) first.ReadUntil("\r\n\r\n");
   call(5);  // four at most on a connection while another can be opened
-  Peer second = world.cache_a.Accept();
-  second.Until("\r\n\r\n");
+  TcpPeer second = world.cache_a.Accept();
+  second.ReadUntil("\r\n\r\n");
   second.Send(Ok("abc", "", "9b1f03aa5c7e2d45"));
   ASSERT_EQ(Answer(client)[0], "5");
   world.program->Signal(SIGSTOP);
   call(6);
-  ASSERT_TRUE(first.Silent(1'000));  // past the four's aim
+  ASSERT_TRUE(first.IsSilentFor(1'000));  // past the four's aim
   const int ready = ::epoll_create1(0);
-  const std::map<int, Peer*> peers{{first.Descriptor(), &first}, {second.Descriptor(), &second}};
+  const std::map<int, TcpPeer*> peers{{first.Descriptor(), &first}, {second.Descriptor(), &second}};
   for (const auto& [fd, peer] : peers) {
     epoll_event event{EPOLLIN, {.fd = fd}};
     ASSERT_EQ(::epoll_ctl(ready, EPOLL_CTL_ADD, fd, &event), 0);
@@ -590,7 +591,7 @@
   while (again == 0) {
     std::this_thread::sleep_for(std::chrono::milliseconds(200));  // all of the round is in
     epoll_event events[2];
-    const int count = ::epoll_wait(ready, events, 2, kLimitMs);
+    const int count = ::epoll_wait(ready, events, 2, kWaitLimitMs);
     ASSERT_GT(count, 0);
     for (int i = 0; i < count; ++i) {
       const int fd = events[i].data.fd;
@@ -617,24 +618,24 @@
 }
 
 TEST(PlatformTest, RetriesElsewhereAfterBusy) {
-  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " BUSY - 0\r\n\r\n"); });
+  MovesOnAfter([](TcpPeer& c) { c.Send(std::string(kRef) + " BUSY - 0\r\n\r\n"); });
 }
 
 TEST(PlatformTest, RetriesElsewhereAfterMiss) {
-  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " MISS - 0\r\n\r\n"); });
+  MovesOnAfter([](TcpPeer& c) { c.Send(std::string(kRef) + " MISS - 0\r\n\r\n"); });
 }
 
 TEST(PlatformTest, RetriesElsewhereAfterErr) {
-  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " ERR - 0\r\n\r\n"); });
+  MovesOnAfter([](TcpPeer& c) { c.Send(std::string(kRef) + " ERR - 0\r\n\r\n"); });
 }
 
 TEST(PlatformTest, RetriesElsewhereAfterVoid) {
-  MovesOnAfter([](Peer& c) { c.Send(std::string(kRef) + " VOID - 0\r\n\r\n"); });
+  MovesOnAfter([](TcpPeer& c) { c.Send(std::string(kRef) + " VOID - 0\r\n\r\n"); });
 }
 
 TEST(PlatformTest, RetriesAfterHalfAResponse) {
   MovesOnAfter(
-      [](Peer& c) {
+      [](TcpPeer& c) {
         c.Send(std::string(kRef) + " OK entity=e,issued=1 100\r\nhalf");
         c.Reset();
       },
--- a/tests/net/platform_world.hpp
+++ b/tests/net/platform_world.hpp
@@ -1,21 +1,24 @@
-// One real doorman on the platform with two caches, a parent, the origin and a change log played here, and
-// the words of its wires; shared by the platform's process tests.
+// One real proxy instance on the platform, with two edge caches, a parent cache, the origin and the endpoint
+// watch played by the test, and the messages of its protocols; shared by the platform's process tests.
 #pragma once
 
 #include "harness.hpp"
 
 namespace {
 
+/// One entry of an endpoint list, as JSON.
 inline std::string Member(const std::string& id, const std::string& address, const std::string& kind = "box",
                           const std::string& state = "up") {
   return R"({"id":")" + id + R"(","addr":")" + address + R"(","zone":")" + (kind == "box" ? "edge" : "core") +
          R"(","kind":")" + kind + R"(","cell":0,"state":")" + state + R"(","weight":1,"started_ms":0})";
 }
+/// One watch event with endpoints, as JSON: the complete list if `full`, else changes.
 inline std::string Fleet(int seq, bool full, const std::string& members) {
   return R"({"seq":)" + std::to_string(seq) + R"(,"fleet":{"version":1,"full":)" + (full ? "true" : "false") +
          R"(,"servers":[)" + members + "]}}";
 }
 
+/// The settings that the instance is started with: an idempotent class, and one with idempotency keys.
 constexpr const char* kSettings = R"({"areas":["core","edge"],"kinds":["box","up","store"],"zone":"edge",
 "instances":1,"me":0,"tickMs":2.0,"lanes":[
 {"name":"pages","effect":"repeatable","keyScope":"all","promiseMs":2000.0,"aimStretch":2.0,"giveUpMs":2500.0,
@@ -31,15 +34,17 @@
 "rules":{"coldShare":0.2,"warmAfterMs":16000.0,"fallMultiple":2.5,"tipAfterMs":3000.0,"drainGraceMs":500.0,
 "graceToAnswerMs":8.0},"weights":"off","registryMode":"automatic"})";
 
-// One doorman with two caches, a parent and the origin.
+/// One instance with its caches, the origin and the endpoint watch; it serves once the object is made.
 struct World {
-  Server cache_a, cache_b, parent, origin, changelog;
-  std::unique_ptr<TempFile> file;
+  TcpListener cache_a, cache_b, parent, origin, changelog;
+  std::unique_ptr<TemporaryFile> file;
   std::unique_ptr<Program> program;
-  Peer log;  // the change log's connection
+  TcpPeer log;  // the connection of the endpoint watch
   std::string config;
   int port = 0;
 
+  /// `descriptors` is the instance's RLIMIT_NOFILE (0: unchanged), `two` whether the second cache is listed,
+  /// `sockets` and `memory` (MB) are its limits, `more` is further environment.
   explicit World(rlim_t descriptors = 0, bool two = true, const std::string& sockets = "1024",
                  const std::string& memory = "192", const std::string& settings = kSettings,
                  const std::map<std::string, std::string>& more = {}) {
@@ -51,7 +56,7 @@
              memory + R"(,"sockets":)" + sockets + R"(},"changelog":")" + changelog.Address() +
              R"(","known":{"seq":1,"results":[)" + Fleet(1, true, members) + R"(]},"settings":)" + settings +
              "}";
-    file = std::make_unique<TempFile>(config);
+    file = std::make_unique<TemporaryFile>(config);
     std::map<std::string, std::string> environment{
         {"PROXY_NAME", "n0"}, {"PROXY_LISTEN", "127.0.0.1:0"}, {"PROXY_CONFIG", file->path}};
     environment.insert(more.begin(), more.end());
@@ -59,47 +64,52 @@
                                         std::move(environment), descriptors);
     port = program->Port();
     log = changelog.Accept();
-    CHECK_OR_THROW(log.Until("\n") == "since 1");
+    CHECK_OR_THROW(log.ReadUntil("\n") == "since 1");
   }
-  Peer Client() { return Peer::Connect(port); }
+  TcpPeer Client() { return TcpPeer::Connect(port); }
 };
 
-inline std::string Bulk(const std::vector<std::string>& words) {
+/// A command of the clients' protocol: an array of bulk strings (RESP).
+inline std::string EncodeCommand(const std::vector<std::string>& words) {
   std::string out = "*" + std::to_string(words.size()) + "\r\n";
   for (const auto& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
   return out;
 }
-inline std::vector<std::string> Answer(Peer& client) {
-  CHECK_OR_THROW(client.Until("\r\n") == "*4");
+/// Reads one answer: tag, status, fields and body.
+inline std::vector<std::string> Answer(TcpPeer& client) {
+  CHECK_OR_THROW(client.ReadUntil("\r\n") == "*4");
   std::vector<std::string> words;
   for (int i = 0; i < 4; ++i) {
-    CHECK_OR_THROW(client.Exactly(1) == "$");
-    const auto length = std::stoul(client.Until("\r\n"));
-    words.push_back(client.Exactly(length));
-    CHECK_OR_THROW(client.Exactly(2) == "\r\n");
+    CHECK_OR_THROW(client.ReadExactly(1) == "$");
+    const auto length = std::stoul(client.ReadUntil("\r\n"));
+    words.push_back(client.ReadExactly(length));
+    CHECK_OR_THROW(client.ReadExactly(2) == "\r\n");
   }
   return words;
 }
+/// Ids of requests.
 constexpr const char* kRef = "9b1f03aa5c7e2d41";
 constexpr const char* kOther = "9b1f03aa5c7e2d42";
+/// A request of the class "pages".
 inline std::string Call(const std::string& tag, const std::string& more = "", int allow = 2500,
                         const std::string& object = "7f3a9c21e0b4d655", const std::string& ref = kRef) {
-  return Bulk({"RPC.CALL", tag, "pages",
-               "ref=" + ref + ",allow=" + std::to_string(allow) + ",lookup=" + object +
-                   ",block=3,family=17,room=412.5" + more,
-               ""});
+  return EncodeCommand({"RPC.CALL", tag, "pages",
+                        "ref=" + ref + ",allow=" + std::to_string(allow) + ",lookup=" + object +
+                            ",block=3,family=17,room=412.5" + more,
+                        ""});
 }
-// Whichever of the two caches the hash chose.
-inline Peer Chosen(World& world, bool* first = nullptr) {
-  for (const auto end = UnixMs() + kLimitMs; UnixMs() < end;) {
-    if (!world.cache_a.Quiet(5))
+/// Accepts at whichever of the two caches the hash chose; `first` tells whether it is the first.
+inline TcpPeer Chosen(World& world, bool* first = nullptr) {
+  for (const auto end = UnixMs() + kWaitLimitMs; UnixMs() < end;) {
+    if (!world.cache_a.HasNoConnectionFor(5))
       return first ? (*first = true, world.cache_a.Accept()) : world.cache_a.Accept();
-    if (!world.cache_b.Quiet(5))
+    if (!world.cache_b.HasNoConnectionFor(5))
       return first ? (*first = false, world.cache_b.Accept()) : world.cache_b.Accept();
   }
   CHECK_OR_THROW(false);
-  return Peer();
+  return TcpPeer();
 }
+/// A cache's successful response.
 inline std::string Ok(const std::string& body, const std::string& fields = "",
                       const std::string& ref = kRef) {
   return ref + " OK entity=e1,issued=" + std::to_string(UnixMs()) + fields + " " +
--- /dev/null
+++ b/tests/net/program.hpp
@@ -0,0 +1,197 @@
+// The real program as a child process of a test, and the files that it reads.
+#pragma once
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "checks.hpp"
+#include "tcp.hpp"
+
+/// A file with a text, deleted with the object.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text) {
+    char name[] = "/tmp/tinspan-test-XXXXXX";
+    const int fd = ::mkstemp(name);
+    CHECK_OR_THROW(fd >= 0);
+    ::close(fd);
+    path = name;
+    std::ofstream(path) << text;
+  }
+  TemporaryFile(const TemporaryFile&) = delete;
+  TemporaryFile& operator=(const TemporaryFile&) = delete;
+  ~TemporaryFile() { ::unlink(path.c_str()); }
+
+  std::string path;
+};
+
+/// The program as a process, killed and waited for by the destructor. While it runs, its log is shown with
+/// failures.
+class Program {
+ public:
+  /// Starts it. `max_descriptors` is its RLIMIT_NOFILE, 0 leaves the test's. With `is_log_full` nothing that
+  /// it logs fits until the log is read: it stops in its first line.
+  Program(std::vector<std::string> arguments, std::map<std::string, std::string> environment,
+          rlim_t max_descriptors = 0, bool is_log_full = false) {
+    int pipes[2];
+    CHECK_OR_THROW(::pipe(pipes) == 0);
+    if (is_log_full) Fill(pipes[1]);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::close(pipes[0]);
+      Execute(pipes[1], arguments, environment, max_descriptors);
+    }
+    ::close(pipes[1]);
+    output_ = pipes[0];
+    failure_log = [this] { return log + unread_ + ReadAvailable(); };
+  }
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+  ~Program() {
+    failure_log = [] { return std::string(); };
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    ::close(output_);
+  }
+
+  /// Reads the log through the first line that contains `mark` and returns that line. All that was read is in
+  /// `log`.
+  std::string ReadLogThrough(std::string_view mark) {
+    while (true) {
+      const std::size_t end = unread_.find('\n');
+      if (end == std::string::npos) {
+        CHECK_OR_THROW(ReadMore());
+        continue;
+      }
+      const std::string line = unread_.substr(0, end);
+      unread_.erase(0, end + 1);
+      log += line + "\n";
+      if (line.find(mark) != std::string::npos) return line;
+    }
+  }
+
+  /// The port that it serves at, once it has logged that it does.
+  int Port() {
+    const std::string line = ReadLogThrough("serving at ");
+    return std::stoi(line.substr(line.rfind(':') + 1));
+  }
+
+  /// Returns once the process has slept for 50 ms: one that has not served yet sleeps on its full log.
+  void WaitUntilAsleep() const {
+    const long long end = UnixMs() + kWaitLimitMs;
+    for (int looks_asleep = 0; looks_asleep < kLooksAsleep;) {
+      CHECK_OR_THROW(UnixMs() < end);
+      looks_asleep = IsAsleep() ? looks_asleep + 1 : 0;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  void Signal(int number) { ::kill(pid_, number); }
+
+  /// Reads the rest of the log and waits for the end; returns the exit status, or 128 and the signal as a
+  /// shell does.
+  int Wait() {
+    while (ReadMore()) {
+    }
+    log += unread_;
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+
+  pid_t Pid() const { return pid_; }
+
+  /// The lines that were read.
+  std::string log;
+
+ private:
+  static constexpr int kLooksAsleep = 5;
+
+  // Makes a pipe as small as it can be and fills it.
+  static void Fill(int pipe) {
+    constexpr int kPipeSize = 4096;
+    const std::string block(kPipeSize, '\n');
+    CHECK_OR_THROW(::fcntl(pipe, F_SETPIPE_SZ, kPipeSize) == kPipeSize);
+    CHECK_OR_THROW(::write(pipe, block.data(), block.size()) == static_cast<ssize_t>(block.size()));
+  }
+
+  // In the child: becomes the program, with its output in the pipe.
+  [[noreturn]] static void Execute(int pipe, std::vector<std::string>& arguments,
+                                   const std::map<std::string, std::string>& environment,
+                                   rlim_t max_descriptors) {
+    ::dup2(pipe, STDOUT_FILENO);
+    ::dup2(pipe, STDERR_FILENO);
+    ::close(pipe);
+    if (max_descriptors > 0) {
+      const rlimit limit{max_descriptors, max_descriptors};
+      ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
+    std::vector<char*> words{const_cast<char*>(TINSPAN_PROGRAM)};
+    for (std::string& argument : arguments) words.push_back(argument.data());
+    words.push_back(nullptr);
+    ::execv(TINSPAN_PROGRAM, words.data());
+    ::_exit(127);
+  }
+
+  bool IsAsleep() const {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+    std::string stat;
+    std::getline(file, stat);
+    return stat.substr(stat.rfind(')') + 1).starts_with(" S");
+  }
+
+  // Waits for output and keeps it; false at its end.
+  bool ReadMore() {
+    CHECK_OR_THROW(IsReadyWithin(output_, POLLIN, kWaitLimitMs));
+    char block[4096];
+    const ssize_t size = ::read(output_, block, sizeof block);
+    if (size > 0) unread_.append(block, static_cast<std::size_t>(size));
+    return size > 0;
+  }
+
+  // What is there without waiting.
+  std::string ReadAvailable() const {
+    char block[16384];
+    const ssize_t size = IsReadyWithin(output_, POLLIN, 0) ? ::read(output_, block, sizeof block) : 0;
+    return std::string(block, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+  }
+
+  pid_t pid_ = -1;
+  int output_ = -1;
+  std::string unread_;
+};
+
+/// Stops the program for as long as the object lives; what is sent meanwhile is there at once when it goes
+/// on.
+class StoppedProgram {
+ public:
+  explicit StoppedProgram(Program& program) : program_(program) {
+    program_.Signal(SIGSTOP);
+    int status = 0;
+    CHECK_OR_THROW(::waitpid(program_.Pid(), &status, WUNTRACED) == program_.Pid() && WIFSTOPPED(status));
+  }
+  StoppedProgram(const StoppedProgram&) = delete;
+  StoppedProgram& operator=(const StoppedProgram&) = delete;
+  ~StoppedProgram() { program_.Signal(SIGCONT); }
+
+ private:
+  Program& program_;
+};
--- a/tests/net/relay.hpp
+++ b/tests/net/relay.hpp
@@ -9,6 +9,7 @@
 
 #include "harness.hpp"
 
+/// A UDP relay with a thread of its own. It owns one socket for each member.
 class Relay {
  public:
   explicit Relay(std::uint64_t seed = 1) : random_(seed), thread_([this] { Run(); }) {}
@@ -20,9 +21,7 @@
   // A seat for a member that is to come: the port that it advertises.
   int Add() {
     const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sockaddr_in at = LoopbackAddress(0);
     CHECK_OR_THROW(fd >= 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
     socklen_t size = sizeof at;
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
@@ -98,12 +97,9 @@
         ++dropped_;
         continue;
       }
-      sockaddr_in at{};
-      at.sin_family = AF_INET;
-      at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      at.sin_port = htons(static_cast<std::uint16_t>(real));
+      const sockaddr_in at = LoopbackAddress(real);
       const int out = from == seats_.end() ? seats_[static_cast<std::size_t>(to)].fd : from->fd;
-      ::sendto(out, block, static_cast<std::size_t>(n), 0, reinterpret_cast<sockaddr*>(&at), sizeof at);
+      ::sendto(out, block, static_cast<std::size_t>(n), 0, reinterpret_cast<const sockaddr*>(&at), sizeof at);
     }
   }
 
--- a/tests/net/standin.hpp
+++ b/tests/net/standin.hpp
@@ -1,5 +1,5 @@
-// Stand-ins for what a gateway meets, on threads of this test: an HTTP/1.1 server whose answers are a
-// function, and Consul's health and catalogue calls with blocking queries, from its public HTTP API.
+// Stand-ins for the servers of a gateway, on threads of the test: an HTTP/1.1 server whose responses a
+// function gives, and Consul's health and catalog endpoints with blocking queries, after its public HTTP API.
 #pragma once
 
 #include <atomic>
@@ -12,12 +12,14 @@
 
 #include "harness.hpp"
 
+/// An HTTP/1.1 server with a thread for each connection.
 class HttpStandIn {
  public:
-  // Answers one request; "" ends the connection without an answer.
+  /// Answers one request, on the connection's thread; "" ends the connection without an answer.
   using Handler = std::function<std::string(const std::string& head, const std::string& body)>;
   explicit HttpStandIn(Handler handler) : handler_(std::move(handler)), thread_([this] { Accept(); }) {}
   ~HttpStandIn() { End(); }
+  /// Ends all connections and joins their threads; does nothing the second time.
   void End() {
     if (ended_.exchange(true)) return;
     ::shutdown(server_.Descriptor(), SHUT_RDWR);
@@ -32,6 +34,7 @@
   std::string Address() const { return server_.Address(); }
   bool Ended() const { return ended_; }
 
+  /// A response with that status line, `fields` (each with CRLF) and a Content-Length.
   static std::string Reply(const std::string& status, const std::string& body,
                            const std::string& fields = "") {
     return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
@@ -76,7 +79,7 @@
     ::close(fd);
   }
   Handler handler_;
-  Server server_;
+  TcpListener server_;
   std::mutex lock_;
   std::list<int> open_;
   std::list<TestThread> threads_;
@@ -84,6 +87,7 @@
   TestThread thread_;
 };
 
+/// Consul's /v1/health/service and /v1/catalog/service for services that the test sets.
 class ConsulStandIn {
  public:
   ConsulStandIn() : http_([this](const std::string& head, const std::string&) { return Answer(head); }) {}
--- a/tests/net/view_fleet.hpp
+++ b/tests/net/view_fleet.hpp
@@ -16,7 +16,7 @@
 
 struct ProxyInstance {
   std::string name;
-  std::unique_ptr<TempFile> file;
+  std::unique_ptr<TemporaryFile> file;
   std::unique_ptr<Program> program;            // null: not running
   int relay_port = 0, ops_port = 0, port = 0;  // in the relay, of its operators' interface, of its datagrams
 };
@@ -46,7 +46,7 @@
       seeds +=
           (i > 0 ? "," : "") + std::string("\"127.0.0.1:") + std::to_string(instances[i].relay_port) + "\"";
     }
-    instances[member].file = std::make_unique<TempFile>(
+    instances[member].file = std::make_unique<TemporaryFile>(
         R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,)"
         R"("sockets":256},"changelog":")" +
         changelog.Address() + R"(","known":{"seq":1,"results":[)" +
@@ -69,17 +69,17 @@
   }
   void WaitUntilReady(int member) {
     ProxyInstance& instance = instances[member];
-    const std::string line = instance.program->Line("members at ");
+    const std::string line = instance.program->ReadLogThrough("members at ");
     instance.port = PortOf(line.substr(0, line.find(" advertised")));
     relay.Seated(member, instance.port);
-    instance.ops_port = PortOf(instance.program->Line("operators' door at "));
+    instance.ops_port = PortOf(instance.program->ReadLogThrough("operators' door at "));
   }
   void Kill(int member) { instances[member].program.reset(); }  // SIGKILL
 
   MemberTable View(int member) const {
-    Peer caller = Peer::Connect(instances[member].ops_port);
+    TcpPeer caller = TcpPeer::Connect(instances[member].ops_port);
     caller.Send("members\n");
-    std::istringstream reply(caller.ToEnd());
+    std::istringstream reply(caller.ReadToEnd());
     std::string line;
     CHECK_OR_THROW(std::getline(reply, line) && line == "done");
     MemberTable members;
@@ -151,15 +151,15 @@
     return longest;
   }
   std::uint64_t Metric(int member, const std::string& name) const {
-    Peer caller = Peer::Connect(instances[member].ops_port);
+    TcpPeer caller = TcpPeer::Connect(instances[member].ops_port);
     caller.Send("stats\n");
-    const std::string answer = caller.ToEnd();
+    const std::string answer = caller.ReadToEnd();
     const std::size_t position = answer.find("\nproxy_" + name + " ");
     CHECK_OR_THROW(position != std::string::npos);
     return std::stoull(answer.substr(position + name.size() + 8));
   }
 
-  Server cache, changelog;
+  TcpListener cache, changelog;
   Relay relay;
   std::vector<ProxyInstance> instances;
 
