Bring the harness's headers of TCP and program clean under clang-tidy

Change: const member functions, std::array, inline constants in platform_world.hpp; no change of what they do.

--- a/tests/net/platform_world.hpp
+++ b/tests/net/platform_world.hpp
@@ -19,7 +19,8 @@
 }
 
 /// The settings that the instance is started with: an idempotent class, and one with idempotency keys.
-constexpr const char* kSettings = R"({"areas":["core","edge"],"kinds":["box","up","store"],"zone":"edge",
+inline constexpr const char* kSettings =
+    R"({"areas":["core","edge"],"kinds":["box","up","store"],"zone":"edge",
 "instances":1,"me":0,"tickMs":2.0,"lanes":[
 {"name":"pages","effect":"repeatable","keyScope":"all","promiseMs":2000.0,"aimStretch":2.0,"giveUpMs":2500.0,
  "lateShare":0.2,"credit":1.0,"streaming":false,"windowMs":5000.0},
@@ -66,7 +67,7 @@
     log = changelog.Accept();
     CHECK_OR_THROW(log.ReadUntil("\n") == "since 1");
   }
-  TcpPeer Client() { return TcpPeer::Connect(port); }
+  TcpPeer Client() const { return TcpPeer::Connect(port); }
 };
 
 /// A command of the clients' protocol: an array of bulk strings (RESP).
@@ -88,8 +89,8 @@
   return words;
 }
 /// Ids of requests.
-constexpr const char* kRef = "9b1f03aa5c7e2d41";
-constexpr const char* kOther = "9b1f03aa5c7e2d42";
+inline constexpr const char* kRef = "9b1f03aa5c7e2d41";
+inline constexpr const char* kOther = "9b1f03aa5c7e2d42";
 /// A request of the class "pages".
 inline std::string Call(const std::string& tag, const std::string& more = "", int allow = 2500,
                         const std::string& object = "7f3a9c21e0b4d655", const std::string& ref = kRef) {
--- a/tests/net/program.hpp
+++ b/tests/net/program.hpp
@@ -3,13 +3,14 @@
 
 #include <fcntl.h>
 #include <poll.h>
-#include <signal.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <map>
@@ -25,11 +26,10 @@
 class TemporaryFile {
  public:
   explicit TemporaryFile(const std::string& text) {
-    char name[] = "/tmp/tinspan-test-XXXXXX";
-    const int fd = ::mkstemp(name);
+    path = "/tmp/tinspan-test-XXXXXX";
+    const int fd = ::mkstemp(path.data());
     CHECK_OR_THROW(fd >= 0);
     ::close(fd);
-    path = name;
     std::ofstream(path) << text;
   }
   TemporaryFile(const TemporaryFile&) = delete;
@@ -45,10 +45,10 @@
  public:
   /// Starts it. `max_descriptors` is its RLIMIT_NOFILE, 0 leaves the test's. With `is_log_full` nothing that
   /// it logs fits until the log is read: it stops in its first line.
-  Program(std::vector<std::string> arguments, std::map<std::string, std::string> environment,
+  Program(std::vector<std::string> arguments, const std::map<std::string, std::string>& environment,
           rlim_t max_descriptors = 0, bool is_log_full = false) {
-    int pipes[2];
-    CHECK_OR_THROW(::pipe(pipes) == 0);
+    std::array<int, 2> pipes{};
+    CHECK_OR_THROW(::pipe(pipes.data()) == 0);
     if (is_log_full) Fill(pipes[1]);
     pid_ = ::fork();
     if (pid_ == 0) {
@@ -57,7 +57,7 @@
     }
     ::close(pipes[1]);
     output_ = pipes[0];
-    failure_log = [this] { return log + unread_ + ReadAvailable(); };
+    failure_log = [this] { return log + pending_output_ + ReadAvailable(); };
   }
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
@@ -74,13 +74,13 @@
   /// `log`.
   std::string ReadLogThrough(std::string_view mark) {
     while (true) {
-      const std::size_t end = unread_.find('\n');
+      const std::size_t end = pending_output_.find('\n');
       if (end == std::string::npos) {
         CHECK_OR_THROW(ReadMore());
         continue;
       }
-      const std::string line = unread_.substr(0, end);
-      unread_.erase(0, end + 1);
+      std::string line = pending_output_.substr(0, end);
+      pending_output_.erase(0, end + 1);
       log += line + "\n";
       if (line.find(mark) != std::string::npos) return line;
     }
@@ -102,14 +102,14 @@
     }
   }
 
-  void Signal(int number) { ::kill(pid_, number); }
+  void Signal(int number) const { ::kill(pid_, number); }
 
   /// Reads the rest of the log and waits for the end; returns the exit status, or 128 and the signal as a
   /// shell does.
   int Wait() {
     while (ReadMore()) {
     }
-    log += unread_;
+    log += pending_output_;
     int status = 0;
     ::waitpid(pid_, &status, 0);
     pid_ = -1;
@@ -161,22 +161,22 @@
   // Waits for output and keeps it; false at its end.
   bool ReadMore() {
     CHECK_OR_THROW(IsReadyWithin(output_, POLLIN, kWaitLimitMs));
-    char block[4096];
-    const ssize_t size = ::read(output_, block, sizeof block);
-    if (size > 0) unread_.append(block, static_cast<std::size_t>(size));
+    std::array<char, 4096> block;
+    const ssize_t size = ::read(output_, block.data(), block.size());
+    if (size > 0) pending_output_.append(block.data(), static_cast<std::size_t>(size));
     return size > 0;
   }
 
   // What is there without waiting.
   std::string ReadAvailable() const {
-    char block[16384];
-    const ssize_t size = IsReadyWithin(output_, POLLIN, 0) ? ::read(output_, block, sizeof block) : 0;
-    return std::string(block, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    std::array<char, 16384> block;
+    const ssize_t size = IsReadyWithin(output_, POLLIN, 0) ? ::read(output_, block.data(), block.size()) : 0;
+    return {block.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
   }
 
   pid_t pid_ = -1;
   int output_ = -1;
-  std::string unread_;
+  std::string pending_output_;
 };
 
 /// Stops the program for as long as the object lives; what is sent meanwhile is there at once when it goes
--- a/tests/net/tcp.hpp
+++ b/tests/net/tcp.hpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -70,7 +71,7 @@
   }
 
   /// Sends all of the text.
-  void Send(std::string_view text) {
+  void Send(std::string_view text) const {
     while (!text.empty()) {
       const ssize_t sent = ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
       CHECK_OR_THROW(sent > 0);
@@ -80,7 +81,7 @@
 
   /// Sends up to `max_bytes` of `block` over and over, until for 300 ms nothing more is taken; returns how
   /// many bytes.
-  std::size_t SendUntilBlocked(std::string_view block, std::size_t max_bytes) {
+  std::size_t SendUntilBlocked(std::string_view block, std::size_t max_bytes) const {
     std::size_t total = 0;
     while (total < max_bytes && IsReadyWithin(fd_, POLLOUT, kBlockedAfterMs)) {
       const std::size_t size = std::min(block.size(), max_bytes - total);
@@ -132,14 +133,14 @@
     const auto start = std::chrono::steady_clock::now();
     std::size_t taken = 0;
     while (received_.size() < total) {
-      const auto due =
-          start + std::chrono::microseconds(static_cast<std::int64_t>(1e6 * taken / bytes_per_s));
+      const auto due = start + std::chrono::microseconds(
+                                   static_cast<std::int64_t>(1e6 * static_cast<double>(taken) / bytes_per_s));
       std::this_thread::sleep_until(due);
       CHECK_OR_THROW(IsReadyWithin(fd_, POLLIN, kWaitLimitMs));
-      char block[16384];
-      const ssize_t size = ::recv(fd_, block, std::min(sizeof block, total - received_.size()), 0);
+      std::array<char, 16384> block;
+      const ssize_t size = ::recv(fd_, block.data(), std::min(block.size(), total - received_.size()), 0);
       CHECK_OR_THROW(size > 0);
-      received_.append(block, static_cast<std::size_t>(size));
+      received_.append(block.data(), static_cast<std::size_t>(size));
       taken += static_cast<std::size_t>(size);
     }
     return std::exchange(received_, {});
@@ -160,7 +161,7 @@
 
   /// Whether nothing comes within so many milliseconds, not even the connection's end. Only for proving
   /// silence.
-  bool IsSilentFor(int milliseconds) {
+  bool IsSilentFor(int milliseconds) const {
     pollfd entry{fd_, POLLIN, 0};
     return received_.empty() && ::poll(&entry, 1, milliseconds) == 0;
   }
@@ -188,9 +189,9 @@
     return Receive();
   }
   bool Receive() {
-    char block[65536];
-    const ssize_t size = ::recv(fd_, block, sizeof block, 0);
-    if (size > 0) received_.append(block, static_cast<std::size_t>(size));
+    std::array<char, 65536> block;
+    const ssize_t size = ::recv(fd_, block.data(), block.size(), 0);
+    if (size > 0) received_.append(block.data(), static_cast<std::size_t>(size));
     return size > 0;
   }
 
@@ -214,13 +215,13 @@
   ~TcpListener() { Close(); }
 
   /// Waits for the next connection.
-  TcpPeer Accept() {
+  TcpPeer Accept() const {
     CHECK_OR_THROW(IsReadyWithin(fd_, POLLIN, kWaitLimitMs));
     return TcpPeer(::accept(fd_, nullptr, nullptr));
   }
 
   /// Whether no connection comes within so many milliseconds.
-  bool HasNoConnectionFor(int milliseconds) {
+  bool HasNoConnectionFor(int milliseconds) const {
     pollfd entry{fd_, POLLIN, 0};
     return ::poll(&entry, 1, milliseconds) == 0;
   }
