--- a/tests/net/kv_standin.hpp
+++ b/tests/net/kv_standin.hpp
@@ -9,12 +9,13 @@
 #include "harness.hpp"
 #include "lease/history.hpp"
 
+/// The store, with a thread of its own.
 class KvStandin {
  public:
   KvStandin() : thread_([this] { Run(); }) {}
   ~KvStandin() {
     stop_ = true;
-    thread_.join();
+    thread_.Join();
   }
   std::string Address() const { return server_.Address(); }
   struct Record {
@@ -64,7 +65,7 @@
   }
   static std::uint64_t After(const std::string& text, const std::string& mark) {
     const std::size_t at = text.find(mark);
-    CHECK(at != std::string::npos);
+    CHECK_OR_THROW(at != std::string::npos);
     return std::stoull(text.substr(at + mark.size()));
   }
   void Run() {
@@ -143,10 +144,10 @@
     return true;
   }
 
-  Server server_;
+  TcpListener server_;
   mutable std::mutex mutex_;
   Record record_;
   tinspan::lease::History history_;
   std::atomic<bool> stop_{false}, hold_{false}, holding_{false}, release_{false}, drop_{false};
-  std::thread thread_;
+  TestThread thread_;
 };
--- a/tests/net/view_fleet.hpp
+++ b/tests/net/view_fleet.hpp
@@ -16,7 +16,7 @@
 
 struct ProxyInstance {
   std::string name;
-  std::unique_ptr<TempFile> file;
+  std::unique_ptr<TemporaryFile> file;
   std::unique_ptr<Program> program;            // null: not running
   int relay_port = 0, ops_port = 0, port = 0;  // in the relay, of its operators' interface, of its datagrams
 };
@@ -34,7 +34,7 @@
   explicit MembershipFleet(int count, std::string extra_settings = "")
       : extra_settings_(std::move(extra_settings)) {
     for (int i = 0; i < count; ++i) Add();
-    CHECK(TimeToConverge(kConvergenceLimitMs) >= 0);
+    CHECK_OR_THROW(TimeToConverge(kConvergenceLimitMs) >= 0);
   }
   int Add() {
     const int member = static_cast<int>(instances.size());
@@ -46,7 +46,7 @@
       seeds +=
           (i > 0 ? "," : "") + std::string("\"127.0.0.1:") + std::to_string(instances[i].relay_port) + "\"";
     }
-    instances[member].file = std::make_unique<TempFile>(
+    instances[member].file = std::make_unique<TemporaryFile>(
         R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,)"
         R"("sockets":256},"changelog":")" +
         changelog.Address() + R"(","known":{"seq":1,"results":[)" +
@@ -69,19 +69,19 @@
   }
   void WaitUntilReady(int member) {
     ProxyInstance& instance = instances[member];
-    const std::string line = instance.program->Line("members at ");
+    const std::string line = instance.program->ReadLogThrough("members at ");
     instance.port = PortOf(line.substr(0, line.find(" advertised")));
     relay.Seated(member, instance.port);
-    instance.ops_port = PortOf(instance.program->Line("operators' door at "));
+    instance.ops_port = PortOf(instance.program->ReadLogThrough("operators' door at "));
   }
   void Kill(int member) { instances[member].program.reset(); }  // SIGKILL
 
   MemberTable View(int member) const {
-    Peer caller = Peer::Connect(instances[member].ops_port);
+    TcpPeer caller = TcpPeer::Connect(instances[member].ops_port);
     caller.Send("members\n");
-    std::istringstream reply(caller.ToEnd());
+    std::istringstream reply(caller.ReadToEnd());
     std::string line;
-    CHECK(std::getline(reply, line) && line == "done");
+    CHECK_OR_THROW(std::getline(reply, line) && line == "done");
     MemberTable members;
     while (std::getline(reply, line) && line != "end") {
       std::istringstream words(line);
@@ -90,10 +90,11 @@
       std::string zone;
       std::string age;
       MemberEntry entry;
-      CHECK(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >> entry.failing);
+      CHECK_OR_THROW(words >> name >> address >> zone >> entry.incarnation >> entry.state >> age >>
+                     entry.failing);
       members[name] = entry;
     }
-    CHECK(members.size() <= instances.size());
+    CHECK_OR_THROW(members.size() <= instances.size());
     return members;
   }
   // Whether `member` sees exactly the members of `live` alive, and the others dead, left or not at all.
@@ -150,15 +151,15 @@
     return longest;
   }
   std::uint64_t Metric(int member, const std::string& name) const {
-    Peer caller = Peer::Connect(instances[member].ops_port);
+    TcpPeer caller = TcpPeer::Connect(instances[member].ops_port);
     caller.Send("stats\n");
-    const std::string answer = caller.ToEnd();
+    const std::string answer = caller.ReadToEnd();
     const std::size_t position = answer.find("\nproxy_" + name + " ");
-    CHECK(position != std::string::npos);
+    CHECK_OR_THROW(position != std::string::npos);
     return std::stoull(answer.substr(position + name.size() + 8));
   }
 
-  Server cache, changelog;
+  TcpListener cache, changelog;
   Relay relay;
   std::vector<ProxyInstance> instances;
 
