--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -38,9 +38,10 @@
                                 {{"repeatable", Effect::kIdempotent},
                                  {"by_key", Effect::kIdempotencyKey},
                                  {"once", Effect::kNonIdempotent}});
-    one.idempotency_scope =
-        setup.Word<IdempotencyScope>(lane + "keyScope", IdempotencyScope::kCell,
-                             {{"all", IdempotencyScope::kAll}, {"zone", IdempotencyScope::kZone}, {"cell", IdempotencyScope::kCell}});
+    one.idempotency_scope = setup.Word<IdempotencyScope>(lane + "keyScope", IdempotencyScope::kCell,
+                                                         {{"all", IdempotencyScope::kAll},
+                                                          {"zone", IdempotencyScope::kZone},
+                                                          {"cell", IdempotencyScope::kCell}});
     one.idempotency_window = setup.Millis(lane + "windowMs");
     one.latency_objective = setup.Millis(lane + "promiseMs");
     one.latency_objective_stretch = setup.Number(lane + "aimStretch");
@@ -77,9 +78,9 @@
   settings.sibling_scope = setup.Word<SiblingScope>(
       "familyInfo.siblings", SiblingScope::kOff,
       {{"off", SiblingScope::kOff}, {"location", SiblingScope::kLocation}, {"any", SiblingScope::kAny}});
-  settings.fill_detail =
-      setup.Word<FillDetail>("familyInfo.detail", FillDetail::kOff,
-                         {{"all", FillDetail::kAll}, {"hit", FillDetail::kHit}, {"off", FillDetail::kOff}});
+  settings.fill_detail = setup.Word<FillDetail>(
+      "familyInfo.detail", FillDetail::kOff,
+      {{"all", FillDetail::kAll}, {"hit", FillDetail::kHit}, {"off", FillDetail::kOff}});
   settings.discovery =
       setup.Word<Discovery>("registryMode", Discovery::kPushed,
                             {{"automatic", Discovery::kPushed}, {"subscribe", Discovery::kPolled}});
