--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -180,7 +180,7 @@
   net::EventLoop loop;
   front::Signals signals(loop);
   std::vector<core::Event> events;
-  core::RequestCoordinator gateway(config.site.settings, config.seed, net::Now(), CoreOptions(config));
+  core::RequestCoordinator coordinator(config.site.settings, config.seed, net::Now(), CoreOptions(config));
   const std::unique_ptr<record::Recorder> recorder = MakeRecorder(config);
   const std::unique_ptr<members::Node> fleet = MakeMembers(loop, config);  // outlives the front that asks it
   const std::unique_ptr<lease::Agent> leases = MakeLeases(loop, config, fleet.get());
@@ -193,7 +193,7 @@
       events.push_back(received);
     });
   }
-  Front front(loop, config, gateway, events);
+  Front front(loop, config, coordinator, events);
   if constexpr (std::is_same_v<Front, http::HttpFront>) front.SetFeed(recorder.get());
   front.SetAttachedServices(BesideOf(fleet.get(), leases.get()));
   // The port as it is, since 0 asks for any free one.
@@ -204,7 +204,7 @@
     log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
   }
   if (recorder) recorder->OnLifecycleEvent(net::Now(), core::LifecycleEvent::kServing, 0, at, 0);
-  front::Run(loop, signals, gateway, front, events, Stop(config), recorder.get());
+  front::Run(loop, signals, coordinator, front, events, Stop(config), recorder.get());
 }
 
 config::Http ReadGateway(const Values& values) {
