Show the incident by a test that fails: a connection that never rests is never let go

Cause: DownstreamConnections::CloseWhenStopping waits for a round in which nothing is in flight and goes on taking requests meanwhile. Seen on: in standby, connections with 2, 8 and 32 requests in flight are held past 5.3 s, with 1 they are let go at once; after SIGTERM with deadlines of 300 ms the process is held until its last moment. Ruled out: clients that answer at once, clients that write in pieces (let go after 2.4 s).

No code of the program is changed.

--- /dev/null
+++ b/tests/net/delayed_servers.hpp
@@ -0,0 +1,180 @@
+// Servers of the platform that answer every request after a delay, for tests that keep many in flight.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <memory>
+
+#include "platform_world.hpp"
+
+namespace {
+
+/// Milliseconds of a clock that is never set.
+inline std::int64_t SteadyMs() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+}
+
+/// Accepts at some listeners, which must outlive it, and answers `OK` to each request after the delay. One
+/// thread, ended by the destructor.
+class DelayedServers {
+ public:
+  DelayedServers(std::vector<const TcpListener*> listeners, int delay_ms)
+      : listeners_(std::move(listeners)), delay_ms_(delay_ms), thread_([this] { Run(); }) {}
+  DelayedServers(const DelayedServers&) = delete;
+  DelayedServers& operator=(const DelayedServers&) = delete;
+  ~DelayedServers() {
+    is_stopping_ = true;
+    thread_.Join();
+  }
+
+ private:
+  struct Connection {
+    TcpPeer peer;
+    std::string unread;
+    bool is_closed = false;
+  };
+  struct DueAnswer {
+    std::int64_t due_at_ms;
+    Connection* connection;
+    std::string reference;
+  };
+
+  void Run() {
+    while (!is_stopping_) {
+      std::vector<pollfd> waits;
+      for (const TcpListener* const listener : listeners_) {
+        waits.push_back({listener->Descriptor(), POLLIN, 0});
+      }
+      for (const Connection& connection : connections_) {
+        waits.push_back({connection.is_closed ? -1 : connection.peer.Descriptor(), POLLIN, 0});
+      }
+      ::poll(waits.data(), waits.size(), kRoundMs);
+      std::size_t position = listeners_.size();
+      for (Connection& connection : connections_) {
+        if (waits[position++].revents != 0) Receive(connection);
+      }
+      for (std::size_t index = 0; index < listeners_.size(); ++index) {
+        if (waits[index].revents != 0) connections_.emplace_back(listeners_[index]->Accept());
+      }
+      AnswerDue();
+    }
+  }
+
+  void Receive(Connection& connection) {
+    std::array<char, 65536> block;
+    const ssize_t size = ::recv(connection.peer.Descriptor(), block.data(), block.size(), MSG_DONTWAIT);
+    if (size <= 0) {
+      connection.is_closed = true;
+      return;
+    }
+    connection.unread.append(block.data(), static_cast<std::size_t>(size));
+    // A request here has no body: its line and an empty one.
+    std::size_t end = 0;
+    while ((end = connection.unread.find("\r\n\r\n")) != std::string::npos) {
+      const std::string line = connection.unread.substr(0, end);
+      connection.unread.erase(0, end + 4);
+      if (!line.starts_with("REQ ")) continue;
+      answers_.push_back({SteadyMs() + delay_ms_, &connection, line.substr(4, 16)});
+    }
+  }
+
+  void AnswerDue() {
+    while (!answers_.empty() && answers_.front().due_at_ms <= SteadyMs()) {
+      const DueAnswer answer = answers_.front();
+      answers_.pop_front();
+      if (answer.connection->is_closed) continue;
+      const std::string text = Ok("abc", "", answer.reference);
+      ::send(answer.connection->peer.Descriptor(), text.data(), text.size(), MSG_NOSIGNAL);
+    }
+  }
+
+  static constexpr int kRoundMs = 2;
+
+  std::vector<const TcpListener*> listeners_;
+  int delay_ms_;
+  std::list<Connection> connections_;
+  std::deque<DueAnswer> answers_;
+  std::atomic<bool> is_stopping_{false};
+  TestThread thread_;
+};
+
+/// What became of one request.
+struct RequestRecord {
+  std::int64_t written_at_ms = 0;
+  std::int64_t answered_at_ms = 0;  // 0: never
+  std::string status{};
+};
+
+/// A client on one connection that keeps `depth` requests in flight, whatever it is told, until the
+/// connection ends or the time is up. One thread; Join() before the records are read.
+class BusyClient {
+ public:
+  BusyClient(int port, int number, std::size_t depth, std::int64_t until_ms)
+      : number_(number), depth_(depth), until_ms_(until_ms), thread_([this, port] { Run(port); }) {}
+
+  void Join() { thread_.Join(); }
+  /// When the instance ended the connection; 0: it did not.
+  std::int64_t EndedAt() const { return ended_at_ms_; }
+  const std::map<std::string, RequestRecord>& Requests() const { return requests_; }
+
+ private:
+  void Run(int port) {
+    TcpPeer client = TcpPeer::Connect(port);
+    std::string received;
+    std::size_t in_flight = 0;
+    while (SteadyMs() < until_ms_) {
+      for (; in_flight < depth_; ++in_flight) Write(client);
+      if (!IsReadyWithin(client.Descriptor(), POLLIN, 20)) continue;
+      std::array<char, 65536> block;
+      const ssize_t size = ::recv(client.Descriptor(), block.data(), block.size(), 0);
+      if (size <= 0) {
+        ended_at_ms_ = SteadyMs();
+        return;
+      }
+      received.append(block.data(), static_cast<std::size_t>(size));
+      while (TakeAnswer(received)) --in_flight;
+    }
+  }
+
+  void Write(const TcpPeer& client) {
+    const std::string tag = std::to_string(requests_.size() + 1);
+    std::array<char, 17> reference{};
+    std::snprintf(reference.data(), reference.size(), "%08x%08zx", static_cast<unsigned>(number_),
+                  requests_.size() + 1);
+    const std::string text = Call(tag, "", 2500, reference.data(), reference.data());
+    requests_[tag].written_at_ms = SteadyMs();
+    ::send(client.Descriptor(), text.data(), text.size(), MSG_NOSIGNAL);
+  }
+
+  // Takes one complete answer off the front: four words, each behind its length.
+  bool TakeAnswer(std::string& received) {
+    std::vector<std::string> words;
+    std::size_t position = received.find("\r\n");
+    if (position == std::string::npos) return false;
+    position += 2;
+    while (words.size() < 4) {
+      const std::size_t end = received.find("\r\n", position);
+      if (end == std::string::npos) return false;
+      const std::size_t length = std::stoul(received.substr(position + 1, end - position - 1));
+      if (received.size() < end + 2 + length + 2) return false;
+      words.push_back(received.substr(end + 2, length));
+      position = end + 2 + length + 2;
+    }
+    received.erase(0, position);
+    RequestRecord& record = requests_.at(words[0]);
+    CHECK_OR_THROW(record.answered_at_ms == 0);  // one final answer
+    record.answered_at_ms = SteadyMs();
+    record.status = words[1];
+    return true;
+  }
+
+  int number_;
+  std::size_t depth_;
+  std::int64_t until_ms_;
+  std::int64_t ended_at_ms_ = 0;
+  std::map<std::string, RequestRecord> requests_;
+  TestThread thread_;
+};
+
+}  // namespace
