Give every drain a timetable, so that connections end while clients go on writing

Cause: the end of a client's connection waited for rest and nothing brought the rest about (docs/incidents/2026-12-02-drained-node-held-clients.md).

Change: core/drain.hpp decides without I/O by when a connection has ended and what is done before: serve, reject arrivals at once as never sent, reject what is open and may be rejected, close. Standby, shutdown and a shutdown during standby use it on the platform; the gateway rejects late arrivals by it and no longer waits for bytes that trickle in. After a reload the shutdown keeps the shortest longest deadline seen.

The property fails without the rejection of arrivals.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -20,15 +20,6 @@
   return {.response_margin = config.slack};
 }
 
-// The program ends by itself no earlier than SIGKILL could come, whichever way the deadline is read.
-front::ShutdownTimes Stop(const config::Common& config) {
-  front::ShutdownTimes times;
-  times.max_duration = std::max(config.longest, Micros{3'000'000}) + Micros{600'000};
-  // "The longest deadline, taken as 3 s where it is longer, plus 0.7 s" (ops days and PROTOCOL).
-  times.kill_expected = std::min(config.longest, Micros{3'000'000}) + Micros{700'000};
-  return times;
-}
-
 std::unique_ptr<record::Recorder> MakeRecorder(const config::Http& config) {
   if (config.record.folder.empty()) return nullptr;
   const std::string text = config::ReadFile("operator-file", config.path);
@@ -204,7 +195,7 @@
     log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
   }
   if (recorder) recorder->OnLifecycleEvent(net::Now(), core::LifecycleEvent::kServing, 0, at, 0);
-  front::Run(loop, signals, coordinator, front, events, Stop(config), recorder.get());
+  front::Run(loop, signals, coordinator, front, events, recorder.get());
 }
 
 config::Http ReadGateway(const Values& values) {
--- a/src/core/commands.hpp
+++ b/src/core/commands.hpp
@@ -35,11 +35,19 @@
   kFailed,     // nothing is promised about what has run
 };
 
+/// Who decided on a final answer that no server gave.
+enum class CompletionReason {
+  kRouter,    // the decision module, or a server's response
+  kDeadline,  // the client's time was up
+  kDraining,  // the instance lets its clients go
+};
+
 /// The final answer. Every request gets exactly one, unless its client has gone.
 struct CompleteRequest {
   RequestId id{};
   CompletionStatus status = CompletionStatus::kFailed;
   std::uint32_t attempt = 0;
+  CompletionReason reason = CompletionReason::kRouter;
   Micros retry_after{0};           // 0: no advice
   bool deadline_exceeded = false;  // the time was up, whatever the status
 };
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -5,8 +5,6 @@
 namespace tinspan::core {
 namespace {
 
-// The time that an answer takes to be written after its deadline here, before SIGKILL.
-constexpr Micros kLastWriteTime{150'000};
 // Nobody waits longer than this many times the whole time of its class: what claims to would be kept for
 // days.
 constexpr int kMaxDeadlineMultiple = 2;
@@ -51,18 +49,19 @@
   out_ = nullptr;
 }
 
-void RequestCoordinator::SetShutdownDeadline(Micros killed_at) {
-  killed_at_ = killed_at;
-  std::vector<RequestId> shortened;
+void RequestCoordinator::StartDrain(const DrainTimetable& timetable) {
+  drain_ = timetable;
+  ++drain_number_;
+  schedule_.AddDrainDeadline(timetable.answer_by, drain_number_);
+  if (!timetable.fails_open_requests) return;
+  // The attempts of what is open end with it.
   for (auto& [id, request] : requests_) {
-    if (request.is_answered || request.deadline <= LastAnswerAt()) continue;
-    request.deadline = LastAnswerAt();
-    shortened.push_back(id);
+    if (!request.is_answered) request.deadline = std::min(request.deadline, timetable.answer_by);
   }
-  std::sort(shortened.begin(), shortened.end());  // so that equal events give equal commands
-  for (const RequestId id : shortened) schedule_.AddRequestDeadline(LastAnswerAt(), id);
 }
 
+void RequestCoordinator::EndDrain() { drain_.reset(); }
+
 void RequestCoordinator::Retune(const Settings& settings) {
   settings_ = settings;
   router_.Retune(settings);
@@ -71,6 +70,13 @@
 // ---- Events. ----
 
 void RequestCoordinator::On(const RequestReceived& event) {
+  if (RejectsArrivals()) {
+    out_->emplace_back(CompleteRequest{.id = event.id,
+                                       .status = CompletionStatus::kRejected,
+                                       .reason = CompletionReason::kDraining,
+                                       .retry_after = RetryAfter()});
+    return;
+  }
   const auto [position, added] = requests_.try_emplace(event.id);
   if (!added) return;
   Request& request = position->second;
@@ -97,7 +103,8 @@
   if (settings != nullptr && settings->deadline > Micros{0}) {
     allowed = std::min(allowed, kMaxDeadlineMultiple * settings->deadline);
   }
-  return killed_at_ ? std::clamp(LastAnswerAt() - now_, Micros{0}, allowed) : allowed;
+  if (!drain_ || !drain_->fails_open_requests) return allowed;
+  return std::clamp(drain_->answer_by - now_, Micros{0}, allowed);
 }
 
 void RequestCoordinator::On(const ClientDisconnected& event) {
@@ -160,6 +167,9 @@
       case ScheduledTask::Kind::kRequestDeadline:
         OnRequestDeadline(RequestId{task->token});
         break;
+      case ScheduledTask::Kind::kDrainDeadline:
+        OnDrainDeadline(task->token);
+        break;
     }
   }
   PruneOutdated();
@@ -177,9 +187,23 @@
 void RequestCoordinator::OnRequestDeadline(RequestId id) {
   Request* const request = Find(id);
   if (request == nullptr || request->is_answered || request->started_attempt) return;
-  Complete(*request, CompleteRequest{.id = id, .status = CompletionStatus::kFailed});
-  NotifyRouter(ClientDisconnectedEvent{id});
-  EraseIfDone(id);
+  CompleteWithoutRouter(id, *request, CompletionReason::kDeadline);
+}
+
+// What is still open is rejected, so that its client may ask elsewhere; where that could run it twice it goes
+// on, or fails if the instance ends.
+void RequestCoordinator::OnDrainDeadline(std::uint64_t drain_number) {
+  if (!drain_ || drain_number != drain_number_) return;
+  std::vector<RequestId> open;
+  for (const auto& [id, request] : requests_) {
+    if (request.is_answered || request.started_attempt) continue;
+    if (drain_->fails_open_requests || CanReject(request)) open.push_back(id);
+  }
+  std::sort(open.begin(), open.end());  // so that equal events give equal commands
+  for (const RequestId id : open) {
+    Request* const request = Find(id);
+    if (request != nullptr) CompleteWithoutRouter(id, *request, CompletionReason::kDraining);
+  }
 }
 
 void RequestCoordinator::PruneOutdated() {
@@ -266,10 +290,23 @@
   if (request.is_answered) return;
   request.is_answered = true;
   --open_requests_;
-  answer.deadline_exceeded = now_ + 2 * settings_.event_interval >= request.deadline;
+  answer.deadline_exceeded =
+      answer.reason != CompletionReason::kDraining && now_ + 2 * settings_.event_interval >= request.deadline;
   out_->emplace_back(answer);
 }
 
+// An answer that the Router did not decide on: it is told that the request is over, and cancels its attempts.
+void RequestCoordinator::CompleteWithoutRouter(RequestId id, Request& request, CompletionReason reason) {
+  CompleteRequest answer{.id = id, .status = CompletionStatus::kFailed, .reason = reason};
+  if (reason == CompletionReason::kDraining && CanReject(request)) {
+    answer.status = CompletionStatus::kRejected;
+    answer.retry_after = RetryAfter();
+  }
+  Complete(request, answer);
+  NotifyRouter(ClientDisconnectedEvent{id});
+  EraseIfDone(id);
+}
+
 void RequestCoordinator::CompleteAttempt(RequestId id, Request& request, std::uint32_t attempt,
                                          AttemptCompleted result) {
   Attempt& completed = request.attempts[attempt];
@@ -350,6 +387,16 @@
                           settings_.purge_window);
 }
 
-Micros RequestCoordinator::LastAnswerAt() const { return *killed_at_ - kLastWriteTime; }
+// Whether a client that is told to ask elsewhere does no harm: nothing has run, or a repeat runs nothing
+// more.
+bool RequestCoordinator::CanReject(const Request& request) const {
+  const ClassSettings* const settings = FindClass(settings_, request.received.class_id);
+  if (settings == nullptr || settings->effect == Effect::kIdempotent) return true;
+  const bool may_have_run =
+      std::any_of(request.attempts.begin(), request.attempts.end(),
+                  [](const Attempt& attempt) { return attempt.is_outstanding || attempt.may_have_run; });
+  if (!may_have_run) return true;
+  return settings->effect == Effect::kIdempotencyKey && settings->idempotency_scope == IdempotencyScope::kAll;
+}
 
 }  // namespace tinspan::core
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/commands.hpp"
+#include "core/drain.hpp"
 #include "core/endpoint_states.hpp"
 #include "core/events.hpp"
 #include "core/purge_log.hpp"
@@ -35,9 +36,14 @@
   RequestCoordinator(const Settings& settings, std::uint64_t seed, Micros now, CoordinatorOptions options);
 
   RequestId NextRequestId() { return RequestId{++last_id_}; }
-  /// SIGKILL may come at `killed_at`: every request, open already or to come, gets its answer shortly before
-  /// at the latest. A client that is told may ask elsewhere, one that is cut off waits.
-  void SetShutdownDeadline(Micros killed_at);
+  /// Clients are let go by this timetable, which takes the place of one before: from `reject_from` on what
+  /// arrives is rejected, and what is open at `answer_by` gets its answer. A client that is told may ask
+  /// elsewhere, one that is cut off waits.
+  void StartDrain(const DrainTimetable& timetable);
+  /// Clients are served again.
+  void EndDrain();
+  /// The drain that is under way, if any.
+  const std::optional<DrainTimetable>& Drain() const { return drain_; }
   /// Settings for what comes from now on (setup::Retuned makes them): open requests keep what they had.
   void Retune(const Settings& settings);
   /// Handles all that has come in since the last call, then what is due by the clock. Commands are appended.
@@ -81,6 +87,7 @@
   void RunDueTasks();
   void OnAttemptTimeout(RequestId id, std::uint32_t attempt);
   void OnRequestDeadline(RequestId id);
+  void OnDrainDeadline(std::uint64_t drain_number);
   void PruneOutdated();
 
   // What the Router is told, and what it wants done.
@@ -98,6 +105,7 @@
   Request* Find(RequestId id);
   Micros AllowedTime(const RequestReceived& event) const;
   void Complete(Request& request, CompleteRequest answer);
+  void CompleteWithoutRouter(RequestId id, Request& request, CompletionReason reason);
   void CompleteAttempt(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted result);
   void EraseIfDone(RequestId id);
 
@@ -105,11 +113,14 @@
   bool CanStart(const Request& request, const SendAttempt& action, Micros expires_at) const;
   bool IsPastDrain(Micros now, ServerId server) const;
   bool CanRepeat(Micros now, const Request& request, std::uint32_t attempt) const;
+  bool CanReject(const Request& request) const;
   bool IsPurged(const Request& request, const Attempt& attempt, Micros issued_at) const;
-  Micros LastAnswerAt() const;
+  bool RejectsArrivals() const { return drain_ && now_ >= drain_->reject_from; }
+  Micros RetryAfter() const { return settings_.has_retry_after ? settings_.max_retry_after : Micros{0}; }
 
   Settings settings_;
-  std::optional<Micros> killed_at_;
+  std::optional<DrainTimetable> drain_;
+  std::uint64_t drain_number_ = 0;  // of the last drain: an earlier one's deadline is void
   CoordinatorOptions options_;
   Micros now_{0};
   Commands* out_ = nullptr;
--- a/src/core/schedule.hpp
+++ b/src/core/schedule.hpp
@@ -15,6 +15,7 @@
     kRouterTimer,      // `token` is the decision module's
     kAttemptTimeout,   // of `attempt` of the request `token`
     kRequestDeadline,  // of the request `token`
+    kDrainDeadline,    // of the drain with the number `token`
   };
 
   Micros due_at;
@@ -42,6 +43,9 @@
   void AddRequestDeadline(Micros due_at, RequestId id) {
     Add(due_at, ScheduledTask::Kind::kRequestDeadline, static_cast<std::uint64_t>(id), 0);
   }
+  void AddDrainDeadline(Micros due_at, std::uint64_t drain_number) {
+    Add(due_at, ScheduledTask::Kind::kDrainDeadline, drain_number, 0);
+  }
   /// Removes and returns the first task that is due at `now`.
   std::optional<ScheduledTask> TakeDue(Micros now);
   /// When the first task is due.
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -407,7 +407,9 @@
       connection.Close();
       Leave(client);
     }
-    const bool coming = !connection.Unread().empty() && now - connection.LastReceivedAt() < kRest;
+    // Bytes that trickle in do not hold the process up.
+    const bool coming = !connection.Unread().empty() && now - connection.LastReceivedAt() < kRest &&
+                        !(drain_ && now >= drain_->close_by);
     if (!connection.IsClosed() && !connection.IsLingering() && !busy && !coming && Stopping(now))
       LetGo(client);
     if (connection.IsClosed()) {
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -48,7 +48,8 @@
   void SetFeed(const core::RecordFeed* feed) { feed_ = feed; }
   // Told each operator's purge that is taken here.
   void SetPurged(std::function<void(const core::PurgeReceived&)> purged) { purged_ = std::move(purged); }
-  void Drain(Micros accept_until) { accept_until_ = accept_until; }
+  // Lets clients go by this timetable.
+  void Drain(const core::DrainTimetable& timetable) { drain_ = timetable; }
   bool IsDrained() const;
   void EndRound(Micros now);
   std::uint16_t Port() const { return listener_.Port(); }
@@ -80,7 +81,7 @@
             std::string& fields) const;
   void Reply(Client& client, int status, std::string_view fields, std::string_view body = {});
   void Leave(Client& client);
-  bool Stopping(Micros now) const { return now >= accept_until_; }
+  bool Stopping(Micros now) const { return drain_ && now >= drain_->accept_until; }
 
   net::EventLoop& loop_;
   const config::Http& config_;
@@ -96,7 +97,7 @@
   const core::RecordFeed* feed_ = nullptr;
   std::function<void(const core::PurgeReceived&)> purged_;
   std::string body_;  // of the answer to an operator
-  Micros accept_until_ = Micros::max();
+  std::optional<core::DrainTimetable> drain_;
   net::Listener listener_;
 };
 
--- a/src/front/http/http_front.hpp
+++ b/src/front/http/http_front.hpp
@@ -21,10 +21,11 @@
 
   void Execute(net::Micros now, const core::Command& command) override;
   void EndRound(net::Micros now) override;
-  void Drain(net::Micros accept_until) override {
+  net::Micros LongestDeadline() const override { return config_.longest; }
+  void Drain(const core::DrainTimetable& timetable) override {
     if (attached_.on_drain) attached_.on_drain();
     service_.Stopping();
-    clients_.Drain(accept_until);
+    clients_.Drain(timetable);
   }
   bool Reload() override;  // the keys: how they are rotated
   bool IsDrained() const override { return clients_.IsDrained(); }
--- a/src/front/platform/downstream_client.hpp
+++ b/src/front/platform/downstream_client.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "core/drain.hpp"
 #include "net/connection.hpp"
 #include "tinspan/router.hpp"
 
@@ -32,10 +33,8 @@
   void StartProgress(Micros now);
   /// Looks whether it has taken some since the last look.
   void UpdateProgress(Micros now);
-  /// When its connection, with nothing in flight, is to be closed while the instance stops: after
-  /// `accept_until` or in standby. A new client is given the moment in which its first request comes, one
-  /// that is writing the time for the rest: closed before it, the request would cross the close.
-  Micros StopDueAt(Micros now, Micros accept_until) const;
+  /// What a drain has to know of it.
+  core::ConnectionActivity Activity() const;
 };
 
 }  // namespace tinspan::platform
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -20,7 +20,7 @@
     .max_read_bytes = kMaxMessageBytes, .max_write_bytes = 9 << 20, .close_on_peer_shutdown = true};
 constexpr std::size_t kMaxClientBacklog = 8 << 20;
 // A client that takes nothing of its responses for so long is closed; the second one holds while what is
-// unread keeps all servers' responses waiting.
+// unread keeps all servers' responses waiting, and at the end of a drain.
 constexpr Micros kWriteStallTimeout{10'000'000};
 constexpr Micros kWriteStallTimeoutUnderPressure{500'000};
 // Clients close connections that have been idle for 4 s. One that keeps its own open longer sends no more
@@ -150,8 +150,7 @@
     client.cancelled_tags.erase(tag);
     Cancel(client, tag);
   } else if (verb == "RPC.HEALTH") {
-    const bool is_healthy = accept_until_ == Micros::max() && !is_standby_;
-    Write(client, tag, {.status = is_healthy ? "healthy" : "closing"});
+    Write(client, tag, {.status = drain_ ? "closing" : "healthy"});
   } else if (verb != "RPC.CALL") {
     RejectCall(client, tag);
   } else if (!client.cancelled_tags.contains(tag)) {  // else no response is owed (ScanForCancellations)
@@ -298,10 +297,10 @@
 }
 
 void DownstreamConnections::EndRound(Micros now) {
-  if (listener_.IsOpen() && now >= accept_until_) listener_.CloseAfterAccepting();
-  PauseIntakeOverMemoryLimit();
+  if (listener_.IsOpen() && drain_ && now >= drain_->accept_until) listener_.CloseAfterAccepting();
+  PauseIntakeOverMemoryLimit(now);
   ConsumeHandled();
-  if (now >= accept_until_ || is_standby_) CloseWhenStopping(now);
+  if (drain_) EndDrainedClients(now);
   CheckBackloggedClients(now);
   CloseIdleClients(now);
   CloseLingeringClients(now);
@@ -310,9 +309,11 @@
 }
 
 // Bodies of all requests together could take more than the memory limit: over an eighth of it they wait in
-// the sockets.
-void DownstreamConnections::PauseIntakeOverMemoryLimit() {
-  const bool is_paused = requests_.BodyBytes() > config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
+// the sockets. While a drain rejects what arrives nothing waits: a rejection takes no memory.
+void DownstreamConnections::PauseIntakeOverMemoryLimit(Micros now) {
+  const std::size_t max_body_bytes = config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
+  const bool is_rejecting = drain_ && now >= drain_->reject_from;
+  const bool is_paused = requests_.BodyBytes() > max_body_bytes && !is_rejecting;
   if (std::exchange(is_intake_paused_, is_paused) == is_paused) return;
   for (auto& [id, client] : clients_) client.SetIntakePaused(is_paused);
 }
@@ -331,7 +332,9 @@
 void DownstreamConnections::CheckBackloggedClients(Micros now) {
   const bool is_under_pressure = Backlog() > (config_.limits.memory_mb << 20) / 4;
   const std::size_t max_backlog = is_under_pressure ? 0 : kMaxClientBacklog;
-  const Micros stall_timeout = is_under_pressure ? kWriteStallTimeoutUnderPressure : kWriteStallTimeout;
+  const bool is_drain_over = drain_ && now >= drain_->answer_by;
+  const Micros stall_timeout =
+      is_under_pressure || is_drain_over ? kWriteStallTimeoutUnderPressure : kWriteStallTimeout;
   for (auto position = backlogged_.begin(); position != backlogged_.end();) {
     Client& client = clients_.at(*position);
     net::Connection& connection = *client.connection;
@@ -365,22 +368,27 @@
   closed_.clear();
 }
 
-// Standby and shutdown: connections are closed once nothing is in flight on them.
-void DownstreamConnections::CloseWhenStopping(Micros now) {
-  for (auto& [id, client] : clients_) {  // only while stopping: no idle connection remains
+void DownstreamConnections::EndDrainedClients(Micros now) {
+  ScheduleDrainCheck(now, drain_->reject_from);
+  ScheduleDrainCheck(now, drain_->close_by);
+  for (auto& [id, client] : clients_) {
     const net::Connection& connection = *client.connection;
     if (connection.IsClosed() || connection.IsLingering()) continue;
-    if (!client.requests.empty() || connection.Backlog() > 0) continue;
-    const Micros due_at = client.StopDueAt(now, accept_until_);
-    if (now >= due_at) {
-      LingerUnlessInputPending(client, now);  // else its input is read in the next round
-    } else if (!next_stop_check_at_ || *next_stop_check_at_ > due_at) {
-      next_stop_check_at_ = due_at;
-      loop_.Timers().Set(due_at, [this](Micros) { next_stop_check_at_.reset(); });
-    }
+    const core::EndDecision decision = core::DecideEnd(*drain_, client.Activity(), now);
+    ScheduleDrainCheck(now, decision.ask_again_at);
+    if (decision.reason == core::EndReason::kNone) continue;
+    Linger(client, now);
   }
 }
 
+// The round of the timer checks again.
+void DownstreamConnections::ScheduleDrainCheck(Micros now, Micros due_at) {
+  if (due_at <= now || due_at == Micros::max()) return;
+  if (next_drain_check_at_ && *next_drain_check_at_ <= due_at) return;
+  next_drain_check_at_ = due_at;
+  loop_.Timers().Set(due_at, [this](Micros) { next_drain_check_at_.reset(); });
+}
+
 // New and idle clients are closed in time, even if nothing else happens.
 void DownstreamConnections::ScheduleIdleCheck() {
   const auto deadline = idle_connections_.NextDeadline();
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -40,14 +40,15 @@
   void Reject(RequestId id, Micros retry_after);
   void Fail(RequestId id);
 
-  /// Graceful shutdown: clients are accepted until then, and each is closed once nothing is in flight on it.
-  void Drain(Micros accept_until) { accept_until_ = accept_until; }
-  /// Standby: clients are still accepted, and every connection is closed once nothing is in flight on it.
-  void SetStandby(bool is_standby) { is_standby_ = is_standby; }
+  /// Lets clients go by this timetable, which takes the place of one before.
+  void StartDrain(const core::DrainTimetable& timetable) { drain_ = timetable; }
+  /// Clients are kept again.
+  void EndDrain() { drain_.reset(); }
   /// The names of the classes by position, after a retune (setup::Retune); the last position of a name
   /// counts.
   void SetClasses(Names classes) { classes_ = std::move(classes); }
   bool IsDrained() const { return clients_.empty(); }
+  std::size_t ConnectionCount() const { return clients_.size(); }
   std::uint16_t Port() const { return listener_.Port(); }
   /// Bytes of responses that clients have yet to take, all clients together.
   std::size_t Backlog() const;
@@ -89,9 +90,10 @@
   void Close(Client& client);
   void AbandonRequests(Client& client);
 
-  void PauseIntakeOverMemoryLimit();
+  void PauseIntakeOverMemoryLimit(Micros now);
   void ConsumeHandled();
-  void CloseWhenStopping(Micros now);
+  void EndDrainedClients(Micros now);
+  void ScheduleDrainCheck(Micros now, Micros due_at);
   void CheckBackloggedClients(Micros now);
   void CloseIdleClients(Micros now);
   void CloseLingeringClients(Micros now);
@@ -111,10 +113,9 @@
   std::vector<std::uint64_t> closed_;                  // in this round
   std::deque<LingeringClient> lingering_;              // our side has ended, the oldest in front
   std::optional<Micros> next_idle_check_at_;
-  std::optional<Micros> next_stop_check_at_;
+  std::optional<Micros> next_drain_check_at_;
   std::uint64_t last_client_id_ = 0;
-  Micros accept_until_ = Micros::max();
-  bool is_standby_ = false;
+  std::optional<core::DrainTimetable> drain_;
   Names classes_;
   net::Listener listener_;
 };
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -1,5 +1,6 @@
 #include "front/platform/platform_front.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -21,6 +22,7 @@
     : max_downstream_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
       coordinator_(coordinator),
       site_(config.site),
+      longest_deadline_(config.longest),
       downstream_(loop, config, coordinator, events),
       upstream_(loop, config, coordinator, downstream_, events),
       endpoint_watcher_(loop, config, upstream_, events) {
@@ -79,10 +81,10 @@
   downstream_.Fail(id);
 }
 
-void PlatformFront::Drain(Micros accept_until) {
+void PlatformFront::Drain(const core::DrainTimetable& timetable) {
   if (attached_.on_drain) attached_.on_drain();
   service_.Stopping();
-  downstream_.Drain(accept_until);
+  downstream_.StartDrain(timetable);
 }
 
 bool PlatformFront::Reload() {
@@ -93,6 +95,7 @@
     const std::vector<std::string> dropped = retuned.dropped;
     if (retuned.changed) ApplySettings(std::move(retuned));
     endpoint_watcher_.Follow(config.changelog);
+    longest_deadline_ = std::min(longest_deadline_, config.longest);
     ++counters_.config_reloads;
     LogReload(added, dropped);
     return true;
@@ -123,7 +126,7 @@
 
 void PlatformFront::EndRound(Micros now) {
   service_.Serving();  // the first round has applied what the configuration knows
-  downstream_.SetStandby(service_.Now() == ops::Life::kStandby);
+  FollowServiceState(now);
   // Clients that are slow to take their responses hold up the servers' responses, not the memory.
   upstream_.SetReadPaused(downstream_.Backlog() > max_downstream_backlog_);
   downstream_.EndRound(now);
@@ -132,4 +135,26 @@
   upstream_.FailureLog().EndRound(now);
 }
 
+// What an operator's call has changed since the last round. A shutdown is begun by Drain.
+void PlatformFront::FollowServiceState(Micros now) {
+  const ops::Life before = std::exchange(service_state_, service_.Now());
+  if (before == service_state_) return;
+  const std::size_t pending = downstream_.PendingCount();
+  log::Info("service.state",
+            {{"from", ops::Name(before)},
+             {"to", ops::Name(service_state_)},
+             {"clients", downstream_.ConnectionCount()},
+             {"pending", pending}},
+            "service state: {} to {}, {} clients' connections, {} requests open", ops::Name(before),
+            ops::Name(service_state_), downstream_.ConnectionCount(), pending);
+  if (service_state_ == ops::Life::kStandby) {
+    const core::DrainTimetable timetable = core::StandbyTimetable(now);
+    coordinator_.StartDrain(timetable);
+    downstream_.StartDrain(timetable);
+  } else if (before == ops::Life::kStandby && service_state_ == ops::Life::kServing) {
+    coordinator_.EndDrain();
+    downstream_.EndDrain();
+  }
+}
+
 }  // namespace tinspan::platform
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -29,7 +29,8 @@
 
   void Execute(Micros now, const core::Command& command) override;
   void EndRound(Micros now) override;
-  void Drain(Micros accept_until) override;
+  Micros LongestDeadline() const override { return longest_deadline_; }
+  void Drain(const core::DrainTimetable& timetable) override;
   /// Reads the configuration file again; requests, connections and all that was learnt stay. Where the file
   /// cannot be used, the settings before stay in force, and the result is false.
   bool Reload() override;
@@ -45,15 +46,18 @@
   void Complete(const core::CompleteRequest& command);
   void Respond(RequestId id);
   void ApplySettings(Retuned retuned);
+  void FollowServiceState(Micros now);
   void LogReload(const std::vector<std::string>& added, const std::vector<std::string>& dropped) const;
 
   const std::size_t max_downstream_backlog_;
   core::RequestCoordinator& coordinator_;
-  Site site_;  // in force, with the classes of every retune
+  Site site_;                // in force, with the classes of every retune
+  Micros longest_deadline_;  // the shortest that any configuration so far gave
   DownstreamConnections downstream_;
   UpstreamConnections upstream_;
   EndpointWatcher endpoint_watcher_;
   ops::Service service_;
+  ops::Life service_state_ = ops::Life::kStarting;  // as it was acted on last
   ops::Figures counters_;  // what is counted as it happens; the rest is looked up when it is requested
   ops::Views views_;
   front::AttachedServices attached_;
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -19,18 +19,20 @@
 
 constexpr Micros kMaxWait{1'000'000};
 constexpr Micros kMaxWaitWhileStopping{20'000};
+// The program ends by itself no earlier than SIGKILL could come, whichever way its moment is read.
+constexpr Micros kMinLongestDeadline{3'000'000};
+constexpr Micros kMaxShutdownMargin{600'000};
 
 // One run of the loop, from the start to the end of a graceful shutdown.
 class Runner {
  public:
   Runner(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
-         std::vector<core::Event>& events, ShutdownTimes times, core::Observer* observer)
+         std::vector<core::Event>& events, core::Observer* observer)
       : loop_(loop),
         signals_(signals),
         coordinator_(coordinator),
         front_(front),
         events_(events),
-        times_(times),
         observer_(observer) {}
 
   void Run() {
@@ -56,16 +58,16 @@
   core::RequestCoordinator& coordinator_;
   Front& front_;
   std::vector<core::Event>& events_;
-  ShutdownTimes times_;
   core::Observer* observer_;
   Micros now_{0};  // of the round at hand
-  std::optional<Micros> stopping_since_;
+  std::optional<core::DrainTimetable> shutdown_;
+  Micros give_up_at_{0};  // while stopping: the program ends then, whatever is left
   core::Commands commands_;
   std::vector<core::Event> batch_;
 };
 
 Micros Runner::NextWait() const {
-  Micros wait = stopping_since_ ? kMaxWaitWhileStopping : kMaxWait;
+  Micros wait = shutdown_ ? kMaxWaitWhileStopping : kMaxWait;
   const Micros now = net::Now();
   for (const auto& next : {coordinator_.NextDeadline(), loop_.Timers().Next()}) {
     if (next) wait = std::min(wait, std::max(*next - now, Micros{0}));
@@ -94,28 +96,30 @@
     const bool reloaded = front_.Reload();
     Notify(reloaded ? core::LifecycleEvent::kReloaded : core::LifecycleEvent::kReloadRejected);
   }
-  if (signals_.stop_requested && !stopping_since_) BeginShutdown();
+  if (signals_.stop_requested && !shutdown_) BeginShutdown();
 }
 
 void Runner::BeginShutdown() {
-  stopping_since_ = now_;
   log::Info("stop.begun", {{"open", coordinator_.OpenRequests()}}, "stopping: {} requests open",
             coordinator_.OpenRequests());
   Notify(core::LifecycleEvent::kStopping);
-  coordinator_.SetShutdownDeadline(now_ + times_.kill_expected);
-  front_.Drain(now_ + times_.accept_window);
+  const Micros longest_deadline = front_.LongestDeadline();
+  shutdown_ = core::ShutdownTimetable(now_, longest_deadline);
+  if (coordinator_.Drain()) shutdown_ = core::Earliest(*coordinator_.Drain(), *shutdown_);
+  give_up_at_ = now_ + std::max(longest_deadline, kMinLongestDeadline) + kMaxShutdownMargin;
+  coordinator_.StartDrain(*shutdown_);
+  front_.Drain(*shutdown_);
 }
 
 bool Runner::IsOver() {
-  if (!stopping_since_) return false;
-  const Micros elapsed = now_ - *stopping_since_;
+  if (!shutdown_) return false;
   const bool is_idle = coordinator_.OpenRequests() == 0 && events_.empty() && front_.IsDrained();
-  if (elapsed >= times_.accept_window && is_idle) {
+  if (now_ >= shutdown_->accept_until && is_idle) {
     log::Info("stop.done", {{"open", 0}}, "stopped, all that was taken is answered");
     Notify(core::LifecycleEvent::kStopped);
     return true;
   }
-  if (elapsed >= times_.max_duration) {
+  if (now_ >= give_up_at_) {
     Notify(core::LifecycleEvent::kShutdownTimedOut);
     log::Warn("stop.cut", {{"open", coordinator_.OpenRequests()}}, "stopped with {} requests open",
               coordinator_.OpenRequests());
@@ -148,15 +152,18 @@
 
 void Signals::OnReady(std::uint32_t) {
   signalfd_siginfo info;
-  while (::read(fd_.Get(), &info, sizeof info) == sizeof info) {
+  while (true) {
+    const ssize_t size = ::read(fd_.Get(), &info, sizeof info);
+    if (size < 0 && errno == EINTR) continue;
+    if (size != static_cast<ssize_t>(sizeof info)) return;
     (info.ssi_signo == SIGHUP ? reload_requested : stop_requested) = true;
     last_signal = static_cast<int>(info.ssi_signo);
   }
 }
 
 void Run(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
-         std::vector<core::Event>& events, ShutdownTimes times, core::Observer* observer) {
-  Runner(loop, signals, coordinator, front, events, times, observer).Run();
+         std::vector<core::Event>& events, core::Observer* observer) {
+  Runner(loop, signals, coordinator, front, events, observer).Run();
 }
 
 }  // namespace tinspan::front
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -45,8 +45,10 @@
   virtual void Execute(net::Micros now, const core::Command& command) = 0;
   /// Called once a round, after all commands: slices of buffers handed out in the round end here.
   virtual void EndRound(net::Micros now) = 0;
-  /// Begins a graceful shutdown: goes on accepting until `accept_until`, then closes what is idle.
-  virtual void Drain(net::Micros accept_until) = 0;
+  /// The longest deadline that a client may count on; SIGKILL follows SIGTERM by it.
+  virtual net::Micros LongestDeadline() const = 0;
+  /// Begins a graceful shutdown.
+  virtual void Drain(const core::DrainTimetable& timetable) = 0;
   /// SIGHUP. False: what holds stays as it was, and the log says why.
   virtual bool Reload() { return true; }
   /// Whether nothing that was accepted is left unanswered or unwritten.
@@ -63,17 +65,10 @@
   std::function<void(const core::PurgeReceived&)> on_purge;            // an operator's, taken here
 };
 
-/// Bounds of a graceful shutdown, from SIGTERM on.
-struct ShutdownTimes {
-  net::Micros accept_window{700'000};    // how long new connections are still accepted
-  net::Micros max_duration{6'600'000};   // after which the program ends whatever is left
-  net::Micros kill_expected{3'700'000};  // after which SIGKILL may come
-};
-
 /// Runs rounds of the loop (gather what is ready, hand it to the coordinator in one go, carry out what comes
 /// back) until a graceful shutdown is done. `events` is where the front's parts put what they gather.
 /// `observer` may be null.
 void Run(net::EventLoop& loop, Signals& signals, core::RequestCoordinator& coordinator, Front& front,
-         std::vector<core::Event>& events, ShutdownTimes times, core::Observer* observer);
+         std::vector<core::Event>& events, core::Observer* observer);
 
 }  // namespace tinspan::front
--- a/src/ops/ops.cpp
+++ b/src/ops/ops.cpp
@@ -52,6 +52,20 @@
   return {.call = {}, .error = "unknown call " + std::string(name)};
 }
 
+std::string_view Name(Life state) {
+  switch (state) {
+    case Life::kStarting:
+      return "starting";
+    case Life::kServing:
+      return "serving";
+    case Life::kStandby:
+      return "standby";
+    case Life::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
 bool Service::Standby() {
   if (life_ == Life::kStopping || life_ == Life::kStandby) return false;
   life_ = Life::kStandby;
@@ -95,17 +109,7 @@
   if (!parsed.call) return "error " + parsed.error + "\n";
   switch (*parsed.call) {
     case Call::kStatus:
-      switch (service.Now()) {
-        case Life::kServing:
-          return "done serving\n";
-        case Life::kStarting:
-          return "error starting\n";
-        case Life::kStandby:
-          return "error standby\n";
-        case Life::kStopping:
-          return "error stopping\n";
-      }
-      break;
+      return (service.Ready() ? "done " : "error ") + std::string(Name(service.Now())) + "\n";
     case Call::kStats:
       return "done\n" + Prom(figures, "proxy") + "end\n";
     case Call::kMembers:
--- a/src/ops/ops.hpp
+++ b/src/ops/ops.hpp
@@ -30,6 +30,7 @@
 // Where the process stands. Starting: not yet serving; serving; standby: clients are sent away; stopping:
 // SIGTERM came, nothing brings it back.
 enum class Life { kStarting, kServing, kStandby, kStopping };
+std::string_view Name(Life state);
 
 class Service {
  public:
--- /dev/null
+++ b/tests/drain_test.cpp
@@ -0,0 +1,245 @@
+// The rule by which clients are let go: its table, and as a property over whole lives of a connection.
+#include "core/drain.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "coordinator_fixture.hpp"
+
+namespace tinspan::core {
+namespace {
+
+constexpr Micros Ms(std::int64_t count) { return Micros{count * 1000}; }
+
+struct DecisionCase {
+  const char* name;
+  Micros after;  // since the drain began
+  ConnectionActivity activity;
+  EndReason reason;
+};
+
+// Times of the activity are relative to the drain's beginning.
+ConnectionActivity At(Micros opened, Micros received, std::size_t in_flight = 0, std::size_t backlog = 0) {
+  return {.opened_at = kStart + opened,
+          .last_received_at = kStart + received,
+          .in_flight = in_flight,
+          .backlog_bytes = backlog,
+          .has_response = true};
+}
+ConnectionActivity WithoutResponse(ConnectionActivity activity) {
+  activity.has_response = false;
+  return activity;
+}
+ConnectionActivity WithPartialMessage(ConnectionActivity activity) {
+  activity.has_partial_message = true;
+  return activity;
+}
+ConnectionActivity WithPendingInput(ConnectionActivity activity) {
+  activity.has_pending_input = true;
+  return activity;
+}
+
+TEST(DrainTest, DecidesForStandby) {
+  const ConnectionActivity idle = At(Ms(-5000), Ms(-1000));
+  const std::vector<DecisionCase> cases{
+      {"idle", Ms(0), idle, EndReason::kRested},
+      {"a request in flight", Ms(0), At(Ms(-5000), Ms(-10), 1), EndReason::kNone},
+      {"still in flight at the end", Ms(5000), At(Ms(-5000), Ms(-10), 1), EndReason::kNone},
+      {"an answer not taken", Ms(3500), At(Ms(-5000), Ms(-10), 0, 1), EndReason::kNone},
+      {"just connected", Ms(40), WithoutResponse(At(Ms(0), Ms(0))), EndReason::kNone},
+      {"connected and silent", Ms(60), WithoutResponse(At(Ms(0), Ms(0))), EndReason::kRested},
+      {"writing", Ms(200), WithPartialMessage(At(Ms(-5000), Ms(0))), EndReason::kNone},
+      {"half a message", Ms(310), WithPartialMessage(At(Ms(-5000), Ms(0))), EndReason::kRested},
+      {"trickling on", Ms(3390), WithPartialMessage(At(Ms(-5000), Ms(3300))), EndReason::kNone},
+      {"trickling on at the end", Ms(3400), WithPartialMessage(At(Ms(-5000), Ms(3399))), EndReason::kTimeUp},
+      {"input to be read", Ms(1500), WithPendingInput(idle), EndReason::kNone},
+      {"input at the end", Ms(3400), WithPendingInput(idle), EndReason::kTimeUp}};
+  for (const DecisionCase& one : cases) {
+    EXPECT_EQ(DecideEnd(StandbyTimetable(kStart), one.activity, kStart + one.after).reason, one.reason)
+        << one.name;
+  }
+}
+
+TEST(DrainTest, KeepsTheOperatorsTerms) {
+  const DrainTimetable standby = StandbyTimetable(kStart);
+  // At 4 s nothing younger than 2 s may be carried, and no connection held.
+  EXPECT_LT(standby.reject_from, kStart + Ms(2000));
+  EXPECT_LT(standby.close_by, kStart + Ms(4000));
+  for (const Micros longest : {Ms(50), Ms(300), Ms(1000), Ms(3000), Ms(10'000)}) {
+    const Micros killed_at = kStart + std::min(longest, Ms(3000)) + Ms(700);
+    const DrainTimetable shutdown = ShutdownTimetable(kStart, longest);
+    EXPECT_GE(shutdown.accept_until, kStart + std::min(Ms(400), longest + Ms(400)));
+    EXPECT_LE(shutdown.accept_until, shutdown.rest_from);
+    EXPECT_LT(shutdown.reject_from, shutdown.answer_by);
+    EXPECT_LT(shutdown.answer_by, shutdown.close_by);
+    EXPECT_LE(shutdown.close_by, killed_at - Ms(100));
+  }
+}
+
+TEST(DrainTest, ShutsDownNoLaterThanTheStandbyBeforeIt) {
+  const DrainTimetable standby = StandbyTimetable(kStart);
+  const DrainTimetable both = Earliest(standby, ShutdownTimetable(kStart + Ms(2500), Ms(3000)));
+  EXPECT_EQ(both.close_by, standby.close_by);
+  EXPECT_TRUE(both.fails_open_requests);
+  EXPECT_LT(both.accept_until, Micros::max());
+}
+
+// ---- One connection under a coordinator: any requests, answers, standby, active and shutdown. ----
+
+Settings WithDeadline(Effect effect, Micros deadline) {
+  Settings settings = WithClass(effect, Ms(5000));
+  settings.classes[0].deadline = deadline;
+  settings.classes[0].latency_objective = deadline;
+  return settings;
+}
+
+// What a front does with the coordinator's commands and with DecideEnd, for one client.
+class ConnectionModel {
+ public:
+  ConnectionModel(Effect effect, Micros deadline)
+      : deadline_(deadline), coordinator_(WithDeadline(effect, deadline), 1, now_, {}) {
+    HandleEvents(
+        {EndpointsUpdated{EndpointsEvent::Kind::kFull,
+                          {MakeMember(kFirstServer), MakeMember(kSecondServer), MakeMember(kOrigin)}}});
+  }
+
+  void Advance(Micros time) {
+    for (const Micros until = now_ + time; now_ < until;) {
+      now_ = std::min(until, now_ + Ms(5));
+      HandleEvents({});
+    }
+  }
+  void WriteRequest() {
+    if (is_ended_) return;
+    const RequestId id = coordinator_.NextRequestId();
+    written_at_[id] = now_;
+    HandleEvents({RequestReceived{.id = id, .time_left = deadline_, .object = ObjectId{7}, .size_kb = 10}});
+  }
+  // The server answers what has been out longest.
+  void AnswerOldest() {
+    if (outstanding_.empty()) return;
+    const auto [id, attempt] = *outstanding_.begin();
+    outstanding_.erase(outstanding_.begin());
+    HandleEvents({AttemptCompleted{.id = id, .attempt = attempt, .issued_at = now_}});
+  }
+  void Standby() {
+    if (!coordinator_.Drain()) coordinator_.StartDrain(StandbyTimetable(now_));
+  }
+  void Activate() {
+    if (!is_stopping_) coordinator_.EndDrain();
+  }
+  void Stop() {
+    if (std::exchange(is_stopping_, true)) return;
+    DrainTimetable shutdown = ShutdownTimetable(now_, deadline_);
+    if (coordinator_.Drain()) shutdown = Earliest(*coordinator_.Drain(), shutdown);
+    coordinator_.StartDrain(shutdown);
+  }
+
+  const RequestCoordinator& Coordinator() const { return coordinator_; }
+  bool IsEnded() const { return is_ended_; }
+  Micros Now() const { return now_; }
+  std::size_t OpenRequests() const { return written_at_.size(); }
+  // Requests that were taken within so long.
+  bool CarriesRequestOfLast(Micros time) const {
+    return std::any_of(written_at_.begin(), written_at_.end(),
+                       [&](const auto& entry) { return entry.second > now_ - time; });
+  }
+
+ private:
+  void HandleEvents(const std::vector<Event>& events) {
+    Commands commands;
+    coordinator_.Handle(now_, events, commands);
+    for (const Command& command : commands) Execute(command);
+    EndConnection();
+  }
+  void Execute(const Command& command) {
+    if (const auto* const start = std::get_if<StartAttempt>(&command)) {
+      RC_ASSERT(written_at_.contains(start->action.id));  // nothing goes out after the answer
+      outstanding_.emplace(start->action.id, start->attempt);
+    } else if (const auto* const abort = std::get_if<AbortAttempt>(&command)) {
+      outstanding_.erase({abort->id, abort->attempt});
+    } else if (const auto* const complete = std::get_if<CompleteRequest>(&command)) {
+      RC_ASSERT(written_at_.erase(complete->id) == 1u);  // one final answer
+      has_response_ = true;
+    }
+  }
+  void EndConnection() {
+    if (!coordinator_.Drain() || is_ended_) return;
+    const ConnectionActivity activity{.opened_at = kStart,
+                                      .last_received_at = now_,
+                                      .in_flight = written_at_.size(),
+                                      .has_response = has_response_};
+    is_ended_ = DecideEnd(*coordinator_.Drain(), activity, now_).reason != EndReason::kNone;
+  }
+
+  Micros now_ = kStart;
+  Micros deadline_;
+  RequestCoordinator coordinator_;
+  std::map<RequestId, Micros> written_at_;  // without their answer
+  std::set<std::pair<RequestId, std::uint32_t>> outstanding_;
+  bool has_response_ = false;
+  bool is_ended_ = false;
+  bool is_stopping_ = false;
+};
+
+enum class Step { kWrite, kAnswer, kWait, kStandby, kActivate, kStop };
+
+void Take(ConnectionModel& model, Step step, int wait_ms) {
+  switch (step) {
+    case Step::kWrite:
+      return model.WriteRequest();
+    case Step::kAnswer:
+      return model.AnswerOldest();
+    case Step::kWait:
+      return model.Advance(Ms(wait_ms));
+    case Step::kStandby:
+      return model.Standby();
+    case Step::kActivate:
+      return model.Activate();
+    case Step::kStop:
+      return model.Stop();
+  }
+}
+
+// Whatever came before, a client that goes on writing is let go by the timetable's last moment, each of its
+// requests with one answer; in standby only what cannot be rejected may hold the connection longer.
+RC_GTEST_PROP(DrainProperty, EveryConnectionEndsByItsMoment, ()) {
+  const Effect effect =
+      *rc::gen::element(Effect::kIdempotent, Effect::kIdempotencyKey, Effect::kNonIdempotent);
+  const Micros deadline = Ms(*rc::gen::element(100, 300, 1500, 3000, 8000));
+  ConnectionModel model(effect, deadline);
+  const auto steps = *rc::gen::container<std::vector<std::pair<Step, int>>>(
+      rc::gen::pair(rc::gen::weightedElement<Step>({{8, Step::kWrite},
+                                                    {6, Step::kAnswer},
+                                                    {6, Step::kWait},
+                                                    {2, Step::kStandby},
+                                                    {2, Step::kActivate},
+                                                    {1, Step::kStop}}),
+                    rc::gen::inRange(1, 1500)));
+  for (const auto& [step, wait_ms] : steps) Take(model, step, wait_ms);
+  if (!model.Coordinator().Drain()) model.Standby();
+  const DrainTimetable timetable = *model.Coordinator().Drain();
+  // The client keeps some in flight to the last; the server answers every third of them.
+  while (model.Now() < timetable.close_by + Ms(20)) {
+    model.WriteRequest();
+    model.WriteRequest();
+    if (*rc::gen::inRange(0, 3) == 0) model.AnswerOldest();
+    model.Advance(Ms(25));
+  }
+  if (effect != Effect::kNonIdempotent || timetable.fails_open_requests) {
+    RC_ASSERT(model.OpenRequests() == 0u);
+    RC_ASSERT(model.IsEnded());
+  }
+  RC_ASSERT(!model.CarriesRequestOfLast(timetable.close_by - timetable.reject_from));
+  model.Advance(deadline + Ms(1000));
+  RC_ASSERT(model.OpenRequests() == 0u);
+}
+
+}  // namespace
+}  // namespace tinspan::core
