--- a/bench/synth_records.cpp
+++ b/bench/synth_records.cpp
@@ -67,7 +67,8 @@
       const bool trouble = second >= 300 && second < 308;
       End(trouble, events, commands);
       Come(rate, events, commands);
-      tracker_.Round(kStart + now_, Micros{1'000'000} + now_, events, commands, open_.size(), records_);
+      tracker_.Round(UnixTime(kStart + now_), Micros{1'000'000} + now_, events, commands, open_.size(),
+                     records_);
       Write();
     }
     std::printf("%s: %llu requests, %llu bytes, %.1f a request\n", name_.c_str(),
--- a/src/cli/console.cpp
+++ b/src/cli/console.cpp
@@ -184,7 +184,7 @@
   source.PollOnce(arguments);
   if (values.count("once") > 0) {
     for (const console::Line& line :
-         console::Frame(source.course, view, net::Now(), values["width"].as<unsigned>(),
+         console::Frame(source.course, view, net::UnixNow().SinceEpoch(), values["width"].as<unsigned>(),
                         values["height"].as<unsigned>())) {
       std::cout << line.text << "\n";
     }
@@ -196,10 +196,10 @@
   while (!view.over) {
     source.Poll(Micros{0});
     view.source_trouble = source.Trouble();
-    terminal.Draw(console::Frame(source.course, view, net::Now(), static_cast<std::size_t>(COLS),
-                                 static_cast<std::size_t>(LINES)));
+    terminal.Draw(console::Frame(source.course, view, net::UnixNow().SinceEpoch(),
+                                 static_cast<std::size_t>(COLS), static_cast<std::size_t>(LINES)));
     const int key = terminal.Key();
-    if (key != ERR) console::Typed(view, key, net::Now());
+    if (key != ERR) console::Typed(view, key, net::UnixNow().SinceEpoch());
   }
   return 0;
 }
--- a/src/cli/door.cpp
+++ b/src/cli/door.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <vector>
 
+#include "net/clock.hpp"
 #include "net/endpoint.hpp"
 #include "net/fd.hpp"
 
@@ -31,10 +32,9 @@
     throw std::runtime_error("the door at " + door + " took no call");
   }
   std::string answer;
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  const net::Micros end = net::Now() + std::chrono::seconds(3);
   while (true) {
-    const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - net::Now());
     pollfd one{fd.Get(), POLLIN, 0};
     if (left.count() <= 0 || ::poll(&one, 1, static_cast<int>(left.count())) != 1) {
       throw std::runtime_error("the door at " + door + " did not answer within 3 s");
--- a/src/cli/keys.cpp
+++ b/src/cli/keys.cpp
@@ -43,7 +43,7 @@
 
 struct Signing {
   http::Signer signer;
-  net::Micros until;
+  UnixTime until;
 };
 
 Signing Prepare(const Values& values) {
@@ -62,7 +62,7 @@
   if (json.empty()) json = config::ReadFile("--key", keys);
   const auto seconds = values["expires"].as<std::uint32_t>();
   return {http::Signer(KeyIn(json, keys, TextOf(values, "id")), TextOf(values, "issuer"), rules),
-          net::Now() + net::Micros{std::int64_t{seconds} * 1'000'000}};
+          net::UnixNow() + net::Micros{std::int64_t{seconds} * 1'000'000}};
 }
 
 }  // namespace
@@ -121,13 +121,13 @@
     throw Usage{
         "TARGET: expected a path and query in one reading and without a signature, such as /scans/a/b.jpg"};
   }
-  std::cout << with.signer.Link(target->Uri(), net::Now(), with.until) << "\n";
+  std::cout << with.signer.Link(target->Uri(), net::UnixNow(), with.until) << "\n";
   return 0;
 }
 
 int RunKeysToken(const Values& values, const std::vector<std::string>&) {
   const Signing with = Prepare(values);
-  std::cout << with.signer.Token(net::Now(), with.until) << "\n";
+  std::cout << with.signer.Token(net::UnixNow(), with.until) << "\n";
   return 0;
 }
 
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -37,7 +37,8 @@
                                   .tracker = {.sample_ppm = config.record.sample_ppm},
                                   .seed = config.seed};
   try {
-    return std::make_unique<record::Recorder>(config.site.settings, std::move(options), net::Now());
+    return std::make_unique<record::Recorder>(config.site.settings, std::move(options),
+                                              core::ClockReading{net::UnixNow(), net::Now()});
   } catch (const std::exception& error) {  // requests are served all the same
     log::Error("record.off", {{"reason", error.what()}, {"lost", 0}},
                "recording is off until the next start: {}", error.what());
@@ -194,7 +195,8 @@
     const std::string door = net::Endpoint{config.ops->address, *ops}.Text();
     log::Info("serve.ops", {{"address", door}}, "operators' door at {}", door);
   }
-  if (recorder) recorder->OnLifecycleEvent(net::Now(), core::LifecycleEvent::kServing, 0, at, 0);
+  if (recorder)
+    recorder->OnLifecycleEvent({net::UnixNow(), net::Now()}, core::LifecycleEvent::kServing, 0, at, 0);
   front::Run(loop, signals, coordinator, front, events, recorder.get());
 }
 
--- a/src/core/observer.hpp
+++ b/src/core/observer.hpp
@@ -8,6 +8,7 @@
 
 #include "core/commands.hpp"
 #include "core/events.hpp"
+#include "setup/unix_time.hpp"
 
 namespace tinspan::core {
 
@@ -23,6 +24,12 @@
   kServing,
 };
 
+/// Both clocks of the program at one moment.
+struct ClockReading {
+  UnixTime wall{};  // may step
+  Micros now{0};    // the coordinator's clock, which does not
+};
+
 /// Is notified after each round and at each turn. It answers nothing, must not block and must not throw.
 class Observer {
  public:
@@ -30,12 +37,12 @@
   Observer(const Observer&) = delete;
   Observer& operator=(const Observer&) = delete;
   virtual ~Observer() = default;
-  /// Called after RequestCoordinator::Handle and before the commands are carried out. `now` is the wall
-  /// clock's; `open_requests` have no final answer yet.
-  virtual void OnRound(Micros now, std::span<const Event> events, const Commands& commands,
+  /// Called after RequestCoordinator::Handle and before the commands are carried out. `open_requests`
+  /// have no final answer yet.
+  virtual void OnRound(ClockReading clocks, std::span<const Event> events, const Commands& commands,
                        std::size_t open_requests) = 0;
   /// `signal` is the signal's number with kSignalReceived, else 0.
-  virtual void OnLifecycleEvent(Micros now, LifecycleEvent event, int signal, std::string_view text,
+  virtual void OnLifecycleEvent(ClockReading clocks, LifecycleEvent event, int signal, std::string_view text,
                                 std::size_t open_requests) = 0;
   /// The longest that it may be until the next OnRound.
   virtual Micros MaxWait(Micros now) const = 0;
--- a/src/front/http/access.cpp
+++ b/src/front/http/access.cpp
@@ -27,11 +27,11 @@
 }
 
 // exp must be there: links and tokens expire. Each bound is moved out by the leeway.
-bool TimesHold(const element& claims, Micros now, Micros leeway) {
+bool TimesHold(const element& claims, UnixTime now, Micros leeway) {
   bool bad = false;
   const auto expires = Seconds(claims, "exp", bad), not_before = Seconds(claims, "nbf", bad),
              issued = Seconds(claims, "iat", bad);
-  const double at = std::chrono::duration<double>(now).count();
+  const double at = std::chrono::duration<double>(now.SinceEpoch()).count();
   const double slack = std::chrono::duration<double>(leeway).count();
   return !bad && expires && at < *expires + slack && (!not_before || at >= *not_before - slack) &&
          (!issued || at >= *issued - slack);
@@ -87,7 +87,7 @@
 
 std::string HashContainer(std::string_view uri) { return "hash:sha-256;" + Base64Url(Sha256(uri)); }
 
-bool Access::LinkHolds(const Target& target, Micros now) const {
+bool Access::LinkHolds(const Target& target, UnixTime now) const {
   const auto payload = keys_.Verify(target.package);
   simdjson::dom::parser parser;
   element claims;
@@ -103,7 +103,7 @@
          AudienceHolds(claims, rules_.audience) && ContainerHolds(claims, rules_.origin + target.Uri());
 }
 
-bool Access::TokenHolds(std::string_view token, Micros now) const {
+bool Access::TokenHolds(std::string_view token, UnixTime now) const {
   const auto payload = keys_.Verify(token);
   simdjson::dom::parser parser;
   element claims;
@@ -116,8 +116,8 @@
   return TimesHold(claims, now, rules_.leeway) && AudienceHolds(claims, rules_.audience);
 }
 
-std::string Signer::Claims(Micros now, Micros deadline, const std::string& more) const {
-  const auto seconds = [](Micros time) { return std::to_string(time.count() / 1'000'000); };
+std::string Signer::Claims(UnixTime now, UnixTime deadline, const std::string& more) const {
+  const auto seconds = [](UnixTime time) { return std::to_string(time.SinceEpoch().count() / 1'000'000); };
   const std::string from = seconds(now - rules_.leeway);
   // Rounded up: whole seconds must not cut the deadline short.
   const std::string until = seconds(deadline + rules_.leeway + Micros{999'999});
@@ -125,14 +125,14 @@
          from + R"(,"exp":)" + until + more + "}";
 }
 
-std::string Signer::Link(const std::string& uri, Micros now, Micros deadline) const {
+std::string Signer::Link(const std::string& uri, UnixTime now, UnixTime deadline) const {
   const std::string claims =
       Claims(now, deadline, R"(,"cdniv":1,"cdniuc":")" + HashContainer(rules_.origin + uri) + "\"");
   return uri + (uri.find('?') == std::string::npos ? "?" : "&") + std::string(kPackage) + "=" +
          SignCompact(key_, claims);
 }
 
-std::string Signer::Token(Micros now, Micros deadline) const {
+std::string Signer::Token(UnixTime now, UnixTime deadline) const {
   return SignCompact(key_, Claims(now, deadline, ""));
 }
 
--- a/src/front/http/access.hpp
+++ b/src/front/http/access.hpp
@@ -25,8 +25,8 @@
   void Replace(KeySet keys) { keys_ = std::move(keys); }
 
   // Judged once, at the request's last byte: a transfer under way is not judged again.
-  bool LinkHolds(const Target& target, Micros now) const;
-  bool TokenHolds(std::string_view token, Micros now) const;
+  bool LinkHolds(const Target& target, UnixTime now) const;
+  bool TokenHolds(std::string_view token, UnixTime now) const;
 
  private:
   KeySet keys_;
@@ -40,11 +40,11 @@
   Signer(Key key, std::string issuer, AccessRules rules)
       : key_(std::move(key)), issuer_(std::move(issuer)), rules_(std::move(rules)) {}
   // The target with a package of its own, and a token.
-  std::string Link(const std::string& uri, Micros now, Micros deadline) const;
-  std::string Token(Micros now, Micros deadline) const;
+  std::string Link(const std::string& uri, UnixTime now, UnixTime deadline) const;
+  std::string Token(UnixTime now, UnixTime deadline) const;
 
  private:
-  std::string Claims(Micros now, Micros deadline, const std::string& more) const;
+  std::string Claims(UnixTime now, UnixTime deadline, const std::string& more) const;
   Key key_;
   std::string issuer_;
   AccessRules rules_;
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -184,7 +184,7 @@
 }
 
 int Clients::Handle(Client& client, const Head& head, std::string_view body, std::string& fields) {
-  const Micros now = net::Now();
+  const UnixTime now = net::UnixNow();
   std::string_view text = head.target;
   for (const std::string_view scheme : {"http://", "https://"}) {  // absolute form
     if (!text.starts_with(scheme)) continue;
@@ -239,7 +239,7 @@
   return 0;
 }
 
-int Clients::Judge(config::Carrier access, const Head& head, const Target& target, Micros now,
+int Clients::Judge(config::Carrier access, const Head& head, const Target& target, UnixTime now,
                    std::string& fields) const {
   using config::Carrier;
   if (access == Carrier::kOpen) return 0;
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -77,7 +77,7 @@
   int Handle(Client& client, const Head& head, std::string_view body, std::string& fields);
   int Operator(const Head& head, const Target& target, std::string_view body, std::string& fields);
   int Records(const Head& head, const Target& target, std::string& fields);
-  int Judge(config::Carrier access, const Head& head, const Target& target, Micros now,
+  int Judge(config::Carrier access, const Head& head, const Target& target, UnixTime now,
             std::string& fields) const;
   void Reply(Client& client, int status, std::string_view fields, std::string_view body = {});
   void Leave(Client& client);
--- a/src/front/http/upstream.cpp
+++ b/src/front/http/upstream.cpp
@@ -95,10 +95,12 @@
     return Free(pooled);
   }
   pooled.state.to_head = asked->method == "HEAD";
+  const UnixTime signed_at = net::UnixNow();
+  const UnixTime signed_until = signed_at + (order.expires_at - now);
   std::string out = asked->method + " " +
-                    (asked->link ? signer_.Link(asked->uri, now, order.expires_at) : asked->uri) +
+                    (asked->link ? signer_.Link(asked->uri, signed_at, signed_until) : asked->uri) +
                     " HTTP/1.1\r\nHost: " + config_.authority + "\r\nVia: 1.1 " + config_.name + "\r\n";
-  if (!asked->link) out += "Authorization: Bearer " + signer_.Token(now, order.expires_at) + "\r\n";
+  if (!asked->link) out += "Authorization: Bearer " + signer_.Token(signed_at, signed_until) + "\r\n";
   std::string control = fill ? "" : "only-if-cached";
   if (order.max_age > Micros{0}) {
     control +=
--- a/src/front/platform/cache_protocol.cpp
+++ b/src/front/platform/cache_protocol.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "front/platform/fields.hpp"
+#include "net/clock.hpp"
 #include "setup/setup.hpp"
 
 namespace tinspan::platform {
@@ -79,10 +80,10 @@
   return note == kNotes.end() ? FillNote::kNone : note->second;
 }
 
-std::optional<Micros> ParseUnixMilliseconds(std::string_view text) {
+std::optional<UnixTime> ParseUnixMilliseconds(std::string_view text) {
   const auto milliseconds = ReadNumber<std::int64_t>(text);
   if (!milliseconds || *milliseconds < 0 || *milliseconds >= kMaxUnixMilliseconds) return std::nullopt;
-  return Micros{*milliseconds * 1000};
+  return UnixTime(Micros{*milliseconds * 1000});
 }
 
 }  // namespace
@@ -146,7 +147,7 @@
       if (note != FillNote::kNone) response.note = note;
     } else if (name == "issued") {
       const auto issued_at = ParseUnixMilliseconds(value);
-      if (issued_at) response.issued_at = issued_at;
+      if (issued_at) response.issued_at = net::ToProgramTime(*issued_at);
     } else if (name == "use") {
       load_report = value;
     } else if (name == "entity") {
--- a/src/front/platform/watch_event.cpp
+++ b/src/front/platform/watch_event.cpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "net/clock.hpp"
+
 namespace tinspan::platform {
 namespace {
 
@@ -40,7 +42,8 @@
   info.cell = static_cast<std::uint32_t>(GetOr<std::uint64_t>(server, "cell", 0));
   info.kind = KindId{PlaceOf(site.kinds, Get<std::string_view>(server, "kind"), "kind")};
   info.zone = ZoneId{PlaceOf(site.zones, Get<std::string_view>(server, "zone"), "zone")};
-  info.started_at = Micros{GetOr<std::int64_t>(server, "started_ms", 0) * kMicrosPerMillisecond};
+  const Micros started_at{GetOr<std::int64_t>(server, "started_ms", 0) * kMicrosPerMillisecond};
+  info.started_at = net::ToProgramTime(UnixTime(started_at));  // 0: no late start
   info.availability = ParseAvailability(Get<std::string_view>(server, "state"));
   return info;
 }
@@ -67,7 +70,8 @@
 
 core::PurgeReceived ParsePurge(const element& invalidation) {
   core::PurgeReceived purge;
-  purge.purged_at = Micros{Get<std::int64_t>(invalidation, "time") * kMicrosPerMillisecond};
+  purge.purged_at =
+      net::ToProgramTime(UnixTime(Micros{Get<std::int64_t>(invalidation, "time") * kMicrosPerMillisecond}));
   std::string_view object;
   if (invalidation["object"].get(object) == simdjson::SUCCESS) {
     purge.object = ParseObject(object, "object");
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -82,7 +82,8 @@
   batch_.swap(events_);
   commands_.clear();
   coordinator_.Handle(now_, batch_, commands_);
-  if (observer_ != nullptr) observer_->OnRound(now_, batch_, commands_, coordinator_.OpenRequests());
+  if (observer_ != nullptr)
+    observer_->OnRound({net::UnixNow(), now_}, batch_, commands_, coordinator_.OpenRequests());
   for (const core::Command& command : commands_) front_.Execute(now_, command);
   front_.EndRound(now_);
   HandleSignals();
@@ -130,7 +131,7 @@
 
 void Runner::Notify(core::LifecycleEvent event, int signal) const {
   if (observer_ != nullptr) {
-    observer_->OnLifecycleEvent(now_, event, signal, {}, coordinator_.OpenRequests());
+    observer_->OnLifecycleEvent({net::UnixNow(), now_}, event, signal, {}, coordinator_.OpenRequests());
   }
 }
 
--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -50,7 +50,7 @@
 }
 
 std::uint64_t Agent::WallMs() {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(net::Now().count() / 1000, 1));
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(net::UnixNow().SinceEpoch().count() / 1000, 1));
 }
 
 Agent::Agent(net::EventLoop& loop, members::Node& members, AgentOptions options)
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "net/clock.hpp"
 #include "setup/time_text.hpp"
 
 namespace tinspan::log {
@@ -10,9 +11,7 @@
 
 Format g_format = Format::kText;  // set once, by Start
 
-std::string TimeNow() {
-  return TimeText(std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch()));
-}
+std::string TimeNow() { return TimeText(net::UnixNow().SinceEpoch()); }
 
 }  // namespace
 
--- a/src/members/node.cpp
+++ b/src/members/node.cpp
@@ -60,9 +60,9 @@
 }
 
 std::uint64_t WallClockMillis() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(net::UnixNow().SinceEpoch());
+  return static_cast<std::uint64_t>(milliseconds.count());
 }
 
 void LogChange(const StateChange& change) {
@@ -169,9 +169,7 @@
   return lines;
 }
 
-Micros Node::SteadyNow() {
-  return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
-}
+Micros Node::SteadyNow() { return net::Now(); }
 
 net::Endpoint Node::AdvertisedEndpoint() const {
   if (options_.advertise) return *options_.advertise;
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "net/clock.hpp"
 #include "record/frame.hpp"
 
 namespace tinspan::record {
@@ -20,10 +21,6 @@
 constexpr Micros kHandOver{100'000};
 constexpr std::size_t kMostRecent = 1 << 20;
 
-Micros Mono() {
-  return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 // What earlier incarnations left, the oldest first.
 std::vector<SegmentFile> Old(const RecorderOptions& options) {
   namespace fs = std::filesystem;
@@ -49,13 +46,13 @@
 
 }  // namespace
 
-Recorder::Recorder(const Settings& settings, RecorderOptions options, Micros now)
+Recorder::Recorder(const Settings& settings, RecorderOptions options, core::ClockReading clocks)
     : options_(std::move(options)),
       settings_(settings),
-      incarnation_(now),
+      incarnation_(clocks.wall),
       tracker_(settings, options_.tracker, options_.seed),
       rotation_(options_.rotation, Old(options_)) {
-  OnLifecycleEvent(now, core::LifecycleEvent::kStarted, 0, {}, 0);
+  OnLifecycleEvent(clocks, core::LifecycleEvent::kStarted, 0, {}, 0);
   HandOver();  // so that a start is seen, however soon the end comes
 }
 
@@ -64,40 +61,39 @@
   HandOver();
 }
 
-void Recorder::OnRound(Micros now, std::span<const core::Event> events, const core::Commands& commands,
-                       std::size_t open) {
+void Recorder::OnRound(core::ClockReading clocks, std::span<const core::Event> events,
+                       const core::Commands& commands, std::size_t open) {
   if (off_) return;
-  const Micros mono = Mono();
-  tracker_.Round(now, mono, events, commands, open, records_);
-  if (!records_.empty()) Take(now);
-  if (order_.bytes.size() >= kBlock || (!order_.bytes.empty() && mono - handed_ >= kHandOver)) HandOver();
+  tracker_.Round(clocks.wall, clocks.now, events, commands, open, records_);
+  if (!records_.empty()) Take(clocks);
+  if (order_.bytes.size() >= kBlock || (!order_.bytes.empty() && clocks.now - handed_ >= kHandOver))
+    HandOver();
 }
 
-void Recorder::OnLifecycleEvent(Micros now, core::LifecycleEvent what, int signal, std::string_view text,
-                                std::size_t open) {
+void Recorder::OnLifecycleEvent(core::ClockReading clocks, core::LifecycleEvent what, int signal,
+                                std::string_view text, std::size_t open) {
   if (off_) return;
   if (what == core::LifecycleEvent::kStopped || what == core::LifecycleEvent::kShutdownTimedOut)
-    tracker_.Flush(Mono(), records_);
+    tracker_.Flush(clocks.now, records_);
   wire::Record& record = records_.emplace_back();
-  record.set_at_us(Mono().count());
+  record.set_at_us(clocks.now.count());
   wire::Life& life = *record.mutable_life();
   life.set_what(static_cast<wire::Life::What>(static_cast<int>(what) + 1));
   life.set_signal(static_cast<std::uint32_t>(signal));
   life.set_open(static_cast<std::uint32_t>(open));
   life.set_text(std::string(text));
-  Take(now);
+  Take(clocks);
   HandOver();
 }
 
-Micros Recorder::MaxWait(Micros) const {
+Micros Recorder::MaxWait(Micros now) const {
   if (off_) return Micros::max();
-  const Micros mono = Mono();
   Micros due = tracker_.NextDue();
   if (!order_.bytes.empty()) due = std::min(due, handed_ + kHandOver);
-  return std::max(due - mono, Micros{0});
+  return std::max(due - now, Micros{0});
 }
 
-void Recorder::Take(Micros now) {
+void Recorder::Take(core::ClockReading clocks) {
   std::vector<wire::Record> records = std::exchange(records_, {});
   if (writer_.Waiting() > kMostWaiting) {
     for (const wire::Record& record : records) gap_.set_bytes(gap_.bytes() + record.ByteSizeLong());
@@ -107,14 +103,14 @@
   }
   if (gap_.records() > 0) {
     wire::Record record;
-    record.set_at_us(Mono().count());
+    record.set_at_us(clocks.now.count());
     *record.mutable_gap() = std::exchange(gap_, {});
-    Encode(now, record);
+    Encode(clocks, record);
   }
-  for (wire::Record& record : records) Encode(now, record);
+  for (wire::Record& record : records) Encode(clocks, record);
 }
 
-void Recorder::Encode(Micros now, wire::Record& record) {
+void Recorder::Encode(core::ClockReading clocks, wire::Record& record) {
   if (off_) return;
   // The size is the same to a few bytes whatever the time is set off from; a whole time is the longest.
   const std::size_t most = record.ByteSizeLong() + kFrameHead;
@@ -123,7 +119,7 @@
     gap_.set_records(gap_.records() + 1);
     return;
   }
-  if (!rotation_.Fits(most, now)) OpenSegment(now);
+  if (!rotation_.Fits(most, clocks.now)) OpenSegment(clocks);
   if (off_) return;
   record.set_at_us(record.at_us() - base_.count());
   scratch_.clear();
@@ -161,25 +157,25 @@
   return out;
 }
 
-void Recorder::OpenSegment(Micros now) {
+void Recorder::OpenSegment(core::ClockReading clocks) {
   HandOver();
-  base_ = Mono();
+  base_ = clocks.now;
   char number[48];
-  std::snprintf(number, sizeof number, "%016lld.%06u", static_cast<long long>(incarnation_.count()),
-                ++segment_);
+  std::snprintf(number, sizeof number, "%016lld.%06u",
+                static_cast<long long>(incarnation_.SinceEpoch().count()), ++segment_);
   const std::string path = options_.folder + "/" + FilePrefix(options_.name) + number + std::string(kSuffix);
-  order_.remove = rotation_.Open(path, now);
+  order_.remove = rotation_.Open(path, clocks.now);
   order_.open = path;
 
   wire::Record first;
   wire::Header& header = *first.mutable_header();
   header.set_format(kFormat);
   header.set_name(options_.name);
-  header.set_incarnation(incarnation_.count());
+  header.set_incarnation(incarnation_.SinceEpoch().count());
   header.set_segment(segment_);
   header.set_version(options_.version);
   header.set_config(options_.config);
-  header.set_wall_us(now.count());
+  header.set_wall_us(clocks.wall.SinceEpoch().count());
   header.set_mono_us(base_.count());
   header.set_front(options_.front);
   header.set_sample_ppm(options_.tracker.sample_ppm);
@@ -215,7 +211,7 @@
 }
 
 void Recorder::HandOver() {
-  handed_ = Mono();
+  handed_ = net::Now();
   if (!order_.bytes.empty()) writer_.Give(std::exchange(order_, {}));
   const std::string failure = writer_.Failure();
   if (!failure.empty()) TurnOff(failure);
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -31,13 +31,13 @@
 class Recorder final : public core::Observer, public core::RecordFeed {
  public:
   // Throws std::runtime_error where the folder cannot be had.
-  Recorder(const Settings& settings, RecorderOptions options, Micros now);
+  Recorder(const Settings& settings, RecorderOptions options, core::ClockReading clocks);
   ~Recorder() override;
 
-  void OnRound(Micros now, std::span<const core::Event> events, const core::Commands& commands,
+  void OnRound(core::ClockReading clocks, std::span<const core::Event> events, const core::Commands& commands,
                std::size_t open) override;
-  void OnLifecycleEvent(Micros now, core::LifecycleEvent what, int signal, std::string_view text,
-                        std::size_t open) override;
+  void OnLifecycleEvent(core::ClockReading clocks, core::LifecycleEvent what, int signal,
+                        std::string_view text, std::size_t open) override;
   Micros MaxWait(Micros now) const override;
 
   // Of the open segment, the last 1 MB at most, as a segment's bytes.
@@ -47,16 +47,16 @@
   std::uint64_t Lost() const { return lost_; }  // records that were dropped
 
  private:
-  void Take(Micros now);  // what is in records_
-  void Encode(Micros now, wire::Record& record);
-  void OpenSegment(Micros now);
+  void Take(core::ClockReading clocks);  // what is in records_
+  void Encode(core::ClockReading clocks, wire::Record& record);
+  void OpenSegment(core::ClockReading clocks);
   void HandOver();
   void Keep(std::string_view frames);
   void TurnOff(const std::string& why);
 
   const RecorderOptions options_;
   const Settings settings_;
-  const Micros incarnation_;
+  const UnixTime incarnation_;
   Tracker tracker_;
   Rotation rotation_;
   Writer writer_;
--- a/src/record/tracker.cpp
+++ b/src/record/tracker.cpp
@@ -76,7 +76,7 @@
 Tracker::Tracker(const Settings& settings, TrackerRules rules, std::uint64_t seed)
     : settings_(settings), rules_(rules), random_(seed) {}
 
-void Tracker::Round(Micros wall, Micros mono, std::span<const core::Event> events,
+void Tracker::Round(UnixTime wall, Micros mono, std::span<const core::Event> events,
                     const core::Commands& commands, std::size_t open, std::vector<wire::Record>& out) {
   wall_ = wall;
   now_ = mono;
@@ -296,7 +296,7 @@
   Request* const request = Find(command.id);
   Attempt* const attempt = request == nullptr ? nullptr : Find(*request, command.attempt);
   if (attempt == nullptr || attempt->ended) return;
-  const bool due = wall_ >= attempt->expires_at;
+  const bool due = now_ >= attempt->expires_at;
   // An answer that had begun and was never passed on was older than a purge.
   const bool purged = attempt->begun && *attempt->begun == now_ && !request->ending;
   EndAttempt(*request, *attempt, purged ? Outcome::kError : due ? Outcome::kTimedOut : Outcome::kCancelled);
@@ -515,7 +515,7 @@
   }
   lost_.clear();
   wire::Heartbeat& beat = *Put().mutable_heartbeat();
-  beat.set_wall_us(wall_.count());
+  beat.set_wall_us(wall_.SinceEpoch().count());
   beat.set_mono_us(now_.count());
   beat.set_open(static_cast<std::uint32_t>(open));
   std::map<std::uint32_t, std::uint32_t> out;
--- a/src/record/tracker.hpp
+++ b/src/record/tracker.hpp
@@ -19,6 +19,7 @@
 
 #include "core/request_coordinator.hpp"
 #include "record/record.pb.h"
+#include "setup/unix_time.hpp"
 
 namespace tinspan::record {
 
@@ -55,9 +56,9 @@
  public:
   Tracker(const Settings& settings, TrackerRules rules, std::uint64_t seed);
 
-  // One round of the loop: what the core was handed and what came back, at the wall clock and at one that
-  // never steps. Appends records to `out`; their `at_us` is the latter, still to be set off.
-  void Round(Micros wall, Micros mono, std::span<const core::Event> events, const core::Commands& commands,
+  // One round of the loop: what the core was handed and what came back, at the wall clock and at the
+  // core's, which never steps. Appends records to `out`; their `at_us` is the latter, still to be set off.
+  void Round(UnixTime wall, Micros mono, std::span<const core::Event> events, const core::Commands& commands,
              std::size_t open, std::vector<wire::Record>& out);
   // Whatever is counted so far, before the end or a new segment.
   void Flush(Micros mono, std::vector<wire::Record>& out);
@@ -74,10 +75,10 @@
     ServerId id{};
     std::uint32_t server = 0;  // the number that it was given
     ServerId source_id{};
-    std::uint32_t source = 0;         // 0: no fill
-    Micros sent{0};                   // mono, like all here but where said
-    Micros expires_at{0};             // wall clock
-    std::optional<Micros> issued_at;  // wall clock: when the origin gave out the copy
+    std::uint32_t source = 0;  // 0: no fill
+    Micros sent{0};            // mono, like all here but where said
+    Micros expires_at{0};
+    std::optional<Micros> issued_at;  // when the origin gave out the copy
     bool served = false;              // its answer is here; whether the core passes it on is not known yet
     std::optional<Micros> ended;
     std::optional<Micros> begun;
@@ -110,7 +111,7 @@
     Micros last_sent{0};
   };
   struct Purge {
-    Micros made{0};  // wall clock
+    Micros made{0};
     Micros told{0};
     std::uint32_t served = 0;
     Micros last_sent{0}, last_served{0};
@@ -154,7 +155,7 @@
   const TrackerRules rules_;
   std::mt19937_64 random_;
   std::vector<wire::Record>* out_ = nullptr;
-  Micros wall_{0};
+  UnixTime wall_{};
   Micros now_{0};  // by the clock that never steps
   std::unordered_map<RequestId, Request> requests_;
   std::vector<RequestId> touched_;  // in this round: may be over
