--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -159,18 +159,28 @@
       filled_ += static_cast<std::size_t>(count);
       received += static_cast<std::size_t>(count);
       OnLocalSuccess();
-    } else if (count < 0 && IsLocal(errno)) {
-      RetryLater(errno);
-      return ReadResult::kOk;
-    } else if (count == 0 || errno != EINTR) {
+    } else if (count == 0) {
       more_in_socket_ = false;
-      peer_ended_ = peer_ended_ || count == 0;
-      return count < 0 && errno != EAGAIN ? ReadResult::kFailed : ReadResult::kOk;
+      peer_ended_ = true;
+      return ReadResult::kOk;
+    } else if (errno != EINTR) {
+      return HandleReceiveError(errno);
     }
   }
   return ReadResult::kOk;
 }
 
+Connection::ReadResult Connection::HandleReceiveError(int error) {
+  if (IsLocal(error)) {
+    RetryLater(error);
+    return ReadResult::kOk;
+  }
+  more_in_socket_ = false;
+  if (error == EAGAIN) return ReadResult::kOk;
+  loop_.SocketErrors().Add(ClassifySocketError(error));
+  return ReadResult::kFailed;
+}
+
 // False: the buffer is full up to the limit, and the rest stays in the socket until the owner consumes some.
 bool Connection::MakeReadSpace() {
   if (start_ > 0) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -116,6 +116,7 @@
   bool FinishConnecting(std::uint32_t events);
   void Read();
   ReadResult ReceiveRound();
+  ReadResult HandleReceiveError(int error);
   bool MakeReadSpace();
   std::size_t ReadLimit() const;
   bool CanRead() const { return more_in_socket_ && !read_paused_ && !closing_; }
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,219 @@
+"""Stand-ins for the servers of an instance (edge caches, parent, origin) and for the endpoint watch."""
+import asyncio
+import hashlib
+import json
+import random
+import time
+from dataclasses import dataclass
+
+from history import Attempt, History
+
+LOOPBACK = "127.0.0.1"
+
+
+def body_of(object_id: str, part: str, issued: int, size: int) -> bytes:
+    """The bytes of a copy: told by what it is, so that a client knows whether they are right."""
+    seed = hashlib.sha256(f"{object_id}/{part}/{issued}".encode()).hexdigest().encode()
+    head = f"{issued}:".encode()
+    return (head + seed * (size // len(seed) + 1))[:max(size, len(head))]
+
+
+def fields_of(text: str) -> dict:
+    return dict(part.split("=", 1) for part in text.split(",") if "=" in part) if text != "-" else {}
+
+
+@dataclass
+class ServerBehaviour:
+    """How a server answers now. Chances are drawn for each request."""
+    delay: float = 0.04
+    jitter: float = 0.08
+    busy: float = 0.0
+    error: float = 0.0
+    is_hanging: bool = False  # requests are taken and never answered
+    is_silent: bool = False  # cut off: no request gets there, no answer comes, and connections stay open
+    reset: float = 0.0  # the connection is reset in place of an answer
+    cut: float = 0.0  # the connection ends in the middle of an answer
+    pieces: bool = False  # answers come in pieces
+
+
+class Server:
+    """One server; a listener for each instance, so that it knows who asks."""
+
+    def __init__(self, name: str, kind: str, history: History, instances: list[str], seed: str):
+        self.name = name
+        self.kind = kind
+        self.history = history
+        self.random = random.Random(seed)
+        self.behaviour = ServerBehaviour()
+        self.copies: dict[tuple, int] = {}
+        self.addresses: dict[str, str] = {}
+        self.instances = instances
+        self.is_up = True
+        self.writers = set()
+        self.listeners = []
+
+    async def start(self):
+        for instance in self.instances:
+            listener = await asyncio.start_server(
+                lambda reader, writer, instance=instance: self.serve(instance, reader, writer), LOOPBACK, 0)
+            self.listeners.append(listener)
+            self.addresses[instance] = "%s:%d" % listener.sockets[0].getsockname()[:2]
+
+    def die(self):
+        """The process ends: its connections are reset."""
+        self.is_up = False
+        for listener in self.listeners:
+            listener.close()
+        self.reset_connections()
+
+    def reset_connections(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, instance, reader, writer):
+        self.writers.add(writer)
+        open_requests: dict[str, tuple[Attempt, asyncio.Task]] = {}
+        try:
+            while True:
+                line = await reader.readuntil(b"\r\n")
+                words = line.decode().split()
+                if not words:
+                    continue
+                if words[0] == "REQ":
+                    body = await reader.readexactly(int(words[3]) + 2)
+                    if not self.behaviour.is_silent:  # else it does not get there
+                        self.take(instance, words, body[:-2], writer, open_requests)
+                elif words[0] == "STOP" and words[1] in open_requests:
+                    attempt, task = open_requests.pop(words[1])
+                    attempt.ended_at = time.monotonic()
+                    task.cancel()
+                elif words[0] in ("HELO", "STAT"):
+                    writer.write(f"{words[1]} UP - 0\r\n\r\n".encode())
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            for attempt, task in open_requests.values():
+                attempt.ended_at = time.monotonic()
+                task.cancel()
+            self.writers.discard(writer)
+            writer.close()
+
+    def take(self, instance, words, body, writer, open_requests):
+        reference, fields = words[1], fields_of(words[2])
+        attempt = Attempt(reference, self.name, fields.get("miss"),
+                          float(fields["budget"]) / 1000 if "budget" in fields else None, time.monotonic(), instance)
+        self.history.attempts.append(attempt)
+        task = asyncio.ensure_future(self.answer(reference, fields, attempt, writer, open_requests))
+        open_requests[reference] = (attempt, task)
+
+    async def answer(self, reference, fields, attempt, writer, open_requests):
+        how = self.behaviour
+        if how.is_hanging:
+            return
+        held = self.copies.get((fields["path"], fields.get("blk", "0")))
+        is_fill = held is None and self.kind != "store"
+        await asyncio.sleep(how.delay + self.random.random() * how.jitter + (0.03 if is_fill else 0.0))
+        if self.behaviour.is_hanging or self.behaviour.is_silent:
+            return
+        draw = self.random.random()
+        if draw < how.busy:
+            return self.finish(reference, "BUSY", "-", b"", attempt, writer, open_requests)
+        if draw < how.busy + how.error:
+            return self.finish(reference, "ERR", "-", b"", attempt, writer, open_requests)
+        if is_fill and "miss" not in fields:
+            return self.finish(reference, "MISS", "-", b"", attempt, writer, open_requests)
+        issued = held if held is not None and self.kind != "store" else int(time.time() * 1000)
+        if self.kind != "store":
+            self.copies[(fields["path"], fields.get("blk", "0"))] = issued
+        body = body_of(fields["path"], fields.get("blk", "0"), issued, 60 + self.random.randrange(3000))
+        text = f"entity={issued:x},issued={issued},detail={'pulled' if is_fill else 'local'}"
+        if draw > 1 - how.reset:
+            open_requests.pop(reference, None)
+            attempt.ended_at = time.monotonic()
+            return writer.transport.abort()
+        if draw > 1 - how.reset - how.cut:
+            writer.write(f"{reference} OK {text} {len(body)}\r\n".encode() + body[:20])
+            open_requests.pop(reference, None)
+            attempt.ended_at = time.monotonic()
+            return writer.close()
+        self.finish(reference, "OK", text, body, attempt, writer, open_requests)
+
+    def finish(self, reference, word, fields, body, attempt, writer, open_requests):
+        open_requests.pop(reference, None)
+        attempt.ended_at = time.monotonic()
+        attempt.outcome = word
+        data = f"{reference} {word} {fields} {len(body)}\r\n".encode() + body + b"\r\n"
+        if not self.behaviour.pieces:
+            return writer.write(data)
+        middle = len(data) // 2
+        writer.write(data[:middle])
+        asyncio.get_event_loop().call_later(0.02, writer.write, data[middle:])
+
+    def purge(self, object_id: str):
+        for key in [key for key in self.copies if key[0] == object_id]:
+            del self.copies[key]
+
+
+class EndpointWatch:
+    """The change log: one listener for each instance, numbered events from 1 at each start of a process."""
+
+    def __init__(self, instance: str, known: list):
+        self.instance = instance
+        self.events = list(known)  # (event without its number, on_written)
+        self.writers = []
+        self.is_stalled = False
+        self.is_down = False
+        self.address = ""
+
+    async def start(self):
+        self.listener = await asyncio.start_server(self.serve, LOOPBACK, 0)
+        self.address = "%s:%d" % self.listener.sockets[0].getsockname()[:2]
+        self.beat_task = asyncio.ensure_future(self.beat())
+
+    def numbered(self, index: int) -> str:
+        return json.dumps({"seq": index + 1, **self.events[index][0]})
+
+    async def serve(self, reader, writer):
+        try:
+            if self.is_down:
+                return writer.transport.abort()
+            line = await reader.readline()
+            start = int(line.split()[1])
+            state = [writer, min(start, len(self.events))]
+            self.writers.append(state)
+            self.flush(state)
+            while await reader.read(100):
+                pass
+        except (ConnectionError, IndexError, ValueError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers = [one for one in self.writers if one[0] is not writer]
+            writer.close()
+
+    def flush(self, state):
+        writer, position = state
+        while not self.is_stalled and position < len(self.events):
+            writer.write(self.numbered(position).encode() + b"\n")
+            self.events[position][1](self.instance, time.monotonic())
+            position += 1
+        state[1] = position
+
+    def tell(self, event: dict, on_written=lambda instance, at: None):
+        self.events.append((event, on_written))
+        for state in self.writers:
+            self.flush(state)
+
+    def cut(self, in_line: bool):
+        """The connections end, perhaps in the middle of a line."""
+        for writer, _ in self.writers:
+            if in_line:
+                writer.write(b'{"seq":99999,"fle')
+            writer.close()
+
+    async def beat(self):
+        while True:
+            await asyncio.sleep(1.0)
+            for state in self.writers:
+                if not self.is_stalled:
+                    self.flush(state)
+                    state[0].write(f"{len(self.events)}\n".encode())
