--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kBlock = 64 << 10;
 constexpr Micros kHandOver{100'000};
 constexpr std::size_t kMostRecent = 1 << 20;
+// How long a disk that failed is left alone, doubled each time in a row.
+constexpr Micros kMinResumeDelay{1'000'000};
+constexpr Micros kMaxResumeDelay{60'000'000};
 
 // What earlier incarnations left, the oldest first.
 std::vector<SegmentFile> Old(const RecorderOptions& options) {
@@ -64,6 +67,7 @@
 void Recorder::OnRound(core::ClockReading clocks, std::span<const core::Event> events,
                        const core::Commands& commands, std::size_t open) {
   if (off_) return;
+  if (resume_at_ && clocks.now >= *resume_at_) resume_at_.reset();
   tracker_.Round(clocks.wall, clocks.now, events, commands, open, records_);
   if (!records_.empty()) Take(clocks);
   if (order_.bytes.size() >= kBlock || (!order_.bytes.empty() && clocks.now - handed_ >= kHandOver))
@@ -90,12 +94,13 @@
   if (off_) return Micros::max();
   Micros due = tracker_.NextDue();
   if (!order_.bytes.empty()) due = std::min(due, handed_ + kHandOver);
+  if (resume_at_) due = std::min(due, std::max(*resume_at_, now));
   return std::max(due - now, Micros{0});
 }
 
 void Recorder::Take(core::ClockReading clocks) {
   std::vector<wire::Record> records = std::exchange(records_, {});
-  if (writer_.Waiting() > kMostWaiting) {
+  if (resume_at_ || writer_.Waiting() > kMostWaiting) {
     for (const wire::Record& record : records) gap_.set_bytes(gap_.bytes() + record.ByteSizeLong());
     gap_.set_records(gap_.records() + records.size());
     lost_ += records.size();
@@ -120,7 +125,7 @@
     return;
   }
   if (!rotation_.Fits(most, clocks.now)) OpenSegment(clocks);
-  if (off_) return;
+  if (!IsOn()) return;
   record.set_at_us(record.at_us() - base_.count());
   scratch_.clear();
   record.AppendToString(&scratch_);
@@ -159,6 +164,7 @@
 
 void Recorder::OpenSegment(core::ClockReading clocks) {
   HandOver();
+  if (!IsOn()) return;
   base_ = clocks.now;
   char number[48];
   std::snprintf(number, sizeof number, "%016lld.%06u",
@@ -213,8 +219,21 @@
 void Recorder::HandOver() {
   handed_ = net::Now();
   if (!order_.bytes.empty()) writer_.Give(std::exchange(order_, {}));
-  const std::string failure = writer_.Failure();
-  if (!failure.empty()) TurnOff(failure);
+  const std::string failure = writer_.TakeFailure();
+  if (!failure.empty()) Suspend(failure);
+}
+
+// The disk may be full or broken for a while only. What comes meanwhile is counted as a gap, and recording
+// goes on in a segment of its own.
+void Recorder::Suspend(const std::string& why) {
+  resume_delay_ = std::clamp(2 * resume_delay_, kMinResumeDelay, kMaxResumeDelay);
+  resume_at_ = net::Now() + resume_delay_;
+  order_ = {};
+  rotation_.CloseSegment();
+  log::Error("record.suspended",
+             {{"reason", why}, {"lost", lost_}, {"retry_ms", resume_delay_.count() / 1000}},
+             "recording is suspended for {} ms: {}; {} records were dropped before",
+             resume_delay_.count() / 1000, why, lost_);
 }
 
 void Recorder::TurnOff(const std::string& why) {
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -5,6 +5,7 @@
 // than the bound. A disk that fails turns it off, with one line in the log.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,8 @@
   // Of the open segment, the last 1 MB at most, as a segment's bytes.
   std::string Since(std::uint64_t& offset) const override;
 
-  bool IsOn() const { return !off_; }
+  // False also while a disk that failed is left alone.
+  bool IsOn() const { return !off_ && !resume_at_; }
   std::uint64_t Lost() const { return lost_; }  // records that were dropped
 
  private:
@@ -52,6 +54,7 @@
   void OpenSegment(core::ClockReading clocks);
   void HandOver();
   void Keep(std::string_view frames);
+  void Suspend(const std::string& why);
   void TurnOff(const std::string& why);
 
   const RecorderOptions options_;
@@ -71,7 +74,9 @@
   std::string first_;              // the open segment's header, as a frame
   wire::Gap gap_;
   std::uint64_t lost_ = 0;
-  bool off_ = false;
+  bool off_ = false;                 // until the next start
+  std::optional<Micros> resume_at_;  // the disk failed: until then nothing is written
+  Micros resume_delay_{0};
 };
 
 }  // namespace tinspan::record
--- a/src/record/rotation.hpp
+++ b/src/record/rotation.hpp
@@ -34,6 +34,8 @@
   bool Fits(std::uint64_t bytes, Micros now) const;
   // Begins a segment. What has to be deleted before its first byte is written.
   std::vector<std::string> Open(const std::string& name, Micros now);
+  // Nothing more goes into the open segment: Open comes before the next byte.
+  void CloseSegment() { open_ = false; }
   // Bytes that have been handed to the open segment.
   void Wrote(std::uint64_t bytes) { files_.back().bytes += bytes; }
   std::uint64_t Held() const;
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -29,9 +29,18 @@
   bool end = false;
   std::string failure;
 
-  net::Fd fd;  // the thread's alone
+  // The thread's alone.
+  net::Fd fd;
+  bool is_segment_broken = false;  // nothing more goes into it: what follows a hole cannot be read
 
   std::string Do(const Order& order) {
+    if (is_segment_broken && order.open.empty()) return {};
+    std::string error = Write(order);
+    is_segment_broken = !error.empty();
+    return error;
+  }
+
+  std::string Write(const Order& order) {
     for (const std::string& path : order.remove) ::unlink(path.c_str());
     if (!order.open.empty()) {
       fd = net::Fd(::open(order.open.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0600));
@@ -54,12 +63,12 @@
       if (orders.empty()) return;
       const std::vector<Order> batch = std::exchange(orders, {});
       busy = true;
-      const bool failed = !failure.empty();
       held.unlock();
       std::string error;
       std::size_t done = 0;
       for (const Order& order : batch) {
-        if (!failed && error.empty()) error = Do(order);
+        const std::string order_error = Do(order);
+        if (error.empty()) error = order_error;
         done += order.bytes.size();
       }
       held.lock();
@@ -101,9 +110,9 @@
   return state_->waiting;
 }
 
-std::string Writer::Failure() const {
+std::string Writer::TakeFailure() {
   const std::lock_guard held(state_->lock);
-  return state_->failure;
+  return std::exchange(state_->failure, {});
 }
 
 bool Writer::Settle(Micros most) {
--- a/src/record/writer.hpp
+++ b/src/record/writer.hpp
@@ -27,8 +27,9 @@
 
   void Give(Order order);
   std::size_t Waiting() const;  // bytes given and not written
-  // Once anything has failed nothing more is written: why, or empty.
-  std::string Failure() const;
+  // Why a write or an open failed since the last call, or empty. Nothing more is written until an order opens
+  // another file.
+  std::string TakeFailure();
   // Whether all that was given has been written (or given up) within that time.
   bool Settle(Micros most);
 
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <thread>
 
 #include "net/clock.hpp"
 #include "record/book.hpp"
@@ -475,6 +476,39 @@
             std::string::npos);
 }
 
+// A disk that fails for a while: what comes meanwhile is a gap, and recording goes on in another segment.
+TEST(Recorders, GoesOnAfterADiskThatFailedForAWhile) {
+  Folder folder;
+  rlimit before{};
+  ::getrlimit(RLIMIT_FSIZE, &before);
+  std::size_t lines_before = 0;
+  {
+    Recorder recorder(MakeSettings(), MakeOptions(folder), ClocksNow());
+    const rlimit small{8'000, before.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &small);  // EFBIG from there on
+    for (int i = 0; i < 2000 && recorder.IsOn(); ++i) {
+      Write(recorder, 20);
+      recorder.OnLifecycleEvent(ClocksNow(), core::LifecycleEvent::kSignalReceived, 1, {}, 0);
+    }
+    ::setrlimit(RLIMIT_FSIZE, &before);
+    ASSERT_FALSE(recorder.IsOn());
+    Write(recorder, 20);
+    Collected got;
+    FolderReader reader({folder.path});
+    reader.Poll(got);
+    lines_before = got.Lines();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+    Write(recorder, 30);
+    EXPECT_TRUE(recorder.IsOn());
+    EXPECT_GE(recorder.Lost(), 20u);
+  }
+  Collected got;
+  FolderReader reader({folder.path});
+  reader.Poll(got);
+  reader.Finish(got);
+  EXPECT_EQ(got.Lines(), lines_before + 30);
+}
+
 TEST(Recorders, ADiskThatFailsTurnsItOffAndNothingElse) {
   Folder folder;
   rlimit before{};
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -49,6 +49,7 @@
         self.addresses: dict[str, str] = {}
         self.instances = instances
         self.is_up = True
+        self.is_draining = False
         self.writers = set()
         self.listeners = []
 
@@ -123,7 +124,7 @@
         if is_fill and "miss" not in fields:
             return self.finish(reference, "MISS", "-", b"", attempt, writer, open_requests)
         issued = held if held is not None and self.kind != "store" else int(time.time() * 1000)
-        if self.kind != "store":
+        if is_fill:  # a copy that was purged meanwhile does not come back
             self.copies[(fields["path"], fields.get("blk", "0"))] = issued
         body = body_of(fields["path"], fields.get("blk", "0"), issued, 60 + self.random.randrange(3000))
         text = f"entity={issued:x},issued={issued},detail={'pulled' if is_fill else 'local'}"
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -396,12 +396,14 @@
                 self.tell_members(server, "removed")
             return
         if kind == "drains":
-            if server.kind != "box" or not server.is_up:
+            if server.kind != "box" or not server.is_up or server.is_draining:
                 return
+            server.is_draining = True
             drain = Drain(server.name, time.monotonic())
             self.history.drains.append(drain)
             self.tell_members(server, "draining", lambda name, at: drain.received_at.setdefault(name, at))
             await asyncio.sleep(fault.span + 3)
+            server.is_draining = False
             if server.is_up:
                 drain.until = time.monotonic()
                 self.tell_members(server, "up")
