Answer what arrived while the process stood still past the end of its drain

Cause: at close_by a connection without a request in flight ended even with input in its socket. A process that was stopped (SIGSTOP) past that moment had requests there that were written long before: more than one round reads were dropped unanswered.

Change: after close_by what has arrived is still read and rejected, in 32 rounds at most; who writes without end is not waited for.

Measured: 31 requests of 8 KB written while the process stood still past its standby: all 32 answered; without the change the test fails.

--- a/src/core/drain.cpp
+++ b/src/core/drain.cpp
@@ -30,6 +30,9 @@
 constexpr Micros kPartialMessageTime{300'000};
 // Input that is seen but not read yet comes in the next round; this is asked again then.
 constexpr Micros kPendingInputTime{1'000};
+// After `close_by` what has arrived (while the process was stopped, say) is still read, in so many rounds:
+// all that a client may have in flight. Who writes on is not waited for.
+constexpr int kMaxLooksPastClose = 32;
 
 Micros RestsAt(const ConnectionActivity& activity, Micros now) {
   if (activity.has_partial_message) return activity.last_received_at + kPartialMessageTime;
@@ -75,6 +78,8 @@
   // Its answer, or the client that takes it, brings the next look.
   if (activity.in_flight > 0 || activity.backlog_bytes > 0) return {};
   if (now >= timetable.close_by) {
+    const bool is_read_on = activity.has_pending_input && activity.looks_past_close < kMaxLooksPastClose;
+    if (is_read_on) return {.ask_again_at = now + kPendingInputTime};
     const bool is_busy = activity.has_partial_message || activity.has_pending_input;
     return {.reason = is_busy ? EndReason::kTimeUp : EndReason::kRested};
   }
--- a/src/core/drain.hpp
+++ b/src/core/drain.hpp
@@ -46,6 +46,7 @@
   bool has_response = false;         // some answer was written to it
   bool has_partial_message = false;  // the front of a message has come, the rest has not
   bool has_pending_input = false;    // bytes wait in the socket that were not read yet
+  int looks_past_close = 0;          // how often it was looked at since `close_by`, this time not counted
 };
 
 enum class EndReason : std::uint8_t {
--- a/src/front/platform/downstream_client.cpp
+++ b/src/front/platform/downstream_client.cpp
@@ -25,7 +25,8 @@
           .backlog_bytes = connection->Backlog(),
           .has_response = has_response,
           .has_partial_message = !connection->Unread().empty(),
-          .has_pending_input = connection->HasPendingInput()};
+          .has_pending_input = connection->HasPendingInput(),
+          .looks_past_close = looks_past_close};
 }
 
 }  // namespace tinspan::platform
--- a/src/front/platform/downstream_client.hpp
+++ b/src/front/platform/downstream_client.hpp
@@ -23,6 +23,7 @@
   std::unordered_set<std::string> cancelled_tags;  // found by that search: their calls are yet to come
   std::uint64_t last_bytes_sent = 0;
   Micros last_progress_at{0};        // when last_bytes_sent changed
+  int looks_past_close = 0;          // of a drain (core/drain.hpp)
   bool has_response = false;         // some response was written to it
   bool is_intake_paused = false;     // no new request is taken from it
   bool is_ended = false;             // by either side; it may still linger
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -400,6 +400,7 @@
     if (connection.IsClosed() || connection.IsLingering()) continue;
     const core::EndDecision decision = core::DecideEnd(*drain_, client.Activity(), now);
     ScheduleDrainCheck(now, decision.ask_again_at);
+    if (now >= drain_->close_by) ++client.looks_past_close;
     if (decision.reason == core::EndReason::kNone) continue;
     const bool is_rested = decision.reason == core::EndReason::kRested;
     Linger(client, now, is_rested ? ClientEnd::kDrained : ClientEnd::kDrainTimeUp);
--- a/tests/net/connection_ends_test.cpp
+++ b/tests/net/connection_ends_test.cpp
@@ -90,6 +90,35 @@
   EXPECT_LT(SteadyMs(), limit_ms);
 }
 
+// The instance stands still (SIGSTOP) past the last moment of its standby while requests arrive, more than it
+// reads in one round: each is answered before its connection ends.
+TEST(ConnectionEndsTest, AnswersWhatArrivedWhileItStoodStillInStandby) {
+  constexpr int kCalls = 31;
+  AdminWorld world;
+  TcpPeer client = world.Client();
+  client.Send(Call("1"));  // in flight: no server answers
+  TcpPeer cache = Chosen(world);
+  cache.ReadUntil("\r\n\r\n");
+  ASSERT_EQ(world.Ask("standby"), "done standby");
+  {
+    const StoppedProgram stopped(*world.program);
+    for (int number = 2; number < 2 + kCalls; ++number) {
+      std::array<char, 17> reference{};
+      std::snprintf(reference.data(), reference.size(), "%016x", static_cast<unsigned>(number));
+      const std::string fields = "ref=" + std::string(reference.data()) +
+                                 ",allow=2500,replay=5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+                                 ",lookup=7f3a9c21e0b4d655,block=3,family=17";
+      client.Send(
+          EncodeCommand({"RPC.CALL", std::to_string(number), "orders", fields, std::string(8000, 'x')}));
+    }
+    SleepMs(3600);
+  }
+  const std::string received = client.ReadToEnd();
+  int answered = 0;
+  for (std::size_t at = 0; (at = received.find("*4\r\n", at)) != std::string::npos; ++at) ++answered;
+  EXPECT_EQ(answered, kCalls + 1);
+}
+
 // The instance stops, and its deadlines are short: clients that go on writing are let go before SIGKILL may
 // come, with every request answered that was read.
 TEST(ConnectionEndsTest, StopEndsConnectionsWithRequestsAlwaysInFlight) {
