--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -30,7 +30,6 @@
 class Checker:
     def __init__(self, history: History):
         self.history = history
-        self.slack = SLACK + history.max_lag
         self.attempts = defaultdict(list)
         for attempt in history.attempts:
             self.attempts[attempt.reference].append(attempt)
@@ -52,6 +51,11 @@
         self.check_processes()
         return self.violations
 
+    def slack(self, start, end=None) -> float:
+        """Of a time limit: the page's, and how late the soak's own loop ran at about that time."""
+        end = start if end is None else end
+        return SLACK + max((lag for at, lag in self.history.lags if start - 1.0 <= at <= end + 1.0), default=0.0)
+
     def found(self, rule, text, reference=None):
         self.violations.append(Violation(rule, text, reference))
 
@@ -74,7 +78,8 @@
             if status == "done" and not is_body_right:
                 self.found("bytes", "served other bytes than its servers made", request.reference)
         connection = self.history.connections[request.connection]
-        limit = request.written_at + request.allow + LATE_ANSWER + self.slack
+        limit = request.written_at + request.allow + LATE_ANSWER
+        limit += self.slack(request.written_at, limit)
         limit += self.paused(request, request.written_at, limit)
         if request.answers:
             if request.answers[0][0] > limit and request.cancelled_at is None:
@@ -88,7 +93,8 @@
         killed = [one for one in self.processes_of(request) if one.killed_at is not None and one.killed_at <= limit]
         if any(not self.is_owed_before_kill(request, one) for one in killed):
             return
-        if connection.ended_at is not None and connection.ended_at - request.written_at <= CROSSING + self.slack:
+        if connection.ended_at is not None and connection.ended_at - request.written_at <= CROSSING + self.slack(
+                request.written_at):
             return
         if limit > self.history.ended_at:
             return
@@ -100,14 +106,15 @@
         """SIGKILL excuses what it cuts off; after SIGTERM only what crossed the end of its connection."""
         if process.told_to_stop_at is None or process.told_to_stop_at > process.killed_at:
             return False
-        return process.killed_at - request.written_at > CROSSING + self.slack
+        return process.killed_at - request.written_at > CROSSING + self.slack(request.written_at)
 
     # ---- Attempts. ----
 
     def check_effect(self, request: Request):
         attempts = self.attempts[request.reference]
         for earlier, later in zip(attempts, attempts[1:]):
-            if earlier.ended_at is None or earlier.ended_at > later.arrived_at + self.slack:
+            if earlier.ended_at is None or earlier.ended_at > later.arrived_at + self.slack(
+                    later.arrived_at):
                 self.found("two attempts", f"at {earlier.server} and {later.server} at once", request.reference)
         may_have_run = [one for one in attempts if one.outcome not in NEVER_RAN]
         if request.effect == "once" and len(may_have_run) > 0:
@@ -115,13 +122,13 @@
                 self.found("effect", "sent again after an attempt that may have run", request.reference)
         if request.effect == "by_key" and may_have_run:
             first = may_have_run[0].arrived_at
-            if any(one.arrived_at > first + request.window + self.slack for one in attempts):
+            if any(one.arrived_at > first + request.window + self.slack(one.arrived_at) for one in attempts):
                 self.found("effect", "sent again after the window of its key", request.reference)
         rejected_at = next((at for at, status, _, _ in request.answers if status == "later"), None)
         if rejected_at is not None and request.effect == "once":
             if any(one.arrived_at <= rejected_at for one in may_have_run):
                 self.found("effect", "rejected, though it may have run", request.reference)
-        if request.answers and any(one.arrived_at > request.answers[0][0] + self.slack for one in attempts):
+        if request.answers and any(one.arrived_at > request.answers[0][0] + self.slack(one.arrived_at) for one in attempts):
             self.found("after the answer", "sent to a server after its final answer", request.reference)
 
     def check_client_gone(self, request: Request):
@@ -130,7 +137,7 @@
             if gone_at is None:
                 continue
             for attempt in self.attempts[request.reference]:
-                allowed = gone_at + CLIENT_GONE + self.slack + self.paused(request, gone_at, attempt.arrived_at)
+                allowed = gone_at + CLIENT_GONE + self.slack(attempt.arrived_at) + self.paused(request, gone_at, attempt.arrived_at)
                 if attempt.arrived_at > allowed:
                     late = attempt.arrived_at - gone_at
                     self.found("client gone", f"sent {late:.3f} s after its client had gone", request.reference)
@@ -138,7 +145,8 @@
     def check_budget(self, request: Request):
         for attempt in self.attempts[request.reference]:
             left = request.written_at + request.allow - attempt.arrived_at
-            if attempt.budget is not None and attempt.budget > max(left, 0) + BUDGET_SLACK + self.slack:
+            if attempt.budget is not None and attempt.budget > max(left, 0) + BUDGET_SLACK + self.slack(
+                    attempt.arrived_at):
                 if self.paused(request, request.written_at, attempt.arrived_at) > 0:
                     continue
                 self.found("budget", f"{attempt.budget:.3f} s told, {left:.3f} s left", request.reference)
@@ -159,7 +167,7 @@
             for purge in self.history.purges:
                 if purge.object_id != request.object_id or issued >= purge.time:
                     continue
-                if sent_at > self.told_by(purge, request.instance, sent_at) + PURGE_GRACE + self.slack:
+                if sent_at > self.told_by(purge, request.instance, sent_at) + PURGE_GRACE + self.slack(sent_at):
                     self.found("purge", f"served a copy issued {(purge.time - issued) / 1000:.3f} s before its purge",
                                request.reference)
 
@@ -171,7 +179,7 @@
                 told_at = self.told_by(drain, attempt.instance, attempt.arrived_at)
                 paused = max((one.paused(told_at, attempt.arrived_at) for one in self.history.processes.values()
                               if one.instance == attempt.instance), default=0.0)
-                if attempt.arrived_at > told_at + DRAIN_GRACE + self.slack + paused:
+                if attempt.arrived_at > told_at + DRAIN_GRACE + self.slack(attempt.arrived_at) + paused:
                     self.found("drain", f"sent to {drain.server} {attempt.arrived_at - told_at:.3f} s after "
                                f"{attempt.instance} was told of its drain", attempt.reference)
 
@@ -191,7 +199,7 @@
             for standby in self.history.standbys:
                 if status.call != "status" or status.instance != standby.instance or status.text is None:
                     continue
-                is_within = standby.called_at + self.slack < status.asked_at < standby.until - self.slack
+                is_within = standby.called_at + SLACK < status.asked_at < standby.until - SLACK
                 if is_within and status.text.startswith("done") and not self.was_disturbed(
                         standby.instance, standby.called_at, status.asked_at):
                     self.found("standby", f"{status.instance} says yes during standby")
@@ -231,7 +239,8 @@
 
     def check_admin(self):
         for status in self.history.statuses:
-            if status.answered_at is not None and status.answered_at - status.asked_at <= ADMIN_LIMIT + self.slack:
+            if status.answered_at is not None and status.answered_at - status.asked_at <= ADMIN_LIMIT + self.slack(
+                    status.asked_at, status.answered_at):
                 continue
             if not self.was_disturbed(status.instance, status.asked_at, status.asked_at + ADMIN_LIMIT):
                 self.found("admin", f"{status.instance}: {status.call} not answered within a second")
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -106,4 +106,4 @@
     processes: dict[int, Process] = field(default_factory=dict)
     faults: list = field(default_factory=list)  # (at, text)
     ended_at: float = 0.0
-    max_lag: float = 0.0  # by which the soak's own loop ran late
+    lags: list = field(default_factory=list)  # (at, seconds) where the soak's own loop ran late
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,6 +19,7 @@
 
 READY_POLL = 0.1
 KILL_MARGIN = 0.7
+NOTED_LAG = 0.01
 MAX_DEADLINE_BEFORE_KILL = 3.0
 # fault_control.hpp: the clock's offset, then an error and a count for each call.
 CALLS = ["accept", "socket", "connect", "receive", "send", "wait", "register", "write", "sync"]
@@ -204,7 +205,7 @@
 
     async def front(self, instance):
         while not self.is_over:
-            if instance.processes and not instance.busy_with:
+            if instance.processes and instance.busy_with not in ("restart", "upgrade", "kill"):
                 text = await self.ask(instance, "status")
                 is_ready = text is not None and text.startswith("done")
                 if not is_ready and instance.is_taken_by_front:
@@ -227,7 +228,9 @@
         while not self.is_over:
             before = time.monotonic()
             await asyncio.sleep(0.005)
-            self.history.max_lag = max(self.history.max_lag, time.monotonic() - before - 0.005)
+            lag = time.monotonic() - before - 0.005
+            if lag > NOTED_LAG:
+                self.history.lags.append((before, lag))
 
     async def run(self):
         for server in self.servers:
@@ -295,6 +298,7 @@
         if fault.kind in OPERATIONS:
             if instance.busy_with or not instance.processes:
                 return
+            # A standby may be crossed by any other operation.
             instance.busy_with = fault.kind if fault.kind != "standby" else ""
             try:
                 await getattr(self, "play_" + fault.kind)(instance, fault)
