--- a/tests/net/connection_ends_test.cpp
+++ b/tests/net/connection_ends_test.cpp
@@ -133,7 +133,8 @@
   world.program->Signal(SIGTERM);
   const std::int64_t limit_ms = SteadyMs() + kKillMs - 20;
   ExpectEndedBy(clients, limit_ms);
-  // The program's last word; what the process does after it (a sanitizer looks for leaks) is not the program's.
+  // The program's last word; what the process does after it (a sanitizer looks for leaks) is not the
+  // program's.
   world.program->ReadLogThrough("stopped, all that was taken is answered");
   EXPECT_LE(SteadyMs(), limit_ms);
   EXPECT_EQ(world.program->Wait(), 0);
