End connections once their responses are delivered, not once the system has them

At `standby` a client that reads 1 MB a second lost the 7 requests whose answers were on their way. The same at SIGTERM, at the limit on idle time and with full descriptors.

Cause: every decision to end a connection asked Connection::Backlog(), which counts what the socket has not accepted. A socket accepts up to 4 MB that the client has not received. DecideEnd took such a connection for idle and queued the end of our side behind 1.7 MB; CloseLingeringClients closed the socket 0.3 s later; the client's next request was answered with a reset, which drops the send queue.

Evidence: the program's log completes the 7 requests as served before the call; SIOCOUTQ on a connection with the same reader shows 3.8 MB accepted and not acknowledged. Ruled out: the servers' answers, the drain's timetable (the end came at 0.00 s, not at a deadline).

Change: Connection::UnsentBytes() and UndeliveredBytes() ask the system. A drain takes a connection for idle 0.5 s after its responses last waited for the client's window; idle and evicted connections end when all is delivered or nothing was received for 2.5 s; the linger timeout runs from the delivery. At close_by the half close stays and is counted as drain_undelivered.

--- a/src/core/drain.cpp
+++ b/src/core/drain.cpp
@@ -31,6 +31,11 @@
 // the rest of it. Closed earlier, the connection would be closed while the request is in transit.
 constexpr Micros kFirstRequestTimeout{50'000};
 constexpr Micros kPartialMessageTimeout{300'000};
+// A client that received its responses slowly may still have to read what its system has buffered. A request
+// that it writes meanwhile would cross the end of the connection, which it sees only after that.
+constexpr Micros kUnreadResponseTimeout{500'000};
+// A connection with responses that could not be transmitted is checked again after this time.
+constexpr Micros kDeliveryCheckInterval{20'000};
 // Pending socket input is read in the next round; the connection is checked again after this time.
 constexpr Micros kPendingInputInterval{1'000};
 // After `close_by`, input that has already arrived (for example while the process was stopped) is still read
@@ -38,13 +43,18 @@
 // is closed after that.
 constexpr int kMaxChecksPastClose = 32;
 
-// When the connection counts as idle if nothing more is received.
-Micros IdleAt(const ConnectionActivity& activity, Micros now) {
+// When the connection counts as idle if nothing more is received, as far as its requests are concerned.
+Micros RequestsIdleAt(const ConnectionActivity& activity, Micros now) {
   if (activity.has_partial_message) return activity.last_received_at + kPartialMessageTimeout;
   if (activity.has_response) return now;
   return std::max(activity.opened_at, activity.last_received_at) + kFirstRequestTimeout;
 }
 
+// When the client has read its responses, as far as that can be known.
+Micros ResponsesReadAt(const ConnectionActivity& activity, Micros now) {
+  return activity.last_unsent_at ? *activity.last_unsent_at + kUnreadResponseTimeout : now;
+}
+
 }  // namespace
 
 DrainTimetable StandbyTimetable(Micros now) {
@@ -82,13 +92,17 @@
   if (now < timetable.close_idle_from) return {.recheck_at = timetable.close_idle_from};
   // Checked again when the response is sent or the client reads the backlog.
   if (activity.in_flight > 0 || activity.backlog_bytes > 0) return {};
+  const Micros responses_read_at = ResponsesReadAt(activity, now);
   if (now >= timetable.close_by) {
     const bool can_read_more = activity.has_pending_input && activity.checks_past_close < kMaxChecksPastClose;
     if (can_read_more) return {.recheck_at = now + kPendingInputInterval};
     const bool is_busy = activity.has_partial_message || activity.has_pending_input;
-    return {.reason = is_busy ? EndReason::kTimedOut : EndReason::kIdle};
+    if (is_busy) return {.reason = EndReason::kTimedOut};
+    return {.reason = now < responses_read_at ? EndReason::kUndelivered : EndReason::kIdle};
   }
-  const Micros idle_at = IdleAt(activity, now);
+  const bool is_transmitting = activity.last_unsent_at == now;
+  if (is_transmitting) return {.recheck_at = std::min(now + kDeliveryCheckInterval, timetable.close_by)};
+  const Micros idle_at = std::max(RequestsIdleAt(activity, now), responses_read_at);
   if (now < idle_at) return {.recheck_at = std::min(idle_at, timetable.close_by)};
   if (activity.has_pending_input) return {.recheck_at = now + kPendingInputInterval};
   return {.reason = EndReason::kIdle};
--- a/src/core/drain.hpp
+++ b/src/core/drain.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "tinspan/router.hpp"
 
@@ -43,8 +44,10 @@
 struct ConnectionActivity {
   Micros opened_at{0};
   Micros last_received_at{0};
-  std::size_t in_flight = 0;         // requests without a final response
-  std::size_t backlog_bytes = 0;     // response bytes not yet taken by the client
+  std::size_t in_flight = 0;      // requests without a final response
+  std::size_t backlog_bytes = 0;  // response bytes that the socket has not accepted
+  // When the socket was last seen to hold response bytes that it could not transmit; empty: never.
+  std::optional<Micros> last_unsent_at{};
   bool has_response = false;         // at least one response was written
   bool has_partial_message = false;  // the beginning of a message was received
   bool has_pending_input = false;    // the socket holds unread bytes
@@ -53,9 +56,10 @@
 
 /// Why a connection is closed.
 enum class EndReason : std::uint8_t {
-  kNone,      // the connection stays open
-  kIdle,      // the connection was idle
-  kTimedOut,  // no request in flight at `close_by`, but the client was still sending
+  kNone,         // the connection stays open
+  kIdle,         // the connection was idle
+  kTimedOut,     // no request in flight at `close_by`, but the client was still sending
+  kUndelivered,  // no request in flight at `close_by`, but the client was still receiving responses
 };
 
 /// Whether to close a connection, and when to check it again at the latest.
--- a/src/front/platform/downstream_client.cpp
+++ b/src/front/platform/downstream_client.cpp
@@ -18,11 +18,21 @@
   if (connection->BytesSent() != last_bytes_sent) ResetWriteProgress(now);
 }
 
-core::ConnectionActivity DownstreamClient::Activity() const {
+bool DownstreamClient::IsReceiving(Micros now, Micros stall_timeout) {
+  const std::size_t undelivered_bytes = connection->UndeliveredBytes();
+  if (undelivered_bytes == 0) return false;
+  // The end of our side may count as one byte that was never queued.
+  delivery.Observe(now, connection->BytesQueued() + 1 - undelivered_bytes);
+  return delivery.StalledFor(now) <= stall_timeout;
+}
+
+core::ConnectionActivity DownstreamClient::Activity(Micros now) {
+  if (connection->UnsentBytes() > 0) last_unsent_at = now;
   return {.opened_at = connection->OpenedAt(),
           .last_received_at = connection->LastReceivedAt(),
           .in_flight = requests.size(),
           .backlog_bytes = connection->Backlog(),
+          .last_unsent_at = last_unsent_at,
           .has_response = has_response,
           .has_partial_message = !connection->Unread().empty(),
           .has_pending_input = connection->HasPendingInput(),
--- a/src/front/platform/downstream_client.hpp
+++ b/src/front/platform/downstream_client.hpp
@@ -4,12 +4,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 
 #include "core/drain.hpp"
 #include "net/connection.hpp"
+#include "net/delivery_progress.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan::platform {
@@ -22,12 +24,14 @@
   std::size_t bytes_scanned = 0;  // prefix of Unread() that was scanned for cancellations
   std::unordered_set<std::string> cancelled_tags;  // found by that scan; the calls are still unhandled
   std::uint64_t last_bytes_sent = 0;
-  Micros last_progress_at{0};        // when last_bytes_sent last changed
-  int checks_past_close = 0;         // drain checks since close_by (core/drain.hpp)
-  bool has_response = false;         // at least one response has been written
-  bool is_intake_paused = false;     // no new request is accepted
-  bool is_ended = false;             // either side has ended the connection; it may still linger
-  bool has_partial_message = false;  // a further message after a response has arrived in part
+  Micros last_progress_at{0};            // when last_bytes_sent last changed
+  net::DeliveryProgress delivery;        // of the responses, observed while a decision depends on it
+  std::optional<Micros> last_unsent_at;  // see core::ConnectionActivity
+  int checks_past_close = 0;             // drain checks since close_by (core/drain.hpp)
+  bool has_response = false;             // at least one response has been written
+  bool is_intake_paused = false;         // no new request is accepted
+  bool is_ended = false;                 // either side has ended the connection; it may still linger
+  bool has_partial_message = false;      // a further message after a response has arrived in part
 
   /// While paused, cancellations are handled but no new request is accepted. Reading is scheduled when the
   /// pause ends.
@@ -36,8 +40,11 @@
   void ResetWriteProgress(Micros now);
   /// Updates last_progress_at if the socket has taken bytes since the last call.
   void UpdateWriteProgress(Micros now);
+  /// Whether responses, or the end of our side, are still on their way to a client that goes on receiving:
+  /// one that has received nothing for `stall_timeout` does not count.
+  bool IsReceiving(Micros now, Micros stall_timeout);
   /// Returns what core::DecideEnd needs to know about this connection.
-  core::ConnectionActivity Activity() const;
+  core::ConnectionActivity Activity(Micros now);
 };
 
 }  // namespace tinspan::platform
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -31,6 +31,10 @@
 // How long a client's input is read and discarded after our side was shut down. A request that crosses the
 // shutdown arrives within 50 ms; the client sends it again and closes this connection.
 constexpr Micros kLingerTimeout{300'000};
+// A client that has received nothing of its responses for this long may be evicted, and is closed when idle.
+constexpr Micros kDeliveryStallTimeout{2'500'000};
+// While responses are on their way to a lingering client, it is checked at this interval.
+constexpr Micros kDeliveryCheckInterval{50'000};
 constexpr std::size_t kMaxEvictionCandidates = 8;
 constexpr Micros kIdleCheckMargin{1000};
 
@@ -43,6 +47,17 @@
           .idle_timeout = kIdleTimeout};
 }
 
+ClientCloseReason ToCloseReason(core::EndReason reason) {
+  switch (reason) {
+    case core::EndReason::kTimedOut:
+      return ClientCloseReason::kDrainDeadline;
+    case core::EndReason::kUndelivered:
+      return ClientCloseReason::kDrainUndelivered;
+    default:
+      return ClientCloseReason::kDrained;
+  }
+}
+
 }  // namespace
 
 DownstreamConnections::DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
@@ -73,15 +88,14 @@
   idle_connections_.OnAccepted(id, net::Now());
 }
 
-// Makes room for a new client by closing an idle one. Clients with unread input are skipped, since a request
-// has just arrived. Returns false if no client could be closed.
+// Makes room for a new client by closing an idle one. Returns false if no client could be closed.
 bool DownstreamConnections::EvictIdleClient() {
   std::vector<std::uint64_t> skipped;
   bool is_evicted = false;
   while (!is_evicted && skipped.size() < kMaxEvictionCandidates) {
     const auto candidate = idle_connections_.EvictCandidate(net::Now());
     if (!candidate) break;
-    is_evicted = LingerUnlessInputPending(clients_.at(*candidate), net::Now(), ClientCloseReason::kEvicted);
+    is_evicted = LingerIfIdle(clients_.at(*candidate), net::Now(), ClientCloseReason::kEvicted);
     if (!is_evicted) skipped.push_back(*candidate);
   }
   for (const std::uint64_t id : skipped) TrackIdle(clients_.at(id));
@@ -288,15 +302,17 @@
   idle_connections_.Remove(client.connection->id);
 }
 
-// Returns false and leaves the connection open if input is waiting in the socket: a request has just arrived.
-bool DownstreamConnections::LingerUnlessInputPending(Client& client, Micros now, ClientCloseReason reason) {
-  if (client.connection->HasPendingInput()) return false;
+// Returns false and leaves the connection open if input is waiting in the socket, since a request has just
+// arrived, or if the client is still receiving its responses.
+bool DownstreamConnections::LingerIfIdle(Client& client, Micros now, ClientCloseReason reason) {
+  if (client.connection->HasPendingInput() || client.IsReceiving(now, kDeliveryStallTimeout)) return false;
   Linger(client, now, reason);
   return true;
 }
 
-// Shuts down our side and keeps reading for kLingerTimeout. Closing at once would reset the connection if
-// input arrived meanwhile, and the reset may discard responses that the client has not received yet.
+// Shuts down our side and keeps reading until the client has received everything, and for kLingerTimeout
+// after that. Closing at once would reset the connection if input arrived meanwhile, and the reset discards
+// responses that the client has not received yet.
 void DownstreamConnections::Linger(Client& client, Micros now, ClientCloseReason reason) {
   RecordClose(client, reason);
   AbandonRequests(client);
@@ -306,19 +322,35 @@
   loop_.Timers().Set(now + kLingerTimeout, [](Micros) {});
 }
 
-// Closes lingering clients that have closed their side or whose linger timeout has expired. The number of
-// lingering clients is bounded, since each holds a descriptor; the oldest are closed first.
+// Closes lingering clients that have closed their side or whose linger timeout has expired. The timeout does
+// not run while responses are on their way. The number of lingering clients is bounded, since each holds a
+// descriptor; the oldest are closed first.
 void DownstreamConnections::CloseLingeringClients(Micros now) {
   const std::size_t max_lingering = config_.limits.LingeringSockets();
   std::size_t excess = lingering_.size() > max_lingering ? lingering_.size() - max_lingering : 0;
-  std::erase_if(lingering_, [&](const LingeringClient& lingering) {
+  const bool is_shutdown = drain_ && drain_->fails_open_requests;
+  const Micros stall_timeout = is_shutdown ? kWriteStallTimeoutUnderPressure : kWriteStallTimeout;
+  bool is_delivering = false;
+  std::erase_if(lingering_, [&](LingeringClient& lingering) {
     const auto found = clients_.find(lingering.id);
     if (found == clients_.end()) return true;
-    if (!found->second.connection->IsClosed() && now < lingering.expires_at && excess == 0) return false;
+    const bool is_open = !found->second.connection->IsClosed();
+    if (is_open && found->second.IsReceiving(now, stall_timeout)) {
+      lingering.expires_at = now + kLingerTimeout;
+      is_delivering = true;
+    }
+    if (is_open && now < lingering.expires_at && excess == 0) return false;
     excess -= excess > 0 ? 1 : 0;
     Release(found->second);
     return true;
   });
+  if (is_delivering) ScheduleDeliveryCheck(now);
+}
+
+// Sets a timer for the next round in which lingering clients are checked.
+void DownstreamConnections::ScheduleDeliveryCheck(Micros now) {
+  if (std::exchange(is_delivery_check_scheduled_, true)) return;
+  loop_.Timers().Set(now + kDeliveryCheckInterval, [this](Micros) { is_delivery_check_scheduled_ = false; });
 }
 
 std::size_t DownstreamConnections::Backlog() const {
@@ -386,9 +418,7 @@
 void DownstreamConnections::CloseIdleClients(Micros now) {
   while (const auto id = idle_connections_.NextExpired(now)) {
     Client& client = clients_.at(*id);
-    // A client with unsent responses is not idle, nor is one that has just sent a request.
-    if (client.connection->Backlog() > 0 || !LingerUnlessInputPending(client, now, ClientCloseReason::kIdle))
-      idle_connections_.MarkIdle(*id, now);
+    if (!LingerIfIdle(client, now, ClientCloseReason::kIdle)) idle_connections_.MarkIdle(*id, now);
   }
 }
 
@@ -406,12 +436,11 @@
   for (auto& [id, client] : clients_) {
     const net::Connection& connection = *client.connection;
     if (connection.IsClosed() || connection.IsLingering()) continue;
-    const core::EndDecision decision = core::DecideEnd(*drain_, client.Activity(), now);
+    const core::EndDecision decision = core::DecideEnd(*drain_, client.Activity(now), now);
     ScheduleDrainCheck(now, decision.recheck_at);
     if (now >= drain_->close_by) ++client.checks_past_close;
     if (decision.reason == core::EndReason::kNone) continue;
-    const bool is_idle = decision.reason == core::EndReason::kIdle;
-    Linger(client, now, is_idle ? ClientCloseReason::kDrained : ClientCloseReason::kDrainDeadline);
+    Linger(client, now, ToCloseReason(decision.reason));
   }
 }
 
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -66,7 +66,8 @@
 
  private:
   using Client = DownstreamClient;
-  // A client whose connection our side has shut down. It is closed at `expires_at` at the latest.
+  // A client whose connection our side has shut down. It is closed at `expires_at`, which moves on while the
+  // client is receiving its responses.
   struct LingeringClient {
     std::uint64_t id;
     Micros expires_at;
@@ -91,7 +92,7 @@
   void Complete(RequestId id, const ResponseMessage& response);
   void Write(Client& client, std::string_view tag, const ResponseMessage& response);
 
-  bool LingerUnlessInputPending(Client& client, Micros now, ClientCloseReason reason);
+  bool LingerIfIdle(Client& client, Micros now, ClientCloseReason reason);
   void Linger(Client& client, Micros now, ClientCloseReason reason);
   void Close(Client& client, ClientCloseReason reason);
   void Release(Client& client);
@@ -105,6 +106,7 @@
   void CheckBackloggedClients(Micros now);
   void CloseIdleClients(Micros now);
   void CloseLingeringClients(Micros now);
+  void ScheduleDeliveryCheck(Micros now);
   void EraseClosedClients();
   void ScheduleIdleCheck();
 
@@ -120,6 +122,7 @@
   std::unordered_set<std::uint64_t> backlogged_;       // clients with unsent response bytes
   std::vector<std::uint64_t> closed_;                  // to be erased at the end of the round
   std::deque<LingeringClient> lingering_;              // in the order in which they began to linger
+  bool is_delivery_check_scheduled_ = false;
   std::optional<Micros> next_idle_check_at_;
   std::optional<Micros> next_drain_check_at_;
   std::uint64_t last_client_id_ = 0;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,7 +1,9 @@
 #include "net/connection.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -30,6 +32,12 @@
   return ClassifySocketError(error) == SocketErrorKind::kLocalTransient;
 }
 
+// Returns the size of a queue of the socket (SIOCOUTQ, SIOCOUTQNSD), or 0 if the system does not report it.
+std::size_t SocketQueueBytes(int fd, unsigned long request) {
+  int bytes = 0;
+  return ::ioctl(fd, request, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void RemovePrefix(std::array<std::string_view, 3>& parts, std::size_t bytes) {
   for (std::string_view& part : parts) {
     const std::size_t removed = std::min(bytes, part.size());
@@ -309,6 +317,14 @@
   return true;
 }
 
+std::size_t Connection::UndeliveredBytes() const {
+  return Backlog() + (state_ == State::kOpen ? SocketQueueBytes(fd_.Get(), SIOCOUTQ) : 0);
+}
+
+std::size_t Connection::UnsentBytes() const {
+  return Backlog() + (state_ == State::kOpen ? SocketQueueBytes(fd_.Get(), SIOCOUTQNSD) : 0);
+}
+
 void Connection::Fail() {
   if (state_ == State::kClosed) return;
   Close();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -81,6 +81,13 @@
   std::uint64_t BytesSent() const { return bytes_sent_; }
   /// Bytes in the write queue.
   std::size_t Backlog() const { return static_cast<std::size_t>(bytes_queued_ - bytes_sent_); }
+  /// Bytes that the peer's system has not acknowledged: the write queue and what the socket still holds. The
+  /// end of our side counts as one byte. Bytes that the socket has accepted are lost if it is closed before
+  /// they are acknowledged and the peer writes again.
+  std::size_t UndeliveredBytes() const;
+  /// The part of UndeliveredBytes() that was not transmitted yet. It stays above 0 while the peer reads more
+  /// slowly than we write.
+  std::size_t UnsentBytes() const;
 
   /// Closes immediately, without calling the owner.
   void Close();
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -45,6 +45,11 @@
   return activity;
 }
 
+ConnectionActivity WithUnsent(ConnectionActivity activity, Micros seen) {
+  activity.last_unsent_at = kStart + seen;
+  return activity;
+}
+
 ConnectionActivity AfterLooks(ConnectionActivity activity, int looks) {
   activity.checks_past_close = looks;
   return activity;
@@ -65,6 +70,11 @@
       {"slow sender", Ms(3390), WithPartialMessage(At(Ms(-5000), Ms(3300))), EndReason::kNone},
       {"slow sender at close_by", Ms(3400), WithPartialMessage(At(Ms(-5000), Ms(3399))),
        EndReason::kTimedOut},
+      {"responses not transmitted", Ms(1500), WithUnsent(idle, Ms(1500)), EndReason::kNone},
+      {"responses not read for certain", Ms(1500), WithUnsent(idle, Ms(1010)), EndReason::kNone},
+      {"responses read", Ms(1500), WithUnsent(idle, Ms(1000)), EndReason::kIdle},
+      {"responses not transmitted at close_by", Ms(3400), WithUnsent(idle, Ms(3400)),
+       EndReason::kUndelivered},
       {"pending input", Ms(1500), WithPendingInput(idle), EndReason::kNone},
       {"pending input at close_by", Ms(3400), WithPendingInput(idle), EndReason::kNone},
       {"pending input at every check", Ms(3400), AfterLooks(WithPendingInput(idle), 32),
--- a/tests/net/connection_ends_test.cpp
+++ b/tests/net/connection_ends_test.cpp
@@ -19,8 +19,8 @@
 
 // A World whose instance has an admin listener.
 struct AdminWorld : World {
-  explicit AdminWorld(const std::string& settings = kSettings)
-      : World(0, true, "1024", "192", settings, {{"PROXY_OPS", "127.0.0.1:0"}}, "info") {
+  explicit AdminWorld(const std::string& settings = kSettings, const std::string& sockets = "1024")
+      : World(0, true, sockets, "192", settings, {{"PROXY_OPS", "127.0.0.1:0"}}, "info") {
     admin_port = AdminPort(*program);
   }
   // Sends one admin command and returns the first line of the response.
@@ -80,6 +80,57 @@
   }
 }
 
+// Clients that read slowly, from 50 KB/s to 10 MB/s, and always have responses on their way.
+struct SlowReader {
+  std::int64_t bytes_per_s;
+  int receive_buffer_bytes;
+  std::size_t body_bytes;
+  std::size_t depth;
+};
+constexpr std::array<SlowReader, 4> kSlowReaders{
+    SlowReader{50'000, 8192, 4000, 8}, SlowReader{200'000, 8192, 20'000, 8},
+    SlowReader{1'000'000, 65'536, 240'000, 8}, SlowReader{10'000'000, 65'536, 240'000, 32}};
+
+// An instance with one slow reader.
+struct SlowReaderWorld : AdminWorld {
+  explicit SlowReaderWorld(const SlowReader& reader)
+      : servers(Servers(), 20, std::string(reader.body_bytes, 'x')) {
+    clients.push_back(std::make_unique<BusyClient>(
+        port, 1, reader.depth, SteadyMs() + 9000,
+        ReadPace{.bytes_per_s = reader.bytes_per_s, .receive_buffer_bytes = reader.receive_buffer_bytes}));
+  }
+
+  const DelayedServers servers;
+  std::vector<std::unique_ptr<BusyClient>> clients;
+};
+
+// Starts an instance for each of kSlowReaders, ends the clients' connections by `end`, and expects that this
+// takes `limit_ms` at most and loses no request.
+void ExpectSlowReadersEndedBy(std::int64_t limit_ms, const std::function<void(SlowReaderWorld&)>& end) {
+  std::vector<std::unique_ptr<SlowReaderWorld>> worlds;
+  for (const SlowReader& reader : kSlowReaders) {
+    worlds.push_back(std::make_unique<SlowReaderWorld>(reader));
+  }
+  SleepMs(1500);
+  std::vector<std::int64_t> limits_ms;
+  for (const auto& world : worlds) {
+    end(*world);
+    limits_ms.push_back(SteadyMs() + limit_ms);
+  }
+  for (std::size_t index = 0; index < worlds.size(); ++index) {
+    SCOPED_TRACE(testing::Message() << kSlowReaders[index].bytes_per_s << " bytes per second");
+    ExpectEndedBy(worlds[index]->clients, limits_ms[index]);
+  }
+}
+
+// Guards against a connection being ended once the system has taken its responses, though the client has not:
+// the responses on their way were lost (docs/incidents/2026-12-04-standby-lost-responses.md).
+TEST(ConnectionEndsTest, StandbyDeliversResponsesToSlowReaders) {
+  ExpectSlowReadersEndedBy(kStandbyLimitMs - 100, [](const SlowReaderWorld& world) {
+    ASSERT_EQ(world.SendCommand("standby"), "done standby");
+  });
+}
+
 // The client writes one byte at a time, so that the instance has always received an incomplete message.
 TEST(ConnectionEndsTest, StandbyEndsAConnectionThatIsWrittenInPieces) {
   AdminWorld world;
@@ -123,6 +174,103 @@
   EXPECT_EQ(answered, kCalls + 1);
 }
 
+// A client with responses on their way and no request in flight, which asks once more while it reads them.
+class ReceivingClient {
+ public:
+  static constexpr std::size_t kBodyBytes = 240'000;
+
+  /// Sends `calls` requests; the instance's servers must answer them with kBodyBytes each.
+  ReceivingClient(const AdminWorld& world, std::size_t calls)
+      : client_(TcpPeer::Connect(world.port, kReceiveBufferBytes)), calls_(calls) {
+    for (std::size_t number = 1; number <= calls; ++number) Call(number);
+    SleepMs(kAnswerMs);
+  }
+  /// Reads all responses at `bytes_per_s` while `act` runs, and sends another request `ask_after_ms` after it
+  /// began. Returns the number of bytes that are missing.
+  std::size_t ReadWhile(double bytes_per_s, int ask_after_ms, const std::function<void()>& act) {
+    const std::size_t expected = ResponseBytes();
+    std::string received;
+    TestThread reader([&] { received = client_.ReadPaced(expected, bytes_per_s); });
+    const std::int64_t ask_at_ms = SteadyMs() + ask_after_ms;
+    act();
+    SleepMs(static_cast<int>(std::max<std::int64_t>(ask_at_ms - SteadyMs(), 0)));
+    Call(calls_ + 1);
+    reader.Join();
+    return expected - received.size();
+  }
+  TcpPeer& Peer() { return client_; }
+
+ private:
+  static constexpr int kReceiveBufferBytes = 65'536;
+  static constexpr int kAnswerMs = 400;  // for the servers to answer
+
+  void Call(std::size_t number) const {
+    std::array<char, 17> reference{};
+    std::snprintf(reference.data(), reference.size(), "%016zx", number);
+    client_.Send(EncodeCall(std::to_string(number), "", 2500, reference.data(), reference.data()));
+  }
+  std::size_t ResponseBytes() const {
+    std::size_t bytes = 0;
+    for (std::size_t number = 1; number <= calls_ + 1; ++number) {
+      bytes += EncodeCommand({std::to_string(number), "done", "", std::string(kBodyBytes, 'x')}).size();
+    }
+    return bytes;
+  }
+
+  TcpPeer client_;
+  std::size_t calls_;
+};
+
+// As many clients as the descriptors of the instance allow, each with one answered request.
+std::vector<TcpPeer> ConnectIdleCrowd(const AdminWorld& world) {
+  constexpr int kClients = 30;
+  std::vector<TcpPeer> crowd;
+  for (int i = 0; i < kClients; ++i) {
+    crowd.push_back(world.Client());
+    crowd.back().Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
+    ReadResponse(crowd.back());
+  }
+  return crowd;
+}
+
+// Guards against a client with responses on their way being taken for an idle one when the descriptors are
+// full: it was closed and its responses were lost.
+TEST(ConnectionEndsTest, EvictsNoClientThatIsReceivingResponses) {
+  AdminWorld world(kSettings, "64");
+  const DelayedServers servers(world.Servers(), 20, std::string(ReceivingClient::kBodyBytes, 'x'));
+  ReceivingClient client(world, 10);
+  std::vector<TcpPeer> crowd;
+  EXPECT_EQ(client.ReadWhile(1e6, 1000, [&] { crowd = ConnectIdleCrowd(world); }), 0u);
+}
+
+// Guards against the same at the limit on idle time, which a client exceeds that reads for longer than that.
+TEST(ConnectionEndsTest, ClosesNoClientForIdlenessThatIsReceivingResponses) {
+  AdminWorld world;
+  const DelayedServers servers(world.Servers(), 20, std::string(ReceivingClient::kBodyBytes, 'x'));
+  ReceivingClient client(world, 5);
+  EXPECT_EQ(client.ReadWhile(150e3, 7000, [] {}), 0u);
+}
+
+// A client that receives nothing of its responses gives up its place.
+TEST(ConnectionEndsTest, EvictsAClientThatReceivesNothing) {
+  AdminWorld world(kSettings, "64");
+  const DelayedServers servers(world.Servers(), 20, std::string(ReceivingClient::kBodyBytes, 'x'));
+  ReceivingClient client(world, 10);
+  const std::vector<TcpPeer> first = ConnectIdleCrowd(world);
+  SleepMs(3000);
+  const std::vector<TcpPeer> second = ConnectIdleCrowd(world);
+  SleepMs(500);
+  while (!client.Peer().ReadFor(500).empty()) {
+  }
+  EXPECT_FALSE(client.Peer().IsSilentFor(0)) << "the connection is still open";
+}
+
+// Guards against responses on their way to slow readers being lost by a graceful shutdown.
+TEST(ConnectionEndsTest, StopDeliversResponsesToSlowReaders) {
+  // SIGKILL may come 3.7 s after SIGTERM.
+  ExpectSlowReadersEndedBy(3700, [](const SlowReaderWorld& world) { world.program->Signal(SIGTERM); });
+}
+
 // Graceful shutdown with short deadlines: the connections of clients that go on writing are closed before
 // SIGKILL may come, and every request that was read is answered.
 TEST(ConnectionEndsTest, StopEndsConnectionsWithRequestsAlwaysInFlight) {
--- a/tests/net/delayed_servers.hpp
+++ b/tests/net/delayed_servers.hpp
@@ -16,12 +16,15 @@
   return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
 }
 
-/// Accepts connections at `listeners`, which must outlive it, and answers `OK` to each request after
-/// `delay_ms`. Runs on its own thread, which the destructor joins.
+/// Accepts connections at `listeners`, which must outlive it, and answers `OK` with `body` to each request
+/// after `delay_ms`. Runs on its own thread, which the destructor joins.
 class DelayedServers {
  public:
-  DelayedServers(std::vector<const TcpListener*> listeners, int delay_ms)
-      : listeners_(std::move(listeners)), delay_ms_(delay_ms), thread_([this] { Run(); }) {}
+  DelayedServers(std::vector<const TcpListener*> listeners, int delay_ms, std::string body = "abc")
+      : listeners_(std::move(listeners)),
+        delay_ms_(delay_ms),
+        body_(std::move(body)),
+        thread_([this] { Run(); }) {}
   DelayedServers(const DelayedServers&) = delete;
   DelayedServers& operator=(const DelayedServers&) = delete;
   ~DelayedServers() {
@@ -33,6 +36,7 @@
   struct Connection {
     TcpPeer peer;
     std::string unread;
+    std::string unsent;
     bool is_closed = false;
   };
   struct DueResponse {
@@ -85,8 +89,18 @@
       const DueResponse answer = responses_.front();
       responses_.pop_front();
       if (answer.connection->is_closed) continue;
-      const std::string text = OkResponse("abc", "", answer.reference);
-      ::send(answer.connection->peer.Descriptor(), text.data(), text.size(), MSG_NOSIGNAL);
+      answer.connection->unsent += OkResponse(body_, "", answer.reference);
+    }
+    for (Connection& connection : connections_) SendUnsent(connection);
+  }
+
+  // Sends what the socket accepts now, since the instance may pause reading from its servers.
+  static void SendUnsent(Connection& connection) {
+    while (!connection.is_closed && !connection.unsent.empty()) {
+      const ssize_t sent = ::send(connection.peer.Descriptor(), connection.unsent.data(),
+                                  connection.unsent.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (sent <= 0) return;
+      connection.unsent.erase(0, static_cast<std::size_t>(sent));
     }
   }
 
@@ -94,6 +108,7 @@
 
   std::vector<const TcpListener*> listeners_;
   int delay_ms_;
+  std::string body_;
   std::list<Connection> connections_;
   std::deque<DueResponse> responses_;
   std::atomic<bool> is_stopping_{false};
@@ -107,13 +122,21 @@
   std::string status{};
 };
 
+/// How fast a client reads its responses.
+struct ReadPace {
+  std::int64_t bytes_per_s = 0;  // 0: as fast as it can
+  int receive_buffer_bytes = 0;  // SO_RCVBUF; 0: the system's default
+};
+
 /// A client that keeps `depth` requests in flight on one connection, whatever the responses are, until the
 /// connection ends or `until_ms` (monotonic clock) has passed. Runs on its own thread: call Join() before
 /// reading the records.
 class BusyClient {
  public:
-  BusyClient(int port, int number, std::size_t depth, std::int64_t until_ms)
-      : number_(number), depth_(depth), until_ms_(until_ms), thread_([this, port] { Run(port); }) {}
+  BusyClient(int port, int number, std::size_t depth, std::int64_t until_ms, ReadPace pace = {})
+      : number_(number), depth_(depth), until_ms_(until_ms), pace_(pace), thread_([this, port] {
+          Run(port);
+        }) {}
 
   void Join() { thread_.Join(); }
   /// The time at which the instance ended the connection (monotonic clock, ms); 0 if it did not.
@@ -122,29 +145,45 @@
 
  private:
   void Run(int port) {
-    TcpPeer client = TcpPeer::Connect(port);
+    TcpPeer client = TcpPeer::Connect(port, pace_.receive_buffer_bytes);
     std::string received;
     std::size_t in_flight = 0;
+    std::int64_t bytes_received = 0;
+    const std::int64_t start_ms = SteadyMs();
     while (SteadyMs() < until_ms_) {
       for (; in_flight < depth_; ++in_flight) Write(client);
-      if (!IsReadyWithin(client.Descriptor(), POLLIN, 20)) continue;
       std::array<char, 65536> block;
-      const ssize_t size = ::recv(client.Descriptor(), block.data(), block.size(), 0);
+      const std::int64_t room = ReadAllowance(SteadyMs() - start_ms, bytes_received, block.size());
+      if (room == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        continue;
+      }
+      if (!IsReadyWithin(client.Descriptor(), POLLIN, 20)) continue;
+      const ssize_t size = ::recv(client.Descriptor(), block.data(), static_cast<std::size_t>(room), 0);
       if (size <= 0) {
         ended_at_ms_ = SteadyMs();
         return;
       }
+      bytes_received += size;
       received.append(block.data(), static_cast<std::size_t>(size));
       while (TakeResponse(received)) --in_flight;
     }
   }
 
+  // How many bytes the pace allows to be read now, at most `max_bytes`.
+  std::int64_t ReadAllowance(std::int64_t elapsed_ms, std::int64_t bytes_received,
+                             std::size_t max_bytes) const {
+    const auto limit = static_cast<std::int64_t>(max_bytes);
+    if (pace_.bytes_per_s == 0) return limit;
+    return std::clamp<std::int64_t>(elapsed_ms * pace_.bytes_per_s / 1000 - bytes_received, 0, limit);
+  }
+
   void Write(const TcpPeer& client) {
     const std::string tag = std::to_string(requests_.size() + 1);
     std::array<char, 17> reference{};
     std::snprintf(reference.data(), reference.size(), "%08x%08zx", static_cast<unsigned>(number_),
                   requests_.size() + 1);
-    const std::string text = EncodeCall(tag, "", 2500, reference.data(), reference.data());
+    const std::string text = EncodeCall(tag, "", kTimeoutMs, reference.data(), reference.data());
     requests_[tag].written_at_ms = SteadyMs();
     ::send(client.Descriptor(), text.data(), text.size(), MSG_NOSIGNAL);
   }
@@ -172,9 +211,12 @@
     return true;
   }
 
+  static constexpr int kTimeoutMs = 2500;
+
   int number_;
   std::size_t depth_;
   std::int64_t until_ms_;
+  ReadPace pace_;
   std::int64_t ended_at_ms_ = 0;
   std::map<std::string, RequestRecord> requests_;
   TestThread thread_;
--- a/tests/net/tcp.hpp
+++ b/tests/net/tcp.hpp
@@ -63,9 +63,12 @@
   }
   ~TcpPeer() { Close(); }
 
-  /// Connects to a loopback port.
-  static TcpPeer Connect(int port) {
+  /// Connects to a loopback port. `receive_buffer_bytes` is SO_RCVBUF; 0: the system's default.
+  static TcpPeer Connect(int port, int receive_buffer_bytes = 0) {
     TcpPeer peer(::socket(AF_INET, SOCK_STREAM, 0));
+    if (receive_buffer_bytes > 0) {
+      ::setsockopt(peer.fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+    }
     const sockaddr_in address = LoopbackAddress(port);
     CHECK_OR_THROW(::connect(peer.fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
     return peer;
