Let the gateway end connections once their responses are delivered

What callers saw: at SIGTERM a client of the gateway that reads 1 MB a second and had written its next request lost the rest of a complete response: 465,697 of 2,000,066 bytes.

Cause: the same as on the platform's front (docs/incidents/2026-12-04-standby-lost-responses.md): an empty write queue was taken for a delivered response. The end of our side was queued behind the response, the connection was closed 0.3 s later, and the next request was answered with a reset, which drops the send queue.

Change: idle, evicted and draining connections end once everything is delivered, or nothing was received for the stall timeout; at close_by they end as before. The linger timeout runs from the delivery. EndRound is divided into one function for each decision.

--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -113,32 +113,47 @@
   idle_connections_.OnAccepted(id, client.last_active_at);
 }
 
-// Skips connections with unread input: their next request has just arrived.
 bool DownstreamConnections::EvictIdleClient() {
-  std::vector<std::uint64_t> with_pending_input;
+  const Micros now = net::Now();
+  std::vector<std::uint64_t> skipped;
   bool is_evicted = false;
-  while (!is_evicted && with_pending_input.size() < kMaxEvictionCandidates) {
-    const auto candidate = idle_connections_.EvictCandidate(net::Now());
+  while (!is_evicted && skipped.size() < kMaxEvictionCandidates) {
+    const auto candidate = idle_connections_.EvictCandidate(now);
     if (!candidate) break;
-    is_evicted = LingerUnlessInputPending(clients_.at(*candidate));
-    if (!is_evicted) with_pending_input.push_back(*candidate);
+    is_evicted = LingerIfIdle(clients_.at(*candidate), now);
+    if (!is_evicted) skipped.push_back(*candidate);
     // Limits the number of lingering connections, since each still holds its descriptor.
     const config::Limits& limits = config_.limits;
     if (is_evicted && clients_.size() >= limits.sockets / 3 + limits.LingeringSockets())
       clients_.at(*candidate).connection->Close();
   }
-  for (const std::uint64_t id : with_pending_input) idle_connections_.MarkIdle(id, net::Now());
+  for (const std::uint64_t id : skipped) idle_connections_.MarkIdle(id, now);
   return is_evicted;
 }
 
-// Shuts down the sending side and lingers for kLingerTimeout: closing while bytes from the client are in
-// flight would reset the connection. Returns false, and does nothing, if the socket holds unread input.
-bool DownstreamConnections::LingerUnlessInputPending(Client& client) {
-  if (client.connection->HasPendingInput()) return false;
-  client.last_active_at = net::Now();
+bool DownstreamConnections::IsReceiving(Client& client, Micros now) const {
+  const net::Connection& connection = *client.connection;
+  const std::size_t undelivered_bytes = connection.UndeliveredBytes();
+  if (undelivered_bytes == 0) return false;
+  // The end of our side may count as one byte that was never queued.
+  client.delivery.Observe(now, connection.BytesQueued() + 1 - undelivered_bytes);
+  return client.delivery.StalledFor(now) <= config_.stall_timeout;
+}
+
+// Returns false, and does nothing, if the socket holds unread input, which is the client's next request, or
+// if the client is still receiving a response.
+bool DownstreamConnections::LingerIfIdle(Client& client, Micros now) {
+  if (client.connection->HasPendingInput() || IsReceiving(client, now)) return false;
+  Linger(client, now);
+  return true;
+}
+
+// Shuts down the sending side and lingers until the client has received everything, and for kLingerTimeout
+// after that: closing while bytes from the client are in flight would reset the connection.
+void DownstreamConnections::Linger(Client& client, Micros now) {
+  client.last_active_at = now;
   client.close_after_response = true;
   client.connection->ShutdownWhenDrained();
-  return true;
 }
 
 void DownstreamConnections::OnData(net::Connection& connection) {
@@ -415,36 +430,55 @@
     net::Connection& connection = *client.connection;
     if (connection.BytesSent() != std::exchange(client.last_bytes_sent, connection.BytesSent()))
       client.last_active_at = now;
-    const bool is_stalled =
-        (connection.Backlog() > 0 && now - client.last_active_at > config_.stall_timeout) ||
-        (connection.IsLingering() &&
-         now - client.last_active_at > (IsDraining(now) ? kDrainReadTimeout : kLingerTimeout));
-    const bool is_active = client.open_request || connection.Backlog() > 0;
-    if (!connection.IsClosed() && is_stalled) {
-      connection.Close();
-      CancelOpenRequest(client);
-    }
-    // A client that sends its request slowly does not delay the shutdown: no later than `close_by`.
-    const bool is_receiving = !connection.Unread().empty() &&
-                              now - connection.LastReceivedAt() < kDrainReadTimeout &&
-                              !(drain_ && now >= drain_->close_by);
-    if (!connection.IsClosed() && !connection.IsLingering() && !is_active && !is_receiving && IsDraining(now))
-      LingerUnlessInputPending(client);
-    if (connection.IsClosed()) {
-      closed_.push_back(id);
-    } else if (is_active) {
-      idle_connections_.MarkActive(id);
-    } else if (connection.BytesQueued() !=
-               std::exchange(client.last_bytes_queued, connection.BytesQueued())) {
-      idle_connections_.MarkIdle(id, now);
-    }
+    if (connection.IsLingering() && IsReceiving(client, now)) client.last_active_at = now;
+    CloseIfStalled(client, now);
+    EndIfDrained(client, now);
+    UpdateIdleState(id, client, now);
   }
   while (const auto id = idle_connections_.NextExpired(now)) {
-    if (!LingerUnlessInputPending(clients_.at(*id))) idle_connections_.MarkIdle(*id, now);
+    if (!LingerIfIdle(clients_.at(*id), now)) idle_connections_.MarkIdle(*id, now);
   }
   for (const std::uint64_t id : closed_) idle_connections_.Remove(id);
   for (const std::uint64_t id : closed_) clients_.erase(id);
   closed_.clear();
 }
 
+// Closes a client that takes nothing of its response, or whose linger timeout has expired.
+void DownstreamConnections::CloseIfStalled(Client& client, Micros now) {
+  net::Connection& connection = *client.connection;
+  const Micros linger_timeout = IsDraining(now) ? kDrainReadTimeout : kLingerTimeout;
+  const Micros inactive_time = now - client.last_active_at;
+  const bool is_stalled = (connection.Backlog() > 0 && inactive_time > config_.stall_timeout) ||
+                          (connection.IsLingering() && inactive_time > linger_timeout);
+  if (connection.IsClosed() || !is_stalled) return;
+  connection.Close();
+  CancelOpenRequest(client);
+}
+
+// During a shutdown, ends a connection without an open request. A client that sends its request or reads its
+// response slowly delays this until `close_by` at the latest.
+void DownstreamConnections::EndIfDrained(Client& client, Micros now) {
+  net::Connection& connection = *client.connection;
+  const bool is_active = client.open_request || connection.Backlog() > 0;
+  if (!IsDraining(now) || connection.IsClosed() || connection.IsLingering() || is_active) return;
+  if (now >= drain_->close_by) {
+    if (!connection.HasPendingInput()) Linger(client, now);
+    return;
+  }
+  const bool is_sending =
+      !connection.Unread().empty() && now - connection.LastReceivedAt() < kDrainReadTimeout;
+  if (!is_sending) LingerIfIdle(client, now);
+}
+
+void DownstreamConnections::UpdateIdleState(std::uint64_t id, Client& client, Micros now) {
+  const net::Connection& connection = *client.connection;
+  if (connection.IsClosed()) {
+    closed_.push_back(id);
+  } else if (client.open_request || connection.Backlog() > 0) {
+    idle_connections_.MarkActive(id);
+  } else if (connection.BytesQueued() != std::exchange(client.last_bytes_queued, connection.BytesQueued())) {
+    idle_connections_.MarkIdle(id, now);
+  }
+}
+
 }  // namespace tinspan::http
--- a/src/front/http/downstream_connections.hpp
+++ b/src/front/http/downstream_connections.hpp
@@ -14,6 +14,7 @@
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
 #include "net/connection.hpp"
+#include "net/delivery_progress.hpp"
 #include "net/idle_connection_tracker.hpp"
 #include "net/listener.hpp"
 
@@ -82,13 +83,20 @@
     std::uint64_t last_bytes_sent = 0;    // Connection::BytesSent at the last check
     std::uint64_t last_bytes_queued = 0;  // Connection::BytesQueued at the last check
     Micros last_active_at{0};
+    net::DeliveryProgress delivery;  // of the responses, observed while a decision depends on it
   };
 
   void Accept(net::Fd fd);
   // Closes one idle connection to make room for a new one. Returns false if none is idle, or if all that were
-  // tried have unread input.
+  // tried have unread input or are receiving a response.
   bool EvictIdleClient();
-  bool LingerUnlessInputPending(Client& client);
+  // Whether a response, or the end of our side, is still on its way to a client that goes on receiving.
+  bool IsReceiving(Client& client, Micros now) const;
+  bool LingerIfIdle(Client& client, Micros now);
+  void Linger(Client& client, Micros now);
+  void CloseIfStalled(Client& client, Micros now);
+  void EndIfDrained(Client& client, Micros now);
+  void UpdateIdleState(std::uint64_t id, Client& client, Micros now);
   void ReadRequests(Client& client);
   // Returns false if no complete request is left in the buffer, or the request was rejected as unreadable.
   bool ReadOneRequest(Client& client);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -646,6 +646,32 @@
 
 // Messages that are too large, or whose end two parsers could see at different places, are rejected, and the
 // connection ends.
+// Guards against a connection being ended by a shutdown once the system has taken the response, though the
+// client has not: with its next request already written, the rest of the response was lost.
+TEST(HttpTest, DeliversAResponseToASlowReaderDuringShutdown) {
+  World world;
+  TcpPeer client = TcpPeer::Connect(world.port, 65'536);
+  const std::string request = EncodeGet("/pages/a", Bearer(SignToken(kSharedKey, TimeClaims(60))));
+  client.Send(request);
+  TcpPeer server = world.cache.Accept();
+  ReadMessage(server);
+  const std::string body(2'000'000, 'x');
+  server.Send(EncodeResponse("200 OK", body));
+  std::string received;
+  TestThread reader([&] { received = client.ReadPaced(body.size(), 1e6); });
+  world.program->Signal(SIGTERM);
+  // Requests are rejected by now, and the first response takes half a second more.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  client.Send(request);
+  reader.Join();
+  received += client.ReadToEnd();
+  const std::size_t head_bytes = received.find("\r\n\r\n") + 4;
+  ASSERT_GE(received.size(), head_bytes + body.size());
+  EXPECT_EQ(received.substr(head_bytes, body.size()), body);
+  EXPECT_TRUE(received.substr(head_bytes + body.size()).starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(world.program->Wait(), 0);
+}
+
 TEST(HttpTest, RejectsAmbiguousMessages) {
   World world;
   const std::string host = "Host: scans.example.is\r\n";
