Close a gateway's server connection that has bytes behind a response

Once a server had answered one request twice, every later client on that connection was served, with 200 or 201, what was made for the client before it, orders included.

Cause: UpstreamConnections::ReleaseConnection gave the connection back for reuse although bytes behind the response had been received with it, and ReadResponseHead took them for the next response. HTTP/1.1 matches responses by position alone.

Ruled out: the pool's count of streams, the clients' connections, the core's attempt ids.

Change: Connection::IsReusable() (open, nothing unconsumed, nothing waiting in the socket) decides on reuse; a surplus is logged as server.surplus_bytes and the connection closed.

--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -77,7 +77,7 @@
   PooledConnection& pooled =
       pool_.Acquire(static_cast<std::uint64_t>(command.action.server), address->second.endpoint, now,
                     [](const PooledConnection& candidate) {
-                      return candidate.connection.IsOpen() && !candidate.state.is_in_use;
+                      return !candidate.state.is_in_use && candidate.connection.IsReusable();
                     });
   pooled.state = UpstreamConnectionState();
   pooled.state.request_id = command.action.id;
@@ -152,7 +152,13 @@
 }
 
 void UpstreamConnections::ReleaseConnection(PooledConnection& pooled) {
-  const bool can_reuse = pooled.state.can_reuse && !pooled.connection.IsClosed();
+  const std::size_t surplus_bytes = pooled.connection.Unread().size();
+  if (pooled.state.can_reuse && surplus_bytes > 0) {
+    log::Warn("server.surplus_bytes", {{"server", pooled.server}, {"bytes", surplus_bytes}},
+              "server {} at {} sent {} bytes after its response, connection closed", pooled.server,
+              pooled.endpoint.Text(), surplus_bytes);
+  }
+  const bool can_reuse = pooled.state.can_reuse && surplus_bytes == 0 && !pooled.connection.IsClosed();
   pooled.connection.SetReadPaused(false);
   pooled.state = UpstreamConnectionState{};
   if (!can_reuse) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -448,6 +448,32 @@
             503);
 }
 
+// Guards against the bytes that a server sends after its response being taken for the response to the next
+// client's request (docs/incidents/2026-12-04-second-response.md).
+TEST(HttpTest, ServesNoSecondResponseOfAServer) {
+  const std::string second = EncodeResponse("200 OK", "made for the first client");
+  for (const std::string& surplus : {second, second.substr(0, 20), std::string("x")}) {
+    SCOPED_TRACE(testing::Message() << surplus.size() << " bytes after the response");
+    World world;
+    const std::string authorization = Bearer(SignToken(kSharedKey, TimeClaims(60)));
+    TcpPeer first_client = world.Client();
+    first_client.Send(EncodeGet("/pages/a", authorization));
+    TcpPeer server = world.cache.Accept();
+    ReadMessage(server);
+    server.Send(EncodeResponse("200 OK", "first") + surplus);
+    ASSERT_EQ(ReadResponse(first_client).body, "first");
+
+    TcpPeer next_client = world.Client();
+    next_client.Send(EncodeGet("/pages/b", authorization));
+    ASSERT_FALSE(world.cache.HasNoConnectionFor(1000)) << "the connection was used again";
+    TcpPeer next_server = world.cache.Accept();
+    ReadMessage(next_server);
+    next_server.Send(EncodeResponse("200 OK", "next"));
+    EXPECT_EQ(ReadResponse(next_client).body, "next");
+    EXPECT_TRUE(server.ReadToEnd().empty());
+  }
+}
+
 TEST(HttpTest, AnswersAtTheDeadline) {
   World world;
   TcpPeer client = world.Client();
