Close Consul's connection when bytes follow a response

What operators would have seen: after Consul, or a proxy before it, had answered a query twice, the gateway's list of servers stayed one change behind, for as long as the connection lasted.

ConsulQuery consumed one response and started the next query on a connection that still held the second one.

Test: HttpTest.AppliesNoSecondResponseOfConsul failed before ("the connection was used again"), passes now.

--- a/src/front/http/consul_query.cpp
+++ b/src/front/http/consul_query.cpp
@@ -29,7 +29,8 @@
 void ConsulQuery::SendQuery() {
   loop_.Timers().Cancel(timer_);
   timer_ = loop_.Timers().Set(net::Now() + timeout_, [this](Micros) { Fail("no answer"); });
-  if (connection_ && connection_->IsOpen()) return OnOpen(*connection_);
+  if (connection_ && connection_->IsReusable()) return OnOpen(*connection_);
+  CloseConnection();
   connection_ = std::make_unique<net::Connection>(loop_, config_.consul, *this, kLimits);
 }
 
@@ -53,7 +54,7 @@
     if (response.status != 200) throw Malformed{"status", "200, not " + std::to_string(response.status)};
     // Done first, because the callback may start the next query on this connection.
     connection.Consume(response.length);
-    if (!response.can_reuse_connection) CloseConnection();
+    if (!response.can_reuse_connection || !connection.Unread().empty()) CloseConnection();
     on_response_(response.consul_index, response.body);
     consecutive_failures_ = 0;
   } catch (const Malformed& error) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -585,6 +585,18 @@
   ASSERT_TRUE(world.catalogs.at("shop-cache").ReadUntil("\r\n\r\n").starts_with("GET /v1/catalog/service/"));
 }
 
+// Guards against a second response of Consul being taken for the response to the next query: the gateway's
+// endpoint list then stays one change behind.
+TEST(HttpTest, AppliesNoSecondResponseOfConsul) {
+  World world(true);
+  const std::string response =
+      EncodeResponse("200 OK", "[" + HealthEntry("n1", "critical") + "," + HealthEntry("n2", "passing") + "]",
+                     "X-Consul-Index: 8\r\n");
+  world.watches.at("shop-cache").Send(response + response);
+  world.program->ReadLogThrough("shop-cache: 1 changes");
+  ASSERT_FALSE(world.consul.HasNoConnectionFor(1000)) << "the connection was used again";
+}
+
 // A node that appears after the first list is new and its cache is cold. As long as its capacity is unknown,
 // the decision module sends its requests to the origin.
 TEST(HttpTest, WarmsUpNewNodes) {
