Close the lease store's connection when bytes follow a response

What operators would have seen: after the store had answered a read twice, the next read returned the record of the read before.

KvStore consumed one response and sent the next request on a connection that still held the second one.

Test: KvStoreTest.ReadsNoSecondResponse failed before ("the connection was used again") and passes now.

--- a/src/lease/kv_store.cpp
+++ b/src/lease/kv_store.cpp
@@ -99,7 +99,7 @@
     timer_.reset();
     Fail(StoreError::Code::kTimeout, "no response");
   });
-  if (connection_ && connection_->IsOpen()) {
+  if (connection_ && connection_->IsReusable()) {
     OnOpen(*connection_);
     return;
   }
@@ -124,7 +124,7 @@
     return;
   }
   connection.Consume(response.length);
-  if (!response.can_reuse_connection) CloseConnection();
+  if (!response.can_reuse_connection || !connection.Unread().empty()) CloseConnection();
   Finish(ReadResponse(response.status, response.body));
 }
 
