Close the console's connection when bytes follow a response

What operators would have seen: after a gateway, or a proxy before it, had answered a poll twice, the offset of the next poll went back and records were read twice.

Test: RemoteTest.ReadsNoSecondResponse failed before ("the connection was used again") and passes now.

--- a/src/console/remote.cpp
+++ b/src/console/remote.cpp
@@ -27,7 +27,7 @@
   loop_.Timers().Cancel(timer_);
   timer_ = loop_.Timers().Set(net::Now() + kResponseTimeout,
                               [this](Micros) { Fail("no answer from " + endpoint_.Text()); });
-  if (connection_ && connection_->IsOpen()) return OnOpen(*connection_);
+  if (connection_ && connection_->IsReusable()) return OnOpen(*connection_);
   connection_ = std::make_unique<net::Connection>(loop_, endpoint_, *this, kLimits);
 }
 
@@ -60,7 +60,7 @@
   offset_ = offset;
   const bool should_close = http::ListContainsToken(head.Field("Connection"), "close");
   connection.Consume(head.length + length);
-  if (should_close) {
+  if (should_close || !connection.Unread().empty()) {
     connection.Close();
     closed_connection_ = std::move(connection_);
   }
