Take a 504 for a miss only where the request asked for a cached copy

Of a class that must never run twice, 3 of 10 orders that had run at the register were refused with "try again" and ran a second time.

Cause: FailureOutcome took every 504 for a miss if the routing module had named no source for the attempt. That is what the module wants, not what was sent: only-if-cached is never written on a POST, and a write that goes straight to the origin has no source.

Evidence: the record of the case has the register's run, the far gateway's 504 at 1.5 s and the near one's 503 at once. Ruled out: the router's rule on repeats, the client's retries, the far gateway's 504.

Change: what was sent is kept with the exchange (core::SentRequest), and one pure function says what an ending means, for both fronts and the coordinator. For `once`, 429 is no proof any more.

--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/attempt_outcome.hpp"
+
 namespace tinspan::core {
 namespace {
 
@@ -12,12 +14,6 @@
 // is left anywhere).
 constexpr int kPurgeRetentionMultiple = 4;
 
-// Whether the outcome proves that the server has not executed the request.
-bool ProvesNotRun(Outcome outcome) {
-  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
-         outcome == Outcome::kNotSent || outcome == Outcome::kMiss;
-}
-
 Actions& ConstructorScratch() {
   static thread_local Actions actions;  // output of the Router's constructor, not used
   actions.clear();
@@ -316,7 +312,7 @@
   Attempt& completed = request.attempts[attempt];
   if (!completed.is_outstanding) return;
   completed.is_outstanding = false;
-  completed.may_have_run = !ProvesNotRun(result.outcome);
+  completed.may_have_run = ExecutionAfter(result.outcome) != Execution::kNeverRan;
   const bool was_started = request.started_attempt == attempt;
   // Never serve a copy older than a purge that the attempt had to respect, even if the server does.
   if (result.outcome == Outcome::kServed && !was_started && result.issued_at &&
--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -240,6 +240,7 @@
   request.method = head.method;
   request.uri = target->Uri();
   request.body = body;
+  request.effect = settings.effect;
   request.uses_signed_link = !settings.is_write && (route->access == config::AccessMethod::kLink ||
                                                     route->access == config::AccessMethod::kEither);
   const std::string_view connection = head.Field("Connection");
--- a/src/front/http/downstream_connections.hpp
+++ b/src/front/http/downstream_connections.hpp
@@ -28,6 +28,7 @@
   std::string uri;            // canonical, without the signature of the link
   std::string header_fields;  // header field lines to forward
   std::string body;
+  Effect effect = Effect::kNonIdempotent;
   bool uses_signed_link = false;  // requests to servers carry a signed link, else a bearer token
   // Status for the client if the request fails, set if a server's response shows that the gateway is at
   // fault; 0: none.
--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -21,17 +21,6 @@
   return options;
 }
 
-// Returns the outcome that a failure status means for the attempt; nothing for a response that is forwarded
-// to the client.
-std::optional<Outcome> FailureOutcome(int status, bool is_write, bool only_if_cached) {
-  if (only_if_cached && status == 504) return Outcome::kMiss;  // RFC 9111, 5.2.1.7
-  // A rejected read has no effect in any case. For a write, 503 does not prove that it was not executed.
-  if (status == 429 || (status == 503 && !is_write)) return Outcome::kRejected;
-  if (status == 401 || status == 403 || status == 407 || status == 408 || status >= 500)
-    return Outcome::kError;
-  return std::nullopt;
-}
-
 // Evaluates the last member of Cache-Status (RFC 9211), which is from the cache nearest to the gateway.
 FillNote FillNoteOf(std::string_view status) {
   const std::size_t comma = status.rfind(',');
@@ -117,6 +106,8 @@
     control +=
         (control.empty() ? "" : ", ") + ("max-age=" + std::to_string(action.max_age.count() / 1'000'000));
   }
+  pooled.state.sent.effect = request->effect;
+  pooled.state.sent.is_only_if_cached = request->method != "POST" && !is_fill;
   if (request->method != "POST" && !control.empty()) out += "Cache-Control: " + control + "\r\n";
   out += "Tinspan-Fill: keep=" + std::to_string(action.cache_rank);
   if (is_fill) out += "; source=" + source->second.name;
@@ -180,10 +171,12 @@
   // The rest of the response may be in the buffer already if the server closes after each response. It is
   // evaluated once the core lets the response be forwarded.
   if (pooled.state.has_response_head && !pooled.state.is_forwarding && !pooled.state.is_discarding) return;
-  const bool is_request_sent =
+  pooled.state.sent.is_complete =
       pooled.state.request_end > 0 && pooled.connection.BytesSent() >= pooled.state.request_end;
+  const Outcome outcome =
+      core::OutcomeOf(pooled.state.sent, {.kind = core::AttemptEnding::Kind::kConnectionLost});
   if (pooled.state.is_in_use) events_.emplace_back(core::ConnectionLost{ServerId{pooled.server}, 1});
-  FailExchange(pooled, is_request_sent ? Outcome::kReset : Outcome::kConnectFailed);
+  FailExchange(pooled, outcome);
 }
 
 void UpstreamConnections::Execute(Micros, const core::AbortAttempt& command) {
@@ -267,12 +260,10 @@
   state.body.Start(*framing, length);
   state.fill_note = FillNoteOf(head.Field("Cache-Status"));
   PendingRequest* const request = downstream_.Find(state.request_id);
-  const auto found = in_flight_.find(state.request_id);
-  const bool only_if_cached =
-      found != in_flight_.end() && found->second.command.action.source == found->second.command.action.server;
-  const auto failure =
-      FailureOutcome(head.status, request != nullptr && request->method == "POST", only_if_cached);
-  if (failure || request == nullptr) {
+  const Outcome outcome = core::OutcomeOf(
+      state.sent, {.kind = core::AttemptEnding::Kind::kHttpStatus, .http_status = head.status});
+  const bool is_failure = outcome != Outcome::kServed;
+  if (is_failure || request == nullptr) {
     if (request != nullptr) request->override_status = 0;
     // The server rejects the gateway's signature: an error of the gateway, not of the client.
     if ((head.status == 401 || head.status == 403) && request != nullptr) {
@@ -282,7 +273,7 @@
                  pooled.endpoint.Text(), head.status);
     }
     state.is_discarding = true;
-    CompleteAttempt(pooled, {.outcome = failure.value_or(Outcome::kError), .note = FillNote::kNone});
+    CompleteAttempt(pooled, {.outcome = is_failure ? outcome : Outcome::kError, .note = FillNote::kNone});
     pooled.connection.Consume(head.length);
     return true;
   }
--- a/src/front/http/upstream_connections.hpp
+++ b/src/front/http/upstream_connections.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "config/config.hpp"
+#include "core/attempt_outcome.hpp"
 #include "core/request_coordinator.hpp"
 #include "front/http/access.hpp"
 #include "front/http/downstream_connections.hpp"
@@ -33,6 +34,7 @@
   bool is_head_request = false;    // the response has no body (RFC 9112, 6.3)
   bool can_reuse = true;           // the connection is persistent
   bool is_read_paused = false;     // because the client reads slowly
+  core::SentRequest sent;          // what was sent, as far as the outcome depends on it
   std::uint64_t request_end = 0;   // Connection::BytesQueued after the request; 0: not written yet
   std::string response_head;       // of the response, as forwarded to the client
   FillNote fill_note = FillNote::kNone;
--- a/src/front/platform/cache_protocol.cpp
+++ b/src/front/platform/cache_protocol.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "core/attempt_outcome.hpp"
 #include "front/platform/fields.hpp"
 #include "net/clock.hpp"
 #include "setup/setup.hpp"
@@ -26,16 +27,15 @@
 
 struct Status {
   std::string_view text;
-  Outcome outcome;
+  core::AttemptEnding::Kind ending;
 };
-// After BUSY, MISS or VOID the request is known not to have run; after ERR it may have run.
 constexpr std::string_view kNotModified = "SAME";
-constexpr std::array<Status, 6> kStatuses{{{"OK", Outcome::kServed},
-                                           {kNotModified, Outcome::kServed},
-                                           {"MISS", Outcome::kMiss},
-                                           {"BUSY", Outcome::kRejected},
-                                           {"ERR", Outcome::kError},
-                                           {"VOID", Outcome::kNotSent}}};
+constexpr std::array<Status, 6> kStatuses{{{"OK", core::AttemptEnding::Kind::kServed},
+                                           {kNotModified, core::AttemptEnding::Kind::kServed},
+                                           {"MISS", core::AttemptEnding::Kind::kMiss},
+                                           {"BUSY", core::AttemptEnding::Kind::kBusy},
+                                           {"ERR", core::AttemptEnding::Kind::kError},
+                                           {"VOID", core::AttemptEnding::Kind::kObsolete}}};
 
 std::string FormatMilliseconds(Micros time) {
   return std::to_string(std::max<std::int64_t>(1, time.count() / 1000));
@@ -139,7 +139,7 @@
                                           [&](const Status& entry) { return entry.text == frame.status; });
   if (status == kStatuses.end()) return tl::unexpected(ResponseError::kUnknownStatus);
   Response response;
-  response.outcome = status->outcome;
+  response.outcome = core::OutcomeOf({}, {.kind = status->ending});  // the words say it for every effect
   response.is_not_modified = status->text == kNotModified;
   std::string_view load_report;
   const FieldListStatus fields_status =
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/attempt_outcome.hpp"
 #include "front/platform/stall_detector.hpp"
 #include "log/log.hpp"
 
@@ -255,13 +256,11 @@
     pool_.Release(pooled, now);
     return Assign(now, *downstream_.Find(id), attempt);
   }
-  Outcome outcome = Outcome::kConnectFailed;
-  if (exchange.IsSent(pooled.connection)) {
-    outcome = Outcome::kReset;
-  } else if (pooled.connection.FailedLocally()) {
-    outcome = Outcome::kNotSent;
-  }
-  CompleteAttempt(id, pooled, {.outcome = outcome});
+  using Kind = core::AttemptEnding::Kind;
+  const core::SentRequest sent{.is_complete = exchange.IsSent(pooled.connection)};
+  const bool is_local = !sent.is_complete && pooled.connection.FailedLocally();
+  const Kind ending = is_local ? Kind::kNotSent : Kind::kConnectionLost;
+  CompleteAttempt(id, pooled, {.outcome = core::OutcomeOf(sent, {.kind = ending})});
 }
 
 // Whether the attempt may move to another connection after its connection was lost. This is safe if the
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -121,7 +121,7 @@
   std::string last_health_query;  // the head of the last health query
   int port = 0;
 
-  explicit World(bool has_second_cache = false) {
+  explicit World(bool has_second_cache = false, const std::string& settings = kSettings) {
     char name[] = "/tmp/tinspan-test-XXXXXX";
     CHECK_OR_THROW(::mkdtemp(name) != nullptr);
     folder = std::string(name) + "/";
@@ -137,7 +137,7 @@
           "consul":{"address":")" +
               consul.Address() + R"(","token_file":"consul.token","zone":"edge","services":[
           {"name":"shop-cache","kind":"box"},{"name":"main-stock","kind":"store"}]},"settings":)" +
-              kSettings + "}");
+              settings + "}");
     program = std::make_unique<Program>(
         std::vector<std::string>{"serve", "-f", folder + "gateway.json", "--log-level", "trace"},
         std::map<std::string, std::string>{});
@@ -413,6 +413,26 @@
   ASSERT_EQ(ReadResponse(client).status, 201);
 }
 
+// Guards against a 504 of another gateway being taken for a proof that an order never ran: the order was
+// rejected, its client tried again, and it ran twice (docs/incidents/2026-12-04-order-ran-twice.md).
+TEST(HttpTest, RejectsNoOrderAfterAGatewayTimeout) {
+  std::string settings = kSettings;
+  settings.replace(settings.find("by_key"), std::strlen("by_key"), "once");
+  World world(false, settings);
+  world.SendList("shop-cache", 8, "", "");  // without a cache the order is sent to the origin
+  for (const char* const status :
+       {"504 Gateway Timeout", "503 Service Unavailable", "429 Too Many Requests"}) {
+    SCOPED_TRACE(status);
+    TcpPeer client = world.Client();
+    client.Send(EncodeOrder("", "one copy"));
+    TcpPeer server = world.origin.Accept();
+    ReadMessage(server);
+    server.Send(EncodeResponse(status, "", "Connection: close\r\n"));
+    EXPECT_EQ(ReadResponse(client).status, 502);
+    EXPECT_TRUE(world.origin.HasNoConnectionFor(100));  // it is not sent again
+  }
+}
+
 // Each response or failure of a server leads to a certain status for the client.
 TEST(HttpTest, MapsUpstreamFailuresToStatuses) {
   const auto response_after = [](const std::function<void(TcpPeer&)>& act) {
