Measure whether a client reads by what its system has acknowledged

Cause: a client counted as stalled when its socket had accepted nothing for 0.5 s. A socket reports room only when a third of its send buffer is free, 0.8 to 1.3 MB at once, so that a client at 1 MB a second looks as if it read nothing. The gateway asked the same question with stall_ms.

Evidence: SIOCOUTQ falls by 94 KB every 0.1 s on such a connection while sendmsg accepts nothing. Ruled out: the memory limit itself, the write queue's limit.

Change: DeliveryProgress (pure, clock passed in) measures what was acknowledged, on both fronts, for memory pressure, stops, evictions and lingering alike. A client's timeout is twice its longest step, within 0.5 and 10 s; before its steps are known 1 s while others are held up, else 3 s.

--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -134,10 +134,15 @@
 bool DownstreamConnections::IsReceiving(Client& client, Micros now) const {
   const net::Connection& connection = *client.connection;
   const std::size_t undelivered_bytes = connection.UndeliveredBytes();
-  if (undelivered_bytes == 0) return false;
+  if (undelivered_bytes == 0) {
+    client.delivery.Stop();
+    return false;
+  }
   // The end of our side may count as one byte that was never queued.
   client.delivery.Observe(now, connection.BytesQueued() + 1 - undelivered_bytes);
-  return client.delivery.StalledFor(now) <= config_.stall_timeout;
+  const net::StallTimeouts timeouts{
+      .initial = config_.stall_timeout, .min = config_.stall_timeout, .max = config_.stall_timeout};
+  return !client.delivery.IsStalled(now, timeouts);
 }
 
 // Returns false, and does nothing, if the socket holds unread input, which is the client's next request, or
@@ -429,8 +434,6 @@
   if (listener_.IsOpen() && IsDraining(now)) listener_.CloseAfterAccepting();
   for (auto& [id, client] : clients_) {
     net::Connection& connection = *client.connection;
-    if (connection.BytesSent() != std::exchange(client.last_bytes_sent, connection.BytesSent()))
-      client.last_active_at = now;
     if (connection.IsLingering() && IsReceiving(client, now)) client.last_active_at = now;
     CloseIfStalled(client, now);
     EndIfDrained(client, now);
@@ -449,7 +452,7 @@
   net::Connection& connection = *client.connection;
   const Micros linger_timeout = IsDraining(now) ? kDrainReadTimeout : kLingerTimeout;
   const Micros inactive_time = now - client.last_active_at;
-  const bool is_stalled = (connection.Backlog() > 0 && inactive_time > config_.stall_timeout) ||
+  const bool is_stalled = (connection.Backlog() > 0 && !IsReceiving(client, now)) ||
                           (connection.IsLingering() && inactive_time > linger_timeout);
   if (connection.IsClosed() || !is_stalled) return;
   connection.Close();
--- a/src/front/http/downstream_connections.hpp
+++ b/src/front/http/downstream_connections.hpp
@@ -81,7 +81,6 @@
     std::optional<RequestId> open_request;
     bool close_after_response = false;    // no further request is read
     bool has_sent_continue = false;       // 100 was sent for the request being received
-    std::uint64_t last_bytes_sent = 0;    // Connection::BytesSent at the last check
     std::uint64_t last_bytes_queued = 0;  // Connection::BytesQueued at the last check
     Micros last_active_at{0};
     net::DeliveryProgress delivery;  // of the responses, observed while a decision depends on it
--- a/src/front/platform/downstream_client.cpp
+++ b/src/front/platform/downstream_client.cpp
@@ -9,21 +9,15 @@
   connection->ScheduleRead();
 }
 
-void DownstreamClient::ResetWriteProgress(Micros now) {
-  last_progress_at = now;
-  last_bytes_sent = connection->BytesSent();
-}
-
-void DownstreamClient::UpdateWriteProgress(Micros now) {
-  if (connection->BytesSent() != last_bytes_sent) ResetWriteProgress(now);
-}
-
-bool DownstreamClient::IsReceiving(Micros now, Micros stall_timeout) {
+bool DownstreamClient::IsReceiving(Micros now, const net::StallTimeouts& timeouts) {
   const std::size_t undelivered_bytes = connection->UndeliveredBytes();
-  if (undelivered_bytes == 0) return false;
+  if (undelivered_bytes == 0) {
+    delivery.Stop();
+    return false;
+  }
   // The end of our side may count as one byte that was never queued.
   delivery.Observe(now, connection->BytesQueued() + 1 - undelivered_bytes);
-  return delivery.StalledFor(now) <= stall_timeout;
+  return !delivery.IsStalled(now, timeouts);
 }
 
 core::ConnectionActivity DownstreamClient::Activity(Micros now) {
--- a/src/front/platform/downstream_client.hpp
+++ b/src/front/platform/downstream_client.hpp
@@ -23,8 +23,6 @@
   std::size_t bytes_handled = 0;  // prefix of Unread() that was handled; consumed at the end of the round
   std::size_t bytes_scanned = 0;  // prefix of Unread() that was scanned for cancellations
   std::unordered_set<std::string> cancelled_tags;  // found by that scan; the calls are still unhandled
-  std::uint64_t last_bytes_sent = 0;
-  Micros last_progress_at{0};            // when last_bytes_sent last changed
   net::DeliveryProgress delivery;        // of the responses, observed while a decision depends on it
   std::optional<Micros> last_unsent_at;  // see core::ConnectionActivity
   int checks_past_close = 0;             // drain checks since close_by (core/drain.hpp)
@@ -36,13 +34,8 @@
   /// While paused, cancellations are handled but no new request is accepted. Reading is scheduled when the
   /// pause ends.
   void SetIntakePaused(bool paused);
-  /// Starts measuring how long the client has read none of its responses.
-  void ResetWriteProgress(Micros now);
-  /// Updates last_progress_at if the socket has taken bytes since the last call.
-  void UpdateWriteProgress(Micros now);
-  /// Whether responses, or the end of our side, are still on their way to a client that goes on receiving:
-  /// one that has received nothing for `stall_timeout` does not count.
-  bool IsReceiving(Micros now, Micros stall_timeout);
+  /// Whether responses, or the end of our side, are still on their way to a client that goes on receiving.
+  bool IsReceiving(Micros now, const net::StallTimeouts& timeouts);
   /// Returns what core::DecideEnd needs to know about this connection.
   core::ConnectionActivity Activity(Micros now);
 };
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -20,10 +20,15 @@
 constexpr net::Connection::Limits kLimits{
     .max_read_bytes = kMaxMessageBytes, .max_write_bytes = 9 << 20, .close_on_peer_shutdown = true};
 constexpr std::size_t kMaxClientBacklog = 8 << 20;
-// A client that reads none of its responses for this long is closed. The second timeout applies while the
-// total backlog blocks reading from the servers, and after the answer_by time of a drain.
-constexpr Micros kWriteStallTimeout{10'000'000};
-constexpr Micros kWriteStallTimeoutUnderPressure{500'000};
+// A client that receives none of its responses for this long is closed.
+constexpr net::StallTimeouts kStallTimeouts{
+    .initial = Micros{10'000'000}, .min = Micros{10'000'000}, .max = Micros{10'000'000}};
+// The same while the total backlog blocks reading from the servers and so holds up all other clients.
+constexpr net::StallTimeouts kStallTimeoutsUnderPressure{
+    .initial = Micros{1'000'000}, .min = Micros{500'000}, .max = Micros{10'000'000}};
+// The same for a client that should make room: its place is needed, or the instance is draining.
+constexpr net::StallTimeouts kStallTimeoutsForRoom{
+    .initial = Micros{3'000'000}, .min = Micros{500'000}, .max = Micros{10'000'000}};
 // Clients close their connections after 4 s of idleness, so no more requests follow on one that is idle for
 // longer. A connection without a first request has to be closed within 3 s.
 constexpr Micros kIdleTimeout{6'000'000};
@@ -31,8 +36,6 @@
 // How long a client's input is read and discarded after our side was shut down. A request that crosses the
 // shutdown arrives within 50 ms; the client sends it again and closes this connection.
 constexpr Micros kLingerTimeout{300'000};
-// A client that has received nothing of its responses for this long may be evicted, and is closed when idle.
-constexpr Micros kDeliveryStallTimeout{2'500'000};
 // While responses are on their way to a lingering client, it is checked at this interval.
 constexpr Micros kDeliveryCheckInterval{50'000};
 constexpr std::size_t kMaxEvictionCandidates = 8;
@@ -260,9 +263,7 @@
               "client {}: does not read its responses, write queue full, connection closed", connection.id);
     return Close(client, ClientCloseReason::kStalled);
   }
-  if (connection.Backlog() > 0 && backlogged_.insert(connection.id).second) {
-    client.ResetWriteProgress(net::Now());
-  }
+  if (connection.Backlog() > 0) backlogged_.insert(connection.id);
 }
 
 void DownstreamConnections::OnClosed(net::Connection& connection) {
@@ -305,7 +306,7 @@
 // Returns false and leaves the connection open if input is waiting in the socket, since a request has just
 // arrived, or if the client is still receiving its responses.
 bool DownstreamConnections::LingerIfIdle(Client& client, Micros now, ClientCloseReason reason) {
-  if (client.connection->HasPendingInput() || client.IsReceiving(now, kDeliveryStallTimeout)) return false;
+  if (client.connection->HasPendingInput() || client.IsReceiving(now, kStallTimeoutsForRoom)) return false;
   Linger(client, now, reason);
   return true;
 }
@@ -329,13 +330,13 @@
   const std::size_t max_lingering = config_.limits.LingeringSockets();
   std::size_t excess = lingering_.size() > max_lingering ? lingering_.size() - max_lingering : 0;
   const bool is_shutdown = drain_ && drain_->fails_open_requests;
-  const Micros stall_timeout = is_shutdown ? kWriteStallTimeoutUnderPressure : kWriteStallTimeout;
+  const net::StallTimeouts& timeouts = is_shutdown ? kStallTimeoutsForRoom : kStallTimeouts;
   bool is_delivering = false;
   std::erase_if(lingering_, [&](LingeringClient& lingering) {
     const auto found = clients_.find(lingering.id);
     if (found == clients_.end()) return true;
     const bool is_open = !found->second.connection->IsClosed();
-    if (is_open && found->second.IsReceiving(now, stall_timeout)) {
+    if (is_open && found->second.IsReceiving(now, timeouts)) {
       lingering.expires_at = now + kLingerTimeout;
       is_delivering = true;
     }
@@ -397,15 +398,14 @@
   const bool is_under_pressure = Backlog() > (config_.limits.memory_mb << 20) / 4;
   const std::size_t max_backlog = is_under_pressure ? 0 : kMaxClientBacklog;
   const bool is_drain_over = drain_ && now >= drain_->answer_by;
-  const Micros stall_timeout =
-      is_under_pressure || is_drain_over ? kWriteStallTimeoutUnderPressure : kWriteStallTimeout;
+  const net::StallTimeouts& unpressed_timeouts = is_drain_over ? kStallTimeoutsForRoom : kStallTimeouts;
+  const net::StallTimeouts& timeouts = is_under_pressure ? kStallTimeoutsUnderPressure : unpressed_timeouts;
   for (auto position = backlogged_.begin(); position != backlogged_.end();) {
     Client& client = clients_.at(*position);
     net::Connection& connection = *client.connection;
     const std::size_t backlog = connection.IsClosed() ? 0 : connection.Backlog();
     client.SetIntakePaused(is_intake_paused_ || backlog > max_backlog);
-    client.UpdateWriteProgress(now);
-    if (backlog > 0 && now - client.last_progress_at > stall_timeout) {
+    if (backlog > 0 && !client.IsReceiving(now, timeouts)) {
       log::Warn("client.stuck", {{"client", connection.id}, {"backlog", backlog}},
                 "client {}: takes no answers, connection closed", connection.id);
       Close(client, ClientCloseReason::kStalled);
--- a/tests/net/connection_ends_test.cpp
+++ b/tests/net/connection_ends_test.cpp
@@ -19,8 +19,9 @@
 
 // A World whose instance has an admin listener.
 struct AdminWorld : World {
-  explicit AdminWorld(const std::string& settings = kSettings, const std::string& sockets = "1024")
-      : World(0, true, sockets, "192", settings, {{"PROXY_OPS", "127.0.0.1:0"}}, "info") {
+  explicit AdminWorld(const std::string& settings = kSettings, const std::string& sockets = "1024",
+                      const std::string& memory_mb = "192")
+      : World(0, true, sockets, memory_mb, settings, {{"PROXY_OPS", "127.0.0.1:0"}}, "info") {
     admin_port = AdminPort(*program);
   }
   // Sends one admin command and returns the first line of the response.
@@ -257,7 +258,7 @@
   const DelayedServers servers(world.Servers(), 20, std::string(ReceivingClient::kBodyBytes, 'x'));
   ReceivingClient client(world, 10);
   const std::vector<TcpPeer> first = ConnectIdleCrowd(world);
-  SleepMs(3000);
+  SleepMs(3500);
   const std::vector<TcpPeer> second = ConnectIdleCrowd(world);
   SleepMs(500);
   while (!client.Peer().ReadFor(500).empty()) {
@@ -271,6 +272,43 @@
   ExpectSlowReadersEndedBy(3700, [](const SlowReaderWorld& world) { world.program->Signal(SIGTERM); });
 }
 
+// An instance with little memory, whose clients read slowly and have more responses on their way than it may
+// hold for all clients.
+struct MemoryPressureWorld : AdminWorld {
+  MemoryPressureWorld(std::int64_t bytes_per_s, std::int64_t until_ms)
+      : AdminWorld(kSettings, "1024", "32"), servers(Servers(), 5, std::string(kBodyBytes, 'x')) {
+    for (int number = 1; number <= kClients; ++number) {
+      clients.push_back(
+          std::make_unique<BusyClient>(port, number, kDepth, until_ms,
+                                       ReadPace{.bytes_per_s = bytes_per_s, .receive_buffer_bytes = 65'536}));
+    }
+  }
+
+  static constexpr std::size_t kBodyBytes = 240'000;
+  static constexpr int kClients = 4;
+  static constexpr std::size_t kDepth = 32;
+  const DelayedServers servers;
+  std::vector<std::unique_ptr<BusyClient>> clients;
+};
+
+// Guards against clients that read steadily but slowly being closed as if they read nothing, while the
+// responses that wait for clients hold up the servers (docs/incidents/2026-12-04-slow-readers-closed.md).
+TEST(ConnectionEndsTest, KeepsSlowReadersUnderMemoryPressure) {
+  constexpr std::array<std::int64_t, 3> kBytesPerSecond{200'000, 1'000'000, 10'000'000};
+  const std::int64_t until_ms = SteadyMs() + 7000;
+  std::vector<std::unique_ptr<MemoryPressureWorld>> worlds;
+  for (const std::int64_t bytes_per_s : kBytesPerSecond) {
+    worlds.push_back(std::make_unique<MemoryPressureWorld>(bytes_per_s, until_ms));
+  }
+  for (std::size_t index = 0; index < worlds.size(); ++index) {
+    SCOPED_TRACE(testing::Message() << kBytesPerSecond[index] << " bytes per second");
+    for (const auto& client : worlds[index]->clients) {
+      client->Join();
+      EXPECT_EQ(client->EndedAt(), 0) << "the instance has closed the connection";
+    }
+  }
+}
+
 // Graceful shutdown with short deadlines: the connections of clients that go on writing are closed before
 // SIGKILL may come, and every request that was read is answered.
 TEST(ConnectionEndsTest, StopEndsConnectionsWithRequestsAlwaysInFlight) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -121,7 +121,9 @@
   std::string last_health_query;  // the head of the last health query
   int port = 0;
 
-  explicit World(bool has_second_cache = false, const std::string& settings = kSettings) {
+  /// `stall_ms`: a client that takes nothing of its response for this long is closed.
+  explicit World(bool has_second_cache = false, const std::string& settings = kSettings,
+                 int stall_ms = 3000) {
     char name[] = "/tmp/tinspan-test-XXXXXX";
     CHECK_OR_THROW(::mkdtemp(name) != nullptr);
     folder = std::string(name) + "/";
@@ -131,7 +133,8 @@
     Write("consul.token", "consul-secret\n");
     Write("gateway.json",
           R"({"name":"gateway-north","listen":"127.0.0.1:0","origin":")" + kOrigin +
-              R"(","audience":"north","keys_file":"keys.json","signing_key_file":"own.json","stall_ms":3000,
+              R"(","audience":"north","keys_file":"keys.json","signing_key_file":"own.json","stall_ms":)" +
+              std::to_string(stall_ms) + R"(,
           "operator_token_file":"operator.token","routes":[{"class":"scans","path":"/scans/","access":"either"},
           {"class":"pages","path":"/pages/","access":"token"},{"class":"orders","path":"/orders","access":"token"}],
           "consul":{"address":")" +
@@ -544,6 +547,20 @@
   }
 }
 
+// Guards against a client that reads steadily but slowly being closed as if it read nothing: the system
+// accepts more bytes for such a client only after longer than the stall timeout.
+TEST(HttpTest, KeepsASlowReader) {
+  constexpr double kBytesPerSecond = 1e6;
+  World world(false, kSettings, 1000);
+  TcpPeer client = TcpPeer::Connect(world.port, 65'536);
+  client.Send(EncodeGet("/pages/a", Bearer(SignToken(kSharedKey, TimeClaims(60)))));
+  TcpPeer server = world.cache.Accept();
+  ReadMessage(server);
+  const std::string body(8 << 20, 'x');
+  TestThread sender([&] { server.Send(EncodeResponse("200 OK", body)); });
+  EXPECT_EQ(client.ReadPaced(body.size(), kBytesPerSecond).size(), body.size());
+}
+
 TEST(HttpTest, FollowsConsul) {
   World world(true);
   ASSERT_NE(world.last_health_query.find("?index=7&wait=30s"), std::string::npos);
