Reject a reload with a negative time instead of ending the process

What operators saw: SIGHUP with a file in which windowMs, promiseMs or an entry of maxAgeMs is negative ended the process with 1.

Cause: the reader of the configuration let such times through, the decision module throws std::invalid_argument, and PlatformFront::Reload caught config::Error alone. RequestCoordinator replaced its own settings before the module could reject them.

Change: the reader checks what the module rejects and names the key, at the start and at a reload; Reload keeps the running configuration on any exception; the coordinator changes nothing before the module has accepted.

Test: OpsTest.KeepsItsSettingsWhenAReloadHasNegativeTimes failed before (the process ended), passes now.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -115,6 +115,29 @@
   SettingsMap map_;
 };
 
+// Rejects what the decision module does not take, so that the error names the key. Used at the start and at a
+// reload.
+void CheckTimes(const Settings& settings) {
+  const auto require = [](Micros time, const std::string& key) {
+    if (time < Micros{0}) ThrowExpected("settings." + key, "a number of milliseconds of at least 0");
+  };
+  for (std::size_t index = 0; index < settings.classes.size(); ++index) {
+    const ClassSettings& traffic_class = settings.classes[index];
+    const std::string prefix = "lanes." + std::to_string(index) + ".";
+    require(traffic_class.idempotency_window, prefix + "windowMs");
+    require(traffic_class.latency_objective, prefix + "promiseMs");
+    require(traffic_class.freshness_lifetime, "familyInfo.maxAgeMs");
+    require(traffic_class.stale_grace, "familyInfo.classGraceMs");
+  }
+  require(settings.event_interval, "tickMs");
+  require(settings.connect_timeout, "limits.connectTimeoutMs");
+  require(settings.max_retry_after, "limits.maxRetryAfterMs");
+  require(settings.warm_up_time, "rules.warmAfterMs");
+  require(settings.overload_window, "rules.tipAfterMs");
+  require(settings.parent_warm_up_time, "familyInfo.upperColdMs");
+  require(settings.purge_retention, "familyInfo.goneEverywhereMs");
+}
+
 void ReadSettingsSection(const element& settings, CommonConfig& out) {
   FlattenedSettings flattened;
   flattened.Add("", settings);
@@ -132,6 +155,7 @@
   } catch (const Malformed& malformed) {
     ThrowExpected("settings." + malformed.field, malformed.expected);
   }
+  CheckTimes(out.site.settings);
   // The module would take a deadline or a number of attempts that is absent or not above 0 for "none". The
   // whole file is rejected instead; on a reload the previous settings remain in effect.
   for (std::size_t i = 0; i < out.site.settings.classes.size(); ++i) {
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -61,8 +61,8 @@
 void RequestCoordinator::EndDrain() { drain_.reset(); }
 
 void RequestCoordinator::UpdateSettings(const Settings& settings) {
+  router_.UpdateSettings(settings);  // first: it throws on invalid settings, and nothing has changed then
   settings_ = settings;
-  router_.UpdateSettings(settings);
 }
 
 // ---- Events. ----
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <exception>
 #include <utility>
 #include <variant>
 
@@ -163,7 +164,7 @@
     ++counters_.config_reloads;
     LogReload(added, dropped);
     return true;
-  } catch (const config::Error& error) {
+  } catch (const std::exception& error) {  // config::Error, or std::invalid_argument of the decision module
     ++counters_.config_reload_errors;
     log::Error("config.refused", {{"reason", error.what()}},
                "configuration not read anew, the old one holds: {}", error.what());
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -182,6 +182,32 @@
   ASSERT_EQ(ReadResponse(fresh)[1], "healthy");
 }
 
+// Guards against a reload that the decision module rejects ending the process: the old configuration stays in
+// force and the error names the key (docs/incidents/2026-12-04-reload-ended-the-process.md).
+TEST(OpsTest, KeepsItsSettingsWhenAReloadHasNegativeTimes) {
+  AdminWorld world;
+  const std::vector<std::pair<std::string, std::string>> replacements{
+      {R"("windowMs":5000.0)", "settings.lanes.0.windowMs"},
+      {R"("promiseMs":2000.0)", "settings.lanes.0.promiseMs"},
+      {R"("maxAgeMs":[12000.0)", "settings.familyInfo.maxAgeMs"},
+      {R"("classGraceMs":[0.0)", "settings.familyInfo.classGraceMs"},
+      {R"("tickMs":2.0)", "settings.tickMs"},
+      {R"("warmAfterMs":16000.0)", "settings.rules.warmAfterMs"},
+      {R"("goneEverywhereMs":6000.0)", "settings.familyInfo.goneEverywhereMs"}};
+  for (const auto& [entry, key] : replacements) {
+    std::string text = world.config;
+    const std::size_t number_at = text.find(entry) + entry.find_first_of("0123456789");
+    ASSERT_LT(number_at, text.size());
+    const bool is_zero = text[number_at] == '0';
+    std::ofstream(world.file->path) << text.replace(number_at, is_zero ? 1 : 0, is_zero ? "-1" : "-");
+    world.program->Signal(SIGHUP);
+    EXPECT_NE(world.program->ReadLogThrough("old one holds").find(key), std::string::npos) << key;
+  }
+  TcpPeer client = world.Client();
+  client.Send(EncodeCommand({"RPC.HEALTH", "1", ""}));
+  EXPECT_EQ(ReadResponse(client)[1], "healthy");
+}
+
 // SIGHUP with configurations that must be rejected as a whole: the old one stays in force, the error names
 // the key, and a counter counts it. Then a valid one that renames a class and allows one attempt: requests of
 // the new class get one attempt, while a request from before keeps its eight attempts and is retried after
