--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -61,8 +61,8 @@
     return std::string_view{buffer_}.substr(unread_begin_, unread_end_ - unread_begin_);
   }
   /// Whether a new exchange may begin on this connection: it is open, and the peer has sent nothing that was
-  /// not consumed. With a protocol whose responses carry no id, such bytes would be taken for the beginning of
-  /// the next response.
+  /// not consumed. With a protocol whose responses carry no id, such bytes would be taken for the beginning
+  /// of the next response.
   bool IsReusable() const { return IsOpen() && Unread().empty() && !HasPendingInput(); }
   /// Removes the first `bytes` bytes of Unread().
   void Consume(std::size_t bytes);
--- a/tests/gateway_chain_test.cpp
+++ b/tests/gateway_chain_test.cpp
@@ -77,14 +77,14 @@
     const EndpointsUpdated servers{
         EndpointsEvent::Kind::kFull,
         {MakeMember(kFirstServer), MakeMember(kSecondServer), MakeMember(kOrigin)}};
-    near_events_.push_back(servers);
-    far_events_.push_back(servers);
+    near_events_.emplace_back(servers);
+    far_events_.emplace_back(servers);
   }
 
   void SendOrder() {
     ++tries_;
     near_id_ = near_.NextRequestId();
-    near_events_.push_back(
+    near_events_.emplace_back(
         RequestReceived{.id = near_id_, .time_left = kNearDeadline, .object = ObjectId{7}});
   }
   void RunFor(Micros time) {
@@ -142,7 +142,7 @@
       return EndNear(attempt, {AttemptEnding::Kind::kConnectionLost}, false);
     const RequestId far_id = far_.NextRequestId();
     near_attempts_[far_id] = attempt;
-    far_events_.push_back(RequestReceived{.id = far_id, .time_left = kFarDeadline, .object = ObjectId{7}});
+    far_events_.emplace_back(RequestReceived{.id = far_id, .time_left = kFarDeadline, .object = ObjectId{7}});
     if (fate.hop != Hop::kLostAfterDelivery) return;
     DisconnectFrom(attempt);
     EndNear(attempt, {AttemptEnding::Kind::kConnectionLost});
@@ -153,10 +153,10 @@
     if (found == near_attempts_.end()) return;
     const RequestId far_id = found->first;
     near_attempts_.erase(found);
-    far_events_.push_back(ClientDisconnected{far_id});
+    far_events_.emplace_back(ClientDisconnected{far_id});
   }
   void EndNear(const Attempt& attempt, const AttemptEnding& ending, bool is_complete = true) {
-    near_events_.push_back(AttemptCompleted{
+    near_events_.emplace_back(AttemptCompleted{
         .id = attempt.first, .attempt = attempt.second, .outcome = OutcomeAt(ending, is_complete)});
   }
   void RunFar() {
@@ -186,7 +186,7 @@
     replies_.push({now_ + fate.delay, attempt, {AttemptEnding::Kind::kHttpStatus, StatusOf(fate.reply)}});
   }
   void EndFar(const Attempt& attempt, const AttemptEnding& ending, bool is_complete = true) {
-    far_events_.push_back(AttemptCompleted{
+    far_events_.emplace_back(AttemptCompleted{
         .id = attempt.first, .attempt = attempt.second, .outcome = OutcomeAt(ending, is_complete)});
   }
   void RunDueReplies() {
