Review case 10: purges over 256 are answered 204 and dropped

Cause: with 256 purges open a further one is not taken for the fleet, but the gateway has answered 204; a purge stays open for 60 s also when all have applied it.

Change: the case with its claim and its script.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# Requests that a gateway has taken when it is told to end. TROUBLE=0: it is not told.
+# Two overlapping purges at one gateway of a fleet. TROUBLE=0: one purge.
 cd "$(dirname "$0")" && exec python3 case.py
