Never check an attempt again in the moment in which it was checked

Cause: an attempt is checked once its latency objective has passed, and again an objective later. With an objective of 0 the next check is due at the present moment, and the loop of the timer event, which runs every task that is due, finds it again without end.

Change: the delay of a check is at least 1 ms. Looked at and ruled out for the same loop: the other tasks of the schedule (a request's deadline and removal run once; a new subscription is sent once by the watch's event, not rescheduled by its own task).

Test: Engine.EndsATimerEventOfAClassWithoutLatencyObjective.

--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -12,6 +12,7 @@
 constexpr double kMinLocalOverload = 4;       // own requests; fewer never count as overload
 constexpr std::uint8_t kFirstRank = 1;        // cache priority of a copy without recent requests
 constexpr std::uint8_t kRepeatedRank = 2;     // cache priority of a copy with recent requests
+constexpr Micros kMinCheckDelay{1'000};       // between checks of an attempt against its latency objective
 
 bool IsFillLikely(const Attempt& attempt) { return attempt.fill_probability > kLikelyProbability; }
 bool IsIngressLikely(const Attempt& attempt) { return attempt.ingress_probability > kLikelyProbability; }
@@ -171,7 +172,9 @@
 }
 
 void Dispatcher::ScheduleCheck(const Request& request, std::size_t attempt) {
-  const Micros check_at = context_.now + FromSeconds(state_.costs.LatencyObjective(request));
+  // A check that were due at once would be found due again by the loop that runs it, without end.
+  const Micros delay = std::max(FromSeconds(state_.costs.LatencyObjective(request)), kMinCheckDelay);
+  const Micros check_at = context_.now + delay;
   state_.schedule.Add(check_at, {TaskKind::kCheckAttempt, request.event.id, attempt});
 }
 
--- a/tests/routing/engine_test.cpp
+++ b/tests/routing/engine_test.cpp
@@ -72,6 +72,19 @@
   EXPECT_NE(fixture.OnlyAttempt().server, sent.server);
 }
 
+// Guards against a process that hangs: the check of an attempt whose class has no latency objective was due
+// again in the moment in which it ran, so the timer event never ended.
+TEST(Engine, EndsATimerEventOfAClassWithoutLatencyObjective) {
+  RouterFixture fixture;
+  fixture.settings.classes[0].latency_objective = Micros{0};
+  fixture.settings.classes[0].effect = Effect::kNonIdempotent;
+  fixture.Start();
+  const SendAttempt sent = fixture.Send(fixture.Request(7, 0));
+  fixture.AdvanceTime(10ms);
+  fixture.Complete(sent.id, 0, Outcome::kServed);
+  EXPECT_NE(fixture.SendAndServe(8).server, ServerId{});
+}
+
 TEST(Engine, IgnoresUnmatchedEvents) {
   RouterFixture fixture;
   fixture.Start();
