Reject a configuration that misses a rule of a class or, at a reload, any key

Cause: an absent value is read as 0, false or an empty list, and only `giveUpMs` and `maxAttempts` were checked afterwards, at the start and at a reload alike.

Change: at the start and at a reload each class needs `promiseMs` and `giveUpMs` above 0, with idempotency keys `windowMs` above 0 and `keyScope`, and lists by class need one entry for each class (`classWrite` must be there). At a reload the file must have every key of the file in effect; null counts as missing, `aimStretch` may be absent.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -138,6 +138,42 @@
   require(settings.purge_retention, "familyInfo.goneEverywhereMs");
 }
 
+// Rejects classes without a rule that decides whether and until when a request may be sent: the module would
+// take an absent value for 0, "no deadline" or "no write". Used at the start and at a reload.
+void CheckClasses(const NamedSettings& site, const SettingsMap& map) {
+  for (std::size_t index = 0; index < site.classes.size(); ++index) {
+    const ClassSettings& traffic_class = site.settings.classes[index];
+    const std::string prefix = "lanes." + std::to_string(index) + ".";
+    const std::string class_note = " (class " + site.classes[index] + ")";
+    const auto require_time = [&](Micros time, const char* key) {
+      if (time > Micros{0}) return;
+      ThrowExpected("settings." + prefix + key, "a number of milliseconds above 0" + class_note);
+    };
+    require_time(traffic_class.deadline, "giveUpMs");
+    require_time(traffic_class.latency_objective, "promiseMs");
+    if (traffic_class.effect != Effect::kIdempotencyKey) continue;
+    require_time(traffic_class.idempotency_window, "windowMs");
+    if (IsAbsent(map.Text(prefix + "keyScope")))
+      ThrowExpected("settings." + prefix + "keyScope", "one of all zone cell" + class_note);
+  }
+}
+
+// Rejects a list by class that has not one entry for each class. `familyInfo.classWrite` must be there:
+// without it orders would be sent like reads.
+void CheckListsByClass(const NamedSettings& site, const SettingsMap& map) {
+  const auto check = [&](const std::string& key, bool is_required) {
+    const std::size_t count = map.List(key).size();
+    if (count == site.classes.size() || (count == 0 && !is_required)) return;
+    ThrowExpected("settings." + key, "one entry for each of the " + std::to_string(site.classes.size()) +
+                                         " classes, not " + std::to_string(count));
+  };
+  check("familyInfo.classWrite", true);
+  for (const char* const key : {"familyInfo.maxAgeMs", "familyInfo.classGraceMs", "familyInfo.multiPart",
+                                "familyInfo.oldCopyWorth"}) {
+    check(key, false);
+  }
+}
+
 void ReadSettingsSection(const element& settings, CommonConfig& out) {
   FlattenedSettings flattened;
   flattened.Add("", settings);
@@ -156,15 +192,8 @@
     ThrowExpected("settings." + malformed.field, malformed.expected);
   }
   CheckTimes(out.site.settings);
-  // The module would take a deadline or a number of attempts that is absent or not above 0 for "none". The
-  // whole file is rejected instead; on a reload the previous settings remain in effect.
-  for (std::size_t i = 0; i < out.site.settings.classes.size(); ++i) {
-    const std::string path = "lanes." + std::to_string(i) + ".giveUpMs";
-    if (out.site.settings.classes[i].deadline <= Micros{0}) {
-      ThrowExpected("settings." + path,
-                    "a number of milliseconds above 0 (class " + out.site.classes[i] + ")");
-    }
-  }
+  CheckClasses(out.site, map);
+  CheckListsByClass(out.site, map);
   if (out.site.settings.max_attempts == 0)
     ThrowExpected("settings.limits.maxAttempts", "a whole number above 0");
   out.longest_deadline = Micros{0};
@@ -443,8 +472,50 @@
   out.leases = std::move(parsed);
 }
 
+constexpr std::string_view kClassesPath = "settings.lanes";
+
+void AddKeys(const object& in, const std::string& prefix, KeyPaths& out);
+
+// Adds the keys that every class has.
+void AddClassKeys(const element& classes, KeyPaths& out) {
+  std::optional<KeyPaths> common;
+  for (const element item : List(classes, std::string(kClassesPath))) {
+    KeyPaths keys;
+    AddKeys(Object(item, std::string(kClassesPath)), std::string(kClassesPath) + ".*.", keys);
+    if (!common) {
+      common = std::move(keys);
+    } else {
+      std::erase_if(*common, [&](const std::string& key) { return !keys.contains(key); });
+    }
+  }
+  if (common) out.merge(*common);
+}
+
+void AddKeys(const object& in, const std::string& prefix, KeyPaths& out) {
+  for (const auto& field : in) {
+    if (field.value.is_null()) continue;
+    const std::string path = prefix + std::string(field.key);
+    out.insert(path);
+    if (path == kClassesPath) {
+      AddClassKeys(field.value, out);
+    } else if (field.value.is_object()) {
+      AddKeys(Object(field.value, path), path + ".", out);
+    }
+  }
+}
+
+// Whether a key may be absent from a file though the file before had it.
+bool IsOptional(const std::string& key) { return key == "settings.lanes.*.aimStretch"; }
+
 }  // namespace
 
+void RequireKeysOf(const KeyPaths& current, const KeyPaths& updated) {
+  for (const std::string& key : current) {
+    if (!IsOptional(key) && !updated.contains(key))
+      ThrowExpected(key, "to be told, as in the configuration in effect");
+  }
+}
+
 std::string ReadFile(const std::string& key, const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   if (!in) ThrowExpected(key, "a file that can be read, not '" + path + "'");
@@ -566,6 +637,7 @@
   }
   const object root = Object(root_element, "configuration");
   Platform out;
+  AddKeys(root, "", out.keys);
   out.name = name;
   out.listen = Address(listen, "PROXY_LISTEN");
   const std::string seed = Text(Require(root, "seed", "seed"), "seed");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -89,8 +90,13 @@
   std::optional<Leases> leases;
 };
 
+/// The keys of a file, as paths joined with dots. A key of a class, `settings.lanes.*.KEY`, is included if
+/// every class has it. A key whose value is null counts as missing.
+using KeyPaths = std::set<std::string>;
+
 /// Configuration on the platform: PROXY_NAME, PROXY_LISTEN and the file at PROXY_CONFIG.
 struct Platform : CommonConfig {
+  KeyPaths keys;
   net::Endpoint watch_address;
   std::uint64_t initial_sequence = 0;
   std::vector<std::string> initial_events;  // change log events up to initial_sequence, each a JSON object
@@ -146,6 +152,9 @@
 Platform ReadPlatform();
 /// Parses the platform's file. Throws Error, with the line of the faulty key if the key is in the file.
 Platform ParsePlatform(std::string_view json, const std::string& name, const std::string& listen);
+/// Validates that a file which is to replace another one at a reload has all keys of that one, except those
+/// that may be absent from any file. Throws Error, which names the first missing key.
+void RequireKeysOf(const KeyPaths& current, const KeyPaths& updated);
 /// Adds the line number of the faulty key to an error message: "KEY: expected ..." becomes "KEY (line N):
 /// expected ...". N is the line where `text` first has the last part of KEY; for a key of class K, the line
 /// of occurrence K, counted from 0. Returns the message unchanged if `text` has no such occurrence, or if the
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -52,6 +52,7 @@
       loop_(loop),
       coordinator_(coordinator),
       site_(config.site),
+      config_keys_(config.keys),
       longest_deadline_(config.longest_deadline),
       downstream_(loop, config, coordinator, events),
       upstream_(loop, config, coordinator, downstream_, events),
@@ -154,13 +155,15 @@
 
 bool PlatformFront::Reload() {
   try {
-    const config::Platform config = config::ReadPlatform();
+    config::Platform config = config::ReadPlatform();
+    config::RequireKeysOf(config_keys_, config.keys);
     ReloadResult reloaded = MergeReloadedSettings(site_, config.site);
     const std::vector<std::string> added = reloaded.added;
     const std::vector<std::string> dropped = reloaded.dropped;
     if (reloaded.changed) ApplySettings(std::move(reloaded));
     endpoint_watcher_.Follow(config.watch_address);
     longest_deadline_ = std::min(longest_deadline_, config.longest_deadline);
+    config_keys_ = std::move(config.keys);
     ++counters_.config_reloads;
     LogReload(added, dropped);
     return true;
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -54,8 +54,9 @@
   const std::size_t max_downstream_backlog_;
   net::EventLoop& loop_;
   core::RequestCoordinator& coordinator_;
-  NamedSettings site_;       // in force; includes the classes of all configurations read so far
-  Micros longest_deadline_;  // the smallest value of all configurations read so far
+  NamedSettings site_;            // in force; includes the classes of all configurations read so far
+  config::KeyPaths config_keys_;  // of the last configuration that was applied
+  Micros longest_deadline_;       // the smallest value of all configurations read so far
   DownstreamConnections downstream_;
   UpstreamConnections upstream_;
   EndpointWatcher endpoint_watcher_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -153,6 +153,30 @@
   return tinspan::config::ParsePlatform(text, "n0", "127.0.0.1:7001").site;
 }
 
+// What was absent was taken for 0 or false: a class without a latency objective, a window or a scope, or a
+// list by class that is too short, is an error at the start as well.
+TEST(ConfigCheck, RejectsAFileThatMissesARuleOfAClass) {
+  const std::vector<std::pair<std::string, std::string>> replacements{
+      {R"("promiseMs":2000.0,"giveUpMs":3000.0)", R"("giveUpMs":3000.0)"},
+      {R"("promiseMs":2000.0,"giveUpMs":3000.0)", R"("promiseMs":null,"giveUpMs":3000.0)"},
+      {R"("promiseMs":2000.0,"giveUpMs":3000.0)", R"("promiseMs":0,"giveUpMs":3000.0)"},
+      {R"(,"windowMs":6000.0)", ""},
+      {R"("effect":"by_key","keyScope":"all")", R"("effect":"by_key")"},
+      {R"("classWrite":[false,true],)", ""},
+      {R"("classWrite":[false,true])", R"("classWrite":[false])"},
+      {R"("maxAgeMs":[12000.0,0.0])", R"("maxAgeMs":[12000.0])"}};
+  const std::vector<std::string> keys{"lanes.1.promiseMs",     "lanes.1.promiseMs",  "lanes.1.promiseMs",
+                                      "lanes.1.windowMs",      "lanes.1.keyScope",   "familyInfo.classWrite",
+                                      "familyInfo.classWrite", "familyInfo.maxAgeMs"};
+  for (std::size_t index = 0; index < replacements.size(); ++index) {
+    const auto& [from, to] = replacements[index];
+    ASSERT_NE(kValidConfig.find(from), std::string::npos) << from;
+    EXPECT_NE(RejectionReason(Replaced(kValidConfig, from, to)).find("settings." + keys[index]),
+              std::string::npos)
+        << to << ": " << RejectionReason(Replaced(kValidConfig, from, to));
+  }
+}
+
 // Existing classes keep their indices; new and changed ones are appended; the number of attempts is applied.
 // A class that the new settings omit remains, for the clients that still use it.
 TEST(MergeReloadedSettings, KeepsIndicesAndAppendsNewClasses) {
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -208,6 +208,52 @@
   EXPECT_EQ(ReadResponse(client)[1], "healthy");
 }
 
+// Returns the text without the first entry "KEY":VALUE of the key; values of this file have no braces.
+std::string WithoutEntry(std::string text, const std::string& key) {
+  const std::size_t begin = text.find('"' + key + "\":");
+  const std::size_t list = text.find('[', begin);
+  const std::size_t comma = text.find(',', begin);
+  const std::size_t end = list < comma ? text.find(']', list) + 1 : text.find_first_of(",}", begin);
+  const bool is_last = text[end] != ',';
+  return text.erase(is_last ? text.rfind(',', begin) : begin,
+                    is_last ? end - text.rfind(',', begin) : end + 1 - begin);
+}
+
+// Guards against a process that hangs or sends orders like reads: a file without one of its keys was taken at
+// SIGHUP, and what was missing was read as 0 or false. Of the keys of a class each class is tried.
+TEST(OpsTest, KeepsItsSettingsWhenAReloadMissesAKey) {
+  AdminWorld world;
+  const std::vector<std::string> keys{
+      "promiseMs",       "giveUpMs",     "windowMs",         "keyScope",     "credit",      "lateShare",
+      "streaming",       "classWrite",   "maxAgeMs",         "classGraceMs", "midKind",     "sourceKind",
+      "siblings",        "detail",       "paceKbPerS",       "tickMs",       "instances",   "cancel",
+      "retryAfter",      "purgeSlackMs", "goneEverywhereMs", "coldShare",    "warmAfterMs", "drainGraceMs",
+      "graceToAnswerMs", "weights",      "registryMode",     "memory_mb",    "sockets",     "seed",
+      "changelog"};
+  for (const std::string& key : keys) {
+    const std::string text = WithoutEntry(world.config, key);
+    ASSERT_LT(text.size(), world.config.size()) << key;
+    std::ofstream(world.file->path) << text;
+    world.program->Signal(SIGHUP);
+    EXPECT_NE(world.program->ReadLogThrough("configuration ").find(key), std::string::npos) << key;
+  }
+  std::string of_orders = world.config;
+  const std::size_t orders = of_orders.find(R"("name":"orders")");
+  of_orders = of_orders.substr(0, orders) + WithoutEntry(of_orders.substr(orders), "promiseMs");
+  std::ofstream(world.file->path) << of_orders;
+  world.program->Signal(SIGHUP);
+  EXPECT_NE(world.program->ReadLogThrough("old one holds").find("settings.lanes.1.promiseMs"),
+            std::string::npos);
+  TcpPeer caller = TcpPeer::Connect(world.admin_port);
+  caller.Send("stats\n");
+  const std::string metrics = caller.ReadToEnd();
+  EXPECT_NE(metrics.find("\nproxy_config_reloads_total 0\n"), std::string::npos);
+  // A class key that the pages call optional may go.
+  std::ofstream(world.file->path) << WithoutEntry(world.config, "aimStretch");
+  world.program->Signal(SIGHUP);
+  world.program->ReadLogThrough("configuration read anew");
+}
+
 // SIGHUP with configurations that must be rejected as a whole: the old one stays in force, the error names
 // the key, and a counter counts it. Then a valid one that renames a class and allows one attempt: requests of
 // the new class get one attempt, while a request from before keeps its eight attempts and is retried after
