Bound clients by descriptors, and their half-received messages by one budget

Cause: IdleLimits bounded the connections by memory / 4 / 64 KB, by what all clients could hold at once. The bound stood in for one that did not exist: nothing counted what half-received messages really hold, so it had to be built before this one could go.

Ruled out: full descriptors (300 of 627 in use) and idle clients (none). The gateway bounds its connections by descriptors.

Change: net::MemoryBudget counts the read buffers above 4 KB of all clients, an eighth of the memory limit. A message gets its whole buffer or waits in its socket; buffers grow without need only while half of the budget is free. While somebody waits, clients without a request in flight that take over 0.6 s for a message are let go. Buffers are given back when they are empty.

--- a/src/front/platform/downstream_client.hpp
+++ b/src/front/platform/downstream_client.hpp
@@ -30,6 +30,7 @@
   bool is_intake_paused = false;         // no new request is accepted
   bool is_ended = false;                 // either side has ended the connection; it may still linger
   bool has_partial_message = false;      // a further message after a response has arrived in part
+  std::optional<Micros> partial_since;   // since when the message at the front of the input is incomplete
 
   /// While paused, cancellations are handled but no new request is accepted. Reading is scheduled when the
   /// pause ends.
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -19,6 +19,12 @@
 // exceed a quarter of the memory limit.
 constexpr net::Connection::Limits kLimits{
     .max_read_bytes = kMaxMessageBytes, .max_write_bytes = 9 << 20, .close_on_peer_shutdown = true};
+// The messages that clients have sent in part may take this share of the memory limit.
+constexpr std::size_t kPartialMessageShare = 8;
+// While others wait for that memory, a client without a request that takes longer than this for a message is
+// closed.
+constexpr Micros kPartialMessageTimeout{600'000};
+constexpr Micros kPartialMessageCheckInterval{50'000};
 constexpr std::size_t kMaxClientBacklog = 8 << 20;
 // A client that receives none of its responses for this long is closed.
 constexpr net::StallTimeouts kStallTimeouts{
@@ -41,11 +47,11 @@
 constexpr std::size_t kMaxEvictionCandidates = 8;
 constexpr Micros kIdleCheckMargin{1000};
 
+std::size_t MemoryBytes(const config::Limits& limits) { return limits.memory_mb << 20; }
+
 // Bounds the descriptors that clients can occupy, since misbehaving clients keep their connections open.
-// Partial messages of all clients together may take a quarter of the memory limit.
 net::IdleConnectionLimits IdleLimits(const config::Platform& config) {
-  const std::size_t memory_bytes = config.limits.memory_mb << 20;
-  return {.max_connections = std::min(config.limits.ClientSockets(), memory_bytes / 4 / kMaxMessageBytes),
+  return {.max_connections = config.limits.ClientSockets(),
           .first_request_timeout = kFirstRequestTimeout,
           .idle_timeout = kIdleTimeout};
 }
@@ -70,6 +76,7 @@
       config_(config),
       coordinator_(coordinator),
       events_(events),
+      request_budget_(MemoryBytes(config.limits) / kPartialMessageShare),
       idle_connections_(IdleLimits(config)),
       classes_(config.site.classes),
       listener_(
@@ -85,7 +92,9 @@
   }
   const std::uint64_t id = ++last_client_id_;
   Client& client = clients_[id];
-  client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, kLimits);
+  net::Connection::Limits limits = kLimits;
+  limits.read_budget = &request_budget_;
+  client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, limits);
   client.connection->id = id;
   client.is_intake_paused = is_intake_paused_;
   idle_connections_.OnAccepted(id, net::Now());
@@ -111,6 +120,7 @@
   if (client.is_intake_paused) {
     ScanForCancellations(client);
     // At most one message of maximum size is read ahead; the rest stays in the socket.
+    connection.ExpectMessage(std::min(2 * connection.Unread().size(), kMaxMessageBytes));
     if (connection.Unread().size() >= kMaxMessageBytes) connection.SetReadPaused(true);
     return;
   }
@@ -136,6 +146,7 @@
     return Linger(client, net::Now(), ClientCloseReason::kMalformed);
   }
   connection.ExpectMessage(client.bytes_handled + error.bytes_needed);
+  if (!client.partial_since) client.partial_since = net::Now();
   // An idle client that starts a message gets the same time to complete it as a new client.
   const bool is_reused = client.requests.empty() && connection.BytesQueued() > 0;
   if (is_reused && !std::exchange(client.has_partial_message, true))
@@ -165,6 +176,7 @@
 // A complete but invalid message gets an error response and the connection stays open, so that other requests
 // in flight on it are not affected.
 void DownstreamConnections::HandleMessage(Client& client, const RespMessage& message) {
+  client.partial_since.reset();
   const std::string_view verb = message.elements[0];
   const std::string tag(message.count > 1 ? message.elements[1].substr(0, kMaxFieldBytes)
                                           : std::string_view());
@@ -364,6 +376,7 @@
   if (listener_.IsOpen() && drain_ && now >= drain_->accept_until) listener_.CloseAfterAccepting();
   PauseIntakeOverMemoryLimit(now);
   ConsumeHandledInput();
+  ShareRequestMemory(now);
   if (drain_) CloseDrainedClients(now);
   CheckBackloggedClients(now);
   CloseIdleClients(now);
@@ -394,6 +407,32 @@
   active_in_round_.clear();
 }
 
+// Lets clients that wait for memory read on once some was released. While they wait, clients that take long
+// for a message and have no request in flight make room.
+void DownstreamConnections::ShareRequestMemory(Micros now) {
+  if (request_budget_.HasWaiters()) {
+    for (auto& [id, client] : clients_) EvictIfHoldingMemory(client, now);
+  }
+  if (request_budget_.TakeReleased()) {
+    for (auto& [id, client] : clients_) client.connection->RetryRead();
+  }
+  if (!request_budget_.HasWaiters() || std::exchange(is_memory_check_scheduled_, true)) return;
+  loop_.Timers().Set(now + kPartialMessageCheckInterval,
+                     [this](Micros) { is_memory_check_scheduled_ = false; });
+}
+
+void DownstreamConnections::EvictIfHoldingMemory(Client& client, Micros now) {
+  net::Connection& connection = *client.connection;
+  if (connection.IsClosed() || connection.IsLingering() || connection.ReservedReadBytes() == 0) return;
+  if (!client.requests.empty() || !client.partial_since) return;
+  if (now - *client.partial_since < kPartialMessageTimeout) return;
+  log::Debug("client.partial", {{"client", connection.id}},
+             "client {}: sends a message slowly while others wait for its memory", connection.id);
+  Linger(client, now, ClientCloseReason::kEvicted);
+  client.bytes_handled = client.bytes_scanned = 0;
+  connection.Consume(connection.Unread().size());
+}
+
 void DownstreamConnections::CheckBackloggedClients(Micros now) {
   const bool is_under_pressure = Backlog() > (config_.limits.memory_mb << 20) / 4;
   const std::size_t max_backlog = is_under_pressure ? 0 : kMaxClientBacklog;
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -21,6 +21,7 @@
 #include "net/connection.hpp"
 #include "net/idle_connection_tracker.hpp"
 #include "net/listener.hpp"
+#include "net/memory_budget.hpp"
 
 namespace tinspan::platform {
 
@@ -55,6 +56,8 @@
   std::uint16_t Port() const { return listener_.Port(); }
   /// Response bytes queued for all clients that their sockets have not taken yet.
   std::size_t Backlog() const;
+  /// Bytes of the buffers for messages that clients have sent in part.
+  std::size_t PartialMessageBytes() const { return request_budget_.UsedBytes(); }
   const ClientCloseCounts& CloseCounts() const { return close_counts_; }
   /// Number of requests without a final response.
   std::size_t PendingCount() const { return requests_.Count(); }
@@ -101,6 +104,8 @@
 
   void PauseIntakeOverMemoryLimit(Micros now);
   void ConsumeHandledInput();
+  void ShareRequestMemory(Micros now);
+  void EvictIfHoldingMemory(Client& client, Micros now);
   void CloseDrainedClients(Micros now);
   void ScheduleDrainCheck(Micros now, Micros due_at);
   void CheckBackloggedClients(Micros now);
@@ -114,6 +119,7 @@
   const config::Platform& config_;
   core::RequestCoordinator& coordinator_;
   std::vector<core::Event>& events_;
+  net::MemoryBudget request_budget_;  // for messages that clients have sent in part
   std::unordered_map<std::uint64_t, Client> clients_;
   PendingRequests requests_;
   bool is_intake_paused_ = false;  // for all clients: the memory limit for request bodies is exceeded
@@ -123,6 +129,7 @@
   std::vector<std::uint64_t> closed_;                  // to be erased at the end of the round
   std::deque<LingeringClient> lingering_;              // in the order in which they began to linger
   bool is_delivery_check_scheduled_ = false;
+  bool is_memory_check_scheduled_ = false;
   std::optional<Micros> next_idle_check_at_;
   std::optional<Micros> next_drain_check_at_;
   std::uint64_t last_client_id_ = 0;
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -88,6 +88,7 @@
   add("rejected_draining_total", "counter", rejected_draining_count_);
   add("failed_deadline_total", "counter", failed_deadline_count_);
   add("clients", "gauge", downstream_.ConnectionCount());
+  add("request_buffer_bytes", "gauge", downstream_.PartialMessageBytes());
   const ClientCloseCounts& ends = downstream_.CloseCounts();
   for (std::size_t reason = 0; reason < ends.size(); ++reason) {
     const std::string name(Name(static_cast<ClientCloseReason>(reason)));
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -53,13 +53,23 @@
 }  // namespace
 
 Connection::Connection(EventLoop& loop, Fd accepted, Owner& owner, Limits limits)
-    : loop_(loop), owner_(owner), limits_(limits), fd_(std::move(accepted)), state_(State::kOpen) {
+    : loop_(loop),
+      owner_(owner),
+      limits_(limits),
+      fd_(std::move(accepted)),
+      state_(State::kOpen),
+      read_reservation_(limits.read_budget) {
   opened_at_ = last_activity_at_ = Now();
   Register();
 }
 
 Connection::Connection(EventLoop& loop, const Endpoint& peer, Owner& owner, Limits limits)
-    : loop_(loop), owner_(owner), limits_(limits), state_(State::kConnecting), peer_(peer) {
+    : loop_(loop),
+      owner_(owner),
+      limits_(limits),
+      state_(State::kConnecting),
+      read_reservation_(limits.read_budget),
+      peer_(peer) {
   opened_at_ = last_activity_at_ = Now();
   StartConnect();
 }
@@ -161,7 +171,8 @@
   if (state_ != State::kOpen) return;
   if (failed || has_read_eof_) return Fail();
   // A full buffer is not scheduled again before Consume: the loop would spin.
-  const bool is_full = unread_end_ - unread_begin_ >= ReadLimit();
+  const bool needs_more_space = Unread().size() < RequiredBufferBytes() && !read_reservation_.IsWaiting();
+  const bool is_full = is_buffer_full_ && !needs_more_space;
   if (CanRead() && !is_full) loop_.ScheduleAgain(handle_);
 }
 
@@ -196,32 +207,65 @@
   return ReadResult::kFailed;
 }
 
-// Returns false if the buffer is full up to its limit; more input then stays in the socket until the owner
-// consumes some.
+// The size of the read buffer that the message at the front of the unread bytes needs, as far as it is known.
+std::size_t Connection::RequiredBufferBytes() const {
+  const std::size_t limit = ReadLimit();
+  if (limits_.read_budget == nullptr) return limit;
+  const std::size_t doubled = std::max(kInitialBufferBytes, Unread().size() * 2);
+  const std::size_t blocks = (expected_message_bytes_ + kInitialBufferBytes - 1) / kInitialBufferBytes;
+  return std::max(std::min(doubled, limits_.unreserved_read_bytes),
+                  std::min(blocks * kInitialBufferBytes, limit));
+}
+
+std::size_t Connection::ReservedPart(std::size_t buffer_bytes) const {
+  return buffer_bytes > limits_.unreserved_read_bytes ? buffer_bytes : 0;
+}
+
+// Returns false if the buffer is full up to its limit, or the read budget is used up; more input then stays
+// in the socket until the owner consumes some, or calls RetryRead.
 bool Connection::MakeReadSpace() {
   if (unread_begin_ > 0) {
     buffer_.erase(0, unread_begin_);
     unread_end_ -= unread_begin_;
     unread_begin_ = 0;
   }
+  is_buffer_full_ = true;
   const std::size_t limit = ReadLimit();
   if (unread_end_ >= limit) return false;
-  const std::size_t wanted =
-      std::max({kInitialBufferBytes, unread_end_ * 2, std::min(expected_message_bytes_, limit)});
-  buffer_.resize(std::min(wanted, limit));
+  std::size_t size = std::min(
+      std::max({kInitialBufferBytes, unread_end_ * 2, std::min(expected_message_bytes_, limit)}), limit);
+  if (!read_reservation_.TryResizeOptional(ReservedPart(size))) {
+    size = RequiredBufferBytes();
+    if (unread_end_ >= size || !read_reservation_.TryResize(ReservedPart(size))) return false;
+  }
+  buffer_.resize(size);
+  is_buffer_full_ = false;
   return true;
 }
 
+void Connection::RetryRead() {
+  if (read_reservation_.IsWaiting() && state_ == State::kOpen) loop_.ScheduleAgain(handle_);
+}
+
 void Connection::Consume(std::size_t bytes) {
   unread_begin_ += bytes;
+  is_buffer_full_ = is_buffer_full_ && bytes == 0;
   if (bytes > 0 && CanRead() && state_ == State::kOpen) loop_.ScheduleAgain(handle_);
-  if (unread_begin_ < unread_end_) return;
-  unread_begin_ = unread_end_ = 0;
-  expected_message_bytes_ = 0;
-  if (buffer_.size() > kMaxIdleBufferBytes) {
-    buffer_.clear();
-    buffer_.shrink_to_fit();
+  if (unread_begin_ == unread_end_) {
+    unread_begin_ = unread_end_ = 0;
+    expected_message_bytes_ = 0;
   }
+  const std::size_t max_idle_bytes =
+      limits_.read_budget == nullptr ? kMaxIdleBufferBytes : limits_.unreserved_read_bytes;
+  if (buffer_.size() > max_idle_bytes && Unread().size() <= kInitialBufferBytes) ShrinkReadBuffer();
+}
+
+// Frees a large read buffer of which little is unread.
+void Connection::ShrinkReadBuffer() {
+  buffer_ = std::string(Unread());
+  unread_begin_ = 0;
+  unread_end_ = buffer_.size();
+  read_reservation_.Resize(0);
 }
 
 void Connection::ScheduleRead() {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -9,6 +9,7 @@
 
 #include "net/endpoint.hpp"
 #include "net/event_loop.hpp"
+#include "net/memory_budget.hpp"
 
 namespace tinspan::net {
 
@@ -40,6 +41,12 @@
     /// Whether the connection is closed as soon as the peer shuts down its sending side. Unread bytes are
     /// dropped, since the peer does not wait for a response any more. Otherwise they are read first.
     bool close_on_peer_shutdown = false;
+    /// The budget for a read buffer of more than `unreserved_read_bytes`; null: not bounded together with
+    /// other connections. Once half of the budget is used, a larger buffer is made only for a message whose
+    /// size is known (ExpectMessage), and for the whole message at once, so that connections with a part of a
+    /// message each cannot keep one another from receiving the rest.
+    MemoryBudget* read_budget = nullptr;
+    std::size_t unreserved_read_bytes = 4096;
   };
 
   /// Takes ownership of an accepted socket.
@@ -70,7 +77,12 @@
   void ExpectMessage(std::size_t bytes) { expected_message_bytes_ = bytes; }
   /// While paused nothing is read, so TCP flow control stops the sender. Unread() keeps its bytes.
   void SetReadPaused(bool paused);
-  bool IsReadPaused() const { return is_read_paused_; }
+  /// Whether input is left in the socket: reading is paused, or the read budget is used up.
+  bool IsReadPaused() const { return is_read_paused_ || read_reservation_.IsWaiting(); }
+  /// Tries again to read after the read budget was used up.
+  void RetryRead();
+  /// Bytes of the read buffer that count towards the read budget.
+  std::size_t ReservedReadBytes() const { return read_reservation_.Bytes(); }
   /// Requests an OnData call in the next round, even if no more bytes arrive. Owners use it to limit the work
   /// per round, so that a peer that sends much does not delay the others.
   void ScheduleRead();
@@ -134,6 +146,9 @@
   ReadResult HandleReceiveError(int error);
   bool MakeReadSpace();
   std::size_t ReadLimit() const;
+  std::size_t RequiredBufferBytes() const;
+  std::size_t ReservedPart(std::size_t buffer_bytes) const;
+  void ShrinkReadBuffer();
   bool CanRead() const { return may_have_input_ && !is_read_paused_ && !is_closing_; }
   std::size_t SendNow(std::string_view head, std::string_view body, std::string_view tail);
   bool Flush();
@@ -148,10 +163,12 @@
   State state_;
   EventLoop::Handle handle_ = 0;
 
+  MemoryReservation read_reservation_;
   std::string buffer_;  // [unread_begin_, unread_end_) is unread
   std::size_t unread_begin_ = 0;
   std::size_t unread_end_ = 0;
   std::size_t expected_message_bytes_ = 0;
+  bool is_buffer_full_ = false;  // more input needs a larger buffer, which was not to be had
   bool is_read_paused_ = false;
   bool is_read_scheduled_ = false;
   bool may_have_input_ = false;  // the socket may hold unread bytes
