Answer 204 only to purges that are distributed, and distribute overlapping ones

Cause: a submitter keeps 256 purges open for 60 s each; a further one was not taken, and the front had decided on 204 before it asked. Same cause on related paths: the holder, with one limit for all submitters, which it reached in silence.

Ruled out: lost datagrams (a purge is handed over every 100 ms until accepted; the gateways that miss the copies miss exactly the groups after the 256th).

Change: the front asks first and rejects with 503 and Retry-After what cannot be distributed, and applies nothing then. A purge takes the place of an open one of the same target. A submitter holds 1,024, the holder 4,096; a holder at its limit ends what every living member has applied. Members that have applied a purge are one bit each, so the memory at 300 members does not grow with it.

Tests: three of PurgeDistributor and LeasesTest.RejectsAPurgeThatItCannotDistribute (1,100 purges at one of five gateways).

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -156,13 +156,13 @@
     node->Leave();
   };
   if (agent != nullptr && agent->DistributesPurges()) {
-    attached.on_purge = [agent](const core::PurgeReceived& received) {
+    attached.on_purge = [agent](const core::PurgeReceived& received) -> std::optional<net::Micros> {
       lease::Purge purge;
       purge.group = static_cast<std::uint64_t>(received.group);
       if (received.object) purge.object = static_cast<std::uint64_t>(*received.object);
-      if (agent->SubmitPurge(std::move(purge)) == lease::SubmitResult::kTooManyOpen) {
-        log::Warn("purge.not_passed_on", {}, "a purge is not distributed: too many are open");
-      }
+      const auto retry_after = agent->SubmitPurge(std::move(purge));
+      if (retry_after) log::Warn("purge.not_passed_on", {}, "purge rejected: too many are being distributed");
+      return retry_after;
     };
   }
   attached.on_failing_servers = [node](std::vector<std::uint64_t> failing) {
--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -79,6 +79,11 @@
 
 }  // namespace
 
+std::string RetryAfterField(Micros retry_after) {
+  const auto seconds = std::max<std::int64_t>(1, (retry_after.count() + 999'999) / 1'000'000);
+  return "Retry-After: " + std::to_string(seconds) + "\r\n";
+}
+
 ObjectId ObjectIdOf(std::string_view uri) {
   return ObjectId{std::max<std::uint64_t>(1, static_cast<std::uint64_t>(HashName(uri)))};  // 0: no object
 }
@@ -315,13 +320,23 @@
   } else {
     return 400;
   }
+  return ApplyPurge(purge, text, fields);
+}
+
+// Applies a purge here and passes it on to the fleet. A purge that cannot be passed on is rejected whole: a
+// 204 would tell the operator that no instance serves older copies.
+int DownstreamConnections::ApplyPurge(const core::PurgeReceived& purge, std::string_view name,
+                                      std::string& fields) {
+  if (const auto retry_after = on_purge_ ? on_purge_(purge) : std::nullopt) {
+    fields = RetryAfterField(*retry_after);
+    return 503;
+  }
   const std::string_view what = purge.object ? "object" : "group";
   // An object is named by path and query. The query is not logged.
-  const std::string_view logged_name = text.substr(0, text.find('?'));
+  const std::string_view logged_name = name.substr(0, name.find('?'));
   log::Info("purge.told", {{"what", what}, {"name", logged_name}}, "operator purged {} {}", what,
             logged_name);
   events_.push_back(purge);
-  if (on_purge_) on_purge_(purge);
   return 204;
 }
 
--- a/src/front/http/downstream_connections.hpp
+++ b/src/front/http/downstream_connections.hpp
@@ -61,10 +61,9 @@
   void SetReady() { is_ready_ = true; }
   /// Source of /-/records; null: the endpoint does not exist.
   void SetFeed(const core::RecordFeed* feed) { record_feed_ = feed; }
-  /// Called for each purge that an operator sends to this instance.
-  void SetOnPurge(std::function<void(const core::PurgeReceived&)> on_purge) {
-    on_purge_ = std::move(on_purge);
-  }
+  /// Called for each purge that an operator sends to this instance (front::AttachedServices::on_purge).
+  using PurgeHook = std::function<std::optional<Micros>(const core::PurgeReceived&)>;
+  void SetOnPurge(PurgeHook on_purge) { on_purge_ = std::move(on_purge); }
   /// Starts a graceful shutdown by this timetable.
   void Drain(const core::DrainTimetable& timetable) { drain_ = timetable; }
   bool IsDrained() const;
@@ -105,6 +104,7 @@
   int HandleRequest(Client& client, const Head& head, std::string_view body, std::string& fields);
   int HandleOperatorRequest(const Head& head, const Target& target, std::string_view body,
                             std::string& fields);
+  int ApplyPurge(const core::PurgeReceived& purge, std::string_view name, std::string& fields);
   int HandleRecordsRequest(const Head& head, const Target& target, std::string& fields);
   int Authorize(config::AccessMethod access, const Head& head, const Target& target, UnixTime now,
                 std::string& fields) const;
@@ -126,7 +126,7 @@
   std::uint64_t last_client_id_ = 0;
   bool is_ready_ = false;
   const core::RecordFeed* record_feed_ = nullptr;
-  std::function<void(const core::PurgeReceived&)> on_purge_;
+  PurgeHook on_purge_;
   std::string operator_body_;  // of the response to an operator
   std::optional<core::DrainTimetable> drain_;
   net::Listener listener_;
@@ -135,6 +135,8 @@
 /// Ids of objects and groups. The object of a request is its canonical URI, so a purge of a URI purges that
 /// object. The group is the first path segment after the route's prefix.
 ObjectId ObjectIdOf(std::string_view uri);
+/// The header field line that says when a client may try again: whole seconds, rounded up, 1 at least.
+std::string RetryAfterField(Micros retry_after);
 GroupId GroupIdOf(std::string_view segment);
 
 }  // namespace tinspan::http
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -97,10 +97,7 @@
   if (request != nullptr && request->override_status != 0 && !completion.deadline_exceeded)
     status = request->override_status;
   std::string fields;
-  if (status == 503) {
-    const auto seconds = std::max<std::int64_t>(1, (completion.retry_after.count() + 999'999) / 1'000'000);
-    fields = "Retry-After: " + std::to_string(seconds) + "\r\n";
-  }
+  if (status == 503) fields = RetryAfterField(completion.retry_after);
   downstream_.SendLocalReply(completion.id, status, fields);
 }
 
--- a/src/front/runner.hpp
+++ b/src/front/runner.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "core/observer.hpp"
@@ -67,8 +68,10 @@
   std::function<void()> on_drain;
   /// Called once per second with the servers that failed recently.
   std::function<void(std::vector<std::uint64_t>)> on_failing_servers;
-  /// Called for a purge that an operator sent to this instance.
-  std::function<void(const core::PurgeReceived&)> on_purge;
+  /// Called for a purge that an operator sends to this instance, before it is applied here. Returns nullopt
+  /// if it will reach every instance, and otherwise after which time the operator may try again: the purge is
+  /// then rejected.
+  std::function<std::optional<net::Micros>(const core::PurgeReceived&)> on_purge;
 };
 
 /// Runs rounds of the loop until a graceful shutdown has ended: collect ready input, pass it to the
--- a/src/lease/agent.cpp
+++ b/src/lease/agent.cpp
@@ -102,10 +102,12 @@
             "leases: message rejected ({}); {} rejected so far", error.detail, rejected_messages_);
 }
 
-SubmitResult Agent::SubmitPurge(Purge purge) {
-  const SubmitResult result = purge_distributor_.Submit(Now(), std::move(purge));
-  if (result == SubmitResult::kAccepted) Flush();
-  return result;
+std::optional<Micros> Agent::SubmitPurge(Purge purge) {
+  const Micros now = Now();
+  if (purge_distributor_.Submit(now, std::move(purge)) == SubmitResult::kTooManyOpen)
+    return purge_distributor_.RetrySubmitAt(now) - now;
+  Flush();
+  return std::nullopt;
 }
 
 // Reads from the fleet view which members are alive and which claim to hold a lease, then updates the known
--- a/src/lease/agent.hpp
+++ b/src/lease/agent.hpp
@@ -64,9 +64,9 @@
   /// Sets the function that applies a purge from another member at this member.
   void SetPurgeHandler(PurgeHandler handler) { purge_handler_ = std::move(handler); }
   bool DistributesPurges() const { return options_.distributes_purges; }
-  /// Distributes an operator's purge to the fleet. The caller has already applied it at this member. Returns
-  /// kTooManyOpen if the purge was not accepted for distribution.
-  SubmitResult SubmitPurge(Purge purge);
+  /// Distributes an operator's purge to the fleet; the caller applies it at this member. Returns nullopt if
+  /// the purge was accepted, and otherwise after which time it can be.
+  std::optional<Micros> SubmitPurge(Purge purge);
 
   const LeaseNode& Leases() const { return lease_node_; }
   const std::optional<Publisher>& HealthPublisher() const { return publisher_; }
--- a/src/lease/purge_distributor.cpp
+++ b/src/lease/purge_distributor.cpp
@@ -11,6 +11,11 @@
   return aged;
 }
 
+// Whether two purges name the same group or the same object.
+bool HaveSameTarget(const Purge& left, const Purge& right) {
+  return left.group == right.group && left.object == right.object;
+}
+
 bool IsSubmitter(const std::string& member, const std::string& purge_id) {
   return purge_id.starts_with(member + "/");
 }
@@ -42,7 +47,9 @@
 }
 
 SubmitResult PurgeDistributor::Submit(Micros now, Purge purge) {
-  if (own_purges_.size() >= kMaxOpenPurges) return SubmitResult::kTooManyOpen;
+  // The later purge of the same target covers the earlier one.
+  std::erase_if(own_purges_, [&](const auto& entry) { return HaveSameTarget(entry.second.purge, purge); });
+  if (own_purges_.size() >= kMaxOwnPurges) return SubmitResult::kTooManyOpen;
   purge.id = self_ + "/" + std::to_string(incarnation_) + "." + std::to_string(++last_number_);
   RememberApplied(purge.id);
   OwnPurge& own = own_purges_[purge.id];
@@ -52,8 +59,30 @@
   return SubmitResult::kAccepted;
 }
 
+Micros PurgeDistributor::RetrySubmitAt(Micros now) const {
+  if (own_purges_.size() < kMaxOwnPurges) return now;
+  Micros oldest = Micros::max();
+  for (const auto& [id, own] : own_purges_) oldest = std::min(oldest, own.submitted_at);
+  return std::max(now, oldest + retention_);
+}
+
+std::size_t PurgeDistributor::NumberOf(const std::string& member) {
+  return member_numbers_.try_emplace(member, member_numbers_.size()).first->second;
+}
+
+// At the limit, ends a distribution that every living member has applied. Its submitter hands it over again
+// for members that come later.
+bool PurgeDistributor::MakeRoomForDistribution() {
+  if (distributions_.size() < kMaxDistributions) return true;
+  const auto complete = std::find_if(distributions_.begin(), distributions_.end(),
+                                     [](const auto& entry) { return entry.second.is_complete; });
+  if (complete == distributions_.end()) return false;
+  distributions_.erase(complete);
+  return true;
+}
+
 void PurgeDistributor::StartDistribution(Micros now, const Purge& purge, Micros submitted_at) {
-  if (distributions_.contains(purge.id) || distributions_.size() >= kMaxOpenPurges) return;
+  if (distributions_.contains(purge.id) || !MakeRoomForDistribution()) return;
   Distribution& distribution = distributions_[purge.id];
   distribution.purge = purge;
   distribution.submitted_at = submitted_at;
@@ -74,7 +103,8 @@
   StartDistribution(now, purge, now - age);
   const auto distribution = distributions_.find(purge.id);
   if (distribution == distributions_.end()) return;
-  if (IsSubmitter(sender, purge.id)) distribution->second.applied_by.insert(sender);
+  if (IsSubmitter(sender, purge.id) && member_numbers_.contains(sender))
+    distribution->second.MarkApplied(NumberOf(sender));
   Send(sender, HandOverAccepted{*held, purge.id});
 }
 
@@ -102,7 +132,7 @@
   const auto found = distributions_.find(reply.purge_id);
   if (!held || found == distributions_.end()) return;
   Distribution& distribution = found->second;
-  if (distribution.sent_at.erase(sender) > 0) distribution.applied_by.insert(sender);
+  if (distribution.sent_at.erase(sender) > 0) distribution.MarkApplied(NumberOf(sender));
 }
 
 void PurgeDistributor::Handle(Micros, const std::string&, std::optional<Token> held,
@@ -119,6 +149,9 @@
     distributions_.clear();
     distribution_token_ = held;
   }
+  if (held) {
+    for (const std::string& member : alive) NumberOf(member);
+  }
   ProcessOwnPurges(now, holder, held);
   if (held) RunRound(now, *held, alive);
 }
@@ -140,7 +173,7 @@
   own.is_hand_over_accepted = true;
   own.next_hand_over_at = now + kRefreshInterval;
   const auto distribution = distributions_.find(own.purge.id);
-  if (distribution != distributions_.end()) distribution->second.applied_by.insert(self_);
+  if (distribution != distributions_.end()) distribution->second.MarkApplied(NumberOf(self_));
 }
 
 // An accepted purge is handed over again, but less often, in case another member has become the holder.
@@ -154,6 +187,7 @@
 void PurgeDistributor::RunRound(Micros now, Token held, const std::vector<std::string>& alive) {
   std::erase_if(distributions_,
                 [&](const auto& entry) { return now - entry.second.submitted_at >= retention_; });
+  if (distributions_.empty()) member_numbers_.clear();
   RoundUsage usage;
   for (auto& [id, distribution] : distributions_) {
     if (now < distribution.next_round_at) continue;
@@ -167,9 +201,10 @@
   bool is_complete = true;
   for (const std::string& member : alive) {
     ++usage.visits;
-    if (distribution.applied_by.contains(member)) continue;
+    const std::size_t number = NumberOf(member);
+    if (distribution.WasAppliedBy(number)) continue;
     if (member == self_) {
-      distribution.applied_by.insert(self_);
+      distribution.MarkApplied(number);
       ApplyOnce(WithAge(distribution.purge, distribution.submitted_at, now));
       continue;
     }
@@ -177,6 +212,7 @@
     if (SendToMember(now, held, member, distribution)) ++usage.messages;
     if (!usage.HasMessagesLeft()) break;
   }
+  distribution.is_complete = is_complete;
   const Micros retry_interval = usage.HasMessagesLeft() ? kRetryInterval : kBurstInterval;
   distribution.next_round_at = now + (is_complete ? kRefreshInterval : retry_interval);
 }
--- a/src/lease/purge_distributor.hpp
+++ b/src/lease/purge_distributor.hpp
@@ -8,7 +8,9 @@
 //   completes it; members that have already applied the purge only acknowledge it;
 // - the holder continues after a pause: its token is stale;
 // - a member was partitioned or started late: it is sent the purge as long as the purge is retained;
-// - too many purges: the number of open purges and of messages per round is limited.
+// - too many purges: the number of open purges and of messages per round is limited. A purge of what an open
+//   purge names takes its place. A submitter rejects what exceeds its limit, so that the operator knows; a
+//   holder at its limit ends distributions that every member has applied, and else lets the submitter wait.
 #pragma once
 
 #include <cstddef>
@@ -34,7 +36,8 @@
 /// A member's part in the distribution, as submitter, holder and receiver. Not thread-safe.
 class PurgeDistributor {
  public:
-  static constexpr std::size_t kMaxOpenPurges = 256;        // as submitter and as holder, each
+  static constexpr std::size_t kMaxOwnPurges = 1'024;       // open as submitter
+  static constexpr std::size_t kMaxDistributions = 4'096;   // open as holder
   static constexpr std::size_t kMaxAppliedIds = 4'096;      // remembered to avoid applying a purge twice
   static constexpr std::size_t kMaxMessagesPerRound = 64;   // sent by a holder
   static constexpr std::size_t kMaxVisitsPerRound = 4'096;  // members checked by a holder, over all purges
@@ -47,8 +50,10 @@
   /// earlier incarnations. A purge is distributed for `retention` after it was submitted.
   PurgeDistributor(std::string self, std::uint64_t incarnation, Micros retention);
 
-  /// Accepts a purge from an operator and sets its id. The caller has already applied it at this member.
+  /// Accepts a purge from an operator and sets its id. The caller applies it at this member.
   SubmitResult Submit(Micros now, Purge purge);
+  /// When Submit can accept a purge again that it rejects at `now`.
+  Micros RetrySubmitAt(Micros now) const;
   /// Handles a message. `held` is this member's token of kPurgeLease; nullopt if it does not hold that lease.
   void Receive(Micros now, const PurgeMessage& message, std::optional<Token> held);
   /// Records a token seen in use at another member. Holders with an older token are rejected from then on.
@@ -91,8 +96,15 @@
     Purge purge;
     Micros submitted_at{0};
     Micros next_round_at{0};
-    std::unordered_set<std::string> applied_by;       // members alive in our view, and the submitter
+    bool is_complete = false;                         // at the last round every living member had applied it
+    std::vector<bool> applied_by;                     // by member number
     std::unordered_map<std::string, Micros> sent_at;  // of the unacknowledged message to each member
+
+    bool WasAppliedBy(std::size_t member) const { return member < applied_by.size() && applied_by[member]; }
+    void MarkApplied(std::size_t member) {
+      if (member >= applied_by.size()) applied_by.resize(member + 1);
+      applied_by[member] = true;
+    }
   };
 
   /// The part of its limits that a round has used.
@@ -110,6 +122,8 @@
   void Handle(Micros now, const std::string& sender, std::optional<Token> held, const PurgeApplied& reply);
   void Handle(Micros now, const std::string& sender, std::optional<Token> held, const TokenSuperseded& reply);
 
+  std::size_t NumberOf(const std::string& member);
+  bool MakeRoomForDistribution();
   void Send(const std::string& recipient, PurgeMessageBody body);
   void StartDistribution(Micros now, const Purge& purge, Micros submitted_at);
   void ProcessOwnPurges(Micros now, const std::string& holder, std::optional<Token> held);
@@ -128,7 +142,9 @@
   std::uint64_t last_number_ = 0;
   std::map<std::string, OwnPurge> own_purges_;         // by id
   std::map<std::string, Distribution> distributions_;  // by id
-  std::optional<Token> distribution_token_;            // the token under which `distributions_` started
+  // The numbers of the members that are alive or were during an open distribution.
+  std::unordered_map<std::string, std::size_t> member_numbers_;
+  std::optional<Token> distribution_token_;  // the token under which `distributions_` started
   Fence fence_;
   std::unordered_set<std::string> applied_ids_;
   std::deque<std::string> applied_ids_by_age_;
--- a/tests/lease/purge_distributor_test.cpp
+++ b/tests/lease/purge_distributor_test.cpp
@@ -170,8 +170,46 @@
 TEST(PurgeDistributor, OwnPurgesAreBounded) {
   PurgeDistributor submitter("m0", 1, 60s);
   std::size_t accepted = 0;
-  for (int i = 0; i < 1'000; ++i) accepted += submitter.Submit(0s, PurgeOf(1)) == SubmitResult::kAccepted;
-  EXPECT_EQ(accepted, PurgeDistributor::kMaxOpenPurges);
+  for (std::uint64_t group = 0; group < 5'000; ++group)
+    accepted += submitter.Submit(1s, PurgeOf(group)) == SubmitResult::kAccepted;
+  EXPECT_EQ(accepted, PurgeDistributor::kMaxOwnPurges);
+  EXPECT_EQ(submitter.OpenCount(), PurgeDistributor::kMaxOwnPurges);
+  EXPECT_EQ(submitter.RetrySubmitAt(2s), Micros{61s});
+}
+
+// Guards against purges that were accepted and dropped: two overlapping purges of two thirds of 256 groups
+// are more than the 256 that used to be open at a time. A further purge of a group takes the place of the
+// first.
+TEST(PurgeDistributor, OverlappingPurgesOfManyGroupsReachEveryMember) {
+  DistributorFleet fleet(3);
+  for (std::uint64_t group = 0; group < 170; ++group)
+    ASSERT_EQ(fleet.Submit(0, PurgeOf(group)), SubmitResult::kAccepted);
+  fleet.RunFor(200ms, 1, Token{5});
+  for (std::uint64_t group = 86; group < 256; ++group)
+    ASSERT_EQ(fleet.Submit(0, PurgeOf(group)), SubmitResult::kAccepted);
+  EXPECT_EQ(fleet.MemberAt(0).OpenCount(), 256u);
+  fleet.RunFor(1s, 1, Token{5});
+  EXPECT_EQ(fleet.AppliedCounts(), (Counts{0, 340, 340}));
+}
+
+// A holder at its limit ends what every member has applied, so that later purges of many submitters go out.
+TEST(PurgeDistributor, HolderAtItsLimitMakesRoomForLaterPurges) {
+  PurgeDistributor holder("m0", 1, 60s);
+  const std::vector<std::string> alive{"m0"};
+  const auto hand_over = [&](Micros now, std::size_t number) {
+    const std::string submitter = "x" + std::to_string(number);
+    holder.Receive(now, {submitter, HandOverPurge{{submitter + "/1", number, std::nullopt, Micros{0}}}},
+                   Token{4});
+    const auto messages = holder.DrainMessages();
+    return messages.size() == 1 && std::holds_alternative<HandOverAccepted>(messages[0].message.body);
+  };
+  holder.Tick(0s, "m0", Token{4}, alive);
+  for (std::size_t number = 0; number < PurgeDistributor::kMaxDistributions; ++number)
+    ASSERT_TRUE(hand_over(0s, number));
+  EXPECT_FALSE(hand_over(0s, PurgeDistributor::kMaxDistributions));
+  for (Micros now{0}; now < 1s; now += 50ms) holder.Tick(now, "m0", Token{4}, alive);
+  EXPECT_TRUE(hand_over(1s, PurgeDistributor::kMaxDistributions));
+  EXPECT_LE(holder.OpenCount(), PurgeDistributor::kMaxDistributions);
 }
 
 TEST(PurgeDistributor, PurgesOfOthersAreBounded) {
@@ -182,7 +220,7 @@
     const Purge purge{"y/" + std::to_string(i), 1, std::nullopt, Micros{0}};
     holder.Receive(0s, {"x", ApplyPurge{Token{4}, purge}}, std::nullopt);
   }
-  EXPECT_LE(holder.OpenCount(), PurgeDistributor::kMaxOpenPurges);
+  EXPECT_LE(holder.OpenCount(), PurgeDistributor::kMaxDistributions);
 }
 
 // A holder with the maximum number of open purges. All 300 members acknowledge each message immediately.
@@ -191,7 +229,7 @@
   LargeFleetTest() {
     alive.reserve(kMemberCount);
     for (int i = 0; i < kMemberCount; ++i) alive.push_back("m" + std::to_string(i));
-    for (std::size_t i = 0; i < PurgeDistributor::kMaxOpenPurges; ++i) {
+    for (std::size_t i = 0; i < PurgeDistributor::kMaxOwnPurges; ++i) {
       EXPECT_EQ(holder.Submit(0s, PurgeOf(i)), SubmitResult::kAccepted);
     }
   }
@@ -220,7 +258,7 @@
     for (const OutboundPurgeMessage& outbound : round) Acknowledge(now, outbound);
   }
   EXPECT_EQ(largest_round, PurgeDistributor::kMaxMessagesPerRound);
-  EXPECT_EQ(message_count, PurgeDistributor::kMaxOpenPurges * (kMemberCount - 1));
+  EXPECT_EQ(message_count, PurgeDistributor::kMaxOwnPurges * (kMemberCount - 1));
 }
 
 }  // namespace
--- a/tests/net/leases_test.cpp
+++ b/tests/net/leases_test.cpp
@@ -439,6 +439,44 @@
   five.WaitForApplied({{origin, 1}});
 }
 
+// Guards against purges that were answered 204 and never left the gateway, because too many were open: each
+// that is answered 204 is applied by every gateway, and what cannot be distributed is rejected whole.
+TEST(LeasesTest, RejectsAPurgeThatItCannotDistribute) {
+  GatewayFleet five;
+  const int holder = five.Holder();
+  const int origin = (holder + 1) % 5;
+  constexpr int kPurges = 1'100;
+  ::TcpPeer operator_peer = ::TcpPeer::Connect(five.gateways[origin].http);
+  int accepted = 0;
+  bool has_rejected = false;
+  for (int i = 0; i < kPurges; ++i) {
+    const std::string body = R"({"group":"estate-)" + std::to_string(i) + R"("})";
+    operator_peer.Send("POST /-/purge HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
+                       five.gateways[origin].token + "\r\nContent-Length: " + std::to_string(body.size()) +
+                       "\r\n\r\n" + body);
+    const std::string head = operator_peer.ReadUntil("\r\n\r\n") + "\r\n";
+    const bool is_accepted = head.starts_with("HTTP/1.1 204");
+    ASSERT_FALSE(is_accepted && has_rejected);
+    if (!is_accepted) {
+      ASSERT_TRUE(head.starts_with("HTTP/1.1 503") && head.find("\r\nRetry-After: ") != std::string::npos)
+          << head;
+    }
+    has_rejected = !is_accepted;
+    if (!is_accepted) continue;
+    ++accepted;
+    // Each gateway logs the purge; a full log would block it.
+    five.gateways[origin].program->ReadLogThrough("operator purged group estate-" + std::to_string(i));
+    for (int gateway = 0; gateway < 5; ++gateway) {
+      if (gateway != origin) five.gateways[gateway].program->ReadLogThrough("from another member applied");
+    }
+  }
+  EXPECT_GE(accepted, 1'000);
+  EXPECT_LT(accepted, kPurges);
+  std::map<int, int> applied;
+  for (int i = 0; i < 5; ++i) applied[i] = i == origin ? 0 : accepted;
+  five.WaitForApplied(applied);
+}
+
 // An upgrade: the second process of a voter waits for the port for longer than the silence after a start,
 // while the first process goes on granting leases under the same name. The silence must begin only when the
 // second process has the port; otherwise it could grant a lease twice.
