Bound responses by one account of what is read and what waits for clients

Cause: the bound on waiting responses counted the bytes not yet sent, at the end of a round. It did not count what a write queue holds beside them (sent bytes up to half of it, the doubling of a string), nor the responses that up to 251 server connections hold (60 MB whatever the limit is), nor what comes within a round.

Ruled out: half-received requests (the clients send small ones; the gauge stayed at 0) and request bodies (none).

Change: one net::MemoryBudget, a quarter of the limit, counts the read buffers of server connections above 8 KB and the clients' write queues. A response gets its whole buffer or waits in its socket; such a connection does not count as stalled. net::WriteQueue holds blocks and frees them when sent. "Under pressure" now means that a server waits for memory, or the old bound.

--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -71,11 +71,13 @@
 
 DownstreamConnections::DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
                                              core::RequestCoordinator& coordinator,
+                                             net::MemoryBudget& response_budget,
                                              std::vector<core::Event>& events)
     : loop_(loop),
       config_(config),
       coordinator_(coordinator),
       events_(events),
+      response_budget_(response_budget),
       request_budget_(MemoryBytes(config.limits) / kPartialMessageShare),
       idle_connections_(IdleLimits(config)),
       classes_(config.site.classes),
@@ -94,6 +96,7 @@
   Client& client = clients_[id];
   net::Connection::Limits limits = kLimits;
   limits.read_budget = &request_budget_;
+  limits.write_budget = &response_budget_;
   client.connection = std::make_unique<net::Connection>(loop_, std::move(fd), *this, limits);
   client.connection->id = id;
   client.is_intake_paused = is_intake_paused_;
@@ -389,7 +392,7 @@
 // limit; further requests wait in the sockets. While a drain rejects every new request the intake is not
 // paused, since a rejected request takes no memory.
 void DownstreamConnections::PauseIntakeOverMemoryLimit(Micros now) {
-  const std::size_t max_body_bytes = config_.limits.memory_mb * (std::size_t{1} << 20) / 8;
+  const std::size_t max_body_bytes = MemoryBytes(config_.limits) / 8;
   const bool is_rejecting = drain_ && now >= drain_->reject_from;
   const bool is_paused = requests_.BodyBytes() > max_body_bytes && !is_rejecting;
   if (std::exchange(is_intake_paused_, is_paused) == is_paused) return;
@@ -433,8 +436,13 @@
   connection.Consume(connection.Unread().size());
 }
 
+// Whether the responses that wait for clients keep servers from being read.
+bool DownstreamConnections::AreServersHeldUp() const {
+  return response_budget_.HasWaiters() || Backlog() > MemoryBytes(config_.limits) / 4;
+}
+
 void DownstreamConnections::CheckBackloggedClients(Micros now) {
-  const bool is_under_pressure = Backlog() > (config_.limits.memory_mb << 20) / 4;
+  const bool is_under_pressure = AreServersHeldUp();
   const std::size_t max_backlog = is_under_pressure ? 0 : kMaxClientBacklog;
   const bool is_drain_over = drain_ && now >= drain_->answer_by;
   const net::StallTimeouts& unpressed_timeouts = is_drain_over ? kStallTimeoutsForRoom : kStallTimeouts;
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -30,8 +30,10 @@
 /// constructor must outlive it.
 class DownstreamConnections final : public net::Connection::Owner {
  public:
+  /// `response_budget` counts the responses that wait for clients.
   DownstreamConnections(net::EventLoop& loop, const config::Platform& config,
-                        core::RequestCoordinator& coordinator, std::vector<core::Event>& events);
+                        core::RequestCoordinator& coordinator, net::MemoryBudget& response_budget,
+                        std::vector<core::Event>& events);
 
   /// Returns null once the request has its final response, was cancelled, or its client has disconnected.
   const PendingRequest* Find(RequestId id) const { return requests_.Find(id); }
@@ -108,6 +110,7 @@
   void EvictIfHoldingMemory(Client& client, Micros now);
   void CloseDrainedClients(Micros now);
   void ScheduleDrainCheck(Micros now, Micros due_at);
+  bool AreServersHeldUp() const;
   void CheckBackloggedClients(Micros now);
   void CloseIdleClients(Micros now);
   void CloseLingeringClients(Micros now);
@@ -119,6 +122,7 @@
   const config::Platform& config_;
   core::RequestCoordinator& coordinator_;
   std::vector<core::Event>& events_;
+  net::MemoryBudget& response_budget_;
   net::MemoryBudget request_budget_;  // for messages that clients have sent in part
   std::unordered_map<std::uint64_t, Client> clients_;
   PendingRequests requests_;
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -11,6 +11,11 @@
 namespace tinspan::platform {
 namespace {
 
+// Responses that are read from servers or wait for clients may take this share of the memory limit. What was
+// granted while they were read may wait for clients in the next moment, so that they take twice as much at
+// most.
+constexpr std::size_t kResponseShare = 4;
+
 // Joins the names with commas. Returns "-" if there are none.
 std::string JoinNames(const std::vector<std::string>& names) {
   std::string joined;
@@ -48,14 +53,15 @@
 
 PlatformFront::PlatformFront(net::EventLoop& loop, const config::Platform& config,
                              core::RequestCoordinator& coordinator, std::vector<core::Event>& events)
-    : max_downstream_backlog_(config.limits.memory_mb * (std::size_t{1} << 20) / 4),
+    : response_budget_((config.limits.memory_mb << 20) / kResponseShare),
+      max_downstream_backlog_((config.limits.memory_mb << 20) / kResponseShare),
       loop_(loop),
       coordinator_(coordinator),
       site_(config.site),
       config_keys_(config.keys),
       longest_deadline_(config.longest_deadline),
-      downstream_(loop, config, coordinator, events),
-      upstream_(loop, config, coordinator, downstream_, events),
+      downstream_(loop, config, coordinator, response_budget_, events),
+      upstream_(loop, config, coordinator, downstream_, response_budget_, events),
       endpoint_watcher_(loop, config, upstream_, events) {
   if (config.ops) {
     admin_listener_.emplace(
@@ -89,6 +95,7 @@
   add("failed_deadline_total", "counter", failed_deadline_count_);
   add("clients", "gauge", downstream_.ConnectionCount());
   add("request_buffer_bytes", "gauge", downstream_.PartialMessageBytes());
+  add("response_buffer_bytes", "gauge", response_budget_.UsedBytes());
   const ClientCloseCounts& ends = downstream_.CloseCounts();
   for (std::size_t reason = 0; reason < ends.size(); ++reason) {
     const std::string name(Name(static_cast<ClientCloseReason>(reason)));
--- a/src/front/platform/platform_front.hpp
+++ b/src/front/platform/platform_front.hpp
@@ -51,6 +51,8 @@
   void AddStats(ops::Statistics& figures) const;
   void LogReload(const std::vector<std::string>& added, const std::vector<std::string>& dropped) const;
 
+  // For responses that are read from servers or wait for clients.
+  net::MemoryBudget response_budget_;
   const std::size_t max_downstream_backlog_;
   net::EventLoop& loop_;
   core::RequestCoordinator& coordinator_;
--- a/src/front/platform/stall_detector.cpp
+++ b/src/front/platform/stall_detector.cpp
@@ -23,7 +23,7 @@
 }
 
 std::optional<std::string_view> StallDetector::FindStall(const UpstreamPool::PooledConnection& pooled) const {
-  if (!pooled.connection.IsOpen()) return std::nullopt;
+  if (!pooled.connection.IsOpen() || pooled.connection.IsReadPaused()) return std::nullopt;
   const bool is_partial = !pooled.connection.Unread().empty();
   if (is_partial && now_ - pooled.connection.LastActivityAt() > kPartialResponseTimeout)
     return "stalled in the middle of a response";
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -12,13 +12,14 @@
 
 constexpr std::size_t kPreferredStreams = 4;  // requests in flight on a connection before another is opened
 constexpr std::size_t kMaxReadBytes = 64 << 10;
+constexpr std::size_t kUnreservedReadBytes = 8 << 10;  // a connection's, whatever others hold
 constexpr std::size_t kMaxWriteBytes = 4 << 20;
 constexpr Micros kStallCheckInterval{25'000};
 // Bounds of the response timeout, which applies while the server sends on another of its connections.
 constexpr Micros kMinResponseTimeout{200'000};
 constexpr Micros kMaxResponseTimeout{2'000'000};
 
-net::ConnectionPoolOptions PoolOptions(const config::Platform& config) {
+net::ConnectionPoolOptions PoolOptions(const config::Platform& config, net::MemoryBudget& response_budget) {
   net::ConnectionPoolOptions options;
   options.connect_timeout = config.connect_timeout;
   options.idle_timeout = config.idle_timeout * 3 / 4;  // closes before the server does
@@ -26,7 +27,9 @@
   options.preferred_streams = kPreferredStreams;
   options.max_connections = config.limits.ServerSockets();
   options.limits = {.max_read_bytes = kMaxReadBytes,
-                    .max_write_bytes = std::min<std::size_t>(kMaxWriteBytes, config.limits.memory_mb << 17)};
+                    .max_write_bytes = std::min<std::size_t>(kMaxWriteBytes, config.limits.memory_mb << 17),
+                    .read_budget = &response_budget,
+                    .unreserved_read_bytes = kUnreservedReadBytes};
   return options;
 }
 
@@ -40,14 +43,15 @@
 UpstreamConnections::UpstreamConnections(net::EventLoop& loop, const config::Platform& config,
                                          core::RequestCoordinator& coordinator,
                                          const DownstreamConnections& downstream,
-                                         std::vector<core::Event>& events)
+                                         net::MemoryBudget& response_budget, std::vector<core::Event>& events)
     : config_(config),
       coordinator_(coordinator),
       downstream_(downstream),
+      response_budget_(response_budget),
       events_(events),
       loop_(loop),
       response_timeout_(kMinResponseTimeout, kMaxResponseTimeout),
-      pool_(loop, PoolOptions(config), *this) {}
+      pool_(loop, PoolOptions(config, response_budget), *this) {}
 
 void UpstreamConnections::AddEndpoint(ServerId id, ServerAddress address) {
   addresses_[id] = std::move(address);
@@ -364,6 +368,9 @@
     if (pooled.state.bytes_handled > 0)
       pooled.connection.Consume(std::exchange(pooled.state.bytes_handled, 0));
   }
+  if (response_budget_.TakeReleased()) {
+    for (PooledConnection& pooled : pool_.Connections()) pooled.connection.RetryRead();
+  }
   if (!in_flight_.empty()) CloseStalledConnections(now);
   WriteDueRequests(now);
   pool_.Sweep(now);
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -38,9 +38,10 @@
  public:
   using PooledConnection = UpstreamPool::PooledConnection;
 
+  /// `response_budget` bounds the responses that are being read.
   UpstreamConnections(net::EventLoop& loop, const config::Platform& config,
                       core::RequestCoordinator& coordinator, const DownstreamConnections& downstream,
-                      std::vector<core::Event>& events);
+                      net::MemoryBudget& response_budget, std::vector<core::Event>& events);
 
   /// Adds a server, or changes its address.
   void AddEndpoint(ServerId id, ServerAddress address);
@@ -111,6 +112,7 @@
   const config::Platform& config_;
   core::RequestCoordinator& coordinator_;
   const DownstreamConnections& downstream_;
+  net::MemoryBudget& response_budget_;
   std::vector<core::Event>& events_;
   std::unordered_map<ServerId, ServerAddress> addresses_;
   std::unordered_map<RequestId, InFlightAttempt> in_flight_;  // a request has one attempt at a time
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -22,6 +22,7 @@
 // An empty buffer larger than this is freed.
 constexpr std::size_t kMaxIdleBufferBytes = 64 << 10;
 constexpr std::size_t kDiscardBlockBytes = 4096;
+constexpr std::size_t kMaxBlocksPerSend = 16;  // of the write queue, in one system call
 // A system call that failed for lack of local resources is retried after this delay, at most this many times
 // in a row.
 constexpr Micros kLocalRetryDelay{10'000};
@@ -58,7 +59,8 @@
       limits_(limits),
       fd_(std::move(accepted)),
       state_(State::kOpen),
-      read_reservation_(limits.read_budget) {
+      read_reservation_(limits.read_budget),
+      write_reservation_(limits.write_budget) {
   opened_at_ = last_activity_at_ = Now();
   Register();
 }
@@ -69,6 +71,7 @@
       limits_(limits),
       state_(State::kConnecting),
       read_reservation_(limits.read_budget),
+      write_reservation_(limits.write_budget),
       peer_(peer) {
   opened_at_ = last_activity_at_ = Now();
   StartConnect();
@@ -296,8 +299,9 @@
   for (const std::string_view part : {head, body, tail}) {
     const std::size_t already_sent = std::min(sent, part.size());
     sent -= already_sent;
-    write_queue_.append(part.substr(already_sent));
+    write_queue_.Append(part.substr(already_sent));
   }
+  write_reservation_.Resize(write_queue_.HeldBytes());
   return true;
 }
 
@@ -327,24 +331,24 @@
 // Returns false if the connection failed or was closed.
 bool Connection::Flush() {
   const bool had_backlog = Backlog() > 0;
-  if (!SendWriteQueue()) return false;
-  if (write_queue_begin_ == write_queue_.size()) {
-    std::string().swap(write_queue_);
-    write_queue_begin_ = 0;
+  const bool is_alive = SendWriteQueue();
+  write_reservation_.Resize(write_queue_.HeldBytes());
+  if (!is_alive) return false;
+  if (write_queue_.IsEmpty()) {
     if (is_closing_ && !is_lingering_) Linger();
     if (had_backlog) owner_.OnDrained(*this);
-  } else if (write_queue_begin_ > write_queue_.size() / 2) {
-    write_queue_.erase(0, write_queue_begin_);
-    write_queue_begin_ = 0;
   }
   return state_ == State::kOpen;
 }
 
 // Sends the write queue until the socket is full. Returns false if the connection failed.
 bool Connection::SendWriteQueue() {
-  while (write_queue_begin_ < write_queue_.size()) {
-    const ssize_t count = ::send(fd_.Get(), write_queue_.data() + write_queue_begin_,
-                                 write_queue_.size() - write_queue_begin_, MSG_NOSIGNAL);
+  while (!write_queue_.IsEmpty()) {
+    std::array<iovec, kMaxBlocksPerSend> parts;
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = write_queue_.Front(parts);
+    const ssize_t count = ::sendmsg(fd_.Get(), &message, MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR) continue;
     if (count < 0 && errno == EAGAIN) return true;
     if (count < 0 && IsTransientLocalError(errno)) {
@@ -355,7 +359,7 @@
       Fail();
       return false;
     }
-    write_queue_begin_ += static_cast<std::size_t>(count);
+    write_queue_.RemovePrefix(static_cast<std::size_t>(count));
     bytes_sent_ += static_cast<std::uint64_t>(count);
   }
   return true;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -10,6 +10,7 @@
 #include "net/endpoint.hpp"
 #include "net/event_loop.hpp"
 #include "net/memory_budget.hpp"
+#include "net/write_queue.hpp"
 
 namespace tinspan::net {
 
@@ -47,6 +48,8 @@
     /// message each cannot keep one another from receiving the rest.
     MemoryBudget* read_budget = nullptr;
     std::size_t unreserved_read_bytes = 4096;
+    /// The budget that the write queue counts towards; it may exceed it. Null: not counted.
+    MemoryBudget* write_budget = nullptr;
   };
 
   /// Takes ownership of an accepted socket.
@@ -179,8 +182,8 @@
   bool has_read_eof_ = false;        // the end of the peer's data was read
   bool has_peer_shut_down_ = false;  // epoll reported that the peer shut down or failed
 
-  std::string write_queue_;  // [write_queue_begin_, end) is not sent yet
-  std::size_t write_queue_begin_ = 0;
+  MemoryReservation write_reservation_;
+  WriteQueue write_queue_;
   std::uint64_t bytes_queued_ = 0;
   std::uint64_t bytes_sent_ = 0;
 
--- a/tests/net/memory_limit_test.cpp
+++ b/tests/net/memory_limit_test.cpp
@@ -153,4 +153,31 @@
   ExpectUnderMemoryLimit(*world.program);
 }
 
+// Guards against responses passing the memory limit: those that wait for clients that read slowly, with what
+// their queues keep beside them, and those that servers have sent in the meantime.
+TEST(MemoryLimitTest, StaysUnderItsLimitWhileManyClientsReadSlowly) {
+  constexpr int kReaders = 40;
+  constexpr std::size_t kLargestObjectBytes = 240'000;
+  SmallWorld world;
+  world.AddCaches();
+  const DelayedServers servers(world.Servers(), 50, std::string(kLargestObjectBytes, 'x'));
+  const ReadPace pace{.bytes_per_s = 1'000'000, .receive_buffer_bytes = 65'536};
+  const std::int64_t until_ms = SteadyMs() + 4'000;
+  std::vector<std::unique_ptr<BusyClient>> clients;
+  for (int number = 1; number <= kReaders; ++number)
+    clients.push_back(std::make_unique<BusyClient>(world.port, number, 32, until_ms, pace));
+  std::size_t largest_use = 0;
+  while (SteadyMs() < until_ms) {
+    largest_use = std::max(largest_use, world.Statistic("response_buffer_bytes"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  EXPECT_GT(largest_use, kMemoryBytes / 16);  // the readers are slow enough
+  EXPECT_LE(largest_use, kMemoryBytes / 2);
+  for (const auto& client : clients) {
+    client->Join();
+    EXPECT_EQ(client->EndedAt(), 0) << "a connection was closed";
+  }
+  ExpectUnderMemoryLimit(*world.program);
+}
+
 }  // namespace
