Do not evict a gateway's client in the round in which its request was read

Cause: a client was marked active at the end of the round only. A newcomer of the same round evicted it with its request open; its connection ended without OnClosed, the client was freed, and the response of the request was forwarded to it. Evidence: a debugger stopped at the throw in ForwardBytes. Ruled out: memory (25 MB) and the head's size (the same heads from one client pass).

Change: a client is marked active when its request is read, nobody with an open request is evicted, and a client's open request is cancelled before the client is freed, whatever closed it.

--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -150,10 +150,10 @@
   return !client.delivery.IsStalled(now, timeouts);
 }
 
-// Returns false, and does nothing, if the socket holds unread input, which is the client's next request, or
-// if the client is still receiving a response.
+// Returns false, and does nothing, if a request is open or waits in the socket, or if the client is still
+// receiving a response.
 bool DownstreamConnections::LingerIfIdle(Client& client, Micros now) {
-  if (client.connection->HasPendingInput() || IsReceiving(client, now)) return false;
+  if (client.open_request || client.connection->HasPendingInput() || IsReceiving(client, now)) return false;
   Linger(client, now);
   return true;
 }
@@ -266,6 +266,7 @@
   const std::string_view path_rest = std::string_view(target->path).substr(route->prefix.size());
   received.group = GroupIdOf(path_rest.substr(0, path_rest.find('/')));
   client.open_request = received.id;
+  idle_connections_.MarkActive(client.connection->id);  // at once: a newcomer of this round must not evict it
   // A client that closes with a request open has disconnected, even if there is unread input.
   client.connection->SetCloseOnPeerShutdown(true);
   pending_requests_.emplace(received.id, std::move(request));
@@ -457,8 +458,11 @@
   while (const auto id = idle_connections_.NextExpired(now)) {
     if (!LingerIfIdle(clients_.at(*id), now)) idle_connections_.MarkIdle(*id, now);
   }
-  for (const std::uint64_t id : closed_) idle_connections_.Remove(id);
-  for (const std::uint64_t id : closed_) clients_.erase(id);
+  for (const std::uint64_t id : closed_) {
+    CancelOpenRequest(clients_.at(id));  // whatever closed the connection: no request outlives it
+    idle_connections_.Remove(id);
+    clients_.erase(id);
+  }
   closed_.clear();
 }
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -692,6 +692,34 @@
   ASSERT_LT(UnixMs() - closed_at, 700);  // not at the deadline, 1.5 s from the start
 }
 
+// Guards against the end of the process: the table was full, and the client that had been idle longest was
+// evicted for a newcomer in the round in which its request was read. The request outlived its connection, and
+// its response was forwarded to a client that was gone.
+TEST(HttpTest, EvictsNoClientThatHasJustAsked) {
+  World world(false, kSettings + R"(,"limits":{"sockets":64})");
+  constexpr int kMaxClients = 64 / 3;
+  std::vector<TcpPeer> idle;
+  for (int i = 0; i < kMaxClients; ++i) {
+    idle.push_back(world.Client());
+    idle.back().Send(EncodeGet("/nosuch", ""));
+    ASSERT_EQ(ReadResponse(idle.back()).status, 404);
+  }
+  const std::string request = EncodeGet(kScan, Bearer(SignToken(kSharedKey, TimeClaims(60))));
+  TcpPeer newcomer;
+  {
+    const StoppedProgram stopped(*world.program);
+    idle[0].Send(request);
+    newcomer = world.Client();
+    newcomer.Send(EncodeGet("/nosuch", ""));
+  }
+  TcpPeer server = world.cache.Accept();
+  ReadMessage(server);
+  server.Send(EncodeResponse("200 OK", "page"));
+  EXPECT_EQ(ReadResponse(idle[0]).body, "page");
+  EXPECT_EQ(ReadResponse(newcomer).status, 404);
+  EXPECT_TRUE(idle[1].ReadToEnd().empty());  // the one that was idle next longest made room
+}
+
 // During a shutdown, a part of a request arrives just when the gateway stops accepting, and the rest later:
 // the request is answered.
 TEST(HttpTest, ReceivesARequestStillBeingWrittenDuringShutdown) {
