Reject a head of more than 100 fields at the gateway

What callers saw: beside 340 clients that sent heads of very many short fields others were answered late (p50 190 to 256 ms, by hand, the client's own process included).

Cause: each field of a request is compared with the list in Connection, and every look at a field walks all of them: with 24 KB of both that is millions of comparisons a request.

Change: 431 for a request of more than 100 fields, and a response of more is taken for one that cannot be read, as one over 24 KB is. The platform's messages have 8 elements at most, and its fields are read once, in order.

Test: HttpTest.RejectsAHeadOfVeryManyFields (answered with 401 before, after the whole work).

--- a/src/front/http/http1.cpp
+++ b/src/front/http/http1.cpp
@@ -30,9 +30,10 @@
 }
 
 // Parses the header fields, which start at `position`. Returns false for a folded line, white space in a
-// name, a bare CR or another control character: parsers differ in how they read these.
+// name, a bare CR or another control character: parsers differ in how they read these. Stops after one field
+// more than kMaxFields.
 bool ReadFields(std::string_view head, std::size_t position, Head& out) {
-  while (position < head.size()) {
+  while (position < head.size() && out.fields.size() <= kMaxFields) {
     const std::size_t end = head.find("\r\n", position);
     const std::string_view line = head.substr(position, end - position);
     position = end + 2;
@@ -105,7 +106,9 @@
   }
   if (!version.starts_with("HTTP/") || version.size() != 8) return 400;
   if (version != "HTTP/1.1") return 505;
-  if (!ReadFields(buffer.substr(0, end - 2), line_end + 2, out) || out.FieldCount("Host") != 1) return 400;
+  if (!ReadFields(buffer.substr(0, end - 2), line_end + 2, out)) return 400;
+  if (out.fields.size() > kMaxFields) return 431;
+  if (out.FieldCount("Host") != 1) return 400;
   out.length = end;
   return 0;
 }
@@ -119,7 +122,7 @@
   const auto status = ParseDecimal(line.substr(9, 3));
   if (!status || *status < 100 || (line.size() > 12 && line[12] != ' ')) return 502;
   out.status = static_cast<int>(*status);
-  if (!ReadFields(buffer.substr(0, end - 2), line_end + 2, out)) return 502;
+  if (!ReadFields(buffer.substr(0, end - 2), line_end + 2, out) || out.fields.size() > kMaxFields) return 502;
   out.length = end;
   return 0;
 }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -692,6 +692,26 @@
   ASSERT_LT(UnixMs() - closed_at, 700);  // not at the deadline, 1.5 s from the start
 }
 
+// Guards against requests that hold up others: a head of thousands of short fields, each of them compared
+// with a long list of connection options, took tens of milliseconds.
+TEST(HttpTest, RejectsAHeadOfVeryManyFields) {
+  World world;
+  std::string options, fields;
+  for (int i = 0; i < 2'000; ++i) options += "a,";
+  for (int i = 0; i < 4'000; ++i) fields += "a:\r\n";
+  const std::string head = EncodeGet(kScan, "Connection: " + options + "\r\n" + fields);
+  const std::int64_t start_ms = UnixMs();
+  for (int i = 0; i < 20; ++i) ASSERT_EQ(world.Status(head), 431);
+  EXPECT_LT(UnixMs() - start_ms, 500);
+  // An ordinary number of fields is forwarded.
+  std::string some;
+  for (int i = 0; i < 50; ++i) some += "X-" + std::to_string(i) + ": a\r\n";
+  TcpPeer client = world.Client();
+  client.Send(EncodeGet(kScan, Bearer(SignToken(kSharedKey, TimeClaims(60))) + some));
+  TcpPeer server = world.cache.Accept();
+  EXPECT_NE(ReadMessage(server).find("X-49: a\r\n"), std::string::npos);
+}
+
 // Guards against the end of the process: the table was full, and the client that had been idle longest was
 // evicted for a newcomer in the round in which its request was read. The request outlived its connection, and
 // its response was forwarded to a client that was gone.
