Write no request to an address that its server has left

Cause: a pooled connection belongs to a server's name and to the address of the moment in which it was opened. Acquire compares the address, the write of a request that has waited did not.

Ruled out: idle connections (Acquire retires them), pings in the fleet view (they name the target), lease messages (answers count only from those asked).

Change: on both fronts an attempt is written only if its server is listed at the connection's address; otherwise it ends as not sent.

--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -80,6 +80,13 @@
   }
 }
 
+// Whether the server is still listed at the address to which the connection goes. Another process may have
+// come up there since.
+bool UpstreamConnections::IsAtCurrentAddress(const PooledConnection& pooled) const {
+  const auto address = addresses_.find(ServerId{pooled.server});
+  return address != addresses_.end() && address->second.endpoint == pooled.endpoint;
+}
+
 void UpstreamConnections::SendRequest(Micros now, PooledConnection& pooled,
                                       const core::StartAttempt& command) {
   pooled.state.awaits_connect = false;
@@ -87,7 +94,7 @@
   const SendAttempt& action = command.action;
   const bool is_fill = action.source != action.server;
   const auto source = addresses_.find(action.source);
-  if (request == nullptr || (is_fill && source == addresses_.end()) ||
+  if (request == nullptr || !IsAtCurrentAddress(pooled) || (is_fill && source == addresses_.end()) ||
       !coordinator_.CanSend(now, action.id, command.attempt)) {
     CompleteAttempt(pooled, {.outcome = Outcome::kNotSent});
     return ReleaseConnection(pooled);
--- a/src/front/http/upstream_connections.hpp
+++ b/src/front/http/upstream_connections.hpp
@@ -85,6 +85,7 @@
     PooledConnection* pooled = nullptr;
     core::StartAttempt command;
   };
+  bool IsAtCurrentAddress(const PooledConnection& pooled) const;
   void SendRequest(Micros now, PooledConnection& pooled, const core::StartAttempt& command);
   // Reads and forwards or drops what was received.
   void ProcessInput(PooledConnection& pooled);
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -134,7 +134,8 @@
 void UpstreamConnections::WriteRequest(Micros now, PooledConnection& pooled, const std::string& reference,
                                        const core::StartAttempt& command) {
   const RequestId id = command.action.id;
-  if (!CanWrite(now, command)) return CompleteAttempt(id, pooled, {.outcome = Outcome::kNotSent});
+  if (!IsAtCurrentAddress(pooled) || !CanWrite(now, command))
+    return CompleteAttempt(id, pooled, {.outcome = Outcome::kNotSent});
   const PendingRequest& request = *downstream_.Find(id);
   const bool is_fill = command.action.source != command.action.server;
   const std::string fill_source = is_fill ? addresses_.at(command.action.source).name : std::string();
@@ -144,6 +145,13 @@
   if (!is_queued) CloseConnection(pooled, "write queue full");  // the request was not sent completely
 }
 
+// Whether the server is still listed at the address to which the connection goes. Another process may have
+// come up there since.
+bool UpstreamConnections::IsAtCurrentAddress(const PooledConnection& pooled) const {
+  const auto address = addresses_.find(ServerId{pooled.server});
+  return address != addresses_.end() && address->second.endpoint == pooled.endpoint;
+}
+
 bool UpstreamConnections::CanWrite(Micros now, const core::StartAttempt& command) const {
   const SendAttempt& action = command.action;
   if (downstream_.Find(action.id) == nullptr) return false;
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -96,6 +96,7 @@
   void WriteDueRequest(Micros now, const DueRequest& due);
   void WriteRequest(Micros now, PooledConnection& pooled, const std::string& reference,
                     const core::StartAttempt& command);
+  bool IsAtCurrentAddress(const PooledConnection& pooled) const;
   bool CanWrite(Micros now, const core::StartAttempt& command) const;
   void CompleteAttempt(RequestId id, PooledConnection& pooled, core::AttemptCompleted completed);
   void RetireRequestId(PooledConnection& pooled, const std::string& reference);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -2,6 +2,7 @@
 // after their public specifications (RFC 9110 to 9112, 9246, 7515, 6750, and Consul's HTTP API).
 #include "front/http/access.hpp"
 #include "front/http/jws.hpp"
+#include "full_backlog.hpp"
 #include "harness.hpp"
 
 namespace {
@@ -692,6 +693,22 @@
   ASSERT_LT(UnixMs() - closed_at, 700);  // not at the deadline, 1.5 s from the start
 }
 
+// Guards against a request that reaches the wrong server: it waited for a connection while its node moved,
+// and was written to whatever came up at the address that the node had left.
+TEST(HttpTest, SendsNothingToAnAddressThatTheNodeHasLeft) {
+  std::string settings = kSettings;
+  const std::string timeout = R"("connectTimeoutMs":400.0)";
+  settings.replace(settings.find(timeout), timeout.size(), R"("connectTimeoutMs":3000.0)");
+  World world(false, settings);
+  FullBacklog backlog(world.cache);
+  TcpPeer client = world.Client();
+  client.Send(EncodeGet(kScan, Bearer(SignToken(kSharedKey, TimeClaims(60)))));
+  ASSERT_EQ(world.Status(EncodeGet("/nosuch", "")), 404);
+  world.SendList("shop-cache", 8, HealthEntry("n1", "passing"), CatalogEntry("n1", world.second_cache));
+  TcpPeer stranger = backlog.AcceptNext();
+  EXPECT_TRUE(stranger.ReadFor(300).empty());
+}
+
 // Guards against requests that hold up others: a head of thousands of short fields, each of them compared
 // with a long list of connection options, took tens of milliseconds.
 TEST(HttpTest, RejectsAHeadOfVeryManyFields) {
