--- a/src/net/memory_budget.hpp
+++ b/src/net/memory_budget.hpp
@@ -13,6 +13,7 @@
   explicit MemoryBudget(std::size_t max_bytes) : max_bytes_(max_bytes) {}
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
+  ~MemoryBudget() = default;
 
   std::size_t UsedBytes() const { return used_bytes_; }
   /// Whether a reservation was refused and has not been granted since.
