Show what resident memory consists of on both fronts

New on both fronts: resident memory, heap in use, heap freed but kept, mapped blocks, and the memory held by the read buffers and write queues towards clients and towards servers.

--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -446,6 +446,12 @@
   return clients_.empty() && !listener_.IsOpen();  // lingering clients are closed after kDrainReadTimeout
 }
 
+front::BufferSizes DownstreamConnections::BufferSizes() const {
+  front::BufferSizes sizes;
+  for (const auto& [id, client] : clients_) sizes.Add(*client.connection);
+  return sizes;
+}
+
 void DownstreamConnections::EndRound(Micros now) {
   if (listener_.IsOpen() && IsDraining(now)) listener_.CloseAfterAccepting();
   for (auto& [id, client] : clients_) {
--- a/src/front/http/downstream_connections.hpp
+++ b/src/front/http/downstream_connections.hpp
@@ -13,6 +13,7 @@
 #include "core/request_coordinator.hpp"
 #include "front/http/access.hpp"
 #include "front/http/http1.hpp"
+#include "front/memory_statistics.hpp"
 #include "net/connection.hpp"
 #include "net/delivery_progress.hpp"
 #include "net/idle_connection_tracker.hpp"
@@ -69,6 +70,8 @@
   bool IsDrained() const;
   /// Closes expired, stalled and drained connections and frees closed ones. Must be called once per round.
   void EndRound(Micros now);
+  /// What the buffers of all client connections hold.
+  front::BufferSizes BufferSizes() const;
   std::uint16_t Port() const { return listener_.Port(); }
 
   void OnData(net::Connection& connection) override;
--- a/src/front/http/http_front.cpp
+++ b/src/front/http/http_front.cpp
@@ -68,6 +68,7 @@
         loop, *config.ops, service_,
         [this] {
           ops::Statistics figures;
+          front::AddMemoryStatistics(downstream_.BufferSizes(), upstream_.BufferSizes(), figures);
           if (attached_.add_stats) attached_.add_stats(figures);
           return figures;
         },
--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -306,6 +306,12 @@
   return true;
 }
 
+front::BufferSizes UpstreamConnections::BufferSizes() const {
+  front::BufferSizes sizes;
+  for (const PooledConnection& pooled : pool_.Connections()) sizes.Add(pooled.connection);
+  return sizes;
+}
+
 void UpstreamConnections::EndRound(Micros now) {
   for (PooledConnection& pooled : pool_.Connections()) {
     UpstreamConnectionState& state = pooled.state;
--- a/src/front/http/upstream_connections.hpp
+++ b/src/front/http/upstream_connections.hpp
@@ -17,6 +17,7 @@
 #include "front/http/access.hpp"
 #include "front/http/downstream_connections.hpp"
 #include "front/http/http1.hpp"
+#include "front/memory_statistics.hpp"
 #include "front/upstream_failure_log.hpp"
 #include "net/connection_pool.hpp"
 
@@ -74,6 +75,8 @@
   /// Resumes paused reads, fails stalled responses and frees closed connections. Must be called once per
   /// round.
   void EndRound(Micros now);
+  /// What the buffers of all server connections hold.
+  front::BufferSizes BufferSizes() const;
   front::UpstreamFailureLog& FailureLog() { return failure_log_; }
 
   void OnConnectionOpen(PooledConnection& pooled) override;
--- a/src/front/platform/downstream_connections.cpp
+++ b/src/front/platform/downstream_connections.cpp
@@ -375,6 +375,12 @@
   return sum;
 }
 
+front::BufferSizes DownstreamConnections::BufferSizes() const {
+  front::BufferSizes sizes;
+  for (const auto& [id, client] : clients_) sizes.Add(*client.connection);
+  return sizes;
+}
+
 void DownstreamConnections::EndRound(Micros now) {
   if (listener_.IsOpen() && drain_ && now >= drain_->accept_until) listener_.CloseAfterAccepting();
   PauseIntakeOverMemoryLimit(now);
--- a/src/front/platform/downstream_connections.hpp
+++ b/src/front/platform/downstream_connections.hpp
@@ -13,6 +13,7 @@
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
+#include "front/memory_statistics.hpp"
 #include "front/platform/client_close_reason.hpp"
 #include "front/platform/client_protocol.hpp"
 #include "front/platform/downstream_client.hpp"
@@ -60,6 +61,8 @@
   std::size_t Backlog() const;
   /// Bytes of the buffers for messages that clients have sent in part.
   std::size_t PartialMessageBytes() const { return request_budget_.UsedBytes(); }
+  /// What the buffers of all client connections hold.
+  front::BufferSizes BufferSizes() const;
   const ClientCloseCounts& CloseCounts() const { return close_counts_; }
   /// Number of requests without a final response.
   std::size_t PendingCount() const { return requests_.Count(); }
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -96,6 +96,7 @@
   add("clients", "gauge", downstream_.ConnectionCount());
   add("request_buffer_bytes", "gauge", downstream_.PartialMessageBytes());
   add("response_buffer_bytes", "gauge", response_budget_.UsedBytes());
+  front::AddMemoryStatistics(downstream_.BufferSizes(), upstream_.BufferSizes(), figures);
   const ClientCloseCounts& ends = downstream_.CloseCounts();
   for (std::size_t reason = 0; reason < ends.size(); ++reason) {
     const std::string name(Name(static_cast<ClientCloseReason>(reason)));
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -370,6 +370,12 @@
   for (PooledConnection& pooled : pool_.Connections()) pooled.connection.SetReadPaused(paused);
 }
 
+front::BufferSizes UpstreamConnections::BufferSizes() const {
+  front::BufferSizes sizes;
+  for (const PooledConnection& pooled : pool_.Connections()) sizes.Add(pooled.connection);
+  return sizes;
+}
+
 void UpstreamConnections::EndRound(Micros now) {
   served_.clear();
   for (PooledConnection& pooled : pool_.Connections()) {
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -11,6 +11,7 @@
 
 #include "config/config.hpp"
 #include "core/request_coordinator.hpp"
+#include "front/memory_statistics.hpp"
 #include "front/platform/cache_protocol.hpp"
 #include "front/platform/downstream_connections.hpp"
 #include "front/platform/upstream_exchange.hpp"
@@ -63,6 +64,8 @@
   void SetReadPaused(bool paused);
   /// Writes the due requests, closes stalled connections and frees closed ones.
   void EndRound(Micros now);
+  /// What the buffers of all server connections hold.
+  front::BufferSizes BufferSizes() const;
   front::UpstreamFailureLog& FailureLog() { return failure_log_; }
 
   void OnConnectionOpen(PooledConnection& pooled) override;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -86,6 +86,10 @@
   void RetryRead();
   /// Bytes of the read buffer that count towards the read budget.
   std::size_t ReservedReadBytes() const { return read_reservation_.Bytes(); }
+  /// Bytes of memory that the read buffer holds, whether they are in use or not.
+  std::size_t ReadBufferBytes() const { return buffer_.capacity(); }
+  /// Bytes of memory that the write queue holds.
+  std::size_t WriteQueueBytes() const { return write_queue_.HeldBytes(); }
   /// Requests an OnData call in the next round, even if no more bytes arrive. Owners use it to limit the work
   /// per round, so that a peer that sends much does not delay the others.
   void ScheduleRead();
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -146,6 +146,7 @@
     }
   }
   std::list<PooledConnection>& Connections() { return connections_; }
+  const std::list<PooledConnection>& Connections() const { return connections_; }
 
  private:
   using Position = typename std::list<PooledConnection>::iterator;
