Drop the timed tasks of requests that have ended

Cause: neither the coordinator's nor the router's schedule removed the tasks of a request that had its final response before its deadline, so they grew with the rate of requests times their deadline; the vectors behind them never shrank.

Evidence: heap_mapped_bytes 45,588 kB at rest in two loads of different kinds, all buffers empty; two vectors of 2^19 entries of 40 bytes are 40,960 kB of it.

Fix: TaskHeap drops obsolete entries once it has twice as many as were left the last time. The order of the others stays, so no decision changes.

--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -44,6 +44,7 @@
     std::visit([this](const auto& typed_event) { On(typed_event); }, event);
   }
   RunDueTasks();
+  schedule_.Prune([this](RequestId id) { return Find(id) != nullptr; });
   out_ = nullptr;
 }
 
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -60,6 +60,8 @@
   std::optional<Micros> NextDeadline() const { return schedule_.Next(); }
   /// The number of requests without a final response.
   std::size_t OpenRequests() const { return open_requests_; }
+  /// The number of timed tasks, those of requests that have ended included.
+  std::size_t ScheduledTasks() const { return schedule_.Size(); }
 
  private:
   struct Attempt {
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -3,15 +3,15 @@
 namespace tinspan::core {
 
 std::optional<ScheduledTask> Schedule::TakeDue(Micros now) {
-  if (tasks_.empty() || tasks_.top().due_at > now) return std::nullopt;
-  const ScheduledTask task = tasks_.top();
-  tasks_.pop();
+  if (tasks_.IsEmpty() || tasks_.Top().due_at > now) return std::nullopt;
+  const ScheduledTask task = tasks_.Top();
+  tasks_.Pop();
   return task;
 }
 
 std::optional<Micros> Schedule::Next() const {
-  if (tasks_.empty()) return std::nullopt;
-  return tasks_.top().due_at;
+  if (tasks_.IsEmpty()) return std::nullopt;
+  return tasks_.Top().due_at;
 }
 
 }  // namespace tinspan::core
--- a/src/core/schedule.hpp
+++ b/src/core/schedule.hpp
@@ -1,10 +1,11 @@
 // The timed tasks of a RequestCoordinator.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <queue>
 
+#include "routing/task_heap.hpp"
 #include "tinspan/router.hpp"
 
 namespace tinspan::core {
@@ -31,7 +32,7 @@
 };
 
 /// A queue of tasks by due time; tasks with the same due time are taken in insertion order. Tasks cannot be
-/// removed: the caller ignores obsolete ones when they are due.
+/// removed one by one: the caller ignores obsolete ones when they are due, and drops them by Prune().
 class Schedule {
  public:
   void AddRouterTimer(Micros due_at, std::uint64_t token) {
@@ -46,6 +47,16 @@
   void AddDrainDeadline(Micros due_at, std::uint64_t drain_id) {
     Add(due_at, ScheduledTask::Kind::kDrainDeadline, drain_id, 0);
   }
+  /// Removes the tasks of requests for which `is_open` returns false, if there may be many of them.
+  template <class IsOpen>
+  void Prune(IsOpen is_open) {
+    tasks_.Prune([&is_open](const ScheduledTask& task) {
+      const bool is_of_request = task.kind == ScheduledTask::Kind::kAttemptTimeout ||
+                                 task.kind == ScheduledTask::Kind::kRequestDeadline;
+      return is_of_request && !is_open(RequestId{task.token});
+    });
+  }
+  std::size_t Size() const { return tasks_.Size(); }
   /// Removes and returns the first task that is due at `now`, if any.
   std::optional<ScheduledTask> TakeDue(Micros now);
   /// When the first task is due; empty if there is none.
@@ -53,10 +64,10 @@
 
  private:
   void Add(Micros due_at, ScheduledTask::Kind kind, std::uint64_t token, std::uint32_t attempt) {
-    tasks_.push({due_at, next_serial_++, kind, token, attempt});
+    tasks_.Push({due_at, next_serial_++, kind, token, attempt});
   }
 
-  std::priority_queue<ScheduledTask> tasks_;
+  TaskHeap<ScheduledTask> tasks_;
   std::uint64_t next_serial_ = 0;
 };
 
--- a/src/routing/engine.cpp
+++ b/src/routing/engine.cpp
@@ -42,6 +42,7 @@
 void Router::Engine::Handle(const RequestEvent& event) {
   if (requests_.Find(event.id) != nullptr) return;  // duplicate id: a caller error, ignored
   if (ToNumber(event.class_id) >= context_.settings.classes.size()) return context_.Emit(Fail{event.id});
+  state_.schedule.Prune([this](RequestId id) { return requests_.Find(id) != nullptr; });
   Request& request = requests_.Add(event);
   const bool is_later_part = request.traffic_class.has_parts && event.part > 0;
   const ObjectId hashed_id = is_later_part ? ObjectId{CopyKey(event)} : event.object;
--- a/src/routing/schedule.cpp
+++ b/src/routing/schedule.cpp
@@ -7,20 +7,20 @@
 }
 
 void Schedule::Add(Micros due_at, const Task& task) {
-  entries_.push({due_at, next_serial_++, task});
+  entries_.Push({due_at, next_serial_++, task});
   SetNextTimer();
 }
 
 std::optional<Task> Schedule::PopDue() {
-  if (entries_.empty() || entries_.top().due_at > context_.now) return std::nullopt;
-  const Task task = entries_.top().task;
-  entries_.pop();
+  if (entries_.IsEmpty() || entries_.Top().due_at > context_.now) return std::nullopt;
+  const Task task = entries_.Top().task;
+  entries_.Pop();
   return task;
 }
 
 void Schedule::SetNextTimer() {
-  if (entries_.empty() || entries_.top().due_at >= timer_at_) return;
-  timer_at_ = entries_.top().due_at;
+  if (entries_.IsEmpty() || entries_.Top().due_at >= timer_at_) return;
+  timer_at_ = entries_.Top().due_at;
   context_.Emit(SetTimer{timer_at_, 0});
 }
 
--- a/src/routing/schedule.hpp
+++ b/src/routing/schedule.hpp
@@ -1,11 +1,12 @@
 // The tasks that a Router runs at a later time.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <queue>
 
 #include "routing/context.hpp"
+#include "routing/task_heap.hpp"
 
 namespace tinspan {
 
@@ -36,6 +37,16 @@
   // Removes and returns the next task that is due; empty if there is none.
   std::optional<Task> PopDue();
 
+  // Removes the tasks of requests for which `is_open` returns false, if there may be many of them.
+  template <class IsOpen>
+  void Prune(IsOpen is_open) {
+    entries_.Prune([&is_open](const Entry& entry) {
+      return entry.task.kind != TaskKind::kResubscribe && !is_open(entry.task.request);
+    });
+  }
+
+  std::size_t Size() const { return entries_.Size(); }
+
   // Requests a timer if the first task is due before the timer that is set.
   void SetNextTimer();
 
@@ -49,7 +60,7 @@
   };
 
   Context& context_;
-  std::priority_queue<Entry> entries_;
+  TaskHeap<Entry> entries_;
   std::uint64_t next_serial_ = 0;
   Micros timer_at_ = Micros::max();
 };
--- a/tests/request_coordinator_test.cpp
+++ b/tests/request_coordinator_test.cpp
@@ -55,6 +55,16 @@
   EXPECT_EQ(coordinator_.OpenRequests(), 0u);
 }
 
+// Guards against memory that grows with the rate of requests: the tasks of a request that had its final
+// response stayed until its deadline.
+TEST_F(RequestCoordinatorTest, KeepsNoTasksOfEndedRequests) {
+  constexpr int kRequests = 50'000;
+  constexpr std::size_t kMaxTasks = 4096;
+  for (int number = 0; number < kRequests; ++number) HandleEvents({ClientDisconnected{ReceiveRequest()}});
+  EXPECT_EQ(coordinator_.OpenRequests(), 0u);
+  EXPECT_LE(coordinator_.ScheduledTasks(), kMaxTasks);
+}
+
 // Duplicate outcomes and a late disconnect must not produce a second response.
 TEST_F(RequestCoordinatorTest, GivesOneFinalResponse) {
   const RequestId id = ReceiveRequest();
