Return freed memory to the system

What callers would see: the process grows with each load and keeps what it had at the peak of the one before, until it passes memory_mb: 43.8 MB resident with no client left after 340 slow readers of mixed sizes (28,979 kB of it freed heap, 4,020 kB in use).

Cause: the allocator raises its thresholds to the largest block that was ever freed, so that blocks of all sizes come from one heap, whose free parts between blocks in use stay resident.

Fix: fixed thresholds (blocks from 16 KB on are mapped one by one), and every 100 ms the heap is trimmed if it has 2 MB free and the process has grown as much since the last time (net::HeapTrimPolicy, without I/O).

Measured: MemoryLimitTest.GivesMemoryBackWhenTheClientsHaveLeft failed 2 of 2 before (42.0 and 42.7 MB resident 2.5 s after the clients had left, 25.2 allowed), passes 2 of 2.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -11,6 +11,7 @@
 #include "lease/agent.hpp"
 #include "log/log.hpp"
 #include "members/node.hpp"
+#include "net/process_memory.hpp"
 #include "record/recorder.hpp"
 
 namespace tinspan::cli {
@@ -173,6 +174,7 @@
 
 template <class Front, class Config>
 void Serve(const Config& config) {
+  net::ReturnLargeBlocksWhenFreed();
   net::EventLoop loop;
   front::Signals signals(loop);
   std::vector<core::Event> events;
--- a/src/front/runner.cpp
+++ b/src/front/runner.cpp
@@ -11,6 +11,8 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "net/heap_trim_policy.hpp"
+#include "net/process_memory.hpp"
 
 namespace tinspan::front {
 namespace {
@@ -19,6 +21,7 @@
 
 constexpr Micros kMaxWait{1'000'000};
 constexpr Micros kMaxWaitWhileStopping{20'000};
+constexpr Micros kHeapCheckInterval{100'000};
 // An unfinished shutdown exits 0.1 s before the latest time at which SIGKILL can come, on either reading of
 // the operators' rule: deadlines longer than 3 s count in full here, and shorter ones count as 3 s.
 constexpr Micros kMinForcedExitDeadline{3'000'000};
@@ -49,6 +52,7 @@
  private:
   Micros NextWait() const;
   void RunRound();
+  void ReturnFreeMemory();
   void HandleSignals();
   void BeginShutdown();
   bool IsFinished();
@@ -65,6 +69,8 @@
   Micros forced_exit_at_{0};  // during a shutdown: the program exits at this time even with requests open
   core::Commands commands_;
   std::vector<core::Event> batch_;
+  net::HeapTrimPolicy heap_trim_policy_;
+  Micros next_heap_check_at_{0};
 };
 
 Micros Runner::NextWait() const {
@@ -87,9 +93,18 @@
     observer_->OnRound({net::UnixNow(), now_}, batch_, commands_, coordinator_.OpenRequests());
   for (const core::Command& command : commands_) front_.Execute(now_, command);
   front_.EndRound(now_);
+  ReturnFreeMemory();
   HandleSignals();
 }
 
+void Runner::ReturnFreeMemory() {
+  if (now_ < next_heap_check_at_) return;
+  next_heap_check_at_ = now_ + kHeapCheckInterval;
+  if (!heap_trim_policy_.ShouldTrim(net::ReadProcessMemory())) return;
+  net::TrimHeap();
+  heap_trim_policy_.OnTrimmed(net::ReadProcessMemory());
+}
+
 void Runner::HandleSignals() {
   if (signals_.last_signal != 0) {
     NotifyObserver(core::LifecycleEvent::kSignalReceived, std::exchange(signals_.last_signal, 0));
--- a/src/net/process_memory.cpp
+++ b/src/net/process_memory.cpp
@@ -16,6 +16,10 @@
   return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+// Blocks from this size on are mapped one by one.
+constexpr int kMinMappedBlockBytes = 16 << 10;
+constexpr int kMaxFreeBytesAtHeapEnd = 256 << 10;
+
 }  // namespace
 
 ProcessMemory ReadProcessMemory() {
@@ -26,4 +30,11 @@
           .mapped_bytes = heap.hblkhd};
 }
 
+void ReturnLargeBlocksWhenFreed() {
+  ::mallopt(M_MMAP_THRESHOLD, kMinMappedBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kMaxFreeBytesAtHeapEnd);
+}
+
+void TrimHeap() { ::malloc_trim(0); }
+
 }  // namespace tinspan::net
--- a/src/net/process_memory.hpp
+++ b/src/net/process_memory.hpp
@@ -16,4 +16,11 @@
 /// Reads the figures; the allocator's take time in proportion to its free blocks.
 ProcessMemory ReadProcessMemory();
 
+/// Makes the allocator return large blocks to the system as soon as they are freed. Call this once, at the
+/// start of the process: by default the allocator raises its thresholds to the largest block that was freed.
+void ReturnLargeBlocksWhenFreed();
+
+/// Returns the free pages of the heap to the system.
+void TrimHeap();
+
 }  // namespace tinspan::net
--- a/src/net/write_queue.hpp
+++ b/src/net/write_queue.hpp
@@ -17,7 +17,7 @@
 class WriteQueue {
  public:
   static constexpr std::size_t kMinBlockBytes = 1 << 10;
-  static constexpr std::size_t kMaxBlockBytes = 32 << 10;
+  static constexpr std::size_t kMaxBlockBytes = (32 << 10) - 64;  // with the allocator's header: whole pages
 
   bool IsEmpty() const { return blocks_.empty(); }
   /// Bytes of memory that the blocks hold.
--- a/tests/net/delayed_servers.hpp
+++ b/tests/net/delayed_servers.hpp
@@ -20,10 +20,13 @@
 /// after `delay_ms`. Runs on its own thread, which the destructor joins.
 class DelayedServers {
  public:
-  DelayedServers(std::vector<const TcpListener*> listeners, int delay_ms, std::string body = "abc")
+  DelayedServers(std::vector<const TcpListener*> listeners, int delay_ms, const std::string& body = "abc")
+      : DelayedServers(std::move(listeners), delay_ms, std::vector<std::string>{body}) {}
+  /// Answers with each of the bodies in turn.
+  DelayedServers(std::vector<const TcpListener*> listeners, int delay_ms, std::vector<std::string> bodies)
       : listeners_(std::move(listeners)),
         delay_ms_(delay_ms),
-        body_(std::move(body)),
+        bodies_(std::move(bodies)),
         thread_([this] { Run(); }) {}
   DelayedServers(const DelayedServers&) = delete;
   DelayedServers& operator=(const DelayedServers&) = delete;
@@ -89,7 +92,8 @@
       const DueResponse answer = responses_.front();
       responses_.pop_front();
       if (answer.connection->is_closed) continue;
-      answer.connection->unsent += OkResponse(body_, "", answer.reference);
+      answer.connection->unsent +=
+          OkResponse(bodies_[responses_sent_++ % bodies_.size()], "", answer.reference);
     }
     for (Connection& connection : connections_) SendUnsent(connection);
   }
@@ -108,7 +112,8 @@
 
   std::vector<const TcpListener*> listeners_;
   int delay_ms_;
-  std::string body_;
+  std::vector<std::string> bodies_;
+  std::size_t responses_sent_ = 0;
   std::list<Connection> connections_;
   std::deque<DueResponse> responses_;
   std::atomic<bool> is_stopping_{false};
--- a/tests/net/memory_limit_test.cpp
+++ b/tests/net/memory_limit_test.cpp
@@ -182,6 +182,33 @@
   ExpectUnderMemoryLimit(*world.program);
 }
 
+// Guards against memory that is freed but stays with the process: the allocator kept what it had once had
+// from the system, so that loads one after the other added up.
+TEST(MemoryLimitTest, GivesMemoryBackWhenTheClientsHaveLeft) {
+  constexpr int kReaders = 200;
+  constexpr std::size_t kMaxBytesAfterwards = 24 << 20;
+  SmallWorld world;
+  world.AddCaches();
+  std::vector<std::string> bodies;
+  for (const std::size_t bytes : {200, 5'000, 9'000, 30'000, 60'000, 100'000, 180'000, 240'000})
+    bodies.emplace_back(bytes, 'x');
+  const DelayedServers servers(world.Servers(), 50, bodies);
+  const ReadPace pace{.bytes_per_s = 200'000, .receive_buffer_bytes = 65'536};
+  const std::int64_t until_ms = SteadyMs() + 4'000;
+  std::vector<std::unique_ptr<BusyClient>> clients;
+  for (int number = 1; number <= kReaders; ++number)
+    clients.push_back(std::make_unique<BusyClient>(world.port, number, 32, until_ms, pace));
+  for (const auto& client : clients) client->Join();
+  clients.clear();
+  ExpectUnderMemoryLimit(*world.program);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+#if !defined(__SANITIZE_ADDRESS__)
+  EXPECT_LE(world.Statistic("resident_bytes"), kMaxBytesAfterwards);
+#endif
+  EXPECT_EQ(world.Statistic("client_read_buffer_bytes"), 0u);
+  EXPECT_EQ(world.Statistic("client_write_queue_bytes"), 0u);
+}
+
 // Guards against responses passing the memory limit: those that wait for clients that read slowly, with what
 // their queues keep beside them, and those that servers have sent in the meantime.
 TEST(MemoryLimitTest, StaysUnderItsLimitWhileManyClientsReadSlowly) {
