Do not pause the gateway's intake during a shutdown

What callers could see: a request that was received whole, but waits because the open requests take their share of memory_mb, is ended without a response when a shutdown closes its connection.

Found by reading. A test with 12 clients of 1 MB each did not show it (it passed without the change too, since the decision module rejects most of them at once), so it was not kept: no test forces this.

Measured: nothing but that attempt.

--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -399,6 +399,8 @@
 }
 
 bool DownstreamConnections::IsIntakePaused() const {
+  // During a shutdown a request that was received must get a response before its connection ends.
+  if (IsDraining(net::Now())) return false;
   return pending_bytes_ > config_.limits.MemoryBytes() / kPendingRequestShare;
 }
 
