Close no gateway client for memory while the intake is paused

What callers could see: at the gateway an order that was received whole, but waits because the open requests take their share of memory_mb, is ended without a response once another client waits for memory and 0.6 s have passed.

Cause: partial_since is reset when the request is handled, so a request that waits for the intake looks incomplete.

Fix: nobody is closed for memory while the intake is paused; deadlines end the pause.

Measured: nothing.

--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -413,7 +413,8 @@
 }
 
 void DownstreamConnections::ShareRequestMemory(Micros now) {
-  if (request_budget_.HasWaiters()) {
+  // While the intake is paused, a request may have been received whole, which must get its response.
+  if (request_budget_.HasWaiters() && !IsIntakePaused()) {
     for (auto& [id, client] : clients_) CloseIfHoldingMemory(client, now);
   }
   if (request_budget_.TakeReleased()) {
