Log each write, stop and reassignment of a request that must not run twice

Cause of the change: the log could not say on which connection an attempt was written, whether the socket and the peer's system had taken it when it was stopped, nor why it was not sent. New at level debug, on the platform, for classes by key and once: attempt.written, attempt.stopped, attempt.reassigned, attempt.not_sent, with the number of the connection.

--- a/src/core/commands.hpp
+++ b/src/core/commands.hpp
@@ -14,6 +14,7 @@
 struct StartAttempt {
   SendAttempt action;
   std::uint32_t attempt = 0;  // counts from 0 per request
+  Effect effect = Effect::kNonIdempotent;
 };
 
 /// Cancel an attempt on the wire and drop any response data that still arrives for it.
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -80,6 +80,9 @@
   if (!added) return;
   Request& request = position->second;
   request.received = event;
+  // Without settings of its class, the strictest rules apply.
+  const ClassSettings* const settings = FindClass(settings_, event.class_id);
+  if (settings != nullptr) request.rules = *settings;
   request.max_attempts = settings_.max_attempts;
   const Micros time_left = std::max(AllowedTime(event) - options_.response_margin, Micros{0});
   request.deadline = now_ + time_left;
@@ -245,7 +248,7 @@
     return;
   }
   schedule_.AddAttemptTimeout(expires_at, action.id, number);
-  StartAttempt command{action, number};
+  StartAttempt command{.action = action, .attempt = number, .effect = request->rules.effect};
   command.action.expires_at = expires_at;
   out_->emplace_back(command);
 }
@@ -370,14 +373,13 @@
 // established: the Router checked the window at its decision, and the server would execute the request a
 // second time.
 bool RequestCoordinator::CanRetry(Micros now, const Request& request, std::uint32_t attempt) const {
-  const ClassSettings* const settings = FindClass(settings_, request.received.class_id);
-  if (settings == nullptr || settings->effect == Effect::kIdempotent) return true;
+  const ClassSettings& rules = request.rules;
+  if (rules.effect == Effect::kIdempotent) return true;
   const auto end = request.attempts.begin() + attempt;
   const auto first_executed = std::find_if(request.attempts.begin(), end,
                                            [](const Attempt& earlier) { return earlier.may_have_run; });
   if (first_executed == end) return true;
-  return settings->effect == Effect::kIdempotencyKey &&
-         now - first_executed->sent_at < settings->idempotency_window;
+  return rules.effect == Effect::kIdempotencyKey && now - first_executed->sent_at < rules.idempotency_window;
 }
 
 bool RequestCoordinator::IsPastDrain(Micros now, ServerId server) const {
@@ -392,13 +394,13 @@
 // Whether it is safe for the client to retry elsewhere: no attempt may have been executed, or a retry is not
 // executed again.
 bool RequestCoordinator::CanReject(const Request& request) const {
-  const ClassSettings* const settings = FindClass(settings_, request.received.class_id);
-  if (settings == nullptr || settings->effect == Effect::kIdempotent) return true;
+  const ClassSettings& rules = request.rules;
+  if (rules.effect == Effect::kIdempotent) return true;
   const bool may_have_run =
       std::any_of(request.attempts.begin(), request.attempts.end(),
                   [](const Attempt& attempt) { return attempt.is_outstanding || attempt.may_have_run; });
   if (!may_have_run) return true;
-  return settings->effect == Effect::kIdempotencyKey && settings->idempotency_scope == IdempotencyScope::kAll;
+  return rules.effect == Effect::kIdempotencyKey && rules.idempotency_scope == IdempotencyScope::kAll;
 }
 
 }  // namespace tinspan::core
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -74,6 +74,7 @@
   struct Request {
     RequestReceived received;
     Micros deadline{0};
+    ClassSettings rules;             // by the settings at its arrival
     std::uint32_t max_attempts = 0;  // by the settings at its arrival
     bool is_answered = false;
     std::optional<std::uint32_t> started_attempt;  // whose response is being forwarded
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -39,6 +39,55 @@
   return Micros{static_cast<std::int64_t>(rate_kb_per_s > 0 ? size_kb / rate_kb_per_s * 1e6 : 0)};
 }
 
+// The following lines are written only for requests that must not be executed twice, so that a log shows for
+// each of their attempts what was sent on which connection and what became of it.
+
+void LogWritten(const core::StartAttempt& command, const UpstreamPool::PooledConnection& pooled) {
+  if (command.effect == Effect::kIdempotent) return;
+  const auto request = static_cast<std::uint64_t>(command.action.id);
+  log::Debug(
+      "attempt.written",
+      {{"request", request},
+       {"attempt", command.attempt},
+       {"server", pooled.server},
+       {"connection", pooled.connection.id},
+       {"unsent", pooled.connection.Backlog()}},
+      "request {}: attempt {} written to server {} on connection {}, {} bytes not accepted by the socket",
+      request, command.attempt, pooled.server, pooled.connection.id, pooled.connection.Backlog());
+}
+
+void LogStopped(const core::StartAttempt& command, const UpstreamPool::PooledConnection& pooled,
+                bool is_written) {
+  if (command.effect == Effect::kIdempotent) return;
+  const auto request = static_cast<std::uint64_t>(command.action.id);
+  const std::size_t undelivered = pooled.connection.UndeliveredBytes();
+  log::Debug(
+      "attempt.stopped",
+      {{"request", request},
+       {"attempt", command.attempt},
+       {"connection", pooled.connection.id},
+       {"written", is_written},
+       {"undelivered", undelivered}},
+      "request {}: attempt {} stopped on connection {}, {}, {} bytes of the connection not acknowledged",
+      request, command.attempt, pooled.connection.id, is_written ? "written" : "not written", undelivered);
+}
+
+void LogReassigned(const core::StartAttempt& command, const UpstreamPool::PooledConnection& lost) {
+  if (command.effect == Effect::kIdempotent) return;
+  const auto request = static_cast<std::uint64_t>(command.action.id);
+  log::Debug("attempt.reassigned",
+             {{"request", request}, {"attempt", command.attempt}, {"connection", lost.connection.id}},
+             "request {}: attempt {} moves to another connection, connection {} was lost before it was sent",
+             request, command.attempt, lost.connection.id);
+}
+
+void LogNotSent(const core::StartAttempt& command) {
+  if (command.effect == Effect::kIdempotent) return;
+  const auto request = static_cast<std::uint64_t>(command.action.id);
+  log::Debug("attempt.not_sent", {{"request", request}, {"attempt", command.attempt}},
+             "request {}: attempt {} may no longer be sent", request, command.attempt);
+}
+
 }  // namespace
 
 UpstreamConnections::UpstreamConnections(net::EventLoop& loop, const config::Platform& config,
@@ -135,14 +184,17 @@
 void UpstreamConnections::WriteRequest(Micros now, PooledConnection& pooled, const std::string& reference,
                                        const core::StartAttempt& command) {
   const RequestId id = command.action.id;
-  if (!IsAtCurrentAddress(pooled) || !CanWrite(now, command))
+  if (!IsAtCurrentAddress(pooled) || !CanWrite(now, command)) {
+    LogNotSent(command);
     return CompleteAttempt(id, pooled, {.outcome = Outcome::kNotSent});
+  }
   const PendingRequest& request = *downstream_.Find(id);
   const bool is_fill = command.action.source != command.action.server;
   const std::string fill_source = is_fill ? addresses_.at(command.action.source).name : std::string();
   const std::string line = EncodeRequestLine(now, request, command, fill_source);
   const bool is_queued = pooled.connection.Write(line, request.body, "\r\n");
   pooled.state.exchanges[reference].request_end = pooled.connection.BytesQueued();
+  LogWritten(command, pooled);
   if (!is_queued) CloseConnection(pooled, "write queue full");  // the request was not sent completely
 }
 
@@ -174,6 +226,7 @@
   const auto attempt = in_flight_.find(command.id);
   if (attempt == in_flight_.end() || attempt->second.command.attempt != command.attempt) return;
   PooledConnection& pooled = *attempt->second.pooled;
+  const core::StartAttempt stopped = attempt->second.command;
   in_flight_.erase(attempt);
   auto& exchanges = pooled.state.exchanges;
   const auto exchange = std::find_if(exchanges.begin(), exchanges.end(), [&](const auto& entry) {
@@ -181,6 +234,7 @@
   });
   if (exchange == exchanges.end()) return;
   const bool is_written = exchange->second.IsWritten();
+  LogStopped(stopped, pooled, is_written);
   if (is_written) {
     pooled.connection.Write(EncodeStop(exchange->first));
     RetireRequestId(pooled, exchange->first);
@@ -266,6 +320,7 @@
   if (CanReassign(pooled, exchange)) {
     InFlightAttempt attempt = in_flight_.at(id);
     attempt.is_reassigned = true;
+    LogReassigned(attempt.command, pooled);
     pool_.Release(pooled, now);
     return Assign(now, *downstream_.Find(id), attempt);
   }
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -194,6 +194,7 @@
 
   PooledConnection& Connect(std::uint64_t server, const Endpoint& endpoint, Micros now) {
     PooledConnection& pooled = connections_.emplace_back(*this, server, endpoint);
+    pooled.connection.id = ++last_connection_id_;
     by_server_[server].push_back(&pooled);
     pooled.connect_timer_ =
         loop_.Timers().Set(now + options_.connect_timeout, [this, &pooled](Micros) { OnTimeout(pooled); });
@@ -237,6 +238,7 @@
   ConnectionPoolOptions options_;
   Callbacks& callbacks_;
   std::list<PooledConnection> connections_;
+  std::uint64_t last_connection_id_ = 0;
   std::unordered_map<std::uint64_t, std::vector<PooledConnection*>> by_server_;
 };
 
