Drop a request that is given up before its server has received it

Callers saw: an order answered 'later' or cancelled ran afterwards, beside or after the client's next try. Cause: giving an attempt up wrote STOP, and closing a connection left what the system still held to be delivered. With a server that does not read, the whole order and the STOP behind it arrive when it reads again, at any time later.

--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -18,6 +18,7 @@
   options.max_streams = 1;
   options.limits = {.max_read_bytes = 64 << 10,
                     .max_write_bytes = 2 << 20,
+                    .drop_undelivered_on_close = true,
                     .read_budget = &response_budget,
                     .unreserved_read_bytes = kUnreservedReadBytes,
                     .reserved_bytes_per_byte = 2};
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/attempt_outcome.hpp"
+#include "front/platform/delivery_detector.hpp"
 #include "front/platform/stall_detector.hpp"
 #include "log/log.hpp"
 
@@ -28,6 +29,7 @@
   options.max_connections = config.limits.ServerSockets();
   options.limits = {.max_read_bytes = kMaxReadBytes,
                     .max_write_bytes = std::min<std::size_t>(kMaxWriteBytes, config.limits.memory_mb << 17),
+                    .drop_undelivered_on_close = true,
                     .read_budget = &response_budget,
                     .unreserved_read_bytes = kUnreservedReadBytes,
                     .reserved_bytes_per_byte = 2};
@@ -243,12 +245,43 @@
     // listed twice and written twice.
     std::erase(pooled.state.waiting, exchange->first);
   }
+  const UpstreamExchange given_up = exchange->second;
   exchanges.erase(exchange);
   pool_.Release(pooled, now);
-  // A STOP that the socket has not taken, or the rest of the request itself, would reach the server after the
-  // next attempt has started on another connection, so that the request might run twice.
-  if (is_written && pooled.connection.Backlog() > 0)
-    CloseConnection(pooled, "STOP not accepted by the socket");
+  if (is_written) DropUndelivered(now, pooled, given_up);
+}
+
+// Closes the connection if the server may yet receive the whole request that was given up, and run it beside
+// or long after the next attempt: a STOP is no help there, since it arrives behind the request.
+void UpstreamConnections::DropUndelivered(Micros now, PooledConnection& pooled,
+                                          const UpstreamExchange& given_up) {
+  if (pooled.connection.Backlog() > 0) return CloseConnection(pooled, "STOP not accepted by the socket");
+  if (pooled.connection.IsClosed() || IsDelivered(pooled, given_up)) return;
+  if (pooled.connection.UnsentBytes() > 0)
+    return CloseConnection(pooled, "request not delivered when it was given up");
+  const Micros due_at = now + kMaxAcknowledgementDelay;
+  const std::uint64_t delivered = pooled.connection.BytesDelivered();
+  std::erase_if(pooled.state.given_up,
+                [delivered](const AwaitedDelivery& awaited) { return delivered >= awaited.end; });
+  pooled.state.given_up.push_back({given_up.request_end, due_at});
+  ScheduleDeliveryCheck(due_at);
+}
+
+void UpstreamConnections::ScheduleDeliveryCheck(Micros due_at) {
+  if (next_delivery_check_at_ && *next_delivery_check_at_ <= due_at) return;
+  next_delivery_check_at_ = due_at;
+  loop_.Timers().Set(due_at, [](Micros) {});  // EndRound then checks
+}
+
+void UpstreamConnections::CloseOverdueConnections(Micros now) {
+  if (!next_delivery_check_at_ || now < *next_delivery_check_at_) return;
+  next_delivery_check_at_.reset();
+  for (PooledConnection& pooled : pool_.Connections()) {
+    const auto reason = FindOverdueDelivery(now, pooled);
+    if (reason) CloseConnection(pooled, *reason);
+    const auto deadline = NextDeliveryDeadline(pooled);
+    if (deadline) ScheduleDeliveryCheck(*deadline);
+  }
 }
 
 void UpstreamConnections::RetireRequestId(PooledConnection& pooled, const std::string& reference) {
@@ -286,11 +319,7 @@
   for (const auto& [reference, exchange] : pooled.state.exchanges) {
     if (exchange.IsWritten()) pooled.connection.Write(EncodeStop(reference));
   }
-  if (pooled.connection.Backlog() > 0) {
-    pooled.connection.Abort();
-  } else {
-    pooled.connection.Close();
-  }
+  pooled.connection.Close();
   pooled.is_retired = true;
   OnConnectionLost(pooled);
 }
@@ -441,6 +470,7 @@
   if (response_budget_.TakeReleased()) {
     for (PooledConnection& pooled : pool_.Connections()) pooled.connection.RetryRead();
   }
+  CloseOverdueConnections(now);
   if (!in_flight_.empty()) CloseStalledConnections(now);
   WriteDueRequests(now);
   pool_.Sweep(now);
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -108,6 +108,9 @@
   void ReassignOrComplete(Micros now, PooledConnection& pooled, const UpstreamExchange& exchange);
   bool CanReassign(const PooledConnection& pooled, const UpstreamExchange& exchange) const;
   void CloseStalledConnections(Micros now);
+  void DropUndelivered(Micros now, PooledConnection& pooled, const UpstreamExchange& given_up);
+  void CloseOverdueConnections(Micros now);
+  void ScheduleDeliveryCheck(Micros due_at);
   FrameResult HandleFrame(PooledConnection& pooled, const ResponseFrame& frame);
   void HandleResponse(PooledConnection& pooled, const std::string& reference, const Response& response,
                       std::string_view body);
@@ -125,6 +128,7 @@
   net::EventLoop& loop_;
   net::ResponseTimeoutEstimator response_timeout_;
   std::optional<Micros> next_stall_check_at_;
+  std::optional<Micros> next_delivery_check_at_;
   std::vector<DueRequest> due_requests_;
   front::UpstreamFailureLog failure_log_;
   UpstreamPool pool_;
--- a/src/front/platform/upstream_exchange.hpp
+++ b/src/front/platform/upstream_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -20,6 +21,8 @@
   std::uint64_t request_end = 0;  // BytesQueued() after the request was written; 0 before that
   Micros started_at{0};
   Micros transfer_time{0};  // time allowed for transferring the bytes of the response
+  // The request must be delivered by then or not at all; empty: at any time.
+  std::optional<Micros> deliver_by{};
 
   /// Whether the request has been passed to Connection::Write.
   bool IsWritten() const { return request_end > 0; }
@@ -45,11 +48,18 @@
   std::unordered_set<std::string> references_;
 };
 
+/// A position in the bytes of a connection up to which the peer's system must have them by a time.
+struct AwaitedDelivery {
+  std::uint64_t end = 0;
+  Micros due_at{0};
+};
+
 /// The state that UpstreamConnections attaches to a pooled connection.
 struct UpstreamConnectionState {
   std::unordered_map<std::string, UpstreamExchange> exchanges;  // by reference
   RetiredRequestIds retired_request_ids;
   bool was_open = false;
+  std::vector<AwaitedDelivery> given_up;  // requests that were given up before they were delivered
   // References of requests to write once the connection is open or its write queue is empty, in order.
   std::vector<std::string> waiting;
   std::size_t bytes_handled = 0;  // prefix of Unread() that was handled; consumed at the end of the round
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -363,6 +363,11 @@
   return Backlog() + (state_ == State::kOpen ? SocketQueueBytes(fd_.Get(), SIOCOUTQ) : 0);
 }
 
+std::uint64_t Connection::BytesDelivered() const {
+  const std::uint64_t undelivered = UndeliveredBytes();
+  return bytes_queued_ > undelivered ? bytes_queued_ - undelivered : 0;
+}
+
 std::size_t Connection::UnsentBytes() const {
   return Backlog() + (state_ == State::kOpen ? SocketQueueBytes(fd_.Get(), SIOCOUTQNSD) : 0);
 }
@@ -375,6 +380,7 @@
 
 void Connection::Close() {
   if (state_ == State::kClosed) return;
+  if (limits_.drop_undelivered_on_close && UndeliveredBytes() > 0) ResetOnClose();
   state_ = State::kClosed;
   if (retry_timer_) loop_.Timers().Cancel(*retry_timer_);
   retry_timer_.reset();
@@ -392,10 +398,10 @@
   return count > 0 || (count < 0 && IsTransientLocalError(errno));
 }
 
-void Connection::Abort() {
+// Makes the system send RST when the socket is closed, and drop what it has not delivered.
+void Connection::ResetOnClose() {
   const linger no_wait{1, 0};
   if (fd_) ::setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
-  Close();
 }
 
 void Connection::ShutdownWhenDrained() {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -42,6 +42,9 @@
     /// Whether the connection is closed as soon as the peer shuts down its sending side. Unread bytes are
     /// dropped, since the peer does not wait for a response any more. Otherwise they are read first.
     bool close_on_peer_shutdown = false;
+    /// Whether a close drops what the peer's system has not acknowledged, by a reset. Otherwise the system
+    /// goes on delivering it after the close.
+    bool drop_undelivered_on_close = false;
     /// The budget for a read buffer of more than `unreserved_read_bytes`; null: not bounded together with
     /// other connections. Once half of the budget is used, a larger buffer is made only for a message whose
     /// size is known (ExpectMessage), and for the whole message at once, so that connections with a part of a
@@ -109,14 +112,14 @@
   /// end of our side counts as one byte. Bytes that the socket has accepted are lost if it is closed before
   /// they are acknowledged and the peer writes again.
   std::size_t UndeliveredBytes() const;
+  /// Total bytes that the peer's system has acknowledged. The peer may not have read them yet.
+  std::uint64_t BytesDelivered() const;
   /// The part of UndeliveredBytes() that was not transmitted yet. It stays above 0 while the peer reads more
   /// slowly than we write.
   std::size_t UnsentBytes() const;
 
   /// Closes immediately, without calling the owner.
   void Close();
-  /// Closes with a reset (RST): bytes in the kernel's send buffer are dropped.
-  void Abort();
   /// See Limits::close_on_peer_shutdown.
   void SetCloseOnPeerShutdown(bool enabled) { limits_.close_on_peer_shutdown = enabled; }
   /// Shuts down the sending side once the write queue is empty, then lingers: input is discarded until the
@@ -163,6 +166,7 @@
   bool SendWriteQueue();
   void Fail();
   void Linger();
+  void ResetOnClose();
 
   EventLoop& loop_;
   Owner& owner_;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -439,6 +439,23 @@
   }
 }
 
+// Guards against an order that runs after its client had its final response: the server does not read, the
+// system still holds the rest of the order, and delivers it once the server reads again.
+TEST(HttpTest, RecallsAnUndeliveredOrderAtItsDeadline) {
+  World world;
+  world.SendList("shop-cache", 8, "", "");  // without a cache the order is sent to the origin
+  const int buffer_size = 4096;
+  ASSERT_EQ(::setsockopt(world.origin.Descriptor(), SOL_SOCKET, SO_RCVBUF, &buffer_size, sizeof buffer_size),
+            0);
+  const std::string body(12'000, 'w');
+  TcpPeer client = world.Client();
+  client.Send(EncodeOrder("Idempotency-Key: recalled\r\n", body));
+  TcpPeer server = world.origin.Accept();
+  ASSERT_GE(ReadResponse(client).status, 500);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(server.ReadFor(500).find(body), std::string::npos);
+}
+
 // Each response or failure of a server leads to a certain status for the client.
 TEST(HttpTest, MapsUpstreamFailuresToStatuses) {
   const auto response_after = [](const std::function<void(TcpPeer&)>& act) {
