Count the window of an idempotency key over all tries of a client

Callers saw: an order ran twice. Cause: the window was counted from the first attempt of a request, and each try of a client is a request of its own. Change: the core remembers when each operation (idempotency key, or else the request's id) may first have run (ExecutionLedger, 16,384 at most), and the module's rule on attempts, the check before the write and 'later' ask it. A first try at another instance is not known; for the program's own repeats it is assumed as early as the time that the class gives to all tries allows.

--- a/include/tinspan/router.hpp
+++ b/include/tinspan/router.hpp
@@ -160,6 +160,9 @@
   std::uint32_t part = 0;
   double size_kb = 0;     // 0: unknown
   bool is_retry = false;  // marked as a retry by the client
+  // Of the client's earlier tries of the same request, if they are known:
+  std::optional<Micros> executed_ago{};  // how long ago one may first have been executed
+  std::optional<Micros> begun_ago{};     // how long ago the first may have been sent, at the most
 };
 
 // A streamed response has started. The request is no longer retried, nor cancelled for being late.
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -11,6 +13,15 @@
 
 namespace tinspan::core {
 
+/// Identifies what all tries of one request by its client have in common; see MakeOperationId.
+enum class OperationId : std::uint64_t {};
+
+/// Makes the id from an idempotency key, or from the id of a request that has none. Different texts have, but
+/// for a negligible chance, different ids.
+inline OperationId MakeOperationId(std::string_view text) {
+  return OperationId{std::hash<std::string_view>{}(text)};
+}
+
 /// A complete request was received.
 struct RequestReceived {
   RequestId id{};       // from RequestCoordinator::NextRequestId
@@ -19,8 +30,9 @@
   GroupId group{};
   ObjectId object{};
   std::uint32_t part = 0;
-  double size_kb = 0;     // 0: unknown
-  bool is_retry = false;  // the client marked it as a retry
+  double size_kb = 0;       // 0: unknown
+  bool is_retry = false;    // the client marked it as a retry
+  OperationId operation{};  // the same for all tries of one request; 0: unknown
 };
 
 /// The client disconnected or cancelled the request: it needs no response any more.
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -69,23 +69,13 @@
 // ---- Events. ----
 
 void RequestCoordinator::On(const RequestReceived& event) {
-  if (RejectsNewRequests()) {
-    out_->emplace_back(CompleteRequest{.id = event.id,
-                                       .status = CompletionStatus::kRejected,
-                                       .reason = CompletionReason::kDraining,
-                                       .retry_after = RetryAfter()});
-    return;
-  }
-  const auto [position, added] = requests_.try_emplace(event.id);
-  if (!added) return;
-  Request& request = position->second;
-  request.received = event;
-  // Without settings of its class, the strictest rules apply.
-  const ClassSettings* const settings = FindClass(settings_, event.class_id);
-  if (settings != nullptr) request.rules = *settings;
-  request.max_attempts = settings_.max_attempts;
+  Request request = MakeRequest(event);
+  if (RejectsNewRequests()) return CompleteUnstarted(request);
   const Micros time_left = std::max(AllowedTime(event) - options_.response_margin, Micros{0});
   request.deadline = now_ + time_left;
+  const std::optional<Micros> executed_before_at = request.executed_before_at;
+  const Micros begun_at = request.begun_at;
+  if (!requests_.try_emplace(event.id, std::move(request)).second) return;
   ++open_requests_;
   schedule_.AddRequestDeadline(request.deadline, event.id);
   NotifyRouter(RequestEvent{.id = event.id,
@@ -95,10 +85,41 @@
                             .object = event.object,
                             .part = event.part,
                             .size_kb = event.size_kb,
-                            .is_retry = event.is_retry});
+                            .is_retry = event.is_retry,
+                            .executed_ago = AgeOf(executed_before_at),
+                            .begun_ago = AgeOf(begun_at)});
   EraseIfDone(event.id);
 }
 
+RequestCoordinator::Request RequestCoordinator::MakeRequest(const RequestReceived& event) const {
+  Request request;
+  request.received = event;
+  // Without settings of its class, the strictest rules apply.
+  const ClassSettings* const settings = FindClass(settings_, event.class_id);
+  if (settings != nullptr) request.rules = *settings;
+  request.max_attempts = settings_.max_attempts;
+  if (request.rules.effect != Effect::kIdempotent) {
+    request.executed_before_at = executions_.FirstExecutedAt(event.operation, now_);
+  }
+  // The deadline of a class covers all tries of a client together.
+  request.begun_at = now_ - std::max(request.rules.deadline - event.time_left, Micros{0});
+  return request;
+}
+
+// Answers a request that arrives too late in a drain to be started.
+void RequestCoordinator::CompleteUnstarted(const Request& request) {
+  CompleteRequest answer{.id = request.received.id, .reason = CompletionReason::kDraining};
+  if (CanReject(request)) {
+    answer.status = CompletionStatus::kRejected;
+    answer.retry_after = RetryAfter();
+  }
+  out_->emplace_back(answer);
+}
+
+std::optional<Micros> RequestCoordinator::AgeOf(std::optional<Micros> time) const {
+  return time ? std::optional(now_ - *time) : std::nullopt;
+}
+
 Micros RequestCoordinator::AllowedTime(const RequestReceived& event) const {
   const ClassSettings* const settings = FindClass(settings_, event.class_id);
   Micros allowed = event.time_left;
@@ -214,6 +235,7 @@
   next_sweep_at_ = now_ + options_.sweep_interval;
   purges_.Prune(now_, kPurgeRetentionMultiple * settings_.purge_retention);
   endpoints_.PruneRemoved(now_);
+  executions_.Prune(now_);
 }
 
 // ---- Actions of the Router. ----
@@ -248,6 +270,7 @@
     return;
   }
   schedule_.AddAttemptTimeout(expires_at, action.id, number);
+  RecordExecution(action.id, *request, number);
   StartAttempt command{.action = action, .attempt = number, .effect = request->rules.effect};
   command.action.expires_at = expires_at;
   out_->emplace_back(command);
@@ -317,6 +340,11 @@
   if (!completed.is_outstanding) return;
   completed.is_outstanding = false;
   completed.may_have_run = ExecutionAfter(result.outcome) != Execution::kNeverRan;
+  if (completed.may_have_run) {
+    RecordExecution(id, request, attempt);
+  } else {
+    executions_.Forget(request.received.operation, {id, attempt});
+  }
   const bool was_started = request.started_attempt == attempt;
   // Never serve a copy older than a purge that the attempt had to respect, even if the server does.
   if (result.outcome == Outcome::kServed && !was_started && result.issued_at &&
@@ -346,6 +374,16 @@
   if (!found->second.HasOutstandingAttempt()) requests_.erase(found);
 }
 
+// Remembers that the attempt may execute the request. All tries of a client end within the deadline of the
+// class after the first one, and later ones must still find it after the window has lapsed.
+void RequestCoordinator::RecordExecution(RequestId id, const Request& request, std::uint32_t attempt) {
+  const ClassSettings& rules = request.rules;
+  if (rules.effect == Effect::kIdempotent) return;
+  const Micros sent_at = request.attempts[attempt].sent_at;
+  const Micros expires_at = sent_at + rules.deadline + rules.idempotency_window;
+  executions_.Record(request.received.operation, {id, attempt}, sent_at, expires_at);
+}
+
 // ---- Checks before sending. ----
 
 bool RequestCoordinator::CanStart(const Request& request, const SendAttempt& action,
@@ -363,23 +401,28 @@
   const Attempt& waiting = request.attempts[attempt];
   if (!waiting.is_outstanding) return false;
   if (IsPastDrain(now, waiting.server) || IsPastDrain(now, waiting.source)) return false;
-  if (!CanRetry(now, request, attempt)) return false;
+  const std::optional<Micros> send_limit = SendLimit(request, attempt);
+  if (send_limit && now >= *send_limit) return false;
   return !purges_.IsOutdated(request.received.group, request.received.object, waiting.sent_at, now,
                              settings_.purge_window);
 }
 
-// Whether the class allows this attempt at the time of writing, given that an earlier attempt may have been
-// executed. Guards against an idempotency key that expires while the connection for a retry is being
-// established: the Router checked the window at its decision, and the server would execute the request a
-// second time.
-bool RequestCoordinator::CanRetry(Micros now, const Request& request, std::uint32_t attempt) const {
+// Until when the class allows this attempt to be sent, given that an earlier attempt or an earlier try of the
+// client may have been executed; empty: at any time, and the past: never. Guards against an idempotency key
+// that expires between the Router's decision and the write, or the arrival at the server, which would execute
+// the request a second time.
+std::optional<Micros> RequestCoordinator::SendLimit(const Request& request, std::uint32_t attempt) {
   const ClassSettings& rules = request.rules;
-  if (rules.effect == Effect::kIdempotent) return true;
+  if (rules.effect == Effect::kIdempotent) return std::nullopt;
   const auto end = request.attempts.begin() + attempt;
   const auto first_executed = std::find_if(request.attempts.begin(), end,
                                            [](const Attempt& earlier) { return earlier.may_have_run; });
-  if (first_executed == end) return true;
-  return rules.effect == Effect::kIdempotencyKey && now - first_executed->sent_at < rules.idempotency_window;
+  const bool is_repeat = first_executed != end;
+  if (!is_repeat && !request.executed_before_at) return std::nullopt;
+  if (rules.effect == Effect::kNonIdempotent) return Micros::min();
+  Micros executed_at = request.executed_before_at.value_or(Micros::max());
+  if (is_repeat) executed_at = std::min({executed_at, first_executed->sent_at, request.begun_at});
+  return executed_at + rules.idempotency_window;
 }
 
 bool RequestCoordinator::IsPastDrain(Micros now, ServerId server) const {
@@ -393,10 +436,11 @@
 
 // Whether it is safe for the client to retry elsewhere: no attempt may have been executed, or a retry is not
 // executed again.
-bool RequestCoordinator::CanReject(const Request& request) const {
+bool RequestCoordinator::CanReject(const Request& request) {
   const ClassSettings& rules = request.rules;
   if (rules.effect == Effect::kIdempotent) return true;
   const bool may_have_run =
+      request.executed_before_at ||
       std::any_of(request.attempts.begin(), request.attempts.end(),
                   [](const Attempt& attempt) { return attempt.is_outstanding || attempt.may_have_run; });
   if (!may_have_run) return true;
--- a/src/core/request_coordinator.hpp
+++ b/src/core/request_coordinator.hpp
@@ -12,6 +12,7 @@
 #include "core/drain.hpp"
 #include "core/endpoint_states.hpp"
 #include "core/events.hpp"
+#include "core/execution_ledger.hpp"
 #include "core/purge_log.hpp"
 #include "core/schedule.hpp"
 #include "tinspan/router.hpp"
@@ -62,6 +63,8 @@
   std::size_t OpenRequests() const { return open_requests_; }
   /// The number of timed tasks, those of requests that have ended included.
   std::size_t ScheduledTasks() const { return schedule_.Size(); }
+  /// The number of requests whose possible execution is remembered for later tries.
+  std::size_t RememberedExecutions() const { return executions_.Size(); }
 
  private:
   struct Attempt {
@@ -74,8 +77,10 @@
   struct Request {
     RequestReceived received;
     Micros deadline{0};
-    ClassSettings rules;             // by the settings at its arrival
-    std::uint32_t max_attempts = 0;  // by the settings at its arrival
+    ClassSettings rules;                       // by the settings at its arrival
+    std::optional<Micros> executed_before_at;  // when an earlier try of the client may have been executed
+    Micros begun_at{0};                        // when the client may have sent its first try, at the earliest
+    std::uint32_t max_attempts = 0;            // by the settings at its arrival
     bool is_answered = false;
     std::optional<std::uint32_t> started_attempt;  // whose response is being forwarded
     std::vector<Attempt> attempts;
@@ -111,17 +116,21 @@
 
   // Request state.
   Request* Find(RequestId id);
+  Request MakeRequest(const RequestReceived& event) const;
+  void CompleteUnstarted(const Request& request);
+  std::optional<Micros> AgeOf(std::optional<Micros> time) const;
   Micros AllowedTime(const RequestReceived& event) const;
   void Complete(Request& request, CompleteRequest answer);
   void CompleteWithoutRouter(RequestId id, Request& request, CompletionReason reason);
   void CompleteAttempt(RequestId id, Request& request, std::uint32_t attempt, AttemptCompleted result);
   void EraseIfDone(RequestId id);
+  void RecordExecution(RequestId id, const Request& request, std::uint32_t attempt);
 
   // Checks before sending.
   bool CanStart(const Request& request, const SendAttempt& action, Micros expires_at) const;
   bool IsPastDrain(Micros now, ServerId server) const;
-  bool CanRetry(Micros now, const Request& request, std::uint32_t attempt) const;
-  bool CanReject(const Request& request) const;
+  static std::optional<Micros> SendLimit(const Request& request, std::uint32_t attempt);
+  static bool CanReject(const Request& request);
   bool IsPurged(const Request& request, const Attempt& attempt, Micros issued_at) const;
   bool RejectsNewRequests() const { return drain_ && now_ >= drain_->reject_from; }
   Micros RetryAfter() const { return settings_.has_retry_after ? settings_.max_retry_after : Micros{0}; }
@@ -137,6 +146,7 @@
   std::unordered_map<RequestId, Request> requests_;
   EndpointStates endpoints_;
   PurgeLog purges_;
+  ExecutionLedger executions_;
   Micros next_sweep_at_{0};
   Schedule schedule_;
   std::vector<AttemptCompleted> deferred_results_;  // reported to the Router after the current actions
--- a/src/front/http/downstream_connections.cpp
+++ b/src/front/http/downstream_connections.cpp
@@ -288,6 +288,7 @@
   received.class_id = ClassId{static_cast<std::uint32_t>(class_index)};
   received.object = ObjectIdOf(request.uri);
   const std::string_view path_rest = std::string_view(target->path).substr(route->prefix.size());
+  if (!key.empty()) received.operation = core::MakeOperationId(request.uri + " " + std::string(key));
   received.group = GroupIdOf(path_rest.substr(0, path_rest.find('/')));
   client.open_request = received.id;
   idle_connections_.MarkActive(client.connection->id);  // at once: a newcomer of this round must not evict it
--- a/src/front/platform/client_protocol.cpp
+++ b/src/front/platform/client_protocol.cpp
@@ -127,6 +127,9 @@
   if (const auto error = ReadFields(message.elements[3], call)) return tl::unexpected(*error);
   if (!IsId(call.request.reference)) return tl::unexpected(CallError::kInvalidReference);
   if (HasForbiddenCharacter(call.request)) return tl::unexpected(CallError::kForbiddenCharacter);
+  const bool has_key = !call.request.idempotency_key.empty();
+  call.received.operation =
+      core::MakeOperationId(has_key ? call.request.idempotency_key : call.request.reference);
   if (!call.request.object.empty()) {
     if (!IsId(call.request.object)) return tl::unexpected(CallError::kInvalidObject);
     call.received.object = ObjectId{*ReadNumber<std::uint64_t>(call.request.object, kHexadecimal)};
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -97,6 +97,7 @@
   add("clients", "gauge", downstream_.ConnectionCount());
   add("request_buffer_bytes", "gauge", downstream_.PartialMessageBytes());
   add("scheduled_tasks", "gauge", coordinator_.ScheduledTasks());
+  add("remembered_executions", "gauge", coordinator_.RememberedExecutions());
   add("response_buffer_bytes", "gauge", response_budget_.UsedBytes());
   front::AddMemoryStatistics(downstream_.BufferSizes(), upstream_.BufferSizes(), figures);
   const ClientCloseCounts& ends = downstream_.CloseCounts();
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -144,7 +144,10 @@
   attempt.pooled = &pooled;
   const Micros transfer_time =
       2 * TransferTime(request.size_kb, config_.site.settings.transfer_rate_kb_per_s);
-  pooled.state.exchanges[reference] = {id, attempt.command.attempt, 0, now, transfer_time};
+  pooled.state.exchanges[reference] = {.request_id = id,
+                                       .attempt = attempt.command.attempt,
+                                       .started_at = now,
+                                       .transfer_time = transfer_time};
   in_flight_[id] = attempt;
   if (pooled.connection.IsOpen()) {
     due_requests_.push_back({&pooled, reference, false});
--- a/src/routing/open_requests.cpp
+++ b/src/routing/open_requests.cpp
@@ -12,6 +12,8 @@
   request.event = event;
   request.traffic_class = settings.classes[ToNumber(event.class_id)];
   request.max_attempts = settings.max_attempts;
+  if (event.executed_ago) request.executed_before_at = context_.now - *event.executed_ago;
+  if (event.begun_ago) request.begun_at = context_.now - *event.begun_ago;
   request.deadline = context_.now + std::max(event.time_left, Micros{0}) - settings.event_interval;
   return request;
 }
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -46,6 +46,8 @@
   bool was_served = false;  // by the last attempt that ended
   bool has_sibling_failed = false;
   std::optional<std::size_t> first_executed;  // index of the first attempt that may have been executed
+  std::optional<Micros> executed_before_at;   // when an earlier try of the client may have been executed
+  std::optional<Micros> begun_at;             // when the client may have sent its first try, at the earliest
 
   std::size_t InFlightCount() const {
     return static_cast<std::size_t>(std::count_if(
--- a/src/routing/retry_policy.hpp
+++ b/src/routing/retry_policy.hpp
@@ -1,6 +1,8 @@
 // Decides whether a request may have an attempt or a retry.
 #pragma once
 
+#include <optional>
+
 #include "routing/context.hpp"
 #include "routing/request.hpp"
 #include "routing/server_table.hpp"
@@ -37,6 +39,10 @@
   static bool IsRequestAtFault(const Request& request);
 
  private:
+  // When the request may first have been executed, by this try or an earlier one of the client; empty: it was
+  // not. For a repeat, a first try at another instance is assumed as early as it can have been: its client
+  // decides on the first attempt of a try, and does so within the window.
+  static std::optional<Micros> FirstExecutedAt(const Request& request);
   // Whether the effect of the request permits an attempt at the server, given what may have been executed.
   bool IsAttemptSafe(const Request& request, ServerIndex server) const;
 
