Let no repeat arrive after the window of its idempotency key

Callers saw: a repeat written within the window reached its server after it and ran a second time. Cause: the window was asked when the write began, with the time at which the round had begun. What the system holds for a server that does not read goes out whenever it reads again. Change: an attempt carries the time by which it must be delivered; at that time its connection is reset if the peer's system has not acknowledged it. Both fronts read the clock right before the write.

--- a/src/core/commands.hpp
+++ b/src/core/commands.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,6 +16,8 @@
   SendAttempt action;
   std::uint32_t attempt = 0;  // counts from 0 per request
   Effect effect = Effect::kNonIdempotent;
+  /// The request must have reached the server by then, or not at all; empty: at any time.
+  std::optional<Micros> deliver_by{};
 };
 
 /// Cancel an attempt on the wire and drop any response data that still arrives for it.
--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -271,7 +271,10 @@
   }
   schedule_.AddAttemptTimeout(expires_at, action.id, number);
   RecordExecution(action.id, *request, number);
-  StartAttempt command{.action = action, .attempt = number, .effect = request->rules.effect};
+  StartAttempt command{.action = action,
+                       .attempt = number,
+                       .effect = request->rules.effect,
+                       .deliver_by = SendLimit(*request, number)};
   command.action.expires_at = expires_at;
   out_->emplace_back(command);
 }
--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -59,6 +59,7 @@
       signer_(signer),
       events_(events),
       response_budget_(response_budget),
+      loop_(loop),
       pool_(loop, PoolOptions(config, response_budget), *this) {}
 
 void UpstreamConnections::Execute(Micros now, const core::StartAttempt& command) {
@@ -79,7 +80,7 @@
   pooled.state.is_in_use = true;
   in_flight_[command.action.id] = InFlightAttempt{&pooled, command};
   if (pooled.connection.IsOpen()) {
-    SendRequest(now, pooled, command);
+    SendRequest(pooled, command);
   } else {
     pooled.state.awaits_connect = true;
   }
@@ -92,8 +93,8 @@
   return address != addresses_.end() && address->second.endpoint == pooled.endpoint;
 }
 
-void UpstreamConnections::SendRequest(Micros now, PooledConnection& pooled,
-                                      const core::StartAttempt& command) {
+void UpstreamConnections::SendRequest(PooledConnection& pooled, const core::StartAttempt& command) {
+  const Micros now = net::Now();  // not the beginning of the round: the process may have been suspended since
   pooled.state.awaits_connect = false;
   const PendingRequest* const request = downstream_.Find(command.action.id);
   const SendAttempt& action = command.action;
@@ -133,6 +134,8 @@
   if (request->method == "POST") out += "Content-Length: " + std::to_string(request->body.size()) + "\r\n";
   const bool is_queued = pooled.connection.Write(out, "\r\n", request->body);
   pooled.state.request_end = pooled.connection.BytesQueued();
+  pooled.state.deliver_by = command.deliver_by;
+  if (command.deliver_by) loop_.Timers().Set(*command.deliver_by, [](Micros) {});  // EndRound then checks
   if (!is_queued) FailExchange(pooled, Outcome::kConnectFailed);
 }
 
@@ -140,7 +143,7 @@
   const auto found = pooled.state.is_in_use ? in_flight_.find(pooled.state.request_id) : in_flight_.end();
   if (!pooled.state.awaits_connect || found == in_flight_.end()) return;
   const core::StartAttempt command = found->second.command;
-  SendRequest(net::Now(), pooled, command);
+  SendRequest(pooled, command);
   if (pooled.state.request_end > 0)
     events_.emplace_back(core::AttemptSent{command.action.id, command.attempt});
 }
@@ -315,6 +318,17 @@
   return true;
 }
 
+void UpstreamConnections::CloseIfOverdue(Micros now, PooledConnection& pooled) {
+  const UpstreamConnectionState& state = pooled.state;
+  if (!state.is_in_use || state.request_end == 0 || !state.deliver_by || now < *state.deliver_by) return;
+  if (pooled.connection.IsClosed() || pooled.connection.BytesDelivered() >= state.request_end) return;
+  log::Warn("server.connection_closed", {{"server", pooled.server}},
+            "server {} at {}: repeat not delivered within its window, connection closed", pooled.server,
+            pooled.endpoint.Text());
+  pooled.connection.Close();
+  OnConnectionLost(pooled);
+}
+
 front::BufferSizes UpstreamConnections::BufferSizes() const {
   front::BufferSizes sizes;
   for (const PooledConnection& pooled : pool_.Connections()) sizes.Add(pooled.connection);
@@ -326,6 +340,7 @@
   for (PooledConnection& pooled : pool_.Connections()) {
     UpstreamConnectionState& state = pooled.state;
     if (has_memory) pooled.connection.RetryRead();
+    CloseIfOverdue(now, pooled);
     if (state.is_read_paused) {
       const auto backlog = downstream_.Backlog(state.request_id);
       if (backlog && *backlog < downstream_.MaxBacklogBytes() / 2) {
--- a/src/front/http/upstream_connections.hpp
+++ b/src/front/http/upstream_connections.hpp
@@ -37,7 +37,9 @@
   bool is_read_paused = false;     // because the client reads slowly
   core::SentRequest sent;          // what was sent, as far as the outcome depends on it
   std::uint64_t request_end = 0;   // Connection::BytesQueued after the request; 0: not written yet
-  std::string response_head;       // of the response, as forwarded to the client
+  // The request must be delivered by then or not at all; empty: at any time.
+  std::optional<Micros> deliver_by;
+  std::string response_head;  // of the response, as forwarded to the client
   FillNote fill_note = FillNote::kNone;
   BodyReader body;
 };
@@ -91,7 +93,7 @@
     core::StartAttempt command;
   };
   bool IsAtCurrentAddress(const PooledConnection& pooled) const;
-  void SendRequest(Micros now, PooledConnection& pooled, const core::StartAttempt& command);
+  void SendRequest(PooledConnection& pooled, const core::StartAttempt& command);
   // Reads and forwards or drops what was received.
   void ProcessInput(PooledConnection& pooled);
   // Returns false if the head is incomplete or the exchange has failed.
@@ -101,6 +103,8 @@
   void CompleteAttempt(PooledConnection& pooled, core::AttemptCompleted completed);
   // Ends the exchange on the connection, which is closed unless it can be reused.
   void ReleaseConnection(PooledConnection& pooled);
+  // Closes the connection if its request should have been delivered by now.
+  void CloseIfOverdue(Micros now, PooledConnection& pooled);
   // Completes the attempt with a failure and closes the connection.
   void FailExchange(PooledConnection& pooled, Outcome outcome);
 
@@ -110,6 +114,7 @@
   const Signer& signer_;
   std::vector<core::Event>& events_;
   net::MemoryBudget& response_budget_;
+  net::EventLoop& loop_;
   std::unordered_map<ServerId, ServerAddress> addresses_;
   std::unordered_map<RequestId, InFlightAttempt> in_flight_;
   front::UpstreamFailureLog failure_log_;
--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -147,7 +147,8 @@
   pooled.state.exchanges[reference] = {.request_id = id,
                                        .attempt = attempt.command.attempt,
                                        .started_at = now,
-                                       .transfer_time = transfer_time};
+                                       .transfer_time = transfer_time,
+                                       .deliver_by = attempt.command.deliver_by};
   in_flight_[id] = attempt;
   if (pooled.connection.IsOpen()) {
     due_requests_.push_back({&pooled, reference, false});
@@ -156,18 +157,18 @@
   }
 }
 
-void UpstreamConnections::WriteDueRequests(Micros now) {
+void UpstreamConnections::WriteDueRequests() {
   // Writing may close a connection, and its requests may then be reassigned and appended to this list.
   std::size_t next = 0;
   while (next < due_requests_.size()) {
     const DueRequest due = due_requests_[next];
-    WriteDueRequest(now, due);
+    WriteDueRequest(due);
     ++next;
   }
   due_requests_.clear();
 }
 
-void UpstreamConnections::WriteDueRequest(Micros now, const DueRequest& due) {
+void UpstreamConnections::WriteDueRequest(const DueRequest& due) {
   const auto exchange = due.pooled->state.exchanges.find(due.reference);
   if (exchange == due.pooled->state.exchanges.end()) return;  // cancelled
   if (exchange->second.IsWritten()) return;
@@ -181,13 +182,14 @@
     return;
   }
   const core::StartAttempt command = attempt->second.command;
-  WriteRequest(now, *due.pooled, due.reference, command);
+  WriteRequest(*due.pooled, due.reference, command);
   if (due.has_waited) events_.emplace_back(core::AttemptSent{command.action.id, command.attempt});
 }
 
 // Writes a request, unless it may no longer be sent because of events since the routing decision.
-void UpstreamConnections::WriteRequest(Micros now, PooledConnection& pooled, const std::string& reference,
+void UpstreamConnections::WriteRequest(PooledConnection& pooled, const std::string& reference,
                                        const core::StartAttempt& command) {
+  const Micros now = net::Now();  // not the beginning of the round: the process may have been suspended since
   const RequestId id = command.action.id;
   if (!IsAtCurrentAddress(pooled) || !CanWrite(now, command)) {
     LogNotSent(command);
@@ -200,6 +202,7 @@
   const bool is_queued = pooled.connection.Write(line, request.body, "\r\n");
   pooled.state.exchanges[reference].request_end = pooled.connection.BytesQueued();
   LogWritten(command, pooled);
+  if (command.deliver_by) ScheduleDeliveryCheck(*command.deliver_by);
   if (!is_queued) CloseConnection(pooled, "write queue full");  // the request was not sent completely
 }
 
@@ -475,7 +478,7 @@
   }
   CloseOverdueConnections(now);
   if (!in_flight_.empty()) CloseStalledConnections(now);
-  WriteDueRequests(now);
+  WriteDueRequests();
   pool_.Sweep(now);
 }
 
--- a/src/front/platform/upstream_connections.hpp
+++ b/src/front/platform/upstream_connections.hpp
@@ -95,9 +95,9 @@
   // writes would be possible: request A on connection 1, the STOP of request B on connection 2, the next
   // attempt of B on connection 1. The server would read connection 1 first, and so B's next attempt before
   // the STOP of B.
-  void WriteDueRequests(Micros now);
-  void WriteDueRequest(Micros now, const DueRequest& due);
-  void WriteRequest(Micros now, PooledConnection& pooled, const std::string& reference,
+  void WriteDueRequests();
+  void WriteDueRequest(const DueRequest& due);
+  void WriteRequest(PooledConnection& pooled, const std::string& reference,
                     const core::StartAttempt& command);
   bool IsAtCurrentAddress(const PooledConnection& pooled) const;
   bool CanWrite(Micros now, const core::StartAttempt& command) const;
