Take a request as sent without its last line end, or once it was answered

Cause: an attempt counted as never run until the socket had taken the CR LF behind the body, and its request was sent again after the connection broke. A server can run it from the last byte of the body on. The same where a response came before the request was out: the answer was dropped as malformed and the request went to another connection. Change: MayHaveArrived counts from the end of the body, and from an early answer on. The gateway's messages end with their body. Tests: UpstreamExchangeTest (the function is new).

--- a/src/front/platform/upstream_connections.cpp
+++ b/src/front/platform/upstream_connections.cpp
@@ -200,7 +200,7 @@
   const std::string fill_source = is_fill ? addresses_.at(command.action.source).name : std::string();
   const std::string line = EncodeRequestLine(now, request, command, fill_source);
   const bool is_queued = pooled.connection.Write(line, request.body, "\r\n");
-  pooled.state.exchanges[reference].request_end = pooled.connection.BytesQueued();
+  pooled.state.exchanges[reference].MarkWritten(pooled.connection.BytesQueued());
   LogWritten(command, pooled);
   if (command.deliver_by) ScheduleDeliveryCheck(*command.deliver_by);
   if (!is_queued) CloseConnection(pooled, "write queue full");  // the request was not sent completely
@@ -360,7 +360,7 @@
     return Assign(now, *downstream_.Find(id), attempt);
   }
   using Kind = core::AttemptEnding::Kind;
-  const core::SentRequest sent{.is_complete = exchange.IsSent(pooled.connection)};
+  const core::SentRequest sent{.is_complete = exchange.MayHaveArrived(pooled.connection.BytesSent())};
   const bool is_local = !sent.is_complete && pooled.connection.FailedLocally();
   const Kind ending = is_local ? Kind::kNotSent : Kind::kConnectionLost;
   CompleteAttempt(id, pooled, {.outcome = core::OutcomeOf(sent, {.kind = ending})});
@@ -371,7 +371,7 @@
 // once, and only if the lost connection had been open, since such a loss says little about the server.
 bool UpstreamConnections::CanReassign(const PooledConnection& pooled,
                                       const UpstreamExchange& exchange) const {
-  if (exchange.IsSent(pooled.connection) || !pooled.state.was_open) return false;
+  if (exchange.MayHaveArrived(pooled.connection.BytesSent()) || !pooled.state.was_open) return false;
   const auto attempt = in_flight_.find(exchange.request_id);
   if (attempt == in_flight_.end() || attempt->second.is_reassigned) return false;
   return downstream_.Find(exchange.request_id) != nullptr &&
@@ -414,7 +414,10 @@
     RetireRequestId(pooled, reference);  // the response is ignored: cancelled earlier or never requested
     return FrameResult::kHandled;
   }
-  if (!exchange->second.IsSent(pooled.connection)) return FrameResult::kMalformed;  // precedes its request
+  if (!exchange->second.MayHaveArrived(pooled.connection.BytesSent())) {
+    exchange->second.was_answered_early = true;
+    return FrameResult::kMalformed;
+  }
   const auto response = ParseResponse(frame);
   if (!response) return FrameResult::kMalformed;
   HandleResponse(pooled, reference, *response, frame.body);
--- a/src/front/platform/upstream_exchange.hpp
+++ b/src/front/platform/upstream_exchange.hpp
@@ -14,11 +14,15 @@
 
 namespace tinspan::platform {
 
+/// The line end behind a request's body.
+inline constexpr std::uint64_t kRequestTerminatorBytes = 2;
+
 /// One attempt on a connection, from its assignment to the connection until its response.
 struct UpstreamExchange {
   RequestId request_id{};
   std::uint32_t attempt = 0;
-  std::uint64_t request_end = 0;  // BytesQueued() after the request was written; 0 before that
+  std::uint64_t request_end = 0;    // what BytesSent() is once the server can execute it; 0: not written
+  bool was_answered_early = false;  // a response came before the socket had taken the request
   Micros started_at{0};
   Micros transfer_time{0};  // time allowed for transferring the bytes of the response
   // The request must be delivered by then or not at all; empty: at any time.
@@ -26,9 +30,12 @@
 
   /// Whether the request has been passed to Connection::Write.
   bool IsWritten() const { return request_end > 0; }
-  /// Whether the socket has taken the whole request, so that it may have reached the server.
-  bool IsSent(const net::Connection& connection) const {
-    return IsWritten() && connection.BytesSent() >= request_end;
+  /// The request was passed to Connection::Write, after which `bytes_queued` bytes had been queued. The
+  /// server can execute it without the line end behind the body.
+  void MarkWritten(std::uint64_t bytes_queued) { request_end = bytes_queued - kRequestTerminatorBytes; }
+  /// Whether the server may have executed the request once the socket has taken `bytes_sent` bytes.
+  bool MayHaveArrived(std::uint64_t bytes_sent) const {
+    return IsWritten() && (bytes_sent >= request_end || was_answered_early);
   }
 };
 
--- a/tests/platform/upstream_exchange_test.cpp
+++ b/tests/platform/upstream_exchange_test.cpp
@@ -32,6 +32,25 @@
   EXPECT_FALSE(retired.IsFull());
 }
 
+// Guards against a request that is sent again although its server has all that it needs: the body has arrived,
+// only the line end behind it has not.
+TEST(UpstreamExchangeTest, MayHaveArrivedWithoutItsLineEnd) {
+  UpstreamExchange exchange;
+  EXPECT_FALSE(exchange.MayHaveArrived(100));
+  exchange.MarkWritten(100);
+  EXPECT_FALSE(exchange.MayHaveArrived(97));
+  EXPECT_TRUE(exchange.MayHaveArrived(98));
+}
+
+// Guards against the same where the server responds before the socket has taken the whole request.
+TEST(UpstreamExchangeTest, MayHaveArrivedIfItWasAnswered) {
+  UpstreamExchange exchange;
+  exchange.was_answered_early = true;
+  EXPECT_FALSE(exchange.MayHaveArrived(100));  // nothing was written: the response belongs to another request
+  exchange.MarkWritten(100);
+  EXPECT_TRUE(exchange.MayHaveArrived(1));
+}
+
 TEST(UpstreamConnectionStateTest, AcceptsAnIdThatIsNeitherOpenNorRetired) {
   UpstreamConnectionState state;
   state.exchanges["open"] = {};
