Play orders over several tries, words that come twice and early resets in the soak

Clients try an order again under its key within its window; the checker holds each repeat against the window that began with the first try at any instance.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -46,6 +46,7 @@
             self.check_abandoned(request)
             self.check_budget(request)
             self.check_purges(request)
+        self.check_keys()
         self.check_drains()
         self.check_standby()
         self.check_admin()
@@ -152,6 +153,32 @@
             self.add_violation("after the answer", "sent to a server after its final response",
                                request.reference)
 
+    def check_keys(self):
+        """Checks the repeats of orders against the window that began with the first try of their client."""
+        tries = defaultdict(list)
+        for request in self.history.requests:
+            if request.key is not None:
+                tries[request.key].append(request)
+        for requests in tries.values():
+            may_have_run = [attempt.arrived_at for request in requests for attempt in self.attempts[request.reference]
+                            if attempt.outcome not in NOT_EXECUTED]
+            if len(may_have_run) > 1:
+                for request in requests:
+                    self.check_repeats(request, min(may_have_run))
+
+    def check_repeats(self, request: Request, first_executed_at: float):
+        """Checks the attempts of one try after its first that may have run.
+
+        Up to that one the instance may not know of the earlier tries, and the client answers for its key.
+        """
+        attempts = self.attempts[request.reference]
+        own = next((number for number, one in enumerate(attempts) if one.outcome not in NOT_EXECUTED), len(attempts))
+        for attempt in attempts[own + 1:]:
+            late = attempt.arrived_at - first_executed_at - request.key_window
+            if late > self.slack(attempt.arrived_at):
+                self.add_violation("effect", f"repeated {late:.3f} s after the window of its order's first try",
+                                   request.reference)
+
     def check_abandoned(self, request: Request):
         connection = self.history.connections[request.connection]
         for abandoned_at in (request.cancelled_at, connection.client_closed_at):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -12,6 +12,22 @@
 from servers import make_body
 
 MAX_WAIT_S = 0.05  # between checks of whether the next request can be written
+RETRY_MARGIN_S = 0.15  # a key is not used again so shortly before its window ends
+
+
+@dataclass
+class Order:
+    """A request with an idempotency key and all its tries."""
+    traffic_class: tuple  # as in Day.classes
+    key: str
+    object_id: str
+    body: bytes
+    begun_at: float
+
+    def time_left(self) -> float:
+        """Returns the seconds for which its client may try again."""
+        _, _, window, deadline = self.traffic_class
+        return min(deadline, window - RETRY_MARGIN_S) - (time.monotonic() - self.begun_at)
 
 
 @dataclass
@@ -53,6 +69,8 @@
         self.number = number
         self.requests_made = 0
         self.cooldown_until = 0.0
+        self.unfinished_orders: dict[str, Order] = {}  # by the reference of their last try
+        self.orders_to_retry: list[Order] = []
         self.progress = asyncio.Event()  # set when a response arrives or the connection ends
 
     async def run(self):
@@ -109,17 +127,26 @@
             pass
 
     async def write_request(self, writer, connection, open_requests):
-        name, effect, window, deadline = self.random.choice(self.world.classes)
+        retried = self.next_retry()
+        traffic_class = retried.traffic_class if retried else self.random.choice(self.world.classes)
+        name, effect, window, deadline = traffic_class
         self.last_tag += 1
         self.requests_made += 1
         tag = str(self.last_tag).encode()
         reference = f"{self.world.seed & 0xffff:04x}{self.number:04x}{self.requests_made:08x}"
-        object_id = f"{1 + int(self.random.paretovariate(0.7)) % 400:016x}"
+        object_id = retried.object_id if retried else f"{1 + int(self.random.paretovariate(0.7)) % 400:016x}"
+        body = b"x" * self.random.randrange(200) if effect != "repeatable" else b""
         timeout = deadline * self.random.uniform(0.4, 1.0)
+        order = retried
+        if effect == "by_key" and order is None:
+            order = Order(traffic_class, f"{self.random.getrandbits(128):032x}", object_id, body, time.monotonic())
+        if order is not None:
+            body = order.body
+            timeout = max(min(timeout, deadline - (time.monotonic() - order.begun_at)), 0.02)
+            self.unfinished_orders[reference] = order
         fields = f"ref={reference},allow={int(timeout * 1000)},lookup={object_id},block=0,family=7,room=10"
-        if effect == "by_key":
-            fields += f",replay={self.random.getrandbits(128):032x}"
-        body = b"x" * self.random.randrange(200) if effect != "repeatable" else b""
+        if order is not None:
+            fields += f",replay={order.key}"
         message = encode(["RPC.CALL", tag, name, fields, body])
         if self.behaviour.splits_writes:
             middle = self.random.randrange(1, len(message))
@@ -127,19 +154,35 @@
             await asyncio.sleep(0.02)
             message = message[middle:]
         request = Request(reference, connection.instance, connection.number, name, effect, window,
-                          int(timeout * 1000) / 1000, object_id, time.monotonic())
+                          int(timeout * 1000) / 1000, object_id, time.monotonic(),
+                          key=order.key if order else None)
         self.history.requests.append(request)
         open_requests[tag] = request
         writer.write(message)
         if self.random.random() < self.behaviour.cancel_chance:
             asyncio.ensure_future(self.cancel(writer, tag, request, open_requests))
 
+    def next_retry(self) -> Order | None:
+        """Returns an order to try again, if there is one whose window and deadline allow it."""
+        while self.orders_to_retry:
+            order = self.orders_to_retry.pop(0)
+            if order.time_left() > 0:
+                return order
+        return None
+
+    def finish_try(self, reference, served):
+        """A try has ended; an order that was not served is tried again."""
+        order = self.unfinished_orders.pop(reference, None)
+        if order is not None and not served:
+            self.orders_to_retry.append(order)
+
     async def cancel(self, writer, tag, request, open_requests):
         await asyncio.sleep(self.random.random() * 0.1)
         if tag in open_requests and not writer.is_closing():
             request.cancelled_at = time.monotonic()
             writer.write(encode(["RPC.CANCEL", tag]))
             open_requests.pop(tag)
+            self.finish_try(request.reference, served=False)
 
     async def read(self, reader, connection, open_requests):
         try:
@@ -169,5 +212,6 @@
             issued = int(body.split(b":", 1)[0]) if b":" in body else None
             is_right = issued is not None and body == make_body(request.object_id, "0", issued, len(body))
         request.responses.append((at, status, issued, is_right))
+        self.finish_try(request.reference, served=status == "done")
         if status == "later" and "cooldown=" in fields and self.behaviour.honours_cooldown:
             self.cooldown_until = at + min(int(fields.split("cooldown=")[1].split(",")[0]), 500) / 1000
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -19,6 +19,7 @@
     written_at: float  # when the last byte was written
     responses: list = field(default_factory=list)  # (at, status, issued, is_body_right)
     cancelled_at: float | None = None
+    key: str | None = None  # the idempotency key, the same for all tries of one order
 
 
 @dataclass
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -35,22 +35,25 @@
 # Fault kinds and their weights. Faults of servers and of the endpoint watch end after their duration.
 FAULTS = {"standby": 5, "standby_cut": 3, "reload": 3, "reload_bad": 2, "restart": 3, "upgrade": 2, "kill": 2, "pause": 2,
           "server_hang": 3, "server_silent": 2, "server_busy": 2, "server_error": 2, "server_reset": 2, "server_cut": 2,
-          "server_pieces": 1, "server_slow": 2, "server_dies": 1, "server_drains": 2, "purge": 5,
+          "server_pieces": 1, "server_slow": 2, "server_twice": 2, "server_early_reset": 2, "server_dies": 1, "server_drains": 2, "purge": 5,
           "watch_stall": 2, "watch_cut": 2, "clock": 3, "calls": 5, "crowd": 1}
+MAX_CLIENTS = 24
 QUIET_START = 3.0  # seconds without faults at the start of the day
 QUIET_END = 5.0  # and at its end
 
 
-def draw_day(seed: int, seconds: float) -> Day:
+def draw_day(seed: int, seconds: float, fleet_size: int | None = None) -> Day:
+    """Draws the day of a seed; `fleet_size` sets the number of instances."""
     rng = random.Random(f"day/{seed}")
     instances = rng.choice([1, 1, 2, 2, 3, 4, 6, 8]) if rng.random() < 0.9 else rng.randint(20, 30)
+    instances = fleet_size or instances
     deadlines = rng.choice([(0.3, 0.4, 0.5), (0.8, 1.0, 1.0), (2.0, 2.5, 3.0), (3.0, 4.0, 8.0)])
     effects = [("pages", "repeatable"), ("orders", "by_key"), ("payments", "once")]
     window = rng.choice([0.5, 2.0, 6.0])
     classes = [(name, effect, window, deadline) for (name, effect), deadline in zip(effects, deadlines)]
     classes += [classes[0]] * 4  # most requests are of the class "pages"
     day = Day(seed, seconds, instances, rng.randint(2, 8), classes, rng.choice([1, 3, 8]))
-    for _ in range(max(4, min(24, instances * rng.randint(3, 8)))):
+    for _ in range(max(4, min(MAX_CLIENTS, instances * rng.randint(3, 8)))):
         day.clients.append(draw_client(rng))
     fault_at = QUIET_START
     mean_interval = rng.choice([1.0, 2.0, 4.0])
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -35,6 +35,8 @@
     reset_chance: float = 0.0  # resets the connection instead of responding
     cut_chance: float = 0.0  # closes the connection in the middle of a response
     splits_responses: bool = False  # writes each response in two parts
+    repeat_chance: float = 0.0  # sends a second response, with another word, some milliseconds later
+    early_reset_chance: float = 0.0  # resets the connection when it has read a request line, and runs nothing
 
 
 class Server:
@@ -81,7 +83,9 @@
                 words = line.decode().split()
                 if not words:
                     continue
-                if words[0] == "REQ":
+                if words[0] == "REQ" and self.random.random() < self.behaviour.early_reset_chance:
+                    writer.transport.abort()
+                elif words[0] == "REQ":
                     body = await reader.readexactly(int(words[3]) + 2)
                     if not self.behaviour.is_silent:  # a request to a silent server is lost
                         self.handle_request(instance, words, body[:-2], writer, open_requests)
@@ -146,6 +150,9 @@
         open_requests.pop(reference, None)
         attempt.ended_at = time.monotonic()
         attempt.outcome = word
+        if self.random.random() < self.behaviour.repeat_chance:
+            second = f"{reference} {self.random.choice(['BUSY', 'MISS', 'VOID', 'ERR'])} - 0\r\n\r\n".encode()
+            asyncio.get_event_loop().call_later(0.03 + 0.05 * self.random.random(), writer.write, second)
         data = f"{reference} {word} {fields} {len(body)}\r\n".encode() + body + b"\r\n"
         if not self.behaviour.splits_responses:
             return writer.write(data)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -55,6 +55,19 @@
         self.history.processes[1].pauses.append((10.2, 10.5))
         self.assert_rules()
 
+    def test_repeat_after_the_window_of_the_first_try(self):
+        first = served_request(self.history, "r2", 20.0, "by_key")
+        second = served_request(self.history, "r3", 21.5, "by_key")
+        first.key = second.key = "k"
+        second.responses[0] = (22.4, "done", 5000, True)
+        self.history.attempts[-1].outcome = None
+        self.assert_rules()  # within the window of 2 s
+        repeat = Attempt("r3", "s-2", None, 0.5, 21.9, "n0", 22.0, "OK")
+        self.history.attempts.append(repeat)
+        self.assert_rules()
+        repeat.arrived_at, repeat.ended_at = 22.2, 22.3
+        self.assert_rules("effect")
+
     def test_two_responses(self):
         self.request.responses.append((10.2, "done", 5000, True))
         self.assert_rules("one answer")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from servers import LOOPBACK, EndpointWatch, Server, ServerBehaviour
 
 READY_POLL_INTERVAL_S = 0.1
+MAX_FAST_POLLED = 30  # instances; more of them are looked at less often, since the soak is one process
 KILL_MARGIN_S = 0.7  # between the longest deadline after SIGTERM and SIGKILL
 MIN_RECORDED_LAG_S = 0.01  # shorter delays of the event loop are not recorded
 MAX_DEADLINE_BEFORE_KILL_S = 3.0
@@ -30,6 +31,9 @@
                "register": [errno.ENOMEM]}
 
 
+# Series of signals that end a process.
+STOP_SIGNALS = [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM),
+                (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)]
 FIRST_PORT, LAST_PORT = 10_000, 32_000  # below the ephemeral ports of outgoing connections
 
 
@@ -221,7 +225,7 @@
                     asyncio.get_event_loop().call_later(0.2, self.remove_from_rotation, instance)
                 elif is_ready:
                     instance.is_in_rotation = True
-            await asyncio.sleep(READY_POLL_INTERVAL_S)
+            await asyncio.sleep(READY_POLL_INTERVAL_S * max(1.0, len(self.instances) / MAX_FAST_POLLED))
 
     def remove_from_rotation(self, instance):
         instance.is_in_rotation = False
@@ -356,13 +360,14 @@
         longest = max(deadline for *_, deadline in self.day.classes)
         return min(longest, MAX_DEADLINE_BEFORE_KILL_S) + KILL_MARGIN_S
 
-    async def stop_process(self, process):
-        """Sends SIGTERM, then SIGKILL at the earliest time that the operators' page allows.
+    async def stop_process(self, process, signals=STOP_SIGNALS[0]):
+        """Sends the signals, SIGTERM among them, then SIGKILL at the earliest time that the operators' page allows.
 
         Clients go on using their connections.
         """
         process.sigterm_at = time.monotonic()
-        self.signal(process, signal.SIGTERM)
+        for number in signals:
+            self.signal(process, number)
         end = process.sigterm_at + self.kill_timeout()
         while process.ended_at is None and time.monotonic() < end:
             await asyncio.sleep(0.01)
@@ -371,7 +376,7 @@
     async def inject_restart(self, instance, fault):
         process = instance.processes[-1]
         asyncio.get_event_loop().call_later(0.3, self.remove_from_rotation, instance)
-        await self.stop_process(process)
+        await self.stop_process(process, STOP_SIGNALS[fault.choice % len(STOP_SIGNALS)])
         while process.ended_at is None:
             await asyncio.sleep(0.02)
         await self.start_replacement(instance)
@@ -430,7 +435,8 @@
             return
         changes = {"hang": ("is_hanging", True), "silent": ("is_silent", True), "busy": ("busy_chance", 0.5),
                    "error": ("error_chance", 0.3), "reset": ("reset_chance", 0.3), "cut": ("cut_chance", 0.3),
-                   "pieces": ("splits_responses", True), "slow": ("delay", 0.3)}
+                   "pieces": ("splits_responses", True), "slow": ("delay", 0.3), "twice": ("repeat_chance", 0.3),
+                   "early_reset": ("early_reset_chance", 0.3)}
         attribute, value = changes[kind]
         setattr(behaviour, attribute, value)
         await asyncio.sleep(fault.duration)
