--- a/tests/execution_property_test.cpp
+++ b/tests/execution_property_test.cpp
@@ -21,13 +21,14 @@
 Micros Milliseconds(std::int64_t count) { return Micros{count * 1000}; }
 
 struct PastExecution {
-  Micros at{0};
+  Micros executed_at{0};
   std::size_t instance = 0;
 };
 
 // What a client wants done once, over all of its tries.
 struct Operation {
   Effect effect = Effect::kIdempotent;
+  ClassId class_id{};
   Micros window{0};
   Micros deadline{0};
   Micros begun_at{0};
@@ -122,35 +123,36 @@
     const auto class_number = static_cast<std::uint32_t>(Below(kClasses));
     const ClassSettings& rules = settings_.classes[class_number];
     operations_.push_back({.effect = rules.effect,
+                           .class_id = ClassId{class_number},
                            .window = rules.idempotency_window,
                            .deadline = rules.deadline,
                            .begun_at = now_,
                            .last_instance = instance,
                            .wire_id = "operation " + std::to_string(operations_.size())});
-    Send(instance, operations_.size() - 1, class_number);
+    Send(instance, operations_.size() - 1);
   }
 
   void TryAgain() {
     for (std::size_t index = operations_.size(); index-- > 0;) {
       Operation& operation = operations_[index];
-      if (operation.is_open || !operation.may_try_again || Chance(50)) continue;
-      // All tries end within the deadline of the class; a key is used within its window.
-      const Micros elapsed = now_ - operation.begun_at;
-      if (elapsed >= operation.deadline) continue;
-      const bool has_key = operation.effect == Effect::kIdempotencyKey;
-      if (has_key && elapsed >= operation.window) continue;
-      if (!has_key) operation.wire_id += "'";  // a new id with each try
-      const std::size_t instance = Chance(50) ? 1 - operation.last_instance : operation.last_instance;
-      operation.last_instance = instance;
+      if (!CanTryAgain(operation) || Chance(50)) continue;
+      // A new id with each try, but the same key.
+      if (operation.effect != Effect::kIdempotencyKey) operation.wire_id += "'";
+      if (Chance(50)) operation.last_instance = 1 - operation.last_instance;
       operation.is_open = true;
-      return Send(instance, index,
-                  static_cast<std::uint32_t>(operation.effect == Effect::kIdempotent ? 0
-                                             : has_key                               ? 1
-                                                                                     : 2));
+      return Send(operation.last_instance, index);
     }
   }
 
-  void Send(std::size_t instance, std::size_t index, std::uint32_t class_number) {
+  // All tries end within the deadline of the class; a key is used within its window.
+  bool CanTryAgain(const Operation& operation) const {
+    if (operation.is_open || !operation.may_try_again) return false;
+    const Micros elapsed = now_ - operation.begun_at;
+    const bool is_key_valid = operation.effect != Effect::kIdempotencyKey || elapsed < operation.window;
+    return elapsed < operation.deadline && is_key_valid;
+  }
+
+  void Send(std::size_t instance, std::size_t index) {
     Operation& operation = operations_[index];
     operation.may_try_again = false;
     const RequestId id = instances_[instance].NextRequestId();
@@ -159,7 +161,7 @@
     const Micros allowed = std::min(left, operation.deadline * (50 + Below(51)) / 100);
     Report(instance, RequestReceived{.id = id,
                                      .time_left = allowed,
-                                     .class_id = ClassId{class_number},
+                                     .class_id = operation.class_id,
                                      .group = GroupId{7},
                                      .object = ObjectId{static_cast<std::uint64_t>(Below(5))},
                                      .size_kb = 5,
@@ -289,16 +291,16 @@
 
   void Execute(const Delivery& delivery) {
     Operation& operation = operations_[delivery.operation];
-    const Micros at = delivery.arrives_at;
+    const Micros arrived_at = delivery.arrives_at;
     for (const PastExecution& earlier : operation.executions) {
       if (operation.effect == Effect::kNonIdempotent) Fail("executed again", operation);
       const bool is_known = !delivery.is_first_of_try || earlier.instance == delivery.instance;
-      const bool is_late = at - earlier.at >= operation.window;
+      const bool is_late = arrived_at - earlier.executed_at >= operation.window;
       if (operation.effect == Effect::kIdempotencyKey && is_known && is_late) {
         Fail("executed again after its window", operation);
       }
     }
-    operation.executions.push_back({at, delivery.instance});
+    operation.executions.push_back({arrived_at, delivery.instance});
   }
 
   void ReportOutcomes() {
@@ -314,8 +316,8 @@
 
   // The front stops an attempt; one that has not arrived yet is dropped with its connection.
   void Abort(std::size_t instance, const AbortAttempt& command) {
-    const auto is_aborted = [&](std::size_t of, RequestId id, std::uint32_t attempt) {
-      return of == instance && id == command.id && attempt == command.attempt;
+    const auto is_aborted = [&](std::size_t owner, RequestId id, std::uint32_t attempt) {
+      return owner == instance && id == command.id && attempt == command.attempt;
     };
     std::erase_if(waiting_, [&](const Waiting& one) {
       return is_aborted(one.instance, one.command.action.id, one.command.attempt);
