Encode the gateway's request to a server in a unit of its own

SendRequest checked, signed, encoded and wrote in one function of 45 lines; the encoding is a pure function of one job now (front/http/upstream_request).

--- a/src/front/http/upstream_connections.cpp
+++ b/src/front/http/upstream_connections.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "front/http/upstream_request.hpp"
 #include "log/log.hpp"
 
 namespace tinspan::http {
@@ -106,33 +107,18 @@
     return ReleaseConnection(pooled);
   }
   pooled.state.is_head_request = request->method == "HEAD";
-  const UnixTime signed_at = net::UnixNow();
-  const UnixTime signed_until = signed_at + (action.expires_at - now);
-  std::string out =
-      request->method + " " +
-      (request->uses_signed_link ? signer_.Link(request->uri, signed_at, signed_until) : request->uri) +
-      " HTTP/1.1\r\nHost: " + config_.authority + "\r\nVia: 1.1 " + config_.name + "\r\n";
-  if (!request->uses_signed_link)
-    out += "Authorization: Bearer " + signer_.Token(signed_at, signed_until) + "\r\n";
-  std::string control = is_fill ? "" : "only-if-cached";
-  if (action.max_age > Micros{0}) {
-    control +=
-        (control.empty() ? "" : ", ") + ("max-age=" + std::to_string(action.max_age.count() / 1'000'000));
-  }
   pooled.state.sent.effect = request->effect;
   pooled.state.sent.is_only_if_cached = request->method != "POST" && !is_fill;
-  if (request->method != "POST" && !control.empty()) out += "Cache-Control: " + control + "\r\n";
-  out += "Tinspan-Fill: keep=" + std::to_string(action.cache_rank);
-  if (is_fill) out += "; source=" + source->second.name;
-  for (const auto& [is_set, parameter] : {std::pair{action.join_fill, "join"},
-                                          {action.source_cached_only, "peek"},
-                                          {action.bypass_parent, "pass"},
-                                          {action.revalidate, "renew"}}) {
-    if (is_set) out.append("; ").append(parameter);
-  }
-  out.append("\r\n").append(request->header_fields);
-  if (request->method == "POST") out += "Content-Length: " + std::to_string(request->body.size()) + "\r\n";
-  const bool is_queued = pooled.connection.Write(out, "\r\n", request->body);
+  const UnixTime signed_at = net::UnixNow();
+  const std::string head =
+      EncodeRequestHead(*request, action,
+                        {.authority = config_.authority,
+                         .gateway_name = config_.name,
+                         .fill_source = is_fill ? std::string_view(source->second.name) : std::string_view(),
+                         .signer = signer_,
+                         .signed_at = signed_at,
+                         .signed_until = signed_at + (action.expires_at - now)});
+  const bool is_queued = pooled.connection.Write(head, "\r\n", request->body);
   pooled.state.request_end = pooled.connection.BytesQueued();
   pooled.state.deliver_by = command.deliver_by;
   if (command.deliver_by) loop_.Timers().Set(*command.deliver_by, [](Micros) {});  // EndRound then checks
