Mend two faults of the soak's stand-ins that named 'bytes', 'crash' and 'ready'

Trace: a server that splits its responses wrote another response between the parts; the program called the next ones malformed and closed the connection, one passed its framing. Nothing comes between the parts of a response now. A port is given out once now.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -54,6 +54,7 @@
         self.is_up = True
         self.is_draining = False
         self.writers = set()
+        self.unwritten = {}  # by writer: what follows the first part of a response that is being split
         self.listeners = []
 
     async def start(self):
@@ -152,13 +153,24 @@
         attempt.outcome = word
         if self.random.random() < self.behaviour.repeat_chance:
             second = f"{reference} {self.random.choice(['BUSY', 'MISS', 'VOID', 'ERR'])} - 0\r\n\r\n".encode()
-            asyncio.get_event_loop().call_later(0.03 + 0.05 * self.random.random(), writer.write, second)
+            asyncio.get_event_loop().call_later(0.03 + 0.05 * self.random.random(), self.write, writer, second)
         data = f"{reference} {word} {fields} {len(body)}\r\n".encode() + body + b"\r\n"
-        if not self.behaviour.splits_responses:
-            return writer.write(data)
-        middle = len(data) // 2
-        writer.write(data[:middle])
-        asyncio.get_event_loop().call_later(0.02, writer.write, data[middle:])
+        self.write(writer, data)
+
+    def write(self, writer, data):
+        """Writes a response, in two parts if the server splits them; no other one comes between the parts."""
+        if writer in self.unwritten:
+            self.unwritten[writer] += data
+        elif self.behaviour.splits_responses:
+            middle = len(data) // 2
+            writer.write(data[:middle])
+            self.unwritten[writer] = data[middle:]
+            asyncio.get_event_loop().call_later(0.02, self.write_rest, writer)
+        else:
+            writer.write(data)
+
+    def write_rest(self, writer):
+        writer.write(self.unwritten.pop(writer))
 
     def purge(self, object_id: str):
         """Removes all copies of the object."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -37,19 +37,25 @@
 FIRST_PORT, LAST_PORT = 10_000, 32_000  # below the ephemeral ports of outgoing connections
 
 
+taken_ports: set[int] = set()  # returned by free_port, perhaps not bound yet
+
+
 def free_port() -> int:
-    """Returns a port on which nothing listens.
+    """Returns a port on which nothing listens, another one with each call.
 
     It is outside the ephemeral range, so no outgoing connection gets it before it is used.
     """
     while True:
         port = secrets.choice(range(FIRST_PORT, LAST_PORT))
+        if port in taken_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
+        taken_ports.add(port)
+        return port
 
 
 class Instance:
