--- a/tests/platform/upstream_exchange_test.cpp
+++ b/tests/platform/upstream_exchange_test.cpp
@@ -32,8 +32,8 @@
   EXPECT_FALSE(retired.IsFull());
 }
 
-// Guards against a request that is sent again although its server has all that it needs: the body has arrived,
-// only the line end behind it has not.
+// Guards against a request that is sent again although its server has all that it needs: the body has
+// arrived, only the line end behind it has not.
 TEST(UpstreamExchangeTest, MayHaveArrivedWithoutItsLineEnd) {
   UpstreamExchange exchange;
   EXPECT_FALSE(exchange.MayHaveArrived(100));
